--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,13 @@
+//! Decision logic of zinniaport.
+//!
+//! Everything here is pure: a decision takes a snapshot, a clock reading and a
+//! random source, and returns what to do together with the reason. The crate
+//! knows no HTTP, no RPC and no YAML, so that several front ends can share it.
+
+pub mod call;
+pub mod clock;
+pub mod controllers;
+pub mod fleet;
+pub mod intent;
+pub mod keys;
+pub mod policy;
--- /dev/null
+++ b/testing/src/lib.rs
@@ -0,0 +1,61 @@
+//! Test support for the workspace: named cases, deterministic property runs
+//! and child processes.
+
+pub mod client;
+pub mod process;
+
+use proptest::strategy::Strategy;
+use proptest::test_runner::{Config, RngAlgorithm, TestCaseResult, TestRng, TestRunner};
+
+/// Declares tests, each with the failure that it guards against.
+///
+/// A case is a plain test; `async` in front of its name runs it on a
+/// multi-threaded runtime, `paused` on a single thread with paused time.
+///
+/// ```
+/// zinniaport_testing::test_cases! {
+///     sums_are_exact: "a sum that drops the carry" => {
+///         assert_eq!(9 + 1, 10);
+///     }
+/// }
+/// ```
+#[macro_export]
+macro_rules! test_cases {
+    () => {};
+    (async $name:ident : $guards:literal => $body:block $($rest:tt)*) => {
+        #[doc = concat!("Guards against ", $guards, ".")]
+        #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+        async fn $name() $body
+        $crate::test_cases! { $($rest)* }
+    };
+    (paused $name:ident : $guards:literal => $body:block $($rest:tt)*) => {
+        #[doc = concat!("Guards against ", $guards, ".")]
+        #[tokio::test(start_paused = true)]
+        async fn $name() $body
+        $crate::test_cases! { $($rest)* }
+    };
+    ($name:ident : $guards:literal => $body:block $($rest:tt)*) => {
+        #[doc = concat!("Guards against ", $guards, ".")]
+        #[test]
+        fn $name() $body
+        $crate::test_cases! { $($rest)* }
+    };
+}
+
+/// Checks `property` on `cases` inputs drawn from `strategy` with a fixed seed.
+///
+/// # Panics
+///
+/// Panics with the smallest failing input that shrinking found.
+pub fn check_property<S: Strategy>(
+    cases: u32,
+    strategy: &S,
+    property: impl Fn(S::Value) -> TestCaseResult,
+) {
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
+    let random = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(config, random);
+    if let Err(failure) = runner.run(strategy, property) {
+        panic!("property does not hold: {failure}");
+    }
+}
--- /dev/null
+++ b/testing/src/process.rs
@@ -0,0 +1,86 @@
+//! Child processes of tests: started from a binary of the workspace, signalled
+//! and ended by process id.
+
+use std::path::Path;
+use std::process::{ExitStatus, Stdio};
+use std::time::Duration;
+
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::io::{AsyncBufReadExt, BufReader, Lines};
+use tokio::process::{Child, ChildStdout, Command};
+use tokio::time::timeout;
+
+/// A hung child fails the test after this time instead of hanging the suite.
+const CHILD_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A running binary of the workspace whose standard output is read line by line.
+#[derive(Debug)]
+pub struct ChildProcess {
+    child: Child,
+    lines: Lines<BufReader<ChildStdout>>,
+}
+
+impl ChildProcess {
+    /// Starts `program` with `arguments`. The child is killed when dropped.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the program cannot be started.
+    pub fn start<A: AsRef<std::ffi::OsStr>>(
+        program: impl AsRef<Path>,
+        arguments: impl IntoIterator<Item = A>,
+    ) -> Self {
+        let mut child = Command::new(program.as_ref())
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("the binary is built by cargo before its tests");
+        let output = child.stdout.take().expect("standard output is piped");
+        Self { child, lines: BufReader::new(output).lines() }
+    }
+
+    /// Reads lines until one starts with `prefix` and returns the rest of it.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the child ends or a minute passes without such a line.
+    pub async fn wait_for_line(&mut self, prefix: &str) -> String {
+        let search = async {
+            while let Some(line) = self.lines.next_line().await.expect("output is UTF-8") {
+                if let Some(rest) = line.strip_prefix(prefix) {
+                    return rest.trim().to_owned();
+                }
+            }
+            panic!("the child ended before it printed {prefix:?}");
+        };
+        timeout(CHILD_TIMEOUT, search).await.expect("the child prints its line in time")
+    }
+
+    /// Sends `signal` to the child.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the child has already been waited for.
+    pub fn signal(&self, signal: Signal) {
+        let id = self.child.id().expect("the child is running");
+        let pid = Pid::from_raw(id.cast_signed()).expect("a process id is positive");
+        kill_process(pid, signal).expect("the child can be signalled");
+    }
+
+    /// Waits for the child to end.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it does not end within a minute.
+    pub async fn wait(&mut self) -> ExitStatus {
+        timeout(CHILD_TIMEOUT, self.child.wait())
+            .await
+            .expect("the child ends in time")
+            .expect("the child can be waited for")
+    }
+}
+
+pub use rustix::process::Signal as ChildSignal;
