Serve a request from caller to target through separate processes

Cause: the whole path has to exist in thin form before any part is widened. Change: filter chain, HTTP front end, transport to targets, administration address, store interface, YAML settings, commands and a target stand-in.

--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,101 @@
+//! Administration address of an entry: HTTP with JSON.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Largest body of an administration request, in bytes.
+const MAX_ADMIN_BODY_BYTES: usize = 1 << 20;
+
+/// Response of the administration address.
+pub type AdminResponse = Response<Full<Bytes>>;
+
+/// Request to the administration address, with its body read.
+pub type AdminRequest = Request<Bytes>;
+
+/// Answers the requests under one path.
+pub trait AdminHandler: Send + Sync {
+    /// Gives the path that the handler answers; deeper paths go to it too.
+    fn path(&self) -> &'static str;
+
+    /// Answers a request.
+    fn handle<'a>(&'a self, request: &'a AdminRequest) -> BoxFuture<'a, AdminResponse>;
+}
+
+/// Passes administration requests to their handlers.
+#[derive(Clone)]
+pub struct AdminRouter(Arc<[Arc<dyn AdminHandler>]>);
+
+impl AdminRouter {
+    /// Creates a router. The first handler whose path matches answers.
+    pub fn new(handlers: Vec<Arc<dyn AdminHandler>>) -> Self {
+        Self(handlers.into())
+    }
+
+    /// Serves until `stop` is cancelled.
+    pub async fn serve(self, listener: TcpListener, stop: CancellationToken) {
+        loop {
+            let stream = tokio::select! {
+                () = stop.cancelled() => return,
+                accepted = listener.accept() => match accepted {
+                    Ok((stream, _)) => stream,
+                    Err(_) => continue,
+                },
+            };
+            let router = self.clone();
+            let service = service_fn(move |request| {
+                let router = router.clone();
+                async move { Ok::<_, Infallible>(router.answer(request).await) }
+            });
+            let builder = auto::Builder::new(TokioExecutor::new());
+            let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+            tokio::spawn(connection);
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> AdminResponse {
+        let (head, body) = request.into_parts();
+        let Ok(body) = Limited::new(body, MAX_ADMIN_BODY_BYTES).collect().await else {
+            return text_response(StatusCode::PAYLOAD_TOO_LARGE, "send at most 1 MiB");
+        };
+        let request = Request::from_parts(head, body.to_bytes());
+        let path = request.uri().path();
+        match self.0.iter().find(|handler| covers(handler.path(), path)) {
+            Some(handler) => handler.handle(&request).await,
+            None => {
+                text_response(StatusCode::NOT_FOUND, "see `zinniaport --help` for the commands")
+            }
+        }
+    }
+}
+
+/// Tells whether `path` is `prefix` or lies below it.
+fn covers(prefix: &str, path: &str) -> bool {
+    path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+/// Makes a plain-text response.
+pub fn text_response(status: StatusCode, text: impl Into<Bytes>) -> AdminResponse {
+    let mut response = Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Makes a JSON response.
+pub fn json_response(status: StatusCode, value: &impl Serialize) -> AdminResponse {
+    let mut response = text_response(status, serde_json::to_vec(value).unwrap_or_default());
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
--- /dev/null
+++ b/src/commands/check.rs
@@ -0,0 +1,33 @@
+//! `zinniaport check`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Args;
+
+use crate::settings::EntrySettings;
+
+/// Arguments of `zinniaport check`.
+#[derive(Debug, Args)]
+#[command(after_help = "Example: zinniaport check --settings examples/one-entry.yaml")]
+pub struct CheckArguments {
+    /// YAML file with the settings of an entry.
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+}
+
+impl CheckArguments {
+    /// Checks the file; exit code 2 when it has faults.
+    pub fn run(self) -> ExitCode {
+        match EntrySettings::load(&self.settings) {
+            Ok(_) => {
+                println!("{}: no faults", self.settings.display());
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                eprintln!("{error}");
+                ExitCode::from(2)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/exchange.rs
@@ -0,0 +1,88 @@
+//! One request in progress.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use derive_more::{Display, Error, From};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Empty, Full};
+use zinniaport_core::call::CallFacts;
+use zinniaport_core::fleet::FleetSnapshot;
+use zinniaport_core::keys::TargetKey;
+
+/// Body of a request or response while it passes through.
+pub type CallBody = BoxBody<Bytes, BodyError>;
+
+/// Response on its way to the caller.
+pub type CallResponse = http::Response<CallBody>;
+
+/// Why a body ended early.
+#[derive(Debug, Display, Error, From)]
+pub enum BodyError {
+    /// The connection failed.
+    #[display(
+        "the connection ended inside the body: {_0}; send the request again if it is idempotent"
+    )]
+    Connection(hyper::Error),
+    /// The body exceeds its limit.
+    #[from(ignore)]
+    #[display(
+        "the body is larger than {limit_bytes} bytes; send less or raise limits.max_body_bytes"
+    )]
+    TooLarge {
+        /// The limit, in bytes.
+        limit_bytes: u64,
+    },
+    /// No progress within the time limit.
+    #[from(ignore)]
+    #[display("no data arrived within {limit_ms} ms; check the sender or raise its time limit")]
+    Stalled {
+        /// The limit, in milliseconds.
+        limit_ms: u64,
+    },
+}
+
+/// Makes a body without content.
+pub fn empty_body() -> CallBody {
+    Empty::new().map_err(|never| match never {}).boxed()
+}
+
+/// Makes a body that is wholly in memory.
+pub fn full_body(content: impl Into<Bytes>) -> CallBody {
+    Full::new(content.into()).map_err(|never| match never {}).boxed()
+}
+
+/// One request in progress, from its head to its answer.
+pub struct Exchange {
+    /// Identity of the request, given by the caller or made here.
+    pub request_id: String,
+    /// Services and targets as of the arrival of the request.
+    pub fleet: Arc<FleetSnapshot>,
+    /// What decisions know of the request.
+    pub facts: CallFacts,
+    /// Head of the request.
+    pub head: http::request::Parts,
+    /// Body of the request until it is dispatched.
+    pub body: Option<CallBody>,
+    /// Targets that the request was dispatched to, the present one last.
+    pub targets: Vec<TargetKey>,
+}
+
+impl Exchange {
+    /// Creates an exchange from the head and body of a request.
+    pub fn new(
+        request_id: String,
+        fleet: Arc<FleetSnapshot>,
+        request: http::Request<CallBody>,
+    ) -> Self {
+        let (head, body) = request.into_parts();
+        Self {
+            request_id,
+            fleet,
+            facts: CallFacts::default(),
+            head,
+            body: Some(body),
+            targets: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/src/filters/classify.rs
@@ -0,0 +1,91 @@
+//! Finds the kind of a request, its deadline and whether it is idempotent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use http::HeaderMap;
+use zinniaport_core::call::ReasonCode;
+
+use super::{FilterNext, FilterResult, RequestFilter};
+use crate::exchange::Exchange;
+use crate::refusal::Refusal;
+use crate::state::SharedState;
+
+/// Header with the time that the caller still gives the request, in milliseconds.
+pub const DEADLINE_HEADER: &str = "x-deadline-ms";
+
+/// Longest deadline that a caller may ask for, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+/// Classifies a request by the intent of its service.
+pub struct ClassifyFilter {
+    state: Arc<SharedState>,
+}
+
+impl ClassifyFilter {
+    /// Creates the filter.
+    pub fn new(state: Arc<SharedState>) -> Self {
+        Self { state }
+    }
+
+    fn classify(&self, exchange: &mut Exchange) -> Result<(), Refusal> {
+        let service = &exchange.fleet.services[exchange.facts.service];
+        let path = path_in_service(exchange.head.uri.path());
+        let method = exchange.head.method.as_str();
+        let Some((position, kind)) =
+            service.intent.kinds.iter().enumerate().find(|(_, kind)| kind.matches(method, path))
+        else {
+            let detail =
+                format!("{method} {path} belongs to no kind of {}", service.intent.service);
+            return Err(Refusal::not_run(ReasonCode::UnknownKind, detail));
+        };
+        let now = self.state.clock.now();
+        let limit = kind.deadline();
+        let limit = caller_limit(&exchange.head.headers)?.map_or(limit, |given| given.min(limit));
+        let facts = &mut exchange.facts;
+        facts.kind = position;
+        facts.rank = kind.rank;
+        facts.idempotent = kind.idempotent;
+        facts.max_runs = if kind.idempotent { kind.max_runs.max(1) } else { 1 };
+        facts.arrived = now;
+        facts.deadline = now + limit;
+        Ok(())
+    }
+}
+
+impl RequestFilter for ClassifyFilter {
+    fn name(&self) -> &'static str {
+        "classify"
+    }
+
+    fn handle<'a>(
+        &'a self,
+        exchange: &'a mut Exchange,
+        next: FilterNext<'a>,
+    ) -> BoxFuture<'a, FilterResult> {
+        Box::pin(async move {
+            self.classify(exchange)?;
+            next.run(exchange).await
+        })
+    }
+}
+
+/// Gives the path after the service's segment, with its leading slash.
+fn path_in_service(path: &str) -> &str {
+    let rest = path.trim_start_matches('/');
+    rest.find('/').map_or("/", |start| &rest[start..])
+}
+
+/// Reads the time limit that the caller gives.
+fn caller_limit(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else { return Ok(None) };
+    let limit_ms = value.to_str().ok().and_then(|text| text.parse().ok());
+    match limit_ms {
+        Some(limit_ms @ 1..=MAX_DEADLINE_MS) => Ok(Some(Duration::from_millis(limit_ms))),
+        _ => {
+            let detail = format!("cannot read {DEADLINE_HEADER}: {value:?}");
+            Err(Refusal::not_run(ReasonCode::BadDeadline, detail))
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,31 @@
+//! A load balancer for servers whose load shifts in milliseconds, which can
+//! explain why one caller waited for another.
+//!
+//! Requests pass a chain of [`filters`]; controllers of [`zinniaport_core`] own
+//! the state and publish snapshots that the filters read. [`runtime`] starts an
+//! entry inside any program:
+//!
+//! ```no_run
+//! use zinniaport::runtime::EntryRuntime;
+//! use zinniaport::settings::EntrySettings;
+//!
+//! # async fn run() -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = EntrySettings::load("examples/one-entry.yaml".as_ref())?;
+//! let entry = EntryRuntime::start(settings).await?;
+//! println!("callers connect to {}", entry.caller_address());
+//! entry.stop().await;
+//! # Ok(())
+//! # }
+//! ```
+
+pub mod admin;
+pub mod commands;
+pub mod exchange;
+pub mod filters;
+pub mod front;
+pub mod pool;
+pub mod refusal;
+pub mod runtime;
+pub mod settings;
+pub mod state;
+pub mod store;
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,97 @@
+//! The platform's object store, as the entry sees it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use futures::future::BoxFuture;
+use serde::{Deserialize, Serialize};
+
+/// Object with the version of its last change. Versions come from one counter
+/// for the whole store, so they order changes of different objects too.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct StoredObject {
+    /// Name of the object, such as `intents/pump-history`.
+    pub name: String,
+    /// Version of its last change.
+    pub version: u64,
+    /// Content; none once the object was deleted.
+    pub content: Option<String>,
+}
+
+/// What must hold for a write to take effect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WriteCondition {
+    /// No object has the name.
+    Absent,
+    /// The object is at this version.
+    AtVersion(u64),
+}
+
+/// Changes that a watch returns.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct WatchBatch {
+    /// Store version up to which the batch is complete.
+    pub version: u64,
+    /// Objects that changed, oldest change first.
+    pub changes: Vec<StoredObject>,
+}
+
+/// Why a store call failed.
+#[derive(Clone, Debug, Display, Error, Eq, PartialEq)]
+pub enum StoreError {
+    /// The condition of a write did not hold; nothing changed.
+    #[display("the object changed meanwhile and is at version {version}; read it and decide again")]
+    Conflict {
+        /// Present version, 0 if the object does not exist.
+        version: u64,
+    },
+    /// The store refused the call; nothing changed.
+    #[display("the store refused the call: {cause}; try again later")]
+    Refused {
+        /// What the store said.
+        #[error(not(source))]
+        cause: String,
+    },
+    /// No answer came; a write may have taken effect.
+    #[display(
+        "no answer from the store: {cause}; read the object to learn whether the write took effect"
+    )]
+    NoAnswer {
+        /// What failed.
+        #[error(not(source))]
+        cause: String,
+    },
+    /// The watch starts before the oldest change that the store keeps.
+    #[display("the store no longer keeps these changes; list the objects, then watch from there")]
+    TooOld,
+}
+
+/// The platform's object store.
+pub trait ObjectStore: Send + Sync {
+    /// Reads an object.
+    fn read<'a>(&'a self, name: &'a str)
+    -> BoxFuture<'a, Result<Option<StoredObject>, StoreError>>;
+
+    /// Lists the objects whose names start with `prefix`, and the store version.
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<WatchBatch, StoreError>>;
+
+    /// Writes an object if `condition` holds, and returns its new version.
+    fn write<'a>(
+        &'a self,
+        name: &'a str,
+        content: Bytes,
+        condition: WriteCondition,
+    ) -> BoxFuture<'a, Result<u64, StoreError>>;
+
+    /// Deletes an object if it is at `version`.
+    fn delete<'a>(&'a self, name: &'a str, version: u64) -> BoxFuture<'a, Result<(), StoreError>>;
+
+    /// Waits up to `limit` for changes after `version` under `prefix`.
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        version: u64,
+        limit: Duration,
+    ) -> BoxFuture<'a, Result<WatchBatch, StoreError>>;
+}
