Carry a fixed-size trace of decisions with each request

Cause: explanations need to know which rule admitted a request and picked its target, while the request path must not allocate for it.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -98,6 +98,14 @@
     AdmittedAtOnce,
     /// Admitted after waiting in the queue.
     AdmittedAfterWait,
+    /// Admitted before others because its kind ranks higher.
+    RankFirst,
+    /// Admitted before others of its kind because its deadline is nearer.
+    DeadlineFirst,
+    /// Admitted because it was its caller's turn.
+    CallerTurn,
+    /// Admitted because higher kinds had overtaken it as often as allowed.
+    OvertakenEnough,
     /// The only target left to choose from.
     OnlyTarget,
     /// Chosen at random.
--- /dev/null
+++ b/core/src/decision.rs
@@ -0,0 +1,61 @@
+//! What is written down about the decisions on one request.
+
+use serde::{Deserialize, Serialize};
+
+use crate::call::ReasonCode;
+use crate::clock::Timestamp;
+use crate::keys::TargetKey;
+
+/// Greatest number of dispatches that a trace holds.
+pub const MAX_TRACED_DISPATCHES: usize = 4;
+
+/// How a request was admitted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct AdmissionTrace {
+    /// The rule that let the request go next.
+    pub rule: ReasonCode,
+    /// When it joined the queue.
+    pub queued: Timestamp,
+    /// When it left the queue.
+    pub admitted: Timestamp,
+    /// Its position in the order in which this entry admitted requests.
+    pub admission_number: u64,
+    /// Requests that waited when it joined.
+    pub queue_length: u32,
+    /// Requests that joined later and were admitted before it.
+    pub overtaken: u32,
+}
+
+/// One dispatch to a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DispatchTrace {
+    /// The target.
+    pub target: TargetKey,
+    /// The rule that picked it.
+    pub rule: ReasonCode,
+    /// How many targets could have been picked.
+    pub candidates: u16,
+    /// When the request was dispatched.
+    pub dispatched: Timestamp,
+    /// Age of the load report behind the pick, in microseconds; none if no
+    /// report was used.
+    pub report_age_us: Option<u32>,
+}
+
+/// The decisions on one request, of fixed size.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DecisionTrace {
+    /// How the request was admitted; none if it was refused before.
+    pub admission: Option<AdmissionTrace>,
+    /// Its dispatches, in order.
+    pub dispatches: [Option<DispatchTrace>; MAX_TRACED_DISPATCHES],
+}
+
+impl DecisionTrace {
+    /// Adds a dispatch; more than [`MAX_TRACED_DISPATCHES`] are not kept.
+    pub fn add_dispatch(&mut self, dispatch: DispatchTrace) {
+        if let Some(free) = self.dispatches.iter_mut().find(|entry| entry.is_none()) {
+            *free = Some(dispatch);
+        }
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod call;
 pub mod clock;
 pub mod controllers;
+pub mod decision;
 pub mod fleet;
 pub mod intent;
 pub mod keys;
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -7,6 +7,7 @@
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Empty, Full};
 use zinniaport_core::call::CallFacts;
+use zinniaport_core::decision::DecisionTrace;
 use zinniaport_core::fleet::FleetSnapshot;
 use zinniaport_core::keys::TargetKey;
 
@@ -66,6 +67,8 @@
     pub body: Option<CallBody>,
     /// Targets that the request was dispatched to, the present one last.
     pub targets: Vec<TargetKey>,
+    /// The decisions taken so far.
+    pub trace: DecisionTrace,
 }
 
 impl Exchange {
@@ -83,6 +86,7 @@
             head,
             body: Some(body),
             targets: Vec::new(),
+            trace: DecisionTrace::default(),
         }
     }
 }
--- a/src/filters/route.rs
+++ b/src/filters/route.rs
@@ -4,6 +4,7 @@
 
 use futures::future::BoxFuture;
 use zinniaport_core::call::ReasonCode;
+use zinniaport_core::decision::DispatchTrace;
 use zinniaport_core::policy::{RouteQuery, RoutingPolicy};
 
 use super::{FilterNext, FilterResult, RequestFilter};
@@ -40,6 +41,13 @@
             let detail = format!("no target of {} takes requests", service.intent.service);
             return Err(Refusal::not_run(ReasonCode::NoTarget, detail));
         };
+        exchange.trace.add_dispatch(DispatchTrace {
+            target: choice.target,
+            rule: choice.reason,
+            candidates: choice.candidates,
+            dispatched: query.now,
+            report_age_us: None,
+        });
         exchange.targets.push(choice.target);
         Ok(())
     }
