Draft plans from intents and confirm each at most once

Cause: operators state intents, and a confirmed change must apply to exactly the version it was planned on, also when the store's answer is lost. Change: ChangePlan with ordered changes, capacity by data centre, risks and a 128-bit identity; StoredIntent with the last 256 applied plans and their base versions; a controller for confirmation as one conditional update. Result: confirmed_plans_apply_once passes 2,000 histories with 3 entries, lost, delayed and refused calls, stale reads and restarts. It fails with a safeguard removed: without recognition by identity on [Draft, Confirm] confirmed twice (reported Outdated, was applied); without the base version check on [Draft, Draft] (second plan replaced version 2 instead of 0); with stale reads believed on a plan drafted on version 2 and read as absent; with lost answers taken as refusals on [Confirm, AnswerLost, RequestLost...] (reported NotApplied). evicted_plans_are_not_denied fails when a full list counts as complete.

--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -1,8 +1,12 @@
 //! Controllers: each owns one piece of state, takes messages and clock readings,
 //! and returns effects for its driver to carry out.
 
+mod plans;
+mod replies;
 mod settings;
 
+pub use plans::{ConfirmOutcome, PlansController, PlansEffect, PlansMessage};
+pub use replies::{ReadReply, WriteReply};
 pub use settings::{SettingsController, SettingsEffect, SettingsMessage};
 
 use crate::clock::Timestamp;
--- /dev/null
+++ b/core/src/plan/mod.rs
@@ -0,0 +1,263 @@
+//! Plans: what confirming a stated intent would change, computed from the base
+//! version of the intent and the present fleet.
+
+mod changes;
+mod stored;
+
+use derive_more::{Display, Error};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+pub use changes::{ChangeAction, PlannedChange, changes_between};
+pub use stored::{AppliedPlan, MAX_APPLIED_PLANS, StoredIntent};
+
+use crate::clock::Timestamp;
+use crate::digest::ShortDigest;
+use crate::fleet::FleetSnapshot;
+use crate::intent::{ServiceIntent, TargetIntent, TargetWish};
+
+/// Identity of a plan.
+pub type PlanIdentity = ShortDigest;
+
+/// What an operator states: the intent and whether it may cut below the load.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct IntentStatement {
+    /// The intent.
+    pub intent: ServiceIntent,
+    /// Allows fewer slots than the present load. Not stored with the intent.
+    #[serde(default)]
+    pub allow_below_load: bool,
+}
+
+/// What a plan is computed from.
+#[derive(Clone, Copy, Debug)]
+pub struct PlanBasis<'a> {
+    /// The intent in the store; none for a new service.
+    pub base: Option<&'a ServiceIntent>,
+    /// Its version, 0 for a new service.
+    pub base_version: u64,
+    /// Services and targets with their present load.
+    pub fleet: &'a FleetSnapshot,
+}
+
+/// Who drafts a plan, and when.
+#[derive(Clone, Debug)]
+pub struct PlanStamp {
+    /// The author.
+    pub author: String,
+    /// Random number that tells apart plans with the same changes.
+    pub nonce: u64,
+    /// When the plan was drafted.
+    pub created: Timestamp,
+}
+
+/// Slots in one data centre before and after a plan.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct CapacityEffect {
+    /// The data centre.
+    pub data_centre: String,
+    /// Slots that take requests before the plan.
+    pub slots_before: u32,
+    /// Slots that take requests after it.
+    pub slots_after: u32,
+}
+
+/// What may go wrong when a plan is confirmed.
+#[derive(Clone, Debug, Display, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlanRisk {
+    /// The load exceeds the slots that stay.
+    #[display("{slots} slots stay for a load of {load} requests; requests will wait or be refused")]
+    BelowLoad {
+        /// Requests running and queued at the targets.
+        load: u32,
+        /// Slots after the plan.
+        slots: u32,
+    },
+    /// A data centre has no open target left.
+    #[display("no target stays in {data_centre}; its requests cross to other data centres")]
+    DataCentreEmptied {
+        /// The data centre.
+        data_centre: String,
+    },
+    /// Targets start cold.
+    #[display("{targets} targets start cold and take a growing share at first")]
+    ColdTargets {
+        /// How many.
+        targets: usize,
+    },
+    /// No target has reported its load.
+    #[display("no target has reported its load to this entry; the load may be underestimated")]
+    LoadUnknown,
+}
+
+/// Why a statement yields no plan.
+#[derive(Debug, Display, Error, Eq, PartialEq)]
+pub enum PlanError {
+    /// The load exceeds the slots that would stay.
+    #[display(
+        "{slots} slots would stay for a load of {load} requests; keep more targets or state allow_below_load"
+    )]
+    BelowLoad {
+        /// Requests running and queued at the targets.
+        load: u32,
+        /// Slots after the plan.
+        slots: u32,
+    },
+    /// The intent is already in force.
+    #[display("the intent equals version {base_version}; nothing needs to be confirmed")]
+    NoChange {
+        /// Version in the store.
+        base_version: u64,
+    },
+    /// A target appears twice.
+    #[display("target {address} appears more than once; name each address once")]
+    RepeatedTarget {
+        /// Its address.
+        address: std::net::SocketAddr,
+    },
+}
+
+/// What confirming a statement changes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ChangePlan {
+    /// Digest of base version, changes and nonce.
+    pub identity: PlanIdentity,
+    /// Author of the statement.
+    pub author: String,
+    /// When the plan was drafted.
+    pub created: Timestamp,
+    /// Version of the intent that the plan was computed from, 0 for none.
+    pub base_version: u64,
+    /// The changes, in the order in which they are best understood to happen:
+    /// capacity is added before it is removed.
+    pub changes: Vec<PlannedChange>,
+    /// Effect on the slots of each data centre.
+    pub capacity: Vec<CapacityEffect>,
+    /// What may go wrong.
+    pub risks: Vec<PlanRisk>,
+    /// The intent that the plan was computed from.
+    pub base: Option<ServiceIntent>,
+    /// The intent in force after the plan.
+    pub intent: ServiceIntent,
+}
+
+impl ChangePlan {
+    /// Drafts the plan that puts a statement in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the statement changes nothing, names a target twice
+    /// or leaves fewer slots than the present load without allowing it.
+    pub fn draft(
+        statement: IntentStatement,
+        basis: &PlanBasis<'_>,
+        stamp: PlanStamp,
+    ) -> Result<Self, PlanError> {
+        let IntentStatement { intent, allow_below_load } = statement;
+        check_addresses(&intent.targets)?;
+        let changes = changes_between(basis.base, &intent);
+        if changes.is_empty() {
+            return Err(PlanError::NoChange { base_version: basis.base_version });
+        }
+        let before = basis.base.map_or(&[][..], |base| &base.targets);
+        let capacity = capacity_effects(before, &intent.targets);
+        let mut risks = capacity_risks(&capacity, &changes);
+        let slots_before: u32 = capacity.iter().map(|effect| effect.slots_before).sum();
+        let slots: u32 = capacity.iter().map(|effect| effect.slots_after).sum();
+        let load = present_load(basis.fleet, &intent.service);
+        if slots < load.unwrap_or(0) && slots < slots_before {
+            let load = load.unwrap_or(0);
+            if !allow_below_load {
+                return Err(PlanError::BelowLoad { load, slots });
+            }
+            risks.push(PlanRisk::BelowLoad { load, slots });
+        }
+        if load.is_none() && slots < slots_before {
+            risks.push(PlanRisk::LoadUnknown);
+        }
+        let identity = identity_of(basis.base_version, &changes, &intent, stamp.nonce);
+        Ok(Self {
+            identity,
+            author: stamp.author,
+            created: stamp.created,
+            base_version: basis.base_version,
+            changes,
+            capacity,
+            risks,
+            base: basis.base.cloned(),
+            intent,
+        })
+    }
+}
+
+fn check_addresses(targets: &[TargetIntent]) -> Result<(), PlanError> {
+    let mut seen = std::collections::HashSet::new();
+    match targets.iter().find(|target| !seen.insert(target.address)) {
+        Some(target) => Err(PlanError::RepeatedTarget { address: target.address }),
+        None => Ok(()),
+    }
+}
+
+/// Covers the intent too, since changes are descriptions meant for people.
+fn identity_of(
+    base_version: u64,
+    changes: &[PlannedChange],
+    intent: &ServiceIntent,
+    nonce: u64,
+) -> PlanIdentity {
+    let changes = serde_json::to_vec(changes).unwrap_or_default();
+    let intent = serde_json::to_vec(intent).unwrap_or_default();
+    let parts = [&base_version.to_be_bytes()[..], &changes, &intent, &nonce.to_be_bytes()];
+    ShortDigest::of(&parts)
+}
+
+/// Gives the slots that take requests; a leaving target has none.
+fn open_slots(target: &TargetIntent) -> u32 {
+    if target.state == TargetWish::Leaving { 0 } else { target.slots }
+}
+
+fn capacity_effects(before: &[TargetIntent], after: &[TargetIntent]) -> Vec<CapacityEffect> {
+    let mut totals: IndexMap<&str, (u32, u32)> = IndexMap::new();
+    for target in before {
+        totals.entry(&target.data_centre).or_default().0 += open_slots(target);
+    }
+    for target in after {
+        totals.entry(&target.data_centre).or_default().1 += open_slots(target);
+    }
+    totals
+        .into_iter()
+        .map(|(data_centre, (slots_before, slots_after))| CapacityEffect {
+            data_centre: data_centre.to_owned(),
+            slots_before,
+            slots_after,
+        })
+        .collect()
+}
+
+fn capacity_risks(capacity: &[CapacityEffect], changes: &[PlannedChange]) -> Vec<PlanRisk> {
+    let emptied =
+        capacity.iter().filter(|effect| effect.slots_before > 0 && effect.slots_after == 0);
+    let mut risks: Vec<_> = emptied
+        .map(|effect| PlanRisk::DataCentreEmptied { data_centre: effect.data_centre.clone() })
+        .collect();
+    let cold = changes.iter().filter(|change| change.action == ChangeAction::AddTarget).count();
+    if cold > 0 {
+        risks.push(PlanRisk::ColdTargets { targets: cold });
+    }
+    risks
+}
+
+/// Sums the load of a service's targets: what each last reported, at least this
+/// entry's own requests in flight. None if no target has reported.
+fn present_load(fleet: &FleetSnapshot, service: &str) -> Option<u32> {
+    use std::sync::atomic::Ordering::Relaxed;
+    let (_, entry) = fleet.find(service)?;
+    let counters =
+        || entry.targets.iter().filter_map(|key| Some(&fleet.targets.get(*key)?.counters));
+    let reported = counters().any(|counters| counters.reported_at.load(Relaxed) > 0);
+    let load = counters()
+        .map(|counters| counters.reported_load.load(Relaxed).max(counters.in_flight.load(Relaxed)))
+        .sum();
+    (reported || load > 0).then_some(load)
+}
--- /dev/null
+++ b/core/tests/plans.rs
@@ -0,0 +1,325 @@
+//! Plans: drafting, and confirmation over histories with faults and races.
+
+use std::collections::HashMap;
+
+use proptest::prelude::*;
+use proptest::sample::Index;
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::controllers::{
+    ConfirmOutcome, PlansController, PlansEffect, PlansMessage, ReadReply, StateController,
+    WriteReply,
+};
+use zinniaport_core::fleet::FleetSnapshot;
+use zinniaport_core::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
+use zinniaport_core::plan::{
+    ChangeAction, ChangePlan, IntentStatement, PlanBasis, PlanError, PlanRisk, PlanStamp,
+    StoredIntent,
+};
+use zinniaport_testing::{check_property, test_cases};
+
+const ENTRIES: usize = 3;
+
+fn target(port: u16, data_centre: &str) -> TargetIntent {
+    TargetIntent {
+        address: ([10, 0, 0, 1], port).into(),
+        data_centre: data_centre.to_owned(),
+        slots: 3,
+        state: TargetWish::Serving,
+    }
+}
+
+fn intent(max_queue_length: u32, targets: Vec<TargetIntent>) -> ServiceIntent {
+    ServiceIntent {
+        service: "visit-ledger".to_owned(),
+        team: "co-operative".to_owned(),
+        kinds: Vec::new(),
+        targets,
+        measuring: MeasuringIntent::default(),
+        max_queue_length,
+        retry_percent: 10.0,
+        max_ejected_percent: 34.0,
+        max_crashed_targets: 2,
+    }
+}
+
+fn stamp(nonce: u64) -> PlanStamp {
+    PlanStamp { author: "ana".to_owned(), nonce, created: Timestamp(0) }
+}
+
+/// Draws up a plan whose queue length is unique, so that the history of the
+/// store shows which plan each version came from.
+fn plan_on(base: Option<&(StoredIntent, u64)>, mark: u32) -> ChangePlan {
+    let statement = IntentStatement { intent: intent(mark, vec![]), allow_below_load: false };
+    let fleet = FleetSnapshot::default();
+    let basis = PlanBasis {
+        base: base.map(|(stored, _)| &stored.intent),
+        base_version: base.map_or(0, |(_, version)| *version),
+        fleet: &fleet,
+    };
+    ChangePlan::draft(statement, &basis, stamp(u64::from(mark))).unwrap()
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    None,
+    RequestLost,
+    AnswerLost,
+    /// The answer times out and the request takes effect afterwards.
+    Delayed,
+    Refused,
+    Stale,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Draft(Index),
+    Confirm(usize, Index),
+    Deliver(Index, Fault),
+    Restart(usize),
+    DelayedArrives(Index),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fault = prop_oneof![
+        4 => Just(Fault::None),
+        1 => Just(Fault::RequestLost),
+        2 => Just(Fault::AnswerLost),
+        2 => Just(Fault::Delayed),
+        1 => Just(Fault::Refused),
+        1 => Just(Fault::Stale),
+    ];
+    prop_oneof![
+        2 => any::<Index>().prop_map(Step::Draft),
+        4 => (0..ENTRIES, any::<Index>()).prop_map(|(entry, plan)| Step::Confirm(entry, plan)),
+        12 => (any::<Index>(), fault).prop_map(|(call, fault)| Step::Deliver(call, fault)),
+        1 => (0..ENTRIES).prop_map(Step::Restart),
+        2 => any::<Index>().prop_map(Step::DelayedArrives),
+    ]
+}
+
+#[derive(Default)]
+struct World {
+    entries: [PlansController; ENTRIES],
+    calls: Vec<(usize, PlansEffect)>,
+    delayed: Vec<PlansEffect>,
+    history: Vec<(StoredIntent, u64)>,
+    plans: Vec<ChangePlan>,
+    outcomes: Vec<(u32, ConfirmOutcome)>,
+    confirmed: HashMap<u32, usize>,
+}
+
+impl World {
+    fn tell(&mut self, entry: usize, message: PlansMessage) {
+        for effect in self.entries[entry].handle(message, Timestamp(0)) {
+            match effect {
+                PlansEffect::Finish(plan, outcome) => {
+                    let plan = self.plans.iter().find(|known| known.identity == plan).unwrap();
+                    self.outcomes.push((plan.intent.max_queue_length, outcome));
+                }
+                call => self.calls.push((entry, call)),
+            }
+        }
+    }
+
+    fn write(&mut self, content: &StoredIntent, base_version: u64) -> WriteReply {
+        let present = self.history.last().map_or(0, |(_, version)| *version);
+        if present != base_version {
+            return WriteReply::Conflict(present);
+        }
+        self.history.push((content.clone(), present + 2));
+        WriteReply::Written(present + 2)
+    }
+
+    fn deliver(&mut self, position: usize, fault: Fault) {
+        let (entry, call) = self.calls.remove(position);
+        let message = match call {
+            PlansEffect::Read { plan, .. } => {
+                let stale = usize::from(matches!(fault, Fault::Stale));
+                let shown = self.history.len().checked_sub(1 + stale).map(|at| &self.history[at]);
+                let reply = match (fault, shown) {
+                    (Fault::None | Fault::Stale, None) => ReadReply::Absent,
+                    (Fault::None | Fault::Stale, Some((content, version))) => {
+                        ReadReply::Found { content: Box::new(content.clone()), version: *version }
+                    }
+                    _ => ReadReply::Unavailable,
+                };
+                PlansMessage::Read(plan, reply)
+            }
+            PlansEffect::Write { plan, ref content, base_version } => {
+                let reply = match fault {
+                    Fault::None | Fault::Stale => self.write(content, base_version),
+                    Fault::RequestLost => WriteReply::NoAnswer,
+                    Fault::AnswerLost => {
+                        self.write(content, base_version);
+                        WriteReply::NoAnswer
+                    }
+                    Fault::Delayed => {
+                        self.delayed.push(call.clone());
+                        WriteReply::NoAnswer
+                    }
+                    Fault::Refused => WriteReply::Refused,
+                };
+                PlansMessage::Wrote(plan, reply)
+            }
+            PlansEffect::Finish(..) => unreachable!("outcomes are not calls"),
+        };
+        self.tell(entry, message);
+    }
+
+    fn run(&mut self, step: &Step) {
+        match step {
+            Step::Draft(seen) => {
+                let shown = self.history.len() + 1;
+                let base = seen.index(shown).checked_sub(1).map(|at| self.history[at].clone());
+                self.plans.push(plan_on(base.as_ref(), 1000 + self.plans.len() as u32));
+            }
+            Step::Confirm(entry, plan) if !self.plans.is_empty() => {
+                let plan = self.plans[plan.index(self.plans.len())].clone();
+                *self.confirmed.entry(plan.intent.max_queue_length).or_default() += 1;
+                self.tell(*entry, PlansMessage::Confirm(Box::new(plan)));
+            }
+            Step::Deliver(call, fault) if !self.calls.is_empty() => {
+                self.deliver(call.index(self.calls.len()), *fault);
+            }
+            Step::Restart(entry) => {
+                self.entries[*entry] = PlansController::default();
+                self.calls.retain(|(owner, _)| owner != entry);
+            }
+            Step::DelayedArrives(call) if !self.delayed.is_empty() => {
+                let call = self.delayed.remove(call.index(self.delayed.len()));
+                self.arrive(call);
+            }
+            _ => {}
+        }
+    }
+
+    fn arrive(&mut self, call: PlansEffect) {
+        if let PlansEffect::Write { content, base_version, .. } = call {
+            self.write(&content, base_version);
+        }
+    }
+
+    /// Ends all calls without faults and lets delayed requests arrive.
+    fn settle(&mut self) {
+        while !self.calls.is_empty() {
+            self.deliver(0, Fault::None);
+        }
+        while let Some(call) = self.delayed.pop() {
+            self.arrive(call);
+        }
+    }
+}
+
+fn check_history(world: &World) -> Result<(), TestCaseError> {
+    let mut applied = HashMap::new();
+    let mut before = 0;
+    for (content, version) in &world.history {
+        prop_assert!(*version > before, "versions go up");
+        let mark = content.intent.max_queue_length;
+        *applied.entry(mark).or_insert(0) += 1;
+        let plan = world.plans.iter().find(|plan| plan.intent.max_queue_length == mark).unwrap();
+        prop_assert_eq!(plan.base_version, before, "a plan replaces the version it was drafted on");
+        before = *version;
+    }
+    for (mark, times) in &applied {
+        prop_assert!(*times == 1, "plan {} was applied {} times", mark, times);
+    }
+    for (mark, outcome) in &world.outcomes {
+        let is_applied = applied.contains_key(mark);
+        match outcome {
+            ConfirmOutcome::Applied { .. } => prop_assert!(is_applied, "plan {mark} is lost"),
+            ConfirmOutcome::Outdated { .. } => {
+                prop_assert!(!is_applied, "plan {mark} was applied but reported as {outcome:?}");
+            }
+            // Another confirmation of the same plan may have applied it.
+            ConfirmOutcome::NotApplied if world.confirmed[mark] == 1 => {
+                prop_assert!(!is_applied, "plan {mark} was applied but reported as {outcome:?}");
+            }
+            ConfirmOutcome::NotApplied | ConfirmOutcome::Unknown => {}
+        }
+    }
+    Ok(())
+}
+
+fn shown_load(load: u32) -> (FleetSnapshot, ServiceIntent) {
+    let base = intent(64, vec![target(1, "valle-a"), target(2, "valle-b")]);
+    let mut fleet = FleetSnapshot::default();
+    fleet.apply(base.clone(), 7, Timestamp(1));
+    for (_, target) in &fleet.targets {
+        target.counters.record_report(load, Timestamp(2));
+    }
+    (fleet, base)
+}
+
+test_cases! {
+    confirmed_plans_apply_once: "a plan applied twice, over another plan, or reported wrongly after a lost answer" => {
+        check_property(2000, &proptest::collection::vec(step(), 1..80), |steps| {
+            let mut world = World::default();
+            for step in &steps {
+                world.run(step);
+            }
+            world.settle();
+            check_history(&world)?;
+            let unsure = world.outcomes.len();
+            for plan in world.plans.clone() {
+                *world.confirmed.entry(plan.intent.max_queue_length).or_default() += 2;
+                world.tell(0, PlansMessage::Confirm(Box::new(plan)));
+                world.settle();
+            }
+            check_history(&world)?;
+            let late = &world.outcomes[unsure..];
+            prop_assert!(late.iter().all(|(_, outcome)| *outcome != ConfirmOutcome::Unknown));
+            Ok(())
+        });
+    }
+
+    below_load_is_refused: "a plan that leaves fewer slots than running requests" => {
+        let (fleet, base) = shown_load(2);
+        let basis = PlanBasis { base: Some(&base), base_version: 7, fleet: &fleet };
+        let smaller = intent(64, vec![target(1, "valle-a")]);
+        let mut statement = IntentStatement { intent: smaller, allow_below_load: false };
+        let refused = ChangePlan::draft(statement.clone(), &basis, stamp(1));
+        assert_eq!(refused.unwrap_err(), PlanError::BelowLoad { load: 4, slots: 3 });
+        statement.allow_below_load = true;
+        let plan = ChangePlan::draft(statement, &basis, stamp(1)).unwrap();
+        assert!(plan.risks.contains(&PlanRisk::BelowLoad { load: 4, slots: 3 }));
+        let emptied = PlanRisk::DataCentreEmptied { data_centre: "valle-b".to_owned() };
+        assert!(plan.risks.contains(&emptied));
+    }
+
+    capacity_is_added_before_it_is_removed: "a plan whose order passes through too little capacity" => {
+        let (fleet, base) = shown_load(0);
+        let basis = PlanBasis { base: Some(&base), base_version: 7, fleet: &fleet };
+        let mut leaving = target(1, "valle-a");
+        leaving.state = TargetWish::Leaving;
+        let next = intent(65, vec![leaving, target(3, "valle-c")]);
+        let statement = IntentStatement { intent: next, allow_below_load: false };
+        let plan = ChangePlan::draft(statement.clone(), &basis, stamp(1)).unwrap();
+        let actions: Vec<_> = plan.changes.iter().map(|change| change.action).collect();
+        assert_eq!(actions, [
+            ChangeAction::AddTarget,
+            ChangeAction::ChangeSetting,
+            ChangeAction::NarrowTarget,
+            ChangeAction::RemoveTarget,
+        ]);
+        let slots: Vec<_> =
+            plan.capacity.iter().map(|effect| (effect.slots_before, effect.slots_after)).collect();
+        assert_eq!(slots, [(3, 0), (3, 0), (0, 3)]);
+        let again = ChangePlan::draft(statement, &basis, stamp(2)).unwrap();
+        assert_ne!(again.identity, plan.identity);
+    }
+
+    evicted_plans_are_not_denied: "an old plan reported as not applied because its identity was dropped" => {
+        let mut world = World::default();
+        for mark in 0..=256_u32 {
+            let plan = plan_on(world.history.last(), 1000 + mark);
+            world.plans.push(plan.clone());
+            world.tell(0, PlansMessage::Confirm(Box::new(plan)));
+            world.settle();
+        }
+        let oldest = world.plans[0].clone();
+        world.tell(0, PlansMessage::Confirm(Box::new(oldest)));
+        world.settle();
+        assert_eq!(world.outcomes.last().unwrap().1, ConfirmOutcome::Unknown);
+    }
+}
