Serve plans on the administration address and add their commands

Cause: operators need to state intents, list plans and confirm them, each team for its own services only.

--- /dev/null
+++ b/src/admin/access.rs
@@ -0,0 +1,54 @@
+//! Who may change which service: teams with bearer tokens.
+
+use http::{HeaderMap, header};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use crate::settings::TeamSettings;
+
+/// The team and author behind an administration request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TeamMember {
+    /// Team.
+    pub team: String,
+    /// Author recorded with changes.
+    pub author: String,
+}
+
+/// Teams and the digests of their tokens.
+#[derive(Clone, Debug, Default)]
+pub struct TeamDirectory {
+    tokens: Vec<([u8; 32], TeamMember)>,
+}
+
+impl TeamDirectory {
+    /// Creates a directory from settings.
+    pub fn new(teams: &[TeamSettings]) -> Self {
+        let members = teams.iter().flat_map(|team| {
+            team.tokens.iter().map(|token| {
+                let author = token.author.clone();
+                (token.sha256, TeamMember { team: team.name.clone(), author })
+            })
+        });
+        Self { tokens: members.collect() }
+    }
+
+    /// Finds the owner of the bearer token in `headers`.
+    pub fn authenticate(&self, headers: &HeaderMap) -> Option<TeamMember> {
+        let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+        let (scheme, token) = value.split_once(' ')?;
+        if !scheme.eq_ignore_ascii_case("bearer") {
+            return None;
+        }
+        let digest: [u8; 32] = Sha256::digest(token.trim().as_bytes()).into();
+        // Compares with every token so that the time shows neither which digest
+        // matched nor how many bytes of one did.
+        let mut found = None;
+        for (known, member) in &self.tokens {
+            if bool::from(known.ct_eq(&digest)) {
+                found = Some(member);
+            }
+        }
+        found.cloned()
+    }
+}
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,8 +1,13 @@
 //! Administration address of an entry: HTTP with JSON.
 
+mod access;
+mod plan_book;
+mod plans;
+
 use std::convert::Infallible;
 use std::sync::Arc;
 
+pub use access::{TeamDirectory, TeamMember};
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -11,6 +16,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
+pub use plan_book::{PlanBook, PlanBookError};
+pub use plans::PlanDesk;
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
--- /dev/null
+++ b/src/admin/plan_book.rs
@@ -0,0 +1,176 @@
+//! Plans that wait in the store, and their confirmation.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::{Display, Error, From};
+use zinniaport_core::controllers::{
+    ConfirmOutcome, PlansController, PlansEffect, PlansMessage, ReadReply, StateController,
+    WriteReply,
+};
+use zinniaport_core::plan::{
+    ChangePlan, IntentStatement, PlanBasis, PlanError, PlanIdentity, PlanStamp, StoredIntent,
+};
+
+use super::access::TeamMember;
+use crate::state::SharedState;
+use crate::store::StoreCaller;
+
+/// Time after which a plan may be removed, so that the list stays short: a day
+/// of 5,400 plans would leave about 225 of them.
+const PLAN_LIFETIME: Duration = Duration::from_secs(3600);
+
+/// Why a plan cannot be drafted, found or confirmed.
+#[derive(Debug, Display, Error, From)]
+pub enum PlanBookError {
+    /// The statement yields no plan.
+    Plan(PlanError),
+    /// The service belongs to another team.
+    #[from(ignore)]
+    #[display("service {service} does not belong to team {team}; ask its owners to change it")]
+    ForeignService {
+        /// The service.
+        service: String,
+        /// The team that asked.
+        team: String,
+    },
+    /// The plan does not exist or was removed.
+    #[display("no plan has this identity; state the intent again to get a new one")]
+    NoPlan,
+    /// The store gives no usable answer.
+    #[display("the platform's store does not answer; nothing was changed, try again later")]
+    StoreDown,
+}
+
+/// Drafts, keeps and confirms plans.
+pub struct PlanBook {
+    store: StoreCaller,
+    state: Arc<SharedState>,
+}
+
+impl PlanBook {
+    /// Creates a book over a store.
+    pub fn new(store: StoreCaller, state: Arc<SharedState>) -> Self {
+        Self { store, state }
+    }
+
+    /// Drafts a plan and keeps it in the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the service is foreign, the statement yields no
+    /// plan or the store does not answer.
+    pub async fn draft(
+        &self,
+        member: &TeamMember,
+        statement: IntentStatement,
+    ) -> Result<ChangePlan, PlanBookError> {
+        let service = statement.intent.service.clone();
+        let (base, base_version) = match self.store.read(&intent_name(&service)).await {
+            ReadReply::Found { content, version } => (Some::<StoredIntent>(content), version),
+            ReadReply::Absent => (None, 0),
+            ReadReply::Unavailable => return Err(PlanBookError::StoreDown),
+        };
+        let base = base.map(|stored| stored.intent);
+        let owners = base.iter().chain([&statement.intent]).map(|intent| &intent.team);
+        if owners.into_iter().any(|team| *team != member.team) {
+            return Err(PlanBookError::ForeignService { service, team: member.team.clone() });
+        }
+        let fleet = self.state.fleet.load_full();
+        let basis = PlanBasis { base: base.as_ref(), base_version, fleet: &fleet };
+        let stamp = PlanStamp {
+            author: member.author.clone(),
+            nonce: rand::random(),
+            created: self.state.clock.now(),
+        };
+        let plan = ChangePlan::draft(statement, &basis, stamp)?;
+        match self.store.write(&plan_name(plan.identity), &plan, 0).await {
+            // The nonce makes the name unique, so a conflict is an earlier write
+            // of the same plan whose answer was lost.
+            WriteReply::Written(_) | WriteReply::Conflict(_) => Ok(plan),
+            WriteReply::Refused | WriteReply::NoAnswer => Err(PlanBookError::StoreDown),
+        }
+    }
+
+    /// Lists a team's plans and removes outlived ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store does not answer.
+    pub async fn list(&self, member: &TeamMember) -> Result<Vec<ChangePlan>, PlanBookError> {
+        let batch = self.store.list("plans/").await.map_err(|_| PlanBookError::StoreDown)?;
+        let now = self.state.clock.now();
+        let mut plans = Vec::new();
+        for object in batch.changes {
+            let plan =
+                object.content.and_then(|text| serde_json::from_str::<ChangePlan>(&text).ok());
+            match plan {
+                Some(plan) if now.since(plan.created) > PLAN_LIFETIME => {
+                    self.store.delete(&object.name, object.version).await;
+                }
+                Some(plan) if plan.intent.team == member.team => plans.push(plan),
+                _ => {}
+            }
+        }
+        Ok(plans)
+    }
+
+    /// Confirms a plan. Confirming it again is safe and answers the same.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the plan is not found, is foreign or cannot be read.
+    pub async fn confirm(
+        &self,
+        member: &TeamMember,
+        identity: PlanIdentity,
+    ) -> Result<ConfirmOutcome, PlanBookError> {
+        let mut plan: Box<ChangePlan> = match self.store.read(&plan_name(identity)).await {
+            ReadReply::Found { content, .. } => content,
+            ReadReply::Absent => return Err(PlanBookError::NoPlan),
+            ReadReply::Unavailable => return Err(PlanBookError::StoreDown),
+        };
+        if plan.intent.team != member.team {
+            let service = plan.intent.service.clone();
+            return Err(PlanBookError::ForeignService { service, team: member.team.clone() });
+        }
+        plan.author.clone_from(&member.author);
+        let (service, author) = (plan.intent.service.clone(), member.author.clone());
+        let outcome = self.run(PlansMessage::Confirm(plan)).await;
+        log::info!(
+            plan = identity.to_string().as_str(), service = service.as_str(),
+            author = author.as_str();
+            "confirmation ended: {outcome:?}"
+        );
+        Ok(outcome)
+    }
+
+    /// Carries out a confirmation to its end.
+    async fn run(&self, first: PlansMessage) -> ConfirmOutcome {
+        let mut controller = PlansController::default();
+        let mut message = first;
+        loop {
+            let effects = controller.handle(message, self.state.clock.now());
+            message = match effects.into_iter().next() {
+                Some(PlansEffect::Read { plan, service, delay }) => {
+                    tokio::time::sleep(delay).await;
+                    PlansMessage::Read(plan, self.store.read(&intent_name(&service)).await)
+                }
+                Some(PlansEffect::Write { plan, content, base_version }) => {
+                    let name = intent_name(&content.intent.service);
+                    PlansMessage::Wrote(plan, self.store.write(&name, &content, base_version).await)
+                }
+                Some(PlansEffect::Finish(_, outcome)) => return outcome,
+                None => return ConfirmOutcome::Unknown,
+            };
+        }
+    }
+}
+
+fn intent_name(service: &str) -> String {
+    format!("intents/{service}")
+}
+
+fn plan_name(plan: PlanIdentity) -> String {
+    format!("plans/{plan}")
+}
--- /dev/null
+++ b/src/admin/plans.rs
@@ -0,0 +1,169 @@
+//! `/v1/services/NAME/intent`, `/v1/plans` and `/v1/plans/ID/confirm`.
+
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use http::{Method, StatusCode};
+use serde::Serialize;
+use zinniaport_core::controllers::ConfirmOutcome;
+use zinniaport_core::plan::{IntentStatement, PlanIdentity};
+
+use super::access::{TeamDirectory, TeamMember};
+use super::plan_book::{PlanBook, PlanBookError};
+use super::{AdminHandler, AdminRequest, AdminResponse, json_response};
+
+/// Longest name of a service, in characters; it is part of object names and paths.
+const MAX_SERVICE_NAME: usize = 64;
+
+/// A refused administration request, with a message that names the remedy.
+struct AdminRefusal {
+    status: StatusCode,
+    error: String,
+}
+
+#[derive(Serialize)]
+struct RefusalBody<'a> {
+    error: &'a str,
+}
+
+impl AdminRefusal {
+    fn response(&self) -> AdminResponse {
+        json_response(self.status, &RefusalBody { error: &self.error })
+    }
+}
+
+fn refuse(status: StatusCode, error: impl Into<String>) -> AdminRefusal {
+    AdminRefusal { status, error: error.into() }
+}
+
+impl From<PlanBookError> for AdminRefusal {
+    fn from(error: PlanBookError) -> Self {
+        let status = match error {
+            PlanBookError::Plan(_) => StatusCode::UNPROCESSABLE_ENTITY,
+            PlanBookError::ForeignService { .. } => StatusCode::FORBIDDEN,
+            PlanBookError::NoPlan => StatusCode::NOT_FOUND,
+            PlanBookError::StoreDown => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        refuse(status, error.to_string())
+    }
+}
+
+/// Answers requests of authenticated team members about intents and plans.
+pub struct PlanDesk {
+    book: PlanBook,
+    teams: TeamDirectory,
+}
+
+impl PlanDesk {
+    /// Creates the handlers of all paths about plans.
+    pub fn handlers(book: PlanBook, teams: TeamDirectory) -> Vec<Arc<dyn AdminHandler>> {
+        let desk = Arc::new(Self { book, teams });
+        vec![Arc::new(IntentHandler(desk.clone())), Arc::new(PlansHandler(desk))]
+    }
+
+    fn member(&self, request: &AdminRequest) -> Result<TeamMember, AdminRefusal> {
+        self.teams.authenticate(request.headers()).ok_or_else(|| {
+            let error = "no known token; send Authorization: Bearer TOKEN with your team's token";
+            refuse(StatusCode::UNAUTHORIZED, error)
+        })
+    }
+
+    async fn state_intent(&self, request: &AdminRequest) -> Result<AdminResponse, AdminRefusal> {
+        let path: Vec<_> = request.uri().path().split('/').skip(3).collect();
+        let [service, "intent"] = path[..] else { return Err(unknown_path()) };
+        require(request, &Method::POST)?;
+        let member = self.member(request)?;
+        let statement: IntentStatement =
+            serde_json::from_slice(request.body()).map_err(|error| {
+                let error = format!("cannot read the statement: {error}; correct this field");
+                refuse(StatusCode::BAD_REQUEST, error)
+            })?;
+        if statement.intent.service != service || !is_service_name(service) {
+            let error = format!(
+                "the path names {service:?} and the intent {:?}; use one name of 1 to \
+                 {MAX_SERVICE_NAME} lower-case letters, digits and hyphens",
+                statement.intent.service
+            );
+            return Err(refuse(StatusCode::BAD_REQUEST, error));
+        }
+        let plan = self.book.draft(&member, statement).await?;
+        Ok(json_response(StatusCode::CREATED, &plan))
+    }
+
+    async fn answer_plans(&self, request: &AdminRequest) -> Result<AdminResponse, AdminRefusal> {
+        let path: Vec<_> = request.uri().path().split('/').skip(3).collect();
+        match path[..] {
+            [] => {
+                require(request, &Method::GET)?;
+                let member = self.member(request)?;
+                let plans = self.book.list(&member).await?;
+                Ok(json_response(StatusCode::OK, &plans))
+            }
+            [identity, "confirm"] => {
+                require(request, &Method::POST)?;
+                let member = self.member(request)?;
+                let identity: PlanIdentity = identity
+                    .parse()
+                    .map_err(|error| refuse(StatusCode::BAD_REQUEST, format!("{error}")))?;
+                let outcome = self.book.confirm(&member, identity).await?;
+                Ok(json_response(status_of(&outcome), &outcome))
+            }
+            _ => Err(unknown_path()),
+        }
+    }
+}
+
+fn status_of(outcome: &ConfirmOutcome) -> StatusCode {
+    match outcome {
+        ConfirmOutcome::Applied { .. } => StatusCode::OK,
+        ConfirmOutcome::Outdated { .. } => StatusCode::CONFLICT,
+        ConfirmOutcome::NotApplied => StatusCode::SERVICE_UNAVAILABLE,
+        ConfirmOutcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+fn is_service_name(name: &str) -> bool {
+    (1..=MAX_SERVICE_NAME).contains(&name.len())
+        && name.bytes().all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-')
+}
+
+fn unknown_path() -> AdminRefusal {
+    refuse(StatusCode::NOT_FOUND, "unknown path; see docs/OPERATORS.md for the paths")
+}
+
+fn require(request: &AdminRequest, method: &Method) -> Result<(), AdminRefusal> {
+    if request.method() == method {
+        return Ok(());
+    }
+    Err(refuse(StatusCode::METHOD_NOT_ALLOWED, format!("use {method} for this path")))
+}
+
+/// Answers a stated intent with a plan.
+struct IntentHandler(Arc<PlanDesk>);
+
+impl AdminHandler for IntentHandler {
+    fn path(&self) -> &'static str {
+        "/v1/services"
+    }
+
+    fn handle<'a>(&'a self, request: &'a AdminRequest) -> BoxFuture<'a, AdminResponse> {
+        Box::pin(async {
+            self.0.state_intent(request).await.unwrap_or_else(|refusal| refusal.response())
+        })
+    }
+}
+
+/// Lists and confirms plans.
+struct PlansHandler(Arc<PlanDesk>);
+
+impl AdminHandler for PlansHandler {
+    fn path(&self) -> &'static str {
+        "/v1/plans"
+    }
+
+    fn handle<'a>(&'a self, request: &'a AdminRequest) -> BoxFuture<'a, AdminResponse> {
+        Box::pin(async {
+            self.0.answer_plans(request).await.unwrap_or_else(|refusal| refusal.response())
+        })
+    }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,7 +1,9 @@
 //! Subcommands of `zinniaport` and the command lines of the daemons.
 
+mod admin_client;
 mod check;
 mod entry;
+mod plans;
 mod standin;
 mod try_out;
 
@@ -25,6 +27,12 @@
     Try(try_out::TryArguments),
     /// Checks settings without starting.
     Check(check::CheckArguments),
+    /// States an intent and prints the plan that would put it in force.
+    Intent(plans::IntentArguments),
+    /// Lists the plans that wait for confirmation.
+    Plan(plans::PlanArguments),
+    /// Confirms a plan.
+    Confirm(plans::ConfirmArguments),
 }
 
 impl Arguments {
@@ -33,6 +41,9 @@
         match self.command {
             Command::Try(arguments) => arguments.run().await,
             Command::Check(arguments) => arguments.run(),
+            Command::Intent(arguments) => arguments.run().await,
+            Command::Plan(arguments) => arguments.run().await,
+            Command::Confirm(arguments) => arguments.run().await,
         }
     }
 }
--- a/src/commands/try_out.rs
+++ b/src/commands/try_out.rs
@@ -46,6 +46,7 @@
             listen: any_port,
             admin_listen: any_port,
             services: vec![demo_intent(&addresses)],
+            platform: None,
         };
         let entry = match EntryRuntime::start(settings).await {
             Ok(entry) => entry,
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
@@ -16,7 +17,10 @@
 };
 use zinniaport_core::policy::TwoChoices;
 
-use crate::admin::{AdminHandler, AdminRequest, AdminResponse, AdminRouter, text_response};
+use crate::admin::{
+    AdminHandler, AdminRequest, AdminResponse, AdminRouter, PlanBook, PlanDesk, TeamDirectory,
+    text_response,
+};
 use crate::filters::{
     AdmitFilter, ClaimFilter, ClassifyFilter, FilterChain, ForwardFilter, IdentifyFilter,
     QuarantineFilter, RecordFilter, RouteFilter,
@@ -25,6 +29,7 @@
 use crate::pool::HttpTransport;
 use crate::settings::EntrySettings;
 use crate::state::SharedState;
+use crate::store::{ObjectStore, StoreCaller};
 
 /// Why an entry cannot start.
 #[derive(Debug, Display, Error)]
@@ -52,17 +57,34 @@
     ///
     /// Returns an error when an address cannot be listened on.
     pub async fn start(settings: EntrySettings) -> Result<Self, StartError> {
+        Self::start_with(settings, None).await
+    }
+
+    /// Starts an entry that keeps shared state in `store`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address cannot be listened on.
+    pub async fn start_with(
+        settings: EntrySettings,
+        store: Option<Arc<dyn ObjectStore>>,
+    ) -> Result<Self, StartError> {
         let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
         let state = Arc::new(SharedState::new(clock, &settings.name, &settings.data_centre));
         let (listener, caller_address) = listen(settings.listen).await?;
         let (admin_listener, admin_address) = listen(settings.admin_listen).await?;
+        let mut handlers: Vec<Arc<dyn AdminHandler>> = Vec::new();
+        if let (Some(platform), Some(store)) = (&settings.platform, store) {
+            let store = StoreCaller::new(store, Duration::from_millis(platform.call_ms));
+            let teams = TeamDirectory::new(&platform.teams);
+            handlers.extend(PlanDesk::handlers(PlanBook::new(store, state.clone()), teams));
+        }
         apply_intents(&state, settings);
         let stop = CancellationToken::new();
         let ready = Arc::new(AtomicBool::new(true));
-        let router = AdminRouter::new(vec![
-            Arc::new(LivenessHandler),
-            Arc::new(ReadinessHandler(ready.clone())),
-        ]);
+        handlers.push(Arc::new(LivenessHandler));
+        handlers.push(Arc::new(ReadinessHandler(ready.clone())));
+        let router = AdminRouter::new(handlers);
         tokio::spawn(router.serve(admin_listener, stop.clone()));
         let front = HttpFront::new(state.clone(), build_chain(&state));
         let front = tokio::spawn(front.serve(listener, stop.clone()));
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,9 +1,12 @@
 //! Settings of an entry, read from YAML.
 
+mod platform;
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use derive_more::{Display, Error};
+pub use platform::{PlatformSettings, TeamSettings, TokenSettings};
 use serde::Deserialize;
 use zinniaport_core::intent::ServiceIntent;
 
@@ -22,6 +25,9 @@
     /// Intents to start with when no platform is set.
     #[serde(default)]
     pub services: Vec<ServiceIntent>,
+    /// The platform's store and the teams; without it `services` stay as they are.
+    #[serde(default)]
+    pub platform: Option<PlatformSettings>,
 }
 
 /// Why settings cannot be used.
--- /dev/null
+++ b/src/settings/platform.rs
@@ -0,0 +1,70 @@
+//! Settings of the platform's object store and of the teams that may change services.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Deserializer};
+
+/// Where the platform's store is, and who may change what.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Address of the platform's API.
+    pub address: SocketAddr,
+    /// Time limit of a store call, in milliseconds.
+    #[serde(default = "default_call_ms")]
+    pub call_ms: u64,
+    /// Longest time that the store holds a watch open, in milliseconds.
+    #[serde(default = "default_watch_ms")]
+    pub watch_ms: u64,
+    /// Teams and their tokens.
+    #[serde(default)]
+    pub teams: Vec<TeamSettings>,
+}
+
+/// A team that owns services.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TeamSettings {
+    /// Name, as in the intents of its services.
+    pub name: String,
+    /// Tokens of its members.
+    pub tokens: Vec<TokenSettings>,
+}
+
+/// A bearer token, kept as its digest.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TokenSettings {
+    /// Author recorded with each change made with the token.
+    pub author: String,
+    /// SHA-256 digest of the token, 64 hexadecimal digits.
+    #[serde(deserialize_with = "read_digest")]
+    pub sha256: [u8; 32],
+}
+
+/// A store answers in milliseconds; a call without an answer for this long is lost.
+fn default_call_ms() -> u64 {
+    1000
+}
+
+/// An empty watch confirms that the settings are fresh, so it must end well
+/// within the 5 s after which measuring stops.
+fn default_watch_ms() -> u64 {
+    1500
+}
+
+fn read_digest<'de, D: Deserializer<'de>>(deserializer: D) -> Result<[u8; 32], D::Error> {
+    let text = String::deserialize(deserializer)?;
+    let mut digest = [0; 32];
+    let digits = text.len() == 64 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    if !digits {
+        return Err(serde::de::Error::custom(
+            "a token digest has 64 hexadecimal digits; use the output of sha256sum",
+        ));
+    }
+    for (byte, position) in digest.iter_mut().zip((0..64).step_by(2)) {
+        let pair = &text[position..position + 2];
+        *byte = u8::from_str_radix(pair, 16).map_err(serde::de::Error::custom)?;
+    }
+    Ok(digest)
+}
--- /dev/null
+++ b/src/store/calls.rs
@@ -0,0 +1,104 @@
+//! Store calls with a time limit, and their answers as controllers take them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::timeout;
+use zinniaport_core::controllers::{ReadReply, WriteReply};
+
+use super::{ObjectStore, StoreError, WatchBatch, WriteCondition};
+
+/// Makes calls to a store, each with a time limit.
+#[derive(Clone)]
+pub struct StoreCaller {
+    store: Arc<dyn ObjectStore>,
+    limit: Duration,
+}
+
+impl StoreCaller {
+    /// Creates a caller; `limit` bounds each call.
+    pub fn new(store: Arc<dyn ObjectStore>, limit: Duration) -> Self {
+        Self { store, limit }
+    }
+
+    /// Reads an object with JSON content.
+    pub async fn read<T: DeserializeOwned>(&self, name: &str) -> ReadReply<T> {
+        let object = match timeout(self.limit, self.store.read(name)).await {
+            Ok(Ok(Some(object))) => object,
+            Ok(Ok(None)) => return ReadReply::Absent,
+            Ok(Err(_)) | Err(_) => return ReadReply::Unavailable,
+        };
+        let Some(text) = object.content else { return ReadReply::Absent };
+        match serde_json::from_str(&text) {
+            Ok(content) => ReadReply::Found { content, version: object.version },
+            Err(error) => {
+                log::error!(
+                    "cannot read {name} at version {}: {error}; \
+                     check whether an entry of another version wrote it",
+                    object.version
+                );
+                ReadReply::Unavailable
+            }
+        }
+    }
+
+    /// Writes an object with JSON content if it is at `base_version`, 0 for none.
+    pub async fn write<T: Serialize>(
+        &self,
+        name: &str,
+        content: &T,
+        base_version: u64,
+    ) -> WriteReply {
+        let condition = match base_version {
+            0 => WriteCondition::Absent,
+            version => WriteCondition::AtVersion(version),
+        };
+        let Ok(content) = serde_json::to_vec(content) else { return WriteReply::Refused };
+        let call = self.store.write(name, Bytes::from(content), condition);
+        match timeout(self.limit, call).await {
+            Ok(Ok(version)) => WriteReply::Written(version),
+            Ok(Err(StoreError::Conflict { version })) => WriteReply::Conflict(version),
+            Ok(Err(StoreError::Refused { .. })) => WriteReply::Refused,
+            Ok(Err(StoreError::NoAnswer { .. } | StoreError::TooOld)) | Err(_) => {
+                WriteReply::NoAnswer
+            }
+        }
+    }
+
+    /// Lists the objects under `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store refuses or does not answer in time.
+    pub async fn list(&self, prefix: &str) -> Result<WatchBatch, StoreError> {
+        timeout(self.limit, self.store.list(prefix)).await.unwrap_or_else(|_| Err(no_answer()))
+    }
+
+    /// Waits for changes under `prefix` after `version`, up to `hold`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the changes are no longer kept, or when the store
+    /// refuses or does not answer within `hold` and the call limit together.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        version: u64,
+        hold: Duration,
+    ) -> Result<WatchBatch, StoreError> {
+        let call = self.store.watch(prefix, version, hold);
+        timeout(hold + self.limit, call).await.unwrap_or_else(|_| Err(no_answer()))
+    }
+
+    /// Deletes an object at `version` if the store answers in time.
+    pub async fn delete(&self, name: &str, version: u64) {
+        let _ = timeout(self.limit, self.store.delete(name, version)).await;
+    }
+}
+
+fn no_answer() -> StoreError {
+    StoreError::NoAnswer { cause: "the time limit of the call passed".to_owned() }
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,8 +1,11 @@
 //! The platform's object store, as the entry sees it.
 
+mod calls;
+
 use std::time::Duration;
 
 use bytes::Bytes;
+pub use calls::StoreCaller;
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
