Follow the store and peers for the intents in force

Cause: an accepted intent must be in force everywhere within seconds and never revert, whatever the store or a stale peer returns. Change: the settings controller follows the store (three watchers in each region by rendezvous hashing, lists after a failure or a silent watch, jittered backoff) and peers (digest, versions, then intents). It tracks as of when the intents were confirmed as newest, and readiness. src/propagation.rs carries out its effects; confirmed plans enter it at once. Result: intents_spread_and_never_revert passes 600 histories of 4 entries with lost and reordered messages, stale reads, restarts and differing clocks.

--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -7,7 +7,10 @@
 
 pub use plans::{ConfirmOutcome, PlansController, PlansEffect, PlansMessage};
 pub use replies::{ReadReply, WriteReply};
-pub use settings::{SettingsController, SettingsEffect, SettingsMessage};
+pub use settings::{
+    ConfigMessage, ConfigSummary, EntryPlace, SettingsController, SettingsEffect, SettingsMessage,
+    StoreBatch, VersionedIntent, WATCHERS_PER_REGION, choose_watchers,
+};
 
 use crate::clock::Timestamp;
 
--- /dev/null
+++ b/core/tests/propagation.rs
@@ -0,0 +1,380 @@
+//! Intents in force at several entries, over histories with a failing store, lost
+//! and reordered messages, restarts and clocks that differ.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::sample::Index;
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::controllers::{
+    ConfigMessage, EntryPlace, SettingsController, SettingsEffect, SettingsMessage,
+    StateController, StoreBatch, VersionedIntent,
+};
+use zinniaport_core::intent::{MeasuringIntent, ServiceIntent};
+use zinniaport_testing::{check_property, test_cases};
+
+const ENTRIES: usize = 4;
+const SERVICES: [&str; 3] = ["calendar", "photo-archive", "roster-sign-up"];
+
+type Versions = BTreeMap<&'static str, u64>;
+
+fn intent(service: &str, version: u64) -> VersionedIntent {
+    let intent = ServiceIntent {
+        service: service.to_owned(),
+        team: "poteca".to_owned(),
+        kinds: Vec::new(),
+        targets: Vec::new(),
+        measuring: MeasuringIntent::default(),
+        max_queue_length: version as u32,
+        retry_percent: 10.0,
+        max_ejected_percent: 34.0,
+        max_crashed_targets: 2,
+    };
+    VersionedIntent { intent: Arc::new(intent), version }
+}
+
+fn place(entry: usize) -> EntryPlace {
+    EntryPlace { name: format!("entry-{entry}"), region: "south".to_owned() }
+}
+
+fn members() -> SettingsMessage {
+    SettingsMessage::Members((0..ENTRIES).map(place).collect())
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Change(Index),
+    Advance(u64),
+    /// Serves the store call of an entry. A served call may show the store as of
+    /// now, as of when it was sent, or an older state.
+    Serve(usize, View),
+    FailStore(usize),
+    Gossip(usize, usize),
+    Deliver(Index),
+    Lose(Index),
+    Restart(usize, u64),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum View {
+    Present,
+    AsSent,
+    Stale,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let view =
+        prop_oneof![4 => Just(View::Present), 2 => Just(View::AsSent), 1 => Just(View::Stale)];
+    prop_oneof![
+        3 => any::<Index>().prop_map(Step::Change),
+        3 => (1_u64..6_000).prop_map(Step::Advance),
+        5 => (0..ENTRIES, view).prop_map(|(entry, view)| Step::Serve(entry, view)),
+        2 => (0..ENTRIES).prop_map(Step::FailStore),
+        5 => (0..ENTRIES, 0..ENTRIES).prop_map(|(from, to)| Step::Gossip(from, to)),
+        10 => any::<Index>().prop_map(Step::Deliver),
+        1 => any::<Index>().prop_map(Step::Lose),
+        1 => (0..ENTRIES, 0_u64..1 << 40).prop_map(|(entry, offset)| Step::Restart(entry, offset)),
+    ]
+}
+
+struct Entry {
+    controller: SettingsController,
+    offset: u64,
+    incarnation: usize,
+    call: Option<(SettingsEffect, Timestamp)>,
+    last_reply: Timestamp,
+    was_complete: bool,
+    ready: bool,
+    held: Versions,
+    /// States one of which the entry has to hold before it is ready.
+    sources: Vec<Versions>,
+}
+
+struct Message {
+    from: (usize, usize),
+    to: usize,
+    sent: Timestamp,
+    request: ConfigMessage,
+    reply: Option<ConfigMessage>,
+}
+
+struct World {
+    now: Timestamp,
+    store: Vec<(Timestamp, &'static str, u64)>,
+    entries: Vec<Entry>,
+    messages: Vec<Message>,
+    /// The store may answer reads with old states. An entry that knows nothing
+    /// newer cannot tell, so freshness and start are not promised then.
+    stale: bool,
+    incarnations: usize,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut world = Self {
+            now: Timestamp(1_000_000),
+            store: vec![(Timestamp(1), SERVICES[0], 1)],
+            entries: Vec::new(),
+            messages: Vec::new(),
+            stale: false,
+            incarnations: 0,
+        };
+        for entry in 0..ENTRIES {
+            let started = world.start(entry, entry as u64 * 977);
+            world.entries.push(started);
+            world.tell(entry, members());
+        }
+        world
+    }
+
+    fn start(&mut self, entry: usize, offset: u64) -> Entry {
+        self.incarnations += 1;
+        let mut sources = vec![self.store_at(self.now)];
+        let others = self.entries.iter().enumerate().filter(|(other, _)| *other != entry);
+        sources.extend(others.filter(|(_, other)| other.was_complete).map(|(_, o)| o.held.clone()));
+        let started = Timestamp(self.now.0 + offset);
+        Entry {
+            controller: SettingsController::following(place(entry), started, offset),
+            offset,
+            incarnation: self.incarnations,
+            call: None,
+            last_reply: self.now,
+            was_complete: false,
+            ready: false,
+            held: Versions::new(),
+            sources,
+        }
+    }
+
+    fn store_at(&self, time: Timestamp) -> Versions {
+        let until = self.store.iter().take_while(|(changed, _, _)| *changed <= time);
+        until.map(|(_, service, version)| (*service, *version)).collect()
+    }
+
+    fn clock(&self, entry: usize) -> Timestamp {
+        Timestamp(self.now.0 + self.entries[entry].offset)
+    }
+
+    fn tell(&mut self, entry: usize, message: SettingsMessage) {
+        let clock = self.clock(entry);
+        for effect in self.entries[entry].controller.handle(message, clock) {
+            match effect {
+                call @ (SettingsEffect::List { .. } | SettingsEffect::Watch { .. }) => {
+                    let (SettingsEffect::List { delay } | SettingsEffect::Watch { delay, .. }) =
+                        call
+                    else {
+                        unreachable!()
+                    };
+                    self.entries[entry].call = Some((call, self.now + delay));
+                }
+                SettingsEffect::Ready(ready) => self.entries[entry].ready = ready,
+                _ => {}
+            }
+        }
+        let held = &self.entries[entry].controller;
+        self.entries[entry].held = SERVICES
+            .into_iter()
+            .map(|service| (service, held.version_of(service)))
+            .filter(|(_, version)| *version > 0)
+            .collect();
+        let clock = self.clock(entry);
+        let complete = self.entries[entry].controller.summary(clock).complete;
+        if complete && !self.entries[entry].was_complete {
+            self.entries[entry].was_complete = true;
+            let held = self.entries[entry].held.clone();
+            let others = self.entries.iter_mut().enumerate().filter(|(other, _)| *other != entry);
+            others.for_each(|(_, other)| other.sources.push(held.clone()));
+        }
+    }
+
+    fn serve(&mut self, entry: usize, view: View) {
+        if self.entries[entry].call.as_ref().is_none_or(|(_, due)| *due > self.now) {
+            return;
+        }
+        let Some((call, sent)) = self.entries[entry].call.take() else { return };
+        let seen = match view {
+            View::Present => self.store.len(),
+            View::AsSent => self.store.partition_point(|(changed, _, _)| *changed <= sent),
+            View::Stale if self.stale => self.store.len() / 2,
+            View::Stale => self.store.len(),
+        };
+        let after = match call {
+            SettingsEffect::Watch { version, .. } => version,
+            _ => 0,
+        };
+        let shown: Versions =
+            self.store[..seen].iter().map(|(_, service, version)| (*service, *version)).collect();
+        let batch = StoreBatch {
+            sent: Timestamp(sent.0 + self.entries[entry].offset),
+            version: self.store[..seen].last().map_or(0, |(_, _, version)| *version),
+            intents: shown
+                .into_iter()
+                .filter(|(_, version)| *version > after)
+                .map(|(service, version)| intent(service, version))
+                .collect(),
+            whole: true,
+        };
+        self.entries[entry].last_reply = self.now;
+        self.tell(
+            entry,
+            match call {
+                SettingsEffect::List { .. } => SettingsMessage::Listed(batch),
+                _ => SettingsMessage::Watched(batch),
+            },
+        );
+    }
+
+    fn send(&mut self, from: usize, to: usize, request: ConfigMessage) {
+        let from = (from, self.entries[from].incarnation);
+        self.messages.push(Message { from, to, sent: self.now, request, reply: None });
+    }
+
+    fn deliver(&mut self, position: usize) {
+        let mut message = self.messages.swap_remove(position);
+        let (from, incarnation) = message.from;
+        let Some(reply) = message.reply.take() else {
+            for VersionedIntent { intent, version } in &message.request.intents {
+                let intent = intent.as_ref().clone();
+                self.tell(message.to, SettingsMessage::Accepted { intent, version: *version });
+            }
+            let clock = self.clock(message.to);
+            let reply = self.entries[message.to].controller.answer(&message.request, clock);
+            self.messages.push(Message { reply: Some(reply), ..message });
+            return;
+        };
+        if self.entries[from].incarnation != incarnation {
+            return;
+        }
+        self.entries[from].last_reply = self.now;
+        let sent = Timestamp(message.sent.0 + self.entries[from].offset);
+        let peer = place(message.to).name;
+        self.tell(from, SettingsMessage::PeerReplied { peer, sent, reply: reply.clone() });
+        let clock = self.clock(from);
+        let controller = &self.entries[from].controller;
+        if let Some(next) = controller.continue_exchange(&message.request, &reply, clock) {
+            self.send(from, message.to, next);
+        }
+    }
+
+    fn gossip(&mut self, from: usize, to: usize) {
+        let clock = self.clock(from);
+        let opening = self.entries[from].controller.open_exchange(clock);
+        self.send(from, to, opening);
+    }
+
+    fn run(&mut self, step: &Step) {
+        match step {
+            Step::Change(service) => {
+                let version = self.store.last().map_or(0, |(_, _, version)| *version) + 1;
+                self.now = self.now + Duration::from_micros(1);
+                self.store.push((self.now, SERVICES[service.index(SERVICES.len())], version));
+            }
+            Step::Advance(millis) => self.now = self.now + Duration::from_millis(*millis),
+            Step::Serve(entry, view) => self.serve(*entry, *view),
+            Step::FailStore(entry) if self.entries[*entry].call.take().is_some() => {
+                self.tell(*entry, SettingsMessage::StoreFailed);
+            }
+            Step::Gossip(from, to) if from != to => self.gossip(*from, *to),
+            Step::Deliver(message) if !self.messages.is_empty() => {
+                self.deliver(message.index(self.messages.len()));
+            }
+            Step::Lose(message) if !self.messages.is_empty() => {
+                self.messages.swap_remove(message.index(self.messages.len()));
+            }
+            Step::Restart(entry, offset) => {
+                self.entries[*entry] = self.start(*entry, *offset);
+                self.tell(*entry, members());
+            }
+            _ => {}
+        }
+    }
+
+    fn check(&mut self, before: &[(usize, Versions, bool)]) -> Result<(), TestCaseError> {
+        for (entry, (old_incarnation, old_held, was_ready)) in before.iter().enumerate() {
+            self.tell(entry, SettingsMessage::Tick);
+            let Entry { held, incarnation, ready, offset, last_reply, sources, .. } =
+                &self.entries[entry];
+            let covers = |wanted: &Versions| {
+                wanted.iter().all(|(service, version)| held.get(service) >= Some(version))
+            };
+            let same = old_incarnation == incarnation;
+            prop_assert!(!same || covers(old_held), "entry {entry} went back from {old_held:?}");
+            if *ready && !(same && *was_ready) && !self.stale {
+                prop_assert!(sources.iter().any(covers), "entry {entry} is ready with {held:?}");
+            }
+            let isolated = self.now.since(*last_reply) > Duration::from_secs(10);
+            prop_assert!(!(isolated && *ready), "entry {entry} is cut off and ready");
+            if let Some(confirmed) = self.entries[entry].controller.confirmed()
+                && !self.stale
+            {
+                let time = Timestamp(confirmed.0.saturating_sub(*offset));
+                prop_assert!(covers(&self.store_at(time)), "entry {entry} is stale at {time}");
+            }
+        }
+        Ok(())
+    }
+
+    fn state(&self) -> Vec<(usize, Versions, bool)> {
+        let entries = self.entries.iter();
+        entries.map(|entry| (entry.incarnation, entry.held.clone(), entry.ready)).collect()
+    }
+
+    /// Lets 14 s pass without faults, with one exchange per entry and second.
+    fn heal(&mut self) {
+        self.messages.clear();
+        for tenth in 0..140 {
+            self.now = self.now + Duration::from_millis(100);
+            for entry in 0..ENTRIES {
+                self.serve(entry, View::Present);
+                if tenth % 10 == 0 {
+                    self.gossip(entry, (entry + 1 + tenth / 10 % (ENTRIES - 1)) % ENTRIES);
+                }
+                while !self.messages.is_empty() {
+                    self.deliver(0);
+                }
+                self.tell(entry, SettingsMessage::Tick);
+            }
+        }
+    }
+}
+
+test_cases! {
+    intents_spread_and_never_revert: "an entry that goes back, trusts old intents, or serves with too little or while cut off" => {
+        check_property(600, &(any::<bool>(), proptest::collection::vec(step(), 1..120)), |(stale, steps)| {
+            let mut world = World::new();
+            world.stale = stale;
+            for step in &steps {
+                let before = world.state();
+                world.run(step);
+                world.check(&before)?;
+            }
+            world.heal();
+            let newest = world.store_at(world.now);
+            for entry in &world.entries {
+                prop_assert_eq!(&entry.held, &newest, "all entries hold the newest intents");
+                prop_assert!(entry.ready, "all entries are ready");
+            }
+            Ok(())
+        });
+    }
+
+    peers_keep_an_entry_ready: "entries that all stop serving when only the store is out" => {
+        let mut world = World::new();
+        world.heal();
+        for _ in 0..60 {
+            world.run(&Step::Advance(1000));
+            for entry in 0..ENTRIES {
+                world.run(&Step::FailStore(entry));
+                world.gossip(entry, (entry + 1) % ENTRIES);
+            }
+            while !world.messages.is_empty() {
+                world.deliver(0);
+            }
+            let before = world.state();
+            world.check(&before).unwrap();
+            assert!(world.entries.iter().all(|entry| entry.ready));
+        }
+    }
+}
--- a/core/tests/settings.rs
+++ b/core/tests/settings.rs
@@ -32,7 +32,8 @@
                 let effects = controller.handle(message, Timestamp(version));
                 proptest::prop_assert_eq!(effects.is_empty(), version <= highest);
                 highest = highest.max(version);
-                for SettingsEffect::Publish(fleet) in effects {
+                for effect in effects {
+                    let SettingsEffect::Publish(fleet) = effect else { continue };
                     let (_, service) = fleet.find("pump-history").unwrap();
                     proptest::prop_assert_eq!(service.version, highest);
                     proptest::prop_assert_eq!(u64::from(service.intent.max_queue_length), highest);
--- a/src/admin/plan_book.rs
+++ b/src/admin/plan_book.rs
@@ -5,14 +5,15 @@
 
 use derive_more::{Display, Error, From};
 use zinniaport_core::controllers::{
-    ConfirmOutcome, PlansController, PlansEffect, PlansMessage, ReadReply, StateController,
-    WriteReply,
+    ConfirmOutcome, PlansController, PlansEffect, PlansMessage, ReadReply, SettingsMessage,
+    StateController, WriteReply,
 };
 use zinniaport_core::plan::{
     ChangePlan, IntentStatement, PlanBasis, PlanError, PlanIdentity, PlanStamp, StoredIntent,
 };
 
 use super::access::TeamMember;
+use crate::propagation::PropagationHandle;
 use crate::state::SharedState;
 use crate::store::StoreCaller;
 
@@ -46,12 +47,17 @@
 pub struct PlanBook {
     store: StoreCaller,
     state: Arc<SharedState>,
+    propagation: PropagationHandle,
 }
 
 impl PlanBook {
-    /// Creates a book over a store.
-    pub fn new(store: StoreCaller, state: Arc<SharedState>) -> Self {
-        Self { store, state }
+    /// Creates a book over a store. Confirmed intents go to `propagation` at once.
+    pub fn new(
+        store: StoreCaller,
+        state: Arc<SharedState>,
+        propagation: PropagationHandle,
+    ) -> Self {
+        Self { store, state, propagation }
     }
 
     /// Drafts a plan and keeps it in the store.
@@ -158,7 +164,13 @@
                 }
                 Some(PlansEffect::Write { plan, content, base_version }) => {
                     let name = intent_name(&content.intent.service);
-                    PlansMessage::Wrote(plan, self.store.write(&name, &content, base_version).await)
+                    let reply = self.store.write(&name, &content, base_version).await;
+                    if let WriteReply::Written(version) = reply {
+                        // Spreads the change even when every watch is silent.
+                        let intent = content.intent;
+                        self.propagation.tell(SettingsMessage::Accepted { intent, version }).await;
+                    }
+                    PlansMessage::Wrote(plan, reply)
                 }
                 Some(PlansEffect::Finish(_, outcome)) => return outcome,
                 None => return ConfirmOutcome::Unknown,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod filters;
 pub mod front;
 pub mod pool;
+pub mod propagation;
 pub mod refusal;
 pub mod runtime;
 pub mod settings;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -13,7 +13,8 @@
 use tokio_util::sync::CancellationToken;
 use zinniaport_core::clock::{ClockSource, SystemClock};
 use zinniaport_core::controllers::{
-    SettingsController, SettingsEffect, SettingsMessage, StateController,
+    EntryPlace, SettingsController, SettingsEffect, SettingsMessage, StateController,
+    VersionedIntent,
 };
 use zinniaport_core::policy::TwoChoices;
 
@@ -27,6 +28,7 @@
 };
 use crate::front::HttpFront;
 use crate::pool::HttpTransport;
+use crate::propagation::{IntentAnnouncer, PropagationParts, PropagationStatus, follow_store};
 use crate::settings::EntrySettings;
 use crate::state::SharedState;
 use crate::store::{ObjectStore, StoreCaller};
@@ -74,16 +76,28 @@
         let (listener, caller_address) = listen(settings.listen).await?;
         let (admin_listener, admin_address) = listen(settings.admin_listen).await?;
         let mut handlers: Vec<Arc<dyn AdminHandler>> = Vec::new();
+        let stop = CancellationToken::new();
+        let mut status = None;
         if let (Some(platform), Some(store)) = (&settings.platform, store) {
             let store = StoreCaller::new(store, Duration::from_millis(platform.call_ms));
-            let teams = TeamDirectory::new(&platform.teams);
-            handlers.extend(PlanDesk::handlers(PlanBook::new(store, state.clone()), teams));
+            let parts = PropagationParts {
+                store: store.clone(),
+                hold: Duration::from_millis(platform.watch_ms),
+                state: state.clone(),
+                place: EntryPlace { name: settings.name.clone(), region: String::new() },
+                announcer: Arc::new(NoPeers),
+            };
+            let propagation = follow_store(parts, stop.clone());
+            status = Some(propagation.status().clone());
+            let place = EntryPlace { name: settings.name.clone(), region: String::new() };
+            propagation.tell(SettingsMessage::Members(vec![place])).await;
+            let book = PlanBook::new(store, state.clone(), propagation);
+            handlers.extend(PlanDesk::handlers(book, TeamDirectory::new(&platform.teams)));
         }
         apply_intents(&state, settings);
-        let stop = CancellationToken::new();
         let ready = Arc::new(AtomicBool::new(true));
         handlers.push(Arc::new(LivenessHandler));
-        handlers.push(Arc::new(ReadinessHandler(ready.clone())));
+        handlers.push(Arc::new(ReadinessHandler { ready: ready.clone(), status }));
         let router = AdminRouter::new(handlers);
         tokio::spawn(router.serve(admin_listener, stop.clone()));
         let front = HttpFront::new(state.clone(), build_chain(&state));
@@ -123,8 +137,9 @@
     for intent in settings.services {
         let message = SettingsMessage::Accepted { intent, version: 1 };
         for effect in controller.handle(message, state.clock.now()) {
-            let SettingsEffect::Publish(fleet) = effect;
-            state.fleet.store(fleet);
+            if let SettingsEffect::Publish(fleet) = effect {
+                state.fleet.store(fleet);
+            }
         }
     }
 }
@@ -142,6 +157,13 @@
     ])
 }
 
+/// Stands in for peers of an entry that runs alone.
+struct NoPeers;
+
+impl IntentAnnouncer for NoPeers {
+    fn announce(&self, _intent: &VersionedIntent) {}
+}
+
 /// Answers whether the process runs.
 struct LivenessHandler;
 
@@ -156,7 +178,10 @@
 }
 
 /// Answers whether the platform's balancer should send callers here.
-struct ReadinessHandler(Arc<AtomicBool>);
+struct ReadinessHandler {
+    ready: Arc<AtomicBool>,
+    status: Option<Arc<PropagationStatus>>,
+}
 
 impl AdminHandler for ReadinessHandler {
     fn path(&self) -> &'static str {
@@ -165,7 +190,8 @@
 
     fn handle<'a>(&'a self, _request: &'a AdminRequest) -> BoxFuture<'a, AdminResponse> {
         Box::pin(async {
-            if self.0.load(Ordering::Acquire) {
+            let settled = self.status.as_ref().is_none_or(|status| status.ready());
+            if settled && self.ready.load(Ordering::Acquire) {
                 text_response(StatusCode::OK, "ready")
             } else {
                 text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready")
--- /dev/null
+++ b/tests/propagation.rs
@@ -0,0 +1,130 @@
+//! Intents from the store to the request path, through faults of the store.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde_json::json;
+use support::MemoryStore;
+use tokio_util::sync::CancellationToken;
+use zinniaport::propagation::{IntentAnnouncer, PropagationHandle, PropagationParts, follow_store};
+use zinniaport::state::SharedState;
+use zinniaport::store::{ObjectStore, StoreCaller, WriteCondition};
+use zinniaport_core::clock::{ClockSource, Timestamp};
+use zinniaport_core::controllers::{EntryPlace, SettingsMessage, VersionedIntent};
+use zinniaport_core::intent::ServiceIntent;
+use zinniaport_testing::test_cases;
+
+/// Follows the paused time of the test.
+struct PausedClock(tokio::time::Instant);
+
+impl ClockSource for PausedClock {
+    fn now(&self) -> Timestamp {
+        Timestamp(1_000_000) + self.0.elapsed()
+    }
+}
+
+struct NoPeers;
+
+impl IntentAnnouncer for NoPeers {
+    fn announce(&self, _intent: &VersionedIntent) {}
+}
+
+fn intent_json(service: &str) -> serde_json::Value {
+    json!({ "service": service, "team": "poteca", "kinds": [], "targets": [] })
+}
+
+async fn change(store: &MemoryStore, service: &str) -> u64 {
+    let name = format!("intents/{service}");
+    let condition = match store.read(&name).await.unwrap() {
+        Some(object) => WriteCondition::AtVersion(object.version),
+        None => WriteCondition::Absent,
+    };
+    let content = json!({ "intent": intent_json(service), "author": "luz", "applied": [] });
+    store.write(&name, Bytes::from(content.to_string()), condition).await.unwrap()
+}
+
+async fn start(store: &Arc<MemoryStore>) -> (Arc<SharedState>, PropagationHandle) {
+    let clock = Arc::new(PausedClock(tokio::time::Instant::now()));
+    let state = Arc::new(SharedState::new(clock, "entry-1", "south-a"));
+    let place = EntryPlace { name: "entry-1".to_owned(), region: String::new() };
+    let parts = PropagationParts {
+        store: StoreCaller::new(store.clone(), Duration::from_secs(1)),
+        hold: Duration::from_millis(1500),
+        state: state.clone(),
+        place: place.clone(),
+        announcer: Arc::new(NoPeers),
+    };
+    let handle = follow_store(parts, CancellationToken::new());
+    handle.tell(SettingsMessage::Members(vec![place])).await;
+    (state, handle)
+}
+
+fn version(state: &SharedState, service: &str) -> u64 {
+    state.fleet.load().find(service).map_or(0, |(_, entry)| entry.version)
+}
+
+async fn pass(seconds: u64) {
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+}
+
+test_cases! {
+    paused changes_arrive_through_faults: "an entry that stops following after an outage or a lost history" => {
+        let store = Arc::new(MemoryStore::default());
+        let first = change(&store, "calendar").await;
+        let (state, handle) = start(&store).await;
+        assert!(!handle.status().ready());
+        pass(2).await;
+        assert!(handle.status().ready());
+        assert_eq!(version(&state, "calendar"), first);
+
+        let second = change(&store, "calendar").await;
+        pass(1).await;
+        assert_eq!(version(&state, "calendar"), second);
+
+        store.too_old.store(true, Ordering::SeqCst);
+        pass(2).await;
+        let third = change(&store, "calendar").await;
+        pass(2).await;
+        assert_eq!(version(&state, "calendar"), third);
+
+        store.down.store(true, Ordering::SeqCst);
+        pass(60).await;
+        assert!(handle.status().ready(), "an entry without peers serves through an outage");
+        let confirmed = handle.status().confirmed();
+        assert!(state.clock.now().since(confirmed) > Duration::from_secs(50));
+        store.down.store(false, Ordering::SeqCst);
+        let fourth = change(&store, "calendar").await;
+        pass(6).await;
+        assert_eq!(version(&state, "calendar"), fourth);
+    }
+
+    paused silent_watches_are_replaced: "a watch that shows nothing while peers hold newer intents" => {
+        let store = Arc::new(MemoryStore::default());
+        change(&store, "calendar").await;
+        let (state, handle) = start(&store).await;
+        pass(2).await;
+        store.silent_watch.store(true, Ordering::SeqCst);
+        let hidden = change(&store, "photo-archive").await;
+        let heard = change(&store, "calendar").await;
+        pass(10).await;
+        assert_eq!(version(&state, "photo-archive"), 0);
+        let intent: ServiceIntent = serde_json::from_value(intent_json("calendar")).unwrap();
+        handle.tell(SettingsMessage::Accepted { intent, version: heard }).await;
+        pass(8).await;
+        assert_eq!(version(&state, "photo-archive"), hidden);
+    }
+
+    paused watches_are_bounded: "a watch that returns at once and is repeated without pause" => {
+        let store = Arc::new(MemoryStore::default());
+        let (_state, _handle) = start(&store).await;
+        pass(2).await;
+        let before = store.calls.load(Ordering::SeqCst);
+        pass(60).await;
+        let calls = store.calls.load(Ordering::SeqCst) - before;
+        assert!(calls <= 60, "{calls} calls in a minute without changes");
+    }
+}
