Keep the members of the system from messages between entries

Cause: entries are replaced at any time, their platform list lags, and single directions or paths fall silent. Change: a pure membership controller with incarnations, states alive, suspect and gone, reachability of each member's own path, and the VM list as a hint that only shortens the wait for a silent member. News is a beat of the member's own clock: with ages, transit time is lost on each hop and a dead member could be kept alive. Result: members_follow_the_truth passes 400 histories of 4 VMs with lost and late messages, deaths, replacements with clocks up to 50 s behind and wrong lists.

--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -1,10 +1,15 @@
 //! Controllers: each owns one piece of state, takes messages and clock readings,
 //! and returns effects for its driver to carry out.
 
+mod membership;
 mod plans;
 mod replies;
 mod settings;
 
+pub use membership::{
+    GONE_AFTER, Heartbeat, MemberEntry, MemberMessage, MemberNote, MemberState,
+    MembershipController, MembershipEffect, MembershipMessage, SUSPECT_AFTER, VmHint,
+};
 pub use plans::{ConfirmOutcome, PlansController, PlansEffect, PlansMessage};
 pub use replies::{ReadReply, WriteReply};
 pub use settings::{
--- /dev/null
+++ b/core/tests/membership.rs
@@ -0,0 +1,235 @@
+//! Members over histories with lost and late messages, silent directions, deaths
+//! and replacements under the same address.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::sample::Index;
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::controllers::{
+    MemberEntry, MemberMessage, MemberNote, MemberState, MembershipController, MembershipEffect,
+    MembershipMessage, StateController, VmHint,
+};
+use zinniaport_testing::{check_property, test_cases};
+
+const VMS: usize = 4;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Call(usize, usize),
+    Deliver(Index),
+    Lose(Index),
+    Advance(u64),
+    Kill(usize),
+    /// Starts a new entry on a VM. Its clock may be behind its predecessor's.
+    Replace(usize, i64),
+    /// The platform's list, with any VMs left out.
+    List(usize, [bool; VMS]),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (0..VMS, 0..VMS).prop_map(|(from, to)| Step::Call(from, to)),
+        14 => any::<Index>().prop_map(Step::Deliver),
+        2 => any::<Index>().prop_map(Step::Lose),
+        3 => (1_u64..4_000).prop_map(Step::Advance),
+        1 => (0..VMS).prop_map(Step::Kill),
+        2 => (0..VMS, -50_000_000_i64..50_000_000).prop_map(|(vm, skew)| Step::Replace(vm, skew)),
+        1 => (0..VMS, any::<[bool; VMS]>()).prop_map(|(vm, live)| Step::List(vm, live)),
+    ]
+}
+
+struct Entry {
+    name: String,
+    skew: i64,
+    controller: MembershipController,
+    members: Vec<MemberEntry>,
+    /// When the newest message of each sender that arrived here was made.
+    heard: BTreeMap<String, Timestamp>,
+    /// Started with a clock behind a predecessor's start; it is let in once it
+    /// learns of that start.
+    behind: bool,
+}
+
+struct Message {
+    from: usize,
+    from_name: String,
+    to: usize,
+    to_name: Option<String>,
+    made: Timestamp,
+    content: MemberMessage,
+}
+
+struct World {
+    now: Timestamp,
+    vms: Vec<Option<Entry>>,
+    messages: Vec<Message>,
+    started: usize,
+    /// Latest start on each VM before the present entry.
+    starts: [u64; VMS],
+}
+
+fn address(vm: usize) -> std::net::SocketAddr {
+    ([10, 0, 0, vm as u8], 7903).into()
+}
+
+impl World {
+    fn new() -> Self {
+        let vms = (0..VMS).map(|_| None).collect();
+        let mut world = Self {
+            now: Timestamp(1 << 40),
+            vms,
+            messages: Vec::new(),
+            started: 0,
+            starts: [0; VMS],
+        };
+        (0..VMS).for_each(|vm| world.replace(vm, 0));
+        world
+    }
+
+    fn clock(&self, skew: i64) -> Timestamp {
+        Timestamp(self.now.0.saturating_add_signed(skew))
+    }
+
+    fn replace(&mut self, vm: usize, skew: i64) {
+        self.started += 1;
+        let predecessor = self.vms[vm].as_ref().map_or(0, |entry| entry.controller.incarnation());
+        self.starts[vm] = self.starts[vm].max(predecessor);
+        let behind = self.clock(skew).0 <= self.starts[vm];
+        let own = MemberNote {
+            name: format!("entry-{}", self.started),
+            incarnation: self.clock(skew).0,
+            address: address(vm),
+            call_address: address(vm),
+            data_centre: "south-a".to_owned(),
+            region: "south".to_owned(),
+            beat: Timestamp(0),
+        };
+        let name = own.name.clone();
+        let controller = MembershipController::new(own);
+        let heard = BTreeMap::new();
+        self.vms[vm] = Some(Entry { name, skew, controller, members: Vec::new(), heard, behind });
+    }
+
+    fn tell(&mut self, vm: usize, message: MembershipMessage) {
+        let Some(entry) = &mut self.vms[vm] else { return };
+        let clock = Timestamp(self.now.0.saturating_add_signed(entry.skew));
+        for effect in entry.controller.handle(message, clock) {
+            if let MembershipEffect::Publish(members) = effect {
+                entry.members = members.to_vec();
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, answered: Option<&(String, MemberMessage)>) {
+        let Some(entry) = &mut self.vms[from] else { return };
+        let clock = Timestamp(self.now.0.saturating_add_signed(entry.skew));
+        let content = entry.controller.message(answered.map(|(_, message)| message), clock);
+        let to_name = answered.map(|(name, _)| name.clone());
+        let from_name = entry.name.clone();
+        self.messages.push(Message { from, from_name, to, to_name, made: self.now, content });
+    }
+
+    fn deliver(&mut self, position: usize) {
+        let Message { from, from_name, to, to_name, made, content } =
+            self.messages.swap_remove(position);
+        let Some(entry) = &mut self.vms[to] else { return };
+        if to_name.as_ref().is_some_and(|name| *name != entry.name) {
+            return;
+        }
+        let newest = entry.heard.entry(from_name.clone()).or_insert(made);
+        *newest = made.max(*newest);
+        let answer = to_name.is_some();
+        self.tell(to, MembershipMessage::Received { message: content.clone(), answer });
+        if !answer {
+            self.send(to, from, Some(&(from_name, content)));
+        }
+    }
+
+    fn run(&mut self, step: &Step) {
+        match step {
+            Step::Call(from, to) if from != to => self.send(*from, *to, None),
+            Step::Deliver(message) if !self.messages.is_empty() => {
+                self.deliver(message.index(self.messages.len()));
+            }
+            Step::Lose(message) if !self.messages.is_empty() => {
+                self.messages.swap_remove(message.index(self.messages.len()));
+            }
+            Step::Advance(millis) => self.now = self.now + Duration::from_millis(*millis),
+            Step::Kill(vm) => {
+                let start = self.vms[*vm].take().map_or(0, |entry| entry.controller.incarnation());
+                self.starts[*vm] = self.starts[*vm].max(start);
+            }
+            Step::Replace(vm, skew) => self.replace(*vm, *skew),
+            Step::List(vm, live) => {
+                let hint = |vm| VmHint { address: address(vm).ip(), leaving: false };
+                let hints = (0..VMS).filter(|vm| live[*vm]).map(hint).collect();
+                self.tell(*vm, MembershipMessage::Platform(hints));
+            }
+            _ => {}
+        }
+        (0..VMS).for_each(|vm| self.tell(vm, MembershipMessage::Tick));
+    }
+
+    /// A member heard with a message of the last 10 s and not replaced is alive, and at most
+    /// one member holds an address.
+    fn check(&self) -> Result<(), TestCaseError> {
+        for entry in self.vms.iter().flatten() {
+            for other in self.vms.iter().flatten() {
+                let Some(made) = entry.heard.get(&other.name) else { continue };
+                let recent = self.now.since(*made) < Duration::from_secs(10);
+                let member = entry.members.iter().find(|member| member.name == other.name);
+                let alive = member.is_some_and(|member| member.state == MemberState::Alive);
+                prop_assert!(
+                    !recent || alive || other.behind,
+                    "{} lost {}",
+                    entry.name,
+                    other.name
+                );
+            }
+            let mut addresses: Vec<_> = entry.members.iter().map(|m| m.address).collect();
+            addresses.sort();
+            addresses.dedup();
+            prop_assert_eq!(addresses.len(), entry.members.len(), "two members share an address");
+        }
+        Ok(())
+    }
+
+    /// Lets a minute pass without faults: each entry calls one other a second.
+    fn heal(&mut self) {
+        for second in 0..60 {
+            self.now = self.now + Duration::from_secs(1);
+            for from in 0..VMS {
+                self.send(from, (from + 1 + second % (VMS - 1)) % VMS, None);
+            }
+            while !self.messages.is_empty() {
+                self.deliver(0);
+            }
+            (0..VMS).for_each(|vm| self.tell(vm, MembershipMessage::Tick));
+        }
+    }
+}
+
+test_cases! {
+    members_follow_the_truth: "a live entry taken for dead, or a dead or replaced one taken for alive" => {
+        check_property(400, &proptest::collection::vec(step(), 1..100), |steps| {
+            let mut world = World::new();
+            for step in &steps {
+                world.run(step);
+                world.check()?;
+            }
+            world.heal();
+            let live: Vec<_> = world.vms.iter().flatten().map(|entry| entry.name.clone()).collect();
+            for entry in world.vms.iter().flatten() {
+                let mut alive: Vec<_> = live.clone();
+                alive.retain(|name| entry.members.iter().any(|m| {
+                    m.name == *name && m.state == MemberState::Alive
+                }));
+                prop_assert_eq!(&alive, &live, "{} lists {:?}", entry.name, entry.members);
+                prop_assert_eq!(entry.members.len(), live.len(), "{:?}", entry.members);
+            }
+            Ok(())
+        });
+    }
+}
