Exchange members and intents between entries by Cap'n Proto RPC

Cause: entries that do not watch the store hear of changes from the others, and two versions of the program run at once during a rolling replacement. Change: the schema src/peers/peer.capnp with its committed module, generated by scripts/generate-capnp with a tool outside the workspace; gossip on a thread of its own with a time limit on each call; rounds and announcements; calls between entries by tarpc; ControlPlane starts all of it. tokio-util gains its compat feature. Result: tests/peers.rs passes: two entries without a store become ready and follow a third; a newer schema with added fields reads and is read. Without closing a silent connection, silent_connections_are_reopened fails (Silent on the second call). With the time limit of a call 20 times as long the tests pass, only slower.

--- a/src/commands/try_out.rs
+++ b/src/commands/try_out.rs
@@ -47,6 +47,7 @@
             admin_listen: any_port,
             services: vec![demo_intent(&addresses)],
             platform: None,
+            peers: None,
         };
         let entry = match EntryRuntime::start(settings).await {
             Ok(entry) => entry,
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,169 @@
+//! Shared state of an entry: starts what follows the store and the other entries.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use tokio_util::sync::CancellationToken;
+use zinniaport_core::controllers::{
+    EntryPlace, MemberEntry, MemberNote, SettingsMessage, VersionedIntent,
+};
+
+use crate::admin::{AdminHandler, PlanBook, PlanDesk, TeamDirectory};
+use crate::peers::{
+    CallAnswers, CallListener, GossipNetwork, GroupAnswerer, NoQuarantine, PeerGroup, PeerParts,
+};
+use crate::propagation::{
+    IntentAnnouncer, PropagationHandle, PropagationParts, PropagationStatus, follow_store,
+};
+use crate::runtime::{StartError, listen};
+use crate::settings::{EntrySettings, PeerSettings, PlatformSettings};
+use crate::state::SharedState;
+use crate::store::{ObjectStore, StoreCaller};
+
+/// What an entry shares with the others through the store and by messages.
+pub struct ControlPlane {
+    store: StoreCaller,
+    state: Arc<SharedState>,
+    propagation: PropagationHandle,
+    peers: Option<Arc<PeerGroup>>,
+    call_address: Option<SocketAddr>,
+    teams: TeamDirectory,
+}
+
+impl ControlPlane {
+    /// Starts to follow the store and the other entries until `stop` is cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address cannot be listened on.
+    pub async fn start(
+        settings: &EntrySettings,
+        platform: &PlatformSettings,
+        store: Arc<dyn ObjectStore>,
+        state: Arc<SharedState>,
+        stop: CancellationToken,
+    ) -> Result<Self, StartError> {
+        let store = StoreCaller::new(store, Duration::from_millis(platform.call_ms));
+        let hold = Duration::from_millis(platform.watch_ms);
+        let teams = TeamDirectory::new(&platform.teams);
+        let place =
+            |region: &str| EntryPlace { name: settings.name.clone(), region: region.to_owned() };
+        let parts = |place: EntryPlace, announcer: Arc<dyn IntentAnnouncer>| PropagationParts {
+            store: store.clone(),
+            hold,
+            state: state.clone(),
+            place,
+            announcer,
+        };
+        let Some(peers) = &settings.peers else {
+            let propagation = follow_store(parts(place(""), Arc::new(NoPeers)), stop);
+            propagation.tell(SettingsMessage::Members(vec![place("")])).await;
+            return Ok(Self { store, state, propagation, peers: None, call_address: None, teams });
+        };
+        let (listener, address) = listen(peers.listen).await?;
+        let status = Arc::new(std::sync::OnceLock::new());
+        let answers = Arc::new(GroupAnswers(status.clone()));
+        let call_address = peers.call_listen.unwrap_or_else(|| SocketAddr::new(address.ip(), 0));
+        let calls = CallListener::start(call_address, answers, stop.clone())
+            .await
+            .map_err(|source| StartError { address: call_address, source })?;
+        let own = own_note(settings, peers, &state, (address, calls.address()));
+        let (group, announcements) = PeerGroup::new(PeerParts {
+            own,
+            seeds: peers.seeds.clone(),
+            clock: state.clock.clone(),
+            quarantine: Arc::new(NoQuarantine),
+        });
+        let parts = parts(place(&peers.region), group.clone());
+        let propagation = follow_store(parts, stop.clone());
+        group.attach(propagation.clone());
+        let _ = status.set((group.clone(), propagation.status().clone()));
+        let answerer = Arc::new(GroupAnswerer(group.clone()));
+        let network = GossipNetwork::start(listener, answerer, stop.clone())
+            .map_err(|source| StartError { address, source })?;
+        tokio::spawn(group.clone().run(Arc::new(network), announcements, stop));
+        let call_address = Some(calls.address());
+        Ok(Self { store, state, propagation, peers: Some(group), call_address, teams })
+    }
+
+    /// Gives the handlers of the administration address.
+    pub fn handlers(&self) -> Vec<Arc<dyn AdminHandler>> {
+        let (store, propagation) = (self.store.clone(), self.propagation.clone());
+        let book = PlanBook::new(store, self.state.clone(), propagation);
+        PlanDesk::handlers(book, self.teams.clone())
+    }
+
+    /// Gives readiness and freshness of the intents in force.
+    pub fn status(&self) -> &Arc<PropagationStatus> {
+        self.propagation.status()
+    }
+
+    /// Gives the calls to the store.
+    pub fn store(&self) -> &StoreCaller {
+        &self.store
+    }
+
+    /// Gives the snapshots of this entry.
+    pub fn state(&self) -> &Arc<SharedState> {
+        &self.state
+    }
+
+    /// Gives the other entries, unless this one runs alone.
+    pub fn peers(&self) -> Option<&Arc<PeerGroup>> {
+        self.peers.as_ref()
+    }
+
+    /// Gives the address for calls between entries.
+    pub fn call_address(&self) -> Option<SocketAddr> {
+        self.call_address
+    }
+}
+
+fn own_note(
+    settings: &EntrySettings,
+    peers: &PeerSettings,
+    state: &SharedState,
+    (address, call_address): (SocketAddr, SocketAddr),
+) -> MemberNote {
+    let now = state.clock.now();
+    MemberNote {
+        name: settings.name.clone(),
+        incarnation: now.0,
+        address,
+        call_address,
+        data_centre: settings.data_centre.clone(),
+        region: peers.region.clone(),
+        beat: now,
+    }
+}
+
+/// Stands in for peers of an entry that runs alone.
+struct NoPeers;
+
+impl IntentAnnouncer for NoPeers {
+    fn announce(&self, _intent: &VersionedIntent) {}
+}
+
+/// Answers calls of other entries with the members that this one knows.
+struct GroupAnswers(Arc<std::sync::OnceLock<(Arc<PeerGroup>, Arc<PropagationStatus>)>>);
+
+#[derive(Serialize)]
+struct GroupStatus {
+    ready: bool,
+    members: Vec<MemberEntry>,
+}
+
+impl CallAnswers for GroupAnswers {
+    fn explain(&self, _request_id: &str) -> Option<String> {
+        None
+    }
+
+    fn status(&self) -> String {
+        let Some((group, status)) = self.0.get() else { return "{}".to_owned() };
+        let status =
+            GroupStatus { ready: status.ready(), members: group.members().as_ref().clone() };
+        serde_json::to_string(&status).unwrap_or_default()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,9 +20,11 @@
 
 pub mod admin;
 pub mod commands;
+pub mod control;
 pub mod exchange;
 pub mod filters;
 pub mod front;
+pub mod peers;
 pub mod pool;
 pub mod propagation;
 pub mod refusal;
--- /dev/null
+++ b/src/peers/codec.rs
@@ -0,0 +1,141 @@
+//! Cap'n Proto encoding of messages between entries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::controllers::{
+    ConfigMessage, ConfigSummary, Heartbeat, MemberMessage, MemberNote, VersionedIntent,
+};
+
+use super::GossipMessage;
+use super::peer_capnp::{config_state, gossip_message, member};
+
+/// Writes a message.
+pub fn encode_message(message: &GossipMessage, mut builder: gossip_message::Builder<'_>) {
+    let members = &message.members;
+    if let Some(sender) = &members.sender {
+        encode_member(sender, builder.reborrow().init_self());
+    }
+    builder.set_member_digest(members.digest);
+    let mut heartbeats = builder.reborrow().init_heartbeats(members.heartbeats.len() as u32);
+    for (position, heartbeat) in (0..).zip(&members.heartbeats) {
+        let mut entry = heartbeats.reborrow().get(position);
+        entry.set_identity(heartbeat.identity);
+        entry.set_beat(heartbeat.beat.0);
+    }
+    let mut notes = builder.reborrow().init_members(members.members.len() as u32);
+    for (position, note) in (0..).zip(&members.members) {
+        encode_member(note, notes.reborrow().get(position));
+    }
+    encode_config(&message.config, builder.reborrow().init_config());
+    let mut quarantined = builder.init_quarantined(message.quarantined.len() as u32);
+    for (position, fingerprint) in (0..).zip(&message.quarantined) {
+        quarantined.set(position, fingerprint);
+    }
+}
+
+fn encode_member(note: &MemberNote, mut builder: member::Builder<'_>) {
+    builder.set_name(&note.name);
+    builder.set_incarnation(note.incarnation);
+    builder.set_address(note.address.to_string());
+    builder.set_call_address(note.call_address.to_string());
+    builder.set_data_centre(&note.data_centre);
+    builder.set_region(&note.region);
+    builder.set_beat(note.beat.0);
+}
+
+fn encode_config(config: &ConfigMessage, mut builder: config_state::Builder<'_>) {
+    let ConfigSummary { digest, complete, confirmed_age } = config.summary;
+    builder.set_digest(digest);
+    builder.set_complete(complete);
+    // 0 stands for never, so that the default of the field means unknown.
+    builder.set_confirmed_age_us(confirmed_age.map_or(0, |age| age.as_micros() as u64 + 1));
+    let mut versions = builder.reborrow().init_versions(config.versions.len() as u32);
+    for (position, (service, version)) in (0..).zip(&config.versions) {
+        let mut entry = versions.reborrow().get(position);
+        entry.set_service(service);
+        entry.set_version(*version);
+    }
+    let mut wanted = builder.reborrow().init_wanted(config.wanted.len() as u32);
+    for (position, service) in (0..).zip(&config.wanted) {
+        wanted.set(position, service);
+    }
+    let mut intents = builder.init_intents(config.intents.len() as u32);
+    for (position, VersionedIntent { intent, version }) in (0..).zip(&config.intents) {
+        let mut entry = intents.reborrow().get(position);
+        entry.set_version(*version);
+        entry.set_intent(&serde_json::to_vec(intent).unwrap_or_default());
+    }
+}
+
+/// Reads a message. Members and intents that this version cannot read are left
+/// out, so that one of them does not cut off its sender.
+///
+/// # Errors
+///
+/// Returns an error when the message is not valid Cap'n Proto.
+pub fn decode_message(reader: gossip_message::Reader<'_>) -> capnp::Result<GossipMessage> {
+    let mut members = MemberMessage { digest: reader.get_member_digest(), ..Default::default() };
+    if reader.has_self() {
+        members.sender = decode_member(reader.get_self()?)?;
+    }
+    for heartbeat in reader.get_heartbeats()? {
+        let beat = Timestamp(heartbeat.get_beat());
+        members.heartbeats.push(Heartbeat { identity: heartbeat.get_identity(), beat });
+    }
+    for note in reader.get_members()? {
+        members.members.extend(decode_member(note)?);
+    }
+    let quarantined: capnp::Result<Vec<_>> =
+        reader.get_quarantined()?.iter().map(|data| data.map(<[u8]>::to_vec)).collect();
+    let config = decode_config(reader.get_config()?)?;
+    Ok(GossipMessage { members, config, quarantined: quarantined? })
+}
+
+fn decode_member(reader: member::Reader<'_>) -> capnp::Result<Option<MemberNote>> {
+    let address = reader.get_address()?.to_str()?.parse();
+    let call_address = reader.get_call_address()?.to_str()?.parse();
+    let (Ok(address), Ok(call_address)) = (address, call_address) else {
+        log::warn!("a peer named a member without valid addresses; check its settings");
+        return Ok(None);
+    };
+    Ok(Some(MemberNote {
+        name: reader.get_name()?.to_string()?,
+        incarnation: reader.get_incarnation(),
+        address,
+        call_address,
+        data_centre: reader.get_data_centre()?.to_string()?,
+        region: reader.get_region()?.to_string()?,
+        beat: Timestamp(reader.get_beat()),
+    }))
+}
+
+fn decode_config(reader: config_state::Reader<'_>) -> capnp::Result<ConfigMessage> {
+    let age = reader.get_confirmed_age_us();
+    let summary = ConfigSummary {
+        digest: reader.get_digest(),
+        complete: reader.get_complete(),
+        confirmed_age: age.checked_sub(1).map(Duration::from_micros),
+    };
+    let mut config = ConfigMessage { summary, ..ConfigMessage::default() };
+    for entry in reader.get_versions()? {
+        config.versions.push((entry.get_service()?.to_string()?, entry.get_version()));
+    }
+    for service in reader.get_wanted()? {
+        config.wanted.push(service?.to_string()?);
+    }
+    for entry in reader.get_intents()? {
+        match serde_json::from_slice(entry.get_intent()?) {
+            Ok(intent) => config
+                .intents
+                .push(VersionedIntent { intent: Arc::new(intent), version: entry.get_version() }),
+            Err(error) => log::error!(
+                "cannot read an intent of a peer at version {}: {error}; \
+                 check whether the peer runs another version",
+                entry.get_version()
+            ),
+        }
+    }
+    Ok(config)
+}
--- /dev/null
+++ b/src/peers/gossip.rs
@@ -0,0 +1,241 @@
+//! Network of messages between entries: Cap'n Proto RPC on a thread of its own,
+//! because its objects cannot leave the thread that made them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use futures::AsyncReadExt;
+use futures::future::BoxFuture;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, timeout};
+use tokio_util::compat::TokioAsyncReadCompatExt;
+use tokio_util::sync::CancellationToken;
+
+use super::peer_capnp::peer_gossip;
+use super::{
+    GossipAnswerer, GossipMessage, GossipTransport, PeerError, decode_message, encode_message,
+};
+
+/// Time limit of a call and of opening a connection. Entries are at most some
+/// 100 ms apart; a connection that takes longer is taken as silent.
+const CALL_LIMIT: Duration = Duration::from_secs(1);
+
+/// Time without a call after which an incoming connection is closed.
+const MAX_IDLE: Duration = Duration::from_secs(120);
+
+/// Connections kept open from other entries; more are closed at once.
+const MAX_INCOMING: usize = 1024;
+
+/// Calls that may wait for the thread.
+const MAX_WAITING_CALLS: usize = 64;
+
+struct GossipCall {
+    address: SocketAddr,
+    message: GossipMessage,
+    reply: oneshot::Sender<Result<GossipMessage, PeerError>>,
+}
+
+/// Sends messages to other entries and answers theirs.
+#[derive(Clone)]
+pub struct GossipNetwork {
+    calls: mpsc::Sender<GossipCall>,
+}
+
+impl GossipNetwork {
+    /// Starts the thread, which serves `listener` until `stop` is cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the thread or its runtime cannot be started.
+    pub fn start(
+        listener: TcpListener,
+        answerer: Arc<dyn GossipAnswerer>,
+        stop: CancellationToken,
+    ) -> std::io::Result<Self> {
+        let (calls, waiting) = mpsc::channel(MAX_WAITING_CALLS);
+        let listener = listener.into_std()?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        std::thread::Builder::new().name("gossip".to_owned()).spawn(move || {
+            let local = LocalSet::new();
+            runtime.block_on(local.run_until(async move {
+                let listener = match TcpListener::from_std(listener) {
+                    Ok(listener) => listener,
+                    Err(error) => {
+                        log::error!("cannot serve other entries: {error}; restart the entry");
+                        return;
+                    }
+                };
+                tokio::select! {
+                    () = stop.cancelled() => {}
+                    () = accept_peers(listener, answerer) => {}
+                    () = make_calls(waiting) => {}
+                }
+            }));
+        })?;
+        Ok(Self { calls })
+    }
+}
+
+impl GossipTransport for GossipNetwork {
+    fn call(
+        &self,
+        address: SocketAddr,
+        message: GossipMessage,
+    ) -> BoxFuture<'static, Result<GossipMessage, PeerError>> {
+        let calls = self.calls.clone();
+        Box::pin(async move {
+            let (reply, answer) = oneshot::channel();
+            let stopped = || PeerError::Failed { address, cause: "this entry stops".to_owned() };
+            let call = GossipCall { address, message, reply };
+            calls.send(call).await.map_err(|_| stopped())?;
+            answer.await.unwrap_or_else(|_| Err(stopped()))
+        })
+    }
+}
+
+/// Answers the calls on one connection.
+struct GossipServer {
+    answerer: Arc<dyn GossipAnswerer>,
+    last_call: Rc<Cell<Instant>>,
+}
+
+impl peer_gossip::Server for GossipServer {
+    async fn exchange(
+        self: Rc<Self>,
+        params: peer_gossip::ExchangeParams,
+        mut results: peer_gossip::ExchangeResults,
+    ) -> Result<(), capnp::Error> {
+        self.last_call.set(Instant::now());
+        let message = decode_message(params.get()?.get_message()?)?;
+        let reply = self.answerer.answer(message).await;
+        let reply = reply.ok_or_else(|| capnp::Error::failed("the entry stops".to_owned()))?;
+        encode_message(&reply, results.get().init_reply());
+        Ok(())
+    }
+}
+
+async fn accept_peers(listener: TcpListener, answerer: Arc<dyn GossipAnswerer>) {
+    let open = Rc::new(());
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("cannot accept an entry: {error}; check the limit of open files");
+                tokio::time::sleep(CALL_LIMIT).await;
+                continue;
+            }
+        };
+        if Rc::strong_count(&open) > MAX_INCOMING {
+            log::warn!("more than {MAX_INCOMING} entries connect; one was turned away");
+            continue;
+        }
+        let (answerer, counted) = (answerer.clone(), open.clone());
+        spawn_local(async move {
+            serve_peer(stream, answerer).await;
+            drop(counted);
+        });
+    }
+}
+
+async fn serve_peer(stream: TcpStream, answerer: Arc<dyn GossipAnswerer>) {
+    let last_call = Rc::new(Cell::new(Instant::now()));
+    let server = GossipServer { answerer, last_call: last_call.clone() };
+    let client: peer_gossip::Client = capnp_rpc::new_client(server);
+    let system = RpcSystem::new(network(stream, Side::Server), Some(client.client));
+    let idle = async {
+        while last_call.get().elapsed() < MAX_IDLE {
+            tokio::time::sleep_until(last_call.get() + MAX_IDLE).await;
+        }
+    };
+    tokio::select! {
+        _ = system => {}
+        () = idle => {}
+    }
+}
+
+fn network(
+    stream: TcpStream,
+    side: Side,
+) -> Box<twoparty::VatNetwork<impl futures::AsyncRead + Unpin>> {
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.compat().split();
+    Box::new(twoparty::VatNetwork::new(reader, writer, side, capnp::message::ReaderOptions::new()))
+}
+
+/// Open connections to other entries.
+type OpenPeers = Rc<RefCell<HashMap<SocketAddr, OpenPeer>>>;
+
+#[derive(Clone)]
+struct OpenPeer {
+    client: peer_gossip::Client,
+    /// Ends the connection's task when the last clone is dropped.
+    _end: Rc<tokio_util::sync::DropGuard>,
+}
+
+async fn make_calls(mut waiting: mpsc::Receiver<GossipCall>) {
+    let peers = OpenPeers::default();
+    while let Some(GossipCall { address, message, reply }) = waiting.recv().await {
+        let peers = peers.clone();
+        spawn_local(async move {
+            let answer = call_peer(&peers, address, &message).await;
+            if answer.is_err() {
+                peers.borrow_mut().remove(&address);
+            }
+            let _ = reply.send(answer);
+        });
+    }
+}
+
+async fn call_peer(
+    peers: &OpenPeers,
+    address: SocketAddr,
+    message: &GossipMessage,
+) -> Result<GossipMessage, PeerError> {
+    let open = peers.borrow().get(&address).cloned();
+    let peer = match open {
+        Some(peer) => peer,
+        None => {
+            let peer = open_peer(address).await?;
+            peers.borrow_mut().insert(address, peer.clone());
+            peer
+        }
+    };
+    let mut request = peer.client.exchange_request();
+    encode_message(message, request.get().init_message());
+    let failed = |error: capnp::Error| PeerError::Failed { address, cause: error.to_string() };
+    match timeout(CALL_LIMIT, request.send().promise).await {
+        Err(_) => Err(PeerError::Silent { address }),
+        Ok(Err(error)) => Err(failed(error)),
+        Ok(Ok(response)) => {
+            let reply = response.get().and_then(|reply| decode_message(reply.get_reply()?));
+            reply.map_err(failed)
+        }
+    }
+}
+
+async fn open_peer(address: SocketAddr) -> Result<OpenPeer, PeerError> {
+    let unreachable = |cause: String| PeerError::Unreachable { address, cause };
+    let connected = timeout(CALL_LIMIT, TcpStream::connect(address)).await;
+    let stream = connected
+        .map_err(|_| unreachable("the time limit passed".to_owned()))?
+        .map_err(|error| unreachable(error.to_string()))?;
+    let mut system = RpcSystem::new(network(stream, Side::Client), None);
+    let client: peer_gossip::Client = system.bootstrap(Side::Server);
+    let end = CancellationToken::new();
+    let ended = end.clone();
+    spawn_local(async move {
+        tokio::select! {
+            () = ended.cancelled() => {}
+            _ = system => {}
+        }
+    });
+    Ok(OpenPeer { client, _end: Rc::new(end.drop_guard()) })
+}
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
@@ -13,25 +12,22 @@
 use tokio_util::sync::CancellationToken;
 use zinniaport_core::clock::{ClockSource, SystemClock};
 use zinniaport_core::controllers::{
-    EntryPlace, SettingsController, SettingsEffect, SettingsMessage, StateController,
-    VersionedIntent,
+    SettingsController, SettingsEffect, SettingsMessage, StateController,
 };
 use zinniaport_core::policy::TwoChoices;
 
-use crate::admin::{
-    AdminHandler, AdminRequest, AdminResponse, AdminRouter, PlanBook, PlanDesk, TeamDirectory,
-    text_response,
-};
+use crate::admin::{AdminHandler, AdminRequest, AdminResponse, AdminRouter, text_response};
+use crate::control::ControlPlane;
 use crate::filters::{
     AdmitFilter, ClaimFilter, ClassifyFilter, FilterChain, ForwardFilter, IdentifyFilter,
     QuarantineFilter, RecordFilter, RouteFilter,
 };
 use crate::front::HttpFront;
 use crate::pool::HttpTransport;
-use crate::propagation::{IntentAnnouncer, PropagationParts, PropagationStatus, follow_store};
+use crate::propagation::PropagationStatus;
 use crate::settings::EntrySettings;
 use crate::state::SharedState;
-use crate::store::{ObjectStore, StoreCaller};
+use crate::store::ObjectStore;
 
 /// Why an entry cannot start.
 #[derive(Debug, Display, Error)]
@@ -50,6 +46,7 @@
     ready: Arc<AtomicBool>,
     stop: CancellationToken,
     front: JoinHandle<()>,
+    control: Option<ControlPlane>,
 }
 
 impl EntryRuntime {
@@ -77,23 +74,15 @@
         let (admin_listener, admin_address) = listen(settings.admin_listen).await?;
         let mut handlers: Vec<Arc<dyn AdminHandler>> = Vec::new();
         let stop = CancellationToken::new();
-        let mut status = None;
+        let mut control = None;
         if let (Some(platform), Some(store)) = (&settings.platform, store) {
-            let store = StoreCaller::new(store, Duration::from_millis(platform.call_ms));
-            let parts = PropagationParts {
-                store: store.clone(),
-                hold: Duration::from_millis(platform.watch_ms),
-                state: state.clone(),
-                place: EntryPlace { name: settings.name.clone(), region: String::new() },
-                announcer: Arc::new(NoPeers),
-            };
-            let propagation = follow_store(parts, stop.clone());
-            status = Some(propagation.status().clone());
-            let place = EntryPlace { name: settings.name.clone(), region: String::new() };
-            propagation.tell(SettingsMessage::Members(vec![place])).await;
-            let book = PlanBook::new(store, state.clone(), propagation);
-            handlers.extend(PlanDesk::handlers(book, TeamDirectory::new(&platform.teams)));
+            let plane =
+                ControlPlane::start(&settings, platform, store, state.clone(), stop.clone());
+            let plane = plane.await?;
+            handlers.extend(plane.handlers());
+            control = Some(plane);
         }
+        let status = control.as_ref().map(|plane| plane.status().clone());
         apply_intents(&state, settings);
         let ready = Arc::new(AtomicBool::new(true));
         handlers.push(Arc::new(LivenessHandler));
@@ -102,7 +91,7 @@
         tokio::spawn(router.serve(admin_listener, stop.clone()));
         let front = HttpFront::new(state.clone(), build_chain(&state));
         let front = tokio::spawn(front.serve(listener, stop.clone()));
-        Ok(Self { caller_address, admin_address, ready, stop, front })
+        Ok(Self { caller_address, admin_address, ready, stop, front, control })
     }
 
     /// Gives the address for callers.
@@ -115,6 +104,11 @@
         self.admin_address
     }
 
+    /// Gives the state shared with other entries, if a platform is set.
+    pub fn control(&self) -> Option<&ControlPlane> {
+        self.control.as_ref()
+    }
+
     /// Stops accepting connections and waits for requests in flight.
     pub async fn stop(self) {
         self.ready.store(false, Ordering::Release);
@@ -125,7 +119,7 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+pub(crate) async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
     let start_error = |source| StartError { address, source };
     let listener = TcpListener::bind(address).await.map_err(start_error)?;
     let bound = listener.local_addr().map_err(start_error)?;
@@ -157,13 +151,6 @@
     ])
 }
 
-/// Stands in for peers of an entry that runs alone.
-struct NoPeers;
-
-impl IntentAnnouncer for NoPeers {
-    fn announce(&self, _intent: &VersionedIntent) {}
-}
-
 /// Answers whether the process runs.
 struct LivenessHandler;
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,11 +1,13 @@
 //! Settings of an entry, read from YAML.
 
+mod peers;
 mod platform;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use derive_more::{Display, Error};
+pub use peers::PeerSettings;
 pub use platform::{PlatformSettings, TeamSettings, TokenSettings};
 use serde::Deserialize;
 use zinniaport_core::intent::ServiceIntent;
@@ -28,6 +30,9 @@
     /// The platform's store and the teams; without it `services` stay as they are.
     #[serde(default)]
     pub platform: Option<PlatformSettings>,
+    /// Messages between entries; without it the entry runs alone.
+    #[serde(default)]
+    pub peers: Option<PeerSettings>,
 }
 
 /// Why settings cannot be used.
--- /dev/null
+++ b/tools/generate-capnp/src/main.rs
@@ -0,0 +1,20 @@
+//! Turns the output of `capnp compile -o-` on standard input into a Rust module.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let Some(folder) = std::env::args().nth(1) else {
+        eprintln!("give the folder for the generated module");
+        return ExitCode::from(2);
+    };
+    let mut command = capnpc::codegen::CodeGenerationCommand::new();
+    let parents = std::env::args().nth(2).map(|module| vec![module]).unwrap_or_default();
+    command.output_directory(folder).default_parent_module(parents);
+    match command.run(std::io::stdin()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cannot generate the module: {error}; check the schema");
+            ExitCode::FAILURE
+        }
+    }
+}
