Claim idempotency keys at most once in batched segments

Cause: a visit or sign-up must run at most once although entries crash, pause and race, and answers of the store are lost. Change: keys with the time of a UUIDv7, claim segments with a watermark below which keys are refused because their claims may be dropped (no clock decides), and a controller that batches claims for 2 ms, merges on conflict, recognises its own claims by nonce and withdraws those that it gave up. A claim whose request did not run is marked so and frees its key. The claim filter and the driver are not part of this commit.

--- /dev/null
+++ b/core/src/claims/mod.rs
@@ -0,0 +1,11 @@
+//! At-most-once execution by idempotency key: claims in segments that the store
+//! keeps and updates conditionally.
+
+mod key;
+mod segment;
+
+pub use key::{IdempotencyKey, KeyDigest, KeyError, MAX_KEY_LENGTH};
+pub use segment::{
+    CLAIM_SEGMENTS, ClaimOwner, ClaimRecord, ClaimSegment, ClaimState, ClaimVerdict, EXPIRY_MARGIN,
+    MAX_PERMANENT_CLAIMS, MAX_SEGMENT_CLAIMS,
+};
--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -1,11 +1,15 @@
 //! Controllers: each owns one piece of state, takes messages and clock readings,
 //! and returns effects for its driver to carry out.
 
+mod claims;
 mod membership;
 mod plans;
 mod replies;
 mod settings;
 
+pub use claims::{
+    CLAIM_BATCH, ClaimAnswer, ClaimsController, ClaimsEffect, ClaimsMessage, SegmentName,
+};
 pub use membership::{
     GONE_AFTER, Heartbeat, MemberEntry, MemberMessage, MemberNote, MemberState,
     MembershipController, MembershipEffect, MembershipMessage, SUSPECT_AFTER, VmHint,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod backoff;
 pub mod call;
+pub mod claims;
 pub mod clock;
 pub mod controllers;
 pub mod decision;
--- /dev/null
+++ b/core/tests/claims.rs
@@ -0,0 +1,339 @@
+//! At most once, over histories of several entries with crashes, pauses, races,
+//! lost, delayed and refused store calls, stale reads and wrong clocks.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::sample::Index;
+use zinniaport_core::claims::{
+    ClaimOwner, ClaimSegment, ClaimState, ClaimVerdict, IdempotencyKey, KeyError,
+    MAX_PERMANENT_CLAIMS,
+};
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::controllers::{
+    ClaimAnswer, ClaimsController, ClaimsEffect, ClaimsMessage, ReadReply, SegmentName,
+    StateController, WriteReply,
+};
+use zinniaport_core::digest::ShortDigest;
+use zinniaport_testing::{check_property, test_cases};
+
+const ENTRIES: usize = 3;
+const SERVICE: &str = "visit-ledger";
+const WINDOW: Duration = Duration::from_secs(3600);
+const START: Timestamp = Timestamp(1 << 50);
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    None,
+    RequestLost,
+    AnswerLost,
+    Delayed,
+    Refused,
+    Stale,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Ending {
+    Done,
+    Unknown,
+    NotRun,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A request with one of four keys; the last two carry their time.
+    Request(usize, u8),
+    Deliver(Index, Fault),
+    /// A granted request runs, or ends without running, when its entry goes on.
+    Act(Index, Ending),
+    /// A request that waits for its claim gives up.
+    GiveUp(Index),
+    DelayedArrives(Index),
+    Crash(usize, i64),
+    Advance(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fault = prop_oneof![
+        6 => Just(Fault::None),
+        1 => Just(Fault::RequestLost),
+        2 => Just(Fault::AnswerLost),
+        2 => Just(Fault::Delayed),
+        1 => Just(Fault::Refused),
+        1 => Just(Fault::Stale),
+    ];
+    let ending = prop_oneof![Just(Ending::Done), Just(Ending::Unknown), Just(Ending::NotRun)];
+    prop_oneof![
+        6 => (0..ENTRIES, 0_u8..4).prop_map(|(entry, key)| Step::Request(entry, key)),
+        20 => (any::<Index>(), fault).prop_map(|(call, fault)| Step::Deliver(call, fault)),
+        4 => (any::<Index>(), ending).prop_map(|(ticket, ending)| Step::Act(ticket, ending)),
+        1 => any::<Index>().prop_map(Step::GiveUp),
+        2 => any::<Index>().prop_map(Step::DelayedArrives),
+        1 => (0..ENTRIES, -9_000_i64..9_000).prop_map(|(entry, skew)| Step::Crash(entry, skew)),
+        1 => (1_u64..9_000).prop_map(Step::Advance),
+    ]
+}
+
+fn key(number: u8) -> IdempotencyKey {
+    let created_ms = (number >= 2).then_some(START.0 / 1000 + u64::from(number));
+    IdempotencyKey { digest: ShortDigest(u128::from(number)), created_ms }
+}
+
+struct Ticket {
+    entry: usize,
+    key: u8,
+    answer: Option<ClaimAnswer>,
+    ended: bool,
+}
+
+struct World {
+    now: Timestamp,
+    skews: [i64; ENTRIES],
+    entries: Vec<ClaimsController>,
+    incarnation: u64,
+    calls: Vec<(usize, ClaimsEffect)>,
+    delayed: Vec<ClaimsEffect>,
+    store: Vec<(ClaimSegment, u64)>,
+    tickets: Vec<Ticket>,
+    runs: HashMap<u8, usize>,
+}
+
+fn controller(entry: usize, incarnation: u64) -> ClaimsController {
+    ClaimsController::new(format!("entry-{entry}"), incarnation, WINDOW)
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            now: START + Duration::from_secs(60),
+            skews: [0; ENTRIES],
+            entries: (0..ENTRIES).map(|entry| controller(entry, 0)).collect(),
+            incarnation: 0,
+            calls: Vec::new(),
+            delayed: Vec::new(),
+            store: Vec::new(),
+            tickets: Vec::new(),
+            runs: HashMap::new(),
+        }
+    }
+
+    fn tell(&mut self, entry: usize, message: ClaimsMessage) {
+        let clock = Timestamp(self.now.0.saturating_add_signed(self.skews[entry] * 1_000_000));
+        for effect in self.entries[entry].handle(message, clock) {
+            match effect {
+                ClaimsEffect::Answer(nonce, answer) => {
+                    self.tickets[nonce as usize].answer = Some(answer);
+                }
+                call => self.calls.push((entry, call)),
+            }
+        }
+    }
+
+    fn write(&mut self, content: &ClaimSegment, base_version: u64) -> WriteReply {
+        let present = self.store.last().map_or(0, |(_, version)| *version);
+        if present != base_version {
+            return WriteReply::Conflict(present);
+        }
+        self.store.push((content.clone(), present + 1));
+        WriteReply::Written(present + 1)
+    }
+
+    fn read(&self, fault: Fault) -> ReadReply<ClaimSegment> {
+        let stale = usize::from(matches!(fault, Fault::Stale));
+        match (fault, self.store.len().checked_sub(1 + stale)) {
+            (Fault::None | Fault::Stale, None) => ReadReply::Absent,
+            (Fault::None | Fault::Stale, Some(position)) => {
+                let (content, version) = self.store[position].clone();
+                ReadReply::Found { content, version }
+            }
+            _ => ReadReply::Unavailable,
+        }
+    }
+
+    fn deliver(&mut self, position: usize, fault: Fault) {
+        let (entry, call) = self.calls.remove(position);
+        let message = match call {
+            ClaimsEffect::Wake(name, _) => ClaimsMessage::Wake(name),
+            ClaimsEffect::Read(name, _) => ClaimsMessage::Read(name, self.read(fault)),
+            ClaimsEffect::Write(ref name, ref content, base_version) => {
+                let reply = match fault {
+                    Fault::None | Fault::Stale => self.write(content, base_version),
+                    Fault::Refused => WriteReply::Refused,
+                    Fault::RequestLost => WriteReply::NoAnswer,
+                    Fault::AnswerLost => {
+                        self.write(content, base_version);
+                        WriteReply::NoAnswer
+                    }
+                    Fault::Delayed => {
+                        self.delayed.push(call.clone());
+                        WriteReply::NoAnswer
+                    }
+                };
+                ClaimsMessage::Wrote(name.clone(), reply)
+            }
+            ClaimsEffect::Answer(..) => unreachable!("answers are not calls"),
+        };
+        self.tell(entry, message);
+    }
+
+    fn settle(&mut self, ticket: usize, state: ClaimState) {
+        let Ticket { entry, key: number, ref mut ended, .. } = self.tickets[ticket];
+        *ended = true;
+        let (service, key) = (SERVICE.to_owned(), key(number));
+        self.tell(entry, ClaimsMessage::Settle { service, key, nonce: ticket as u64, state });
+    }
+
+    fn open_tickets(&self, granted: bool) -> Vec<usize> {
+        let tickets = self.tickets.iter().enumerate().filter(|(_, ticket)| !ticket.ended);
+        let wanted = granted.then_some(ClaimAnswer::Granted);
+        tickets.filter(|(_, t)| t.answer == wanted).map(|(number, _)| number).collect()
+    }
+
+    fn run(&mut self, step: &Step) {
+        match step {
+            Step::Request(entry, number) => {
+                let nonce = self.tickets.len() as u64;
+                let ticket = Ticket { entry: *entry, key: *number, answer: None, ended: false };
+                self.tickets.push(ticket);
+                let (service, key) = (SERVICE.to_owned(), key(*number));
+                self.tell(*entry, ClaimsMessage::Claim { service, key, nonce });
+            }
+            Step::Deliver(call, fault) if !self.calls.is_empty() => {
+                self.deliver(call.index(self.calls.len()), *fault);
+            }
+            Step::Act(choice, ending) => {
+                let granted = self.open_tickets(true);
+                if granted.is_empty() {
+                    return;
+                }
+                let ticket = granted[choice.index(granted.len())];
+                if !matches!(ending, Ending::NotRun) {
+                    *self.runs.entry(self.tickets[ticket].key).or_default() += 1;
+                }
+                self.settle(
+                    ticket,
+                    match ending {
+                        Ending::Done => ClaimState::Done(200),
+                        Ending::Unknown => ClaimState::Unknown,
+                        Ending::NotRun => ClaimState::NotRun,
+                    },
+                );
+            }
+            Step::GiveUp(choice) => {
+                let waiting = self.open_tickets(false);
+                if !waiting.is_empty() {
+                    self.settle(waiting[choice.index(waiting.len())], ClaimState::NotRun);
+                }
+            }
+            Step::DelayedArrives(call) if !self.delayed.is_empty() => {
+                let call = self.delayed.remove(call.index(self.delayed.len()));
+                if let ClaimsEffect::Write(_, content, base_version) = call {
+                    self.write(&content, base_version);
+                }
+            }
+            Step::Crash(entry, skew) => {
+                self.incarnation += 1;
+                self.entries[*entry] = controller(*entry, self.incarnation);
+                self.skews[*entry] = *skew;
+                self.calls.retain(|(owner, _)| owner != entry);
+                let tickets = self.tickets.iter_mut().filter(|ticket| ticket.entry == *entry);
+                tickets.for_each(|ticket| ticket.ended = true);
+            }
+            Step::Advance(seconds) => self.now = self.now + Duration::from_secs(*seconds),
+            _ => {}
+        }
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        for (key, runs) in &self.runs {
+            prop_assert!(*runs <= 1, "key {key} ran {runs} times");
+        }
+        for ticket in &self.tickets {
+            let ran = self.runs.contains_key(&ticket.key);
+            if let Some(ClaimAnswer::Repeated(ClaimState::Done(_))) = ticket.answer {
+                prop_assert!(ran, "key {} is reported done and did not run", ticket.key);
+            }
+        }
+        Ok(())
+    }
+}
+
+test_cases! {
+    keys_run_at_most_once: "a visit or sign-up recorded twice" => {
+        check_property(4000, &proptest::collection::vec(step(), 1..100), |steps| {
+            let mut world = World::new();
+            for step in &steps {
+                world.run(step);
+                world.check()?;
+            }
+            while !world.calls.is_empty() {
+                world.deliver(0, Fault::None);
+            }
+            for ticket in world.open_tickets(true) {
+                *world.runs.entry(world.tickets[ticket].key).or_default() += 1;
+            }
+            world.check()?;
+            let open = world.open_tickets(false);
+            prop_assert!(open.is_empty(), "tickets {:?} were never answered", open);
+            Ok(())
+        });
+    }
+
+    unclaimed_keys_become_free: "a request that was told not-run and can never be sent again" => {
+        let mut world = World::new();
+        world.run(&Step::Request(0, 0));
+        world.deliver(0, Fault::None);
+        world.deliver(0, Fault::None);
+        world.deliver(0, Fault::AnswerLost);
+        while world.tickets[0].answer.is_none() {
+            world.deliver(0, Fault::RequestLost);
+        }
+        assert_eq!(world.tickets[0].answer, Some(ClaimAnswer::Unavailable));
+        while !world.calls.is_empty() {
+            world.deliver(0, Fault::None);
+        }
+        world.run(&Step::Request(1, 0));
+        while !world.calls.is_empty() {
+            world.deliver(0, Fault::None);
+        }
+        assert_eq!(world.tickets[1].answer, Some(ClaimAnswer::Granted));
+    }
+
+    claims_in_one_batch_share_a_write: "a store call for each claim" => {
+        let mut world = World::new();
+        (0..4).for_each(|number| world.run(&Step::Request(0, number)));
+        while !world.calls.is_empty() {
+            world.deliver(0, Fault::None);
+        }
+        assert!(world.tickets.iter().all(|t| t.answer == Some(ClaimAnswer::Granted)));
+        assert_eq!(world.store.len(), 1);
+    }
+
+    permanent_keys_leave_room: "keys that never expire taking the place of those that do" => {
+        let mut segment = ClaimSegment::default();
+        let owner = ClaimOwner { entry: "e".to_owned(), incarnation: 1, nonce: 1 };
+        let permanent = |number| IdempotencyKey { digest: ShortDigest(number), created_ms: None };
+        for number in 0..MAX_PERMANENT_CLAIMS as u128 {
+            assert_eq!(segment.claim(permanent(number + 10), &owner), ClaimVerdict::Added);
+        }
+        assert_eq!(segment.claim(permanent(0), &owner), ClaimVerdict::FullOfPermanent);
+        assert_eq!(segment.claim(key(2), &owner), ClaimVerdict::Added);
+        let bytes = serde_json::to_vec(&segment).unwrap().len();
+        assert!(bytes < 500_000, "half a full segment takes {bytes} bytes");
+    }
+
+    keys_are_read_strictly: "two services or two spellings sharing a claim, or a wrong time" => {
+        let parse = |key: &str| IdempotencyKey::parse(SERVICE, key.as_bytes());
+        let version_7 = parse("018f3b7c-89ab-7def-8123-456789abcdef").unwrap();
+        assert_eq!(version_7.created_ms, Some(0x018f_3b7c_89ab));
+        assert_eq!(parse("018f3b7c-89ab-4def-8123-456789abcdef").unwrap().created_ms, None);
+        for bad in ["", " ", "a b", "\u{e9}", &"k".repeat(129)] {
+            assert_eq!(parse(bad), Err(KeyError), "{bad:?}");
+        }
+        let other = IdempotencyKey::parse("calendar", b"key-1").unwrap();
+        assert_ne!(parse("key-1").unwrap().digest, other.digest);
+        let name = SegmentName { service: SERVICE.to_owned(), segment: other.segment() };
+        assert!(name.segment < 256);
+    }
+}
