--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -13,6 +14,8 @@
 use crate::clock::Timestamp;
 use crate::intent::{ServiceIntent, TargetIntent, TargetWish};
 use crate::keys::{ServiceKey, TargetKey};
+use crate::policy::{EntryView, ProbePool, RouteTable};
+use crate::retry::{LatencyQuantile, RetryBudget};
 
 /// State of a target as this entry sees it.
 #[derive(Clone, Copy, Debug, Display, EnumString, Eq, Hash, PartialEq, Serialize, Deserialize)]
@@ -38,6 +41,10 @@
     }
 }
 
+/// Longest time for which a target's wish to shed load is honoured. A target
+/// that still sheds says so again.
+pub const MAX_SHEDDING: Duration = Duration::from_secs(1);
+
 /// Counters of a target that the request path updates without a lock.
 #[derive(Debug, Default)]
 pub struct TargetCounters {
@@ -53,6 +60,10 @@
     pub latency_us: AtomicU64,
     /// Failures since the last success.
     pub failures_in_row: AtomicU32,
+    /// Moving average of failures, in 1/1024.
+    pub failure_share: AtomicU32,
+    /// Until when the target sheds load, in microseconds.
+    pub sheds_until: AtomicU64,
 }
 
 impl TargetCounters {
@@ -63,6 +74,53 @@
         self.reported_load.store(load, Ordering::Relaxed);
         self.reported_at.store(now.0, Ordering::Relaxed);
     }
+
+    /// Records a response whose head arrived after `latency`. Concurrent updates
+    /// may lose one another, which moves the averages by one sample at most.
+    pub fn record_success(&self, latency: Duration) {
+        self.failures_in_row.store(0, Ordering::Relaxed);
+        let share = self.failure_share.load(Ordering::Relaxed);
+        self.failure_share.store(share - share.div_ceil(8), Ordering::Relaxed);
+        let sample = (latency.as_micros() as u64).max(1);
+        let average = match self.latency_us.load(Ordering::Relaxed) {
+            0 => sample,
+            average => (average * 7 + sample).div_ceil(8),
+        };
+        self.latency_us.store(average, Ordering::Relaxed);
+    }
+
+    /// Records a failure and returns the number of failures in a row.
+    pub fn record_failure(&self) -> u32 {
+        let share = self.failure_share.load(Ordering::Relaxed);
+        self.failure_share.store(share + (1024 - share.min(1024)) / 8, Ordering::Relaxed);
+        self.failures_in_row.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Records that the target refuses work for `period`, at most [`MAX_SHEDDING`].
+    pub fn record_shedding(&self, period: Duration, now: Timestamp) {
+        let until = now + period.min(MAX_SHEDDING);
+        self.sheds_until.fetch_max(until.0, Ordering::Relaxed);
+    }
+
+    /// Tells whether the target sheds load.
+    pub fn sheds(&self, now: Timestamp) -> bool {
+        now.0 < self.sheds_until.load(Ordering::Relaxed)
+    }
+}
+
+/// Counters of a service that the request path updates without a lock.
+#[derive(Debug, Default)]
+pub struct ServiceCounters {
+    /// Requests of this entry in flight.
+    pub in_flight: AtomicU32,
+    /// Next position for round robin.
+    pub cursor: AtomicU32,
+    /// Recent load reports for the probe policy.
+    pub probes: ProbePool,
+    /// Retries and hedges of this entry.
+    pub retries: RetryBudget,
+    /// Recent latency up to the response head, for hedges.
+    pub latency: LatencyQuantile,
 }
 
 /// A service with the intent in force.
@@ -74,6 +132,10 @@
     pub version: u64,
     /// All targets of the service, in the order of the intent.
     pub targets: Vec<TargetKey>,
+    /// Counters, shared by all snapshots.
+    pub counters: Arc<ServiceCounters>,
+    /// What the routing policies need, computed when the snapshot is made.
+    pub table: Arc<RouteTable>,
 }
 
 /// A target with its state.
@@ -104,6 +166,8 @@
     pub names: IndexMap<String, ServiceKey>,
     /// Targets by key.
     pub targets: SlotMap<TargetKey, TargetEntry>,
+    /// This entry and the other members.
+    pub view: EntryView,
 }
 
 impl FleetSnapshot {
@@ -140,18 +204,42 @@
             .unwrap_or_default();
         let targets = self.merge_targets(old_targets, &intent.targets, now);
         let name = intent.service.clone();
-        let service = ServiceEntry { intent: Arc::new(intent), version, targets };
-        match known {
-            Some(key) => self.services[key] = service,
+        let counters = known.map(|key| self.services[key].counters.clone()).unwrap_or_default();
+        let table = Arc::default();
+        let service = ServiceEntry { intent: Arc::new(intent), version, targets, counters, table };
+        let key = match known {
+            Some(key) => {
+                self.services[key] = service;
+                key
+            }
             None => {
                 let key = self.services.insert(service);
                 self.names.insert(name, key);
+                key
             }
-        }
+        };
+        self.update_table(key);
         self.published = now;
         true
     }
 
+    /// Replaces what is known of this entry and the other members.
+    pub fn set_view(&mut self, view: EntryView) {
+        self.view = view;
+        let keys: Vec<_> = self.services.keys().collect();
+        for key in keys {
+            self.update_table(key);
+        }
+    }
+
+    /// Recomputes the routing table of a service after its targets changed.
+    pub fn update_table(&mut self, key: ServiceKey) {
+        let Some(service) = self.services.get(key) else { return };
+        let targets = service.targets.iter().map(|key| (*key, &self.targets[*key]));
+        let table = Arc::new(RouteTable::new(targets, &self.view));
+        self.services[key].table = table;
+    }
+
     /// Keeps the keys and counters of targets whose address stays.
     fn merge_targets(
         &mut self,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod intent;
 pub mod keys;
 pub mod policy;
+pub mod retry;
--- a/core/src/policy/mod.rs
+++ b/core/src/policy/mod.rs
@@ -1,11 +1,26 @@
 //! Routing policies: which target runs a request.
 
+mod aged_reports;
+mod estimate;
+mod home_slots;
+mod probe_pool;
 mod random;
+mod round_robin;
+mod table;
 mod two_choices;
 
-use rand::RngCore;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
+pub use aged_reports::AgedReports;
+pub use estimate::LoadPrior;
+pub use home_slots::HomeSlots;
+use indexmap::IndexMap;
+pub use probe_pool::{ProbePolicy, ProbePool};
+use rand::RngCore;
 pub use random::RandomPolicy;
+pub use round_robin::RoundRobin;
+pub use table::{EntryView, OpenTarget, RAMP_TIME, RouteTable, ramp_share};
 pub use two_choices::TwoChoices;
 
 use crate::call::ReasonCode;
@@ -22,12 +37,28 @@
     pub service: &'a ServiceEntry,
     /// Data centre of this entry.
     pub data_centre: &'a str,
+    /// Names of the live entries; empty if this entry is alone. The routing
+    /// table of the service was computed from them.
+    pub members: &'a [Arc<str>],
     /// Targets that the request has already been sent to.
     pub excluded: &'a [TargetKey],
     /// Clock reading of the decision.
     pub now: Timestamp,
 }
 
+impl RouteQuery<'_> {
+    fn choice(&self, target: &OpenTarget, reason: ReasonCode) -> RouteChoice {
+        let candidates = self.service.table.candidates(self.excluded);
+        let reason = if candidates == 1 { ReasonCode::OnlyTarget } else { reason };
+        RouteChoice { target: target.key, reason, candidates }
+    }
+
+    fn prior(&self) -> LoadPrior {
+        let own_in_flight = self.service.counters.in_flight.load(Ordering::Relaxed);
+        LoadPrior::new(own_in_flight, self.service.table.open.len(), self.members.len().max(1))
+    }
+}
+
 /// The target that a policy picked, and why.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RouteChoice {
@@ -48,12 +79,23 @@
     fn pick(&self, query: &RouteQuery<'_>, random: &mut dyn RngCore) -> Option<RouteChoice>;
 }
 
-/// Lists the targets that may be picked.
-fn candidates(query: &RouteQuery<'_>) -> Vec<TargetKey> {
-    query
-        .fleet
-        .open_targets(query.service)
-        .map(|(key, _)| key)
-        .filter(|key| !query.excluded.contains(key))
-        .collect()
+/// Gives every policy by the name used in settings.
+pub fn policies() -> IndexMap<&'static str, Arc<dyn RoutingPolicy>> {
+    let policies: [Arc<dyn RoutingPolicy>; 6] = [
+        Arc::new(RandomPolicy),
+        Arc::new(RoundRobin),
+        Arc::new(TwoChoices),
+        Arc::new(AgedReports),
+        Arc::new(ProbePolicy::default()),
+        Arc::new(HomeSlots::default()),
+    ];
+    policies.into_iter().map(|policy| (policy.name(), policy)).collect()
+}
+
+/// Load that recent failures count for: a target that fails fast has few
+/// requests in flight because it fails, and must not look idle. At a failure
+/// share of a half it appears full twice over.
+fn failure_penalty(target: &OpenTarget) -> f32 {
+    let share = target.counters.failure_share.load(Ordering::Relaxed) as f32 / 1024.0;
+    share * 4.0 * target.slots as f32
 }
--- /dev/null
+++ b/core/src/policy/probe_pool.rs
@@ -0,0 +1,141 @@
+//! Pool of recent load reports with the hot/cold rule, after Prequal (Wydrowski
+//! et al., "Load is not what you should balance", NSDI 2024).
+
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use rand::RngCore;
+use slotmap::{Key, KeyData};
+
+use super::{RouteChoice, RouteQuery, RoutingPolicy, TwoChoices};
+use crate::call::ReasonCode;
+use crate::clock::Timestamp;
+use crate::keys::TargetKey;
+
+/// Entries of a pool; the paper uses 16.
+const POOL_SIZE: usize = 16;
+
+/// Age at which an entry is no longer used; the paper uses 1 s.
+const MAX_AGE: Duration = Duration::from_secs(1);
+
+/// Picks that one entry serves before it is no longer used.
+const MAX_USES: u32 = 3;
+
+/// Fewest usable entries; with fewer, the policy falls back to two choices.
+const MIN_USABLE: usize = 2;
+
+/// Share of the pool's entries that count as cold, by requests in flight. The
+/// paper found values from 0.6 to 0.9 good.
+const COLD_QUANTILE: f32 = 0.8;
+
+/// One report. Fields are separate atomics: a reader that sees two reports
+/// mixed makes one pick from wrong hints, and the key is checked before use.
+#[derive(Debug, Default)]
+struct ProbeSlot {
+    target: AtomicU64,
+    load: AtomicU32,
+    latency_us: AtomicU32,
+    received: AtomicU64,
+    uses: AtomicU32,
+}
+
+/// Recent reports of one service's targets.
+#[derive(Debug, Default)]
+pub struct ProbePool {
+    slots: [ProbeSlot; POOL_SIZE],
+    next: AtomicU32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct UsableProbe {
+    slot: usize,
+    target: TargetKey,
+    load: u32,
+    latency_us: u32,
+}
+
+impl ProbePool {
+    /// Adds a report in place of the oldest.
+    pub fn add(&self, target: TargetKey, load: u32, latency: Duration, now: Timestamp) {
+        let position = self.next.fetch_add(1, Ordering::Relaxed) as usize % POOL_SIZE;
+        let slot = &self.slots[position];
+        slot.uses.store(MAX_USES, Ordering::Relaxed);
+        slot.target.store(target.data().as_ffi(), Ordering::Relaxed);
+        slot.load.store(load, Ordering::Relaxed);
+        slot.latency_us.store(latency.as_micros() as u32, Ordering::Relaxed);
+        slot.received.store(now.0, Ordering::Relaxed);
+        slot.uses.store(0, Ordering::Release);
+    }
+
+    /// Copies the usable reports to `probes` and returns their number.
+    fn read(&self, query: &RouteQuery<'_>, probes: &mut [UsableProbe; POOL_SIZE]) -> usize {
+        let mut count = 0;
+        for (position, slot) in self.slots.iter().enumerate() {
+            let received = Timestamp(slot.received.load(Ordering::Relaxed));
+            if slot.uses.load(Ordering::Acquire) >= MAX_USES || received == Timestamp::default() {
+                continue;
+            }
+            let target = KeyData::from_ffi(slot.target.load(Ordering::Relaxed)).into();
+            if query.now.since(received) > MAX_AGE || !takes_requests(query, target) {
+                continue;
+            }
+            probes[count] = UsableProbe {
+                slot: position,
+                target,
+                load: slot.load.load(Ordering::Relaxed),
+                latency_us: slot.latency_us.load(Ordering::Relaxed),
+            };
+            count += 1;
+        }
+        count
+    }
+
+    /// Counts a use, and the request that it adds to the target's load.
+    fn use_probe(&self, probe: &UsableProbe) {
+        let slot = &self.slots[probe.slot];
+        slot.uses.fetch_add(1, Ordering::Relaxed);
+        slot.load.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+fn takes_requests(query: &RouteQuery<'_>, target: TargetKey) -> bool {
+    query.fleet.targets.get(target).is_some_and(|entry| {
+        entry.state.takes_requests()
+            && entry.counters.failures_in_row.load(Ordering::Relaxed) == 0
+            && !entry.counters.sheds(query.now)
+            && !query.excluded.contains(&target)
+    })
+}
+
+/// Picks the reported target with the lowest latency among those that are not
+/// hot, or the one with the fewest requests in flight if all are hot.
+#[derive(Debug, Default)]
+pub struct ProbePolicy {
+    fallback: TwoChoices,
+}
+
+impl RoutingPolicy for ProbePolicy {
+    fn name(&self) -> &'static str {
+        "probe-pool"
+    }
+
+    fn pick(&self, query: &RouteQuery<'_>, random: &mut dyn RngCore) -> Option<RouteChoice> {
+        let pool = &query.service.counters.probes;
+        let mut probes = [UsableProbe::default(); POOL_SIZE];
+        let count = pool.read(query, &mut probes);
+        if count < MIN_USABLE {
+            return self.fallback.pick(query, random);
+        }
+        let probes = &mut probes[..count];
+        probes.sort_unstable_by_key(|probe| probe.load);
+        let limit = probes[((count - 1) as f32 * COLD_QUANTILE) as usize].load;
+        let cold = probes.iter().filter(|probe| probe.load < limit);
+        let choice = cold.min_by_key(|probe| probe.latency_us).unwrap_or(&probes[0]);
+        pool.use_probe(choice);
+        Some(RouteChoice {
+            target: choice.target,
+            reason: ReasonCode::ProbedCold,
+            candidates: count as u16,
+        })
+    }
+}
--- a/core/src/policy/random.rs
+++ b/core/src/policy/random.rs
@@ -1,8 +1,8 @@
 //! Uniform random choice, a baseline.
 
-use rand::{Rng, RngCore};
+use rand::RngCore;
 
-use super::{RouteChoice, RouteQuery, RoutingPolicy, candidates};
+use super::{RouteChoice, RouteQuery, RoutingPolicy};
 use crate::call::ReasonCode;
 
 /// Picks any open target with equal probability.
@@ -15,15 +15,7 @@
     }
 
     fn pick(&self, query: &RouteQuery<'_>, random: &mut dyn RngCore) -> Option<RouteChoice> {
-        let open = candidates(query);
-        if open.is_empty() {
-            return None;
-        }
-        let target = open[random.random_range(0..open.len())];
-        Some(RouteChoice {
-            target,
-            reason: ReasonCode::RandomTarget,
-            candidates: open.len() as u16,
-        })
+        let target = query.service.table.sample(query.excluded, query.now, random)?;
+        Some(query.choice(target, ReasonCode::RandomTarget))
     }
 }
--- /dev/null
+++ b/core/src/policy/round_robin.rs
@@ -0,0 +1,30 @@
+//! Round robin, a baseline.
+
+use std::sync::atomic::Ordering;
+
+use rand::RngCore;
+
+use super::{RouteChoice, RouteQuery, RoutingPolicy};
+use crate::call::ReasonCode;
+
+/// Picks open targets in turn.
+#[derive(Debug, Default)]
+pub struct RoundRobin;
+
+impl RoutingPolicy for RoundRobin {
+    fn name(&self) -> &'static str {
+        "round-robin"
+    }
+
+    fn pick(&self, query: &RouteQuery<'_>, _random: &mut dyn RngCore) -> Option<RouteChoice> {
+        let table = &query.service.table;
+        for _ in 0..table.open.len() {
+            let turn = query.service.counters.cursor.fetch_add(1, Ordering::Relaxed) as usize;
+            let target = &table.open[turn % table.open.len()];
+            if !query.excluded.contains(&target.key) {
+                return Some(query.choice(target, ReasonCode::NextInTurn));
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/core/src/policy/table.rs
@@ -0,0 +1,230 @@
+//! What the routing policies need of a service, computed once per snapshot so
+//! that the cost of a pick does not grow with the number of targets.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use rand::{Rng, RngCore};
+
+use crate::clock::Timestamp;
+use crate::fleet::{TargetCounters, TargetEntry, TargetState};
+use crate::keys::TargetKey;
+
+/// Time in which a cold or returning target reaches its full share.
+pub const RAMP_TIME: Duration = Duration::from_secs(10);
+
+/// Share of requests that a cold target takes at first.
+const FIRST_SHARE: f32 = 0.1;
+
+/// Samples drawn before a pick falls back to a scan. With half of the targets
+/// closed to a request, 8 samples miss once in 256 picks.
+const MAX_SAMPLES: usize = 8;
+
+/// Name, place and members as this entry sees them.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EntryView {
+    /// Name of this entry.
+    pub name: Arc<str>,
+    /// Data centre of this entry.
+    pub data_centre: Arc<str>,
+    /// Names of the live entries; empty if this entry is alone.
+    pub members: Arc<[Arc<str>]>,
+}
+
+impl EntryView {
+    /// Counts the live entries, this one included.
+    pub fn entries(&self) -> usize {
+        self.members.len().max(1)
+    }
+}
+
+/// A target that takes requests.
+#[derive(Clone, Debug)]
+pub struct OpenTarget {
+    /// Its key.
+    pub key: TargetKey,
+    /// Its counters.
+    pub counters: Arc<TargetCounters>,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Those of its slots that the member list assigns to this entry.
+    pub home_slots: u32,
+    /// Whether it is in this entry's data centre.
+    pub local: bool,
+    /// When it began to take a growing share; none if it takes its full share.
+    pub ramp_start: Option<Timestamp>,
+}
+
+impl OpenTarget {
+    /// Tells whether a sample that hit the target should count: a cold target
+    /// counts for its share only, one that sheds load not at all.
+    fn accepts(&self, now: Timestamp, random: &mut dyn RngCore) -> bool {
+        if self.counters.sheds(now) {
+            return false;
+        }
+        self.ramp_start.is_none_or(|start| random.random::<f32>() < ramp_share(start, now))
+    }
+}
+
+/// Gives the share of requests that a target takes whose ramp began at `start`.
+pub fn ramp_share(start: Timestamp, now: Timestamp) -> f32 {
+    let progress = now.since(start).as_secs_f32() / RAMP_TIME.as_secs_f32();
+    (FIRST_SHARE + (1.0 - FIRST_SHARE) * progress).min(1.0)
+}
+
+/// The open targets of a service and this entry's home slots among them.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    /// Targets that take requests.
+    pub open: Vec<OpenTarget>,
+    /// Positions of the open targets in this entry's data centre.
+    pub local: Vec<u32>,
+    /// Positions of local open targets with home slots.
+    pub local_homes: Vec<u32>,
+    /// Positions of other open targets with home slots.
+    pub remote_homes: Vec<u32>,
+    /// Home slots over all open targets.
+    pub home_slots: u32,
+    /// Live entries, this one included.
+    pub entries: usize,
+    /// Where the next search for a free home slot starts.
+    pub cursor: AtomicU32,
+}
+
+impl RouteTable {
+    /// Computes the table of a service.
+    pub fn new<'a>(
+        targets: impl Iterator<Item = (TargetKey, &'a TargetEntry)>,
+        view: &EntryView,
+    ) -> Self {
+        let mut table = Self { entries: view.entries(), ..Self::default() };
+        let homes = HomeMap::new(view);
+        for (key, target) in targets.filter(|(_, target)| target.state.takes_requests()) {
+            table.add(key, target, &homes, &view.data_centre);
+        }
+        table
+    }
+
+    fn add(&mut self, key: TargetKey, target: &TargetEntry, homes: &HomeMap, data_centre: &str) {
+        let position = self.open.len() as u32;
+        let local = *target.data_centre == *data_centre;
+        let home_slots = homes.owned_slots(target.address, target.slots);
+        if local {
+            self.local.push(position);
+        }
+        if home_slots > 0 {
+            let positions = if local { &mut self.local_homes } else { &mut self.remote_homes };
+            positions.push(position);
+        }
+        self.home_slots += home_slots;
+        self.open.push(OpenTarget {
+            key,
+            counters: target.counters.clone(),
+            slots: target.slots,
+            home_slots,
+            local,
+            ramp_start: (target.state == TargetState::Starting).then_some(target.since),
+        });
+    }
+
+    /// Draws an open target that is not excluded, preferring those that accept
+    /// more work. Falls back to a scan so that a request finds the last one.
+    pub fn sample(
+        &self,
+        excluded: &[TargetKey],
+        now: Timestamp,
+        random: &mut dyn RngCore,
+    ) -> Option<&OpenTarget> {
+        if self.open.is_empty() {
+            return None;
+        }
+        for _ in 0..MAX_SAMPLES {
+            let target = &self.open[random.random_range(0..self.open.len())];
+            if !excluded.contains(&target.key) && target.accepts(now, random) {
+                return Some(target);
+            }
+        }
+        let start = random.random_range(0..self.open.len());
+        let mut rotated = self.open[start..].iter().chain(&self.open[..start]);
+        rotated.find(|target| !excluded.contains(&target.key))
+    }
+
+    /// Draws two targets, equal only if no second one was found.
+    pub fn sample_two(
+        &self,
+        excluded: &[TargetKey],
+        now: Timestamp,
+        random: &mut dyn RngCore,
+    ) -> Option<(&OpenTarget, &OpenTarget)> {
+        let first = self.sample(excluded, now, random)?;
+        let mut second = first;
+        for _ in 0..MAX_SAMPLES {
+            second = self.sample(excluded, now, random)?;
+            if second.key != first.key {
+                break;
+            }
+        }
+        Some((first, second))
+    }
+
+    /// Advances the search for home slots and gives its new start.
+    pub fn advance(&self) -> usize {
+        self.cursor.fetch_add(1, Ordering::Relaxed) as usize
+    }
+
+    /// Counts the targets for a trace.
+    pub fn candidates(&self, excluded: &[TargetKey]) -> u16 {
+        u16::try_from(self.open.len().saturating_sub(excluded.len()).max(1)).unwrap_or(u16::MAX)
+    }
+}
+
+/// Assigns each slot of a target to the live entry with the highest score
+/// (rendezvous hashing), so that entries with the same member list agree
+/// without messages.
+struct HomeMap {
+    own: u64,
+    others: Vec<u64>,
+}
+
+impl HomeMap {
+    fn new(view: &EntryView) -> Self {
+        let own = hash_bytes(view.name.as_bytes());
+        let members = view.members.iter().filter(|name| **name != view.name);
+        Self { own, others: members.map(|name| hash_bytes(name.as_bytes())).collect() }
+    }
+
+    fn owned_slots(&self, address: SocketAddr, slots: u32) -> u32 {
+        let target = hash_address(address);
+        (0..slots).filter(|slot| self.owns(mix(target ^ u64::from(*slot)))).count() as u32
+    }
+
+    fn owns(&self, slot: u64) -> bool {
+        let own = (mix(self.own ^ slot), self.own);
+        self.others.iter().all(|other| (mix(other ^ slot), *other) < own)
+    }
+}
+
+fn hash_address(address: SocketAddr) -> u64 {
+    let port = hash_bytes(&address.port().to_be_bytes());
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => mix(port ^ hash_bytes(&ip.octets())),
+        std::net::IpAddr::V6(ip) => mix(port ^ hash_bytes(&ip.octets())),
+    }
+}
+
+/// FNV-1a, which unlike the standard hasher gives the same value in every process.
+fn hash_bytes(bytes: &[u8]) -> u64 {
+    let hash = bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    mix(hash)
+}
+
+/// Finalizer of `SplitMix64`.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- a/core/src/policy/two_choices.rs
+++ b/core/src/policy/two_choices.rs
@@ -3,12 +3,12 @@
 use std::sync::atomic::Ordering;
 
 use rand::RngCore;
-use rand::seq::index;
 
-use super::{RouteChoice, RouteQuery, RoutingPolicy, candidates};
+use super::{OpenTarget, RouteChoice, RouteQuery, RoutingPolicy, failure_penalty};
 use crate::call::ReasonCode;
 
-/// Samples two open targets and picks the one with fewer requests in flight.
+/// Samples two open targets and picks the one with fewer requests in flight,
+/// where recent failures count as load.
 #[derive(Debug, Default)]
 pub struct TwoChoices;
 
@@ -17,16 +17,13 @@
         "two-choices"
     }
 
-    fn pick(&self, query: &RouteQuery<'_>, mut random: &mut dyn RngCore) -> Option<RouteChoice> {
-        let open = candidates(query);
-        let in_flight = |key| query.fleet.targets[key].counters.in_flight.load(Ordering::Relaxed);
-        let sample = index::sample(&mut random, open.len(), open.len().min(2));
-        let target =
-            sample.iter().map(|position| open[position]).min_by_key(|key| in_flight(*key))?;
-        Some(RouteChoice {
-            target,
-            reason: ReasonCode::FewestInFlight,
-            candidates: open.len() as u16,
-        })
+    fn pick(&self, query: &RouteQuery<'_>, random: &mut dyn RngCore) -> Option<RouteChoice> {
+        let table = &query.service.table;
+        let (first, second) = table.sample_two(query.excluded, query.now, random)?;
+        let load = |target: &OpenTarget| {
+            target.counters.in_flight.load(Ordering::Relaxed) as f32 + failure_penalty(target)
+        };
+        let target = if load(second) < load(first) { second } else { first };
+        Some(query.choice(target, ReasonCode::FewestInFlight))
     }
 }
--- a/src/filters/route.rs
+++ b/src/filters/route.rs
@@ -34,6 +34,7 @@
             fleet: &exchange.fleet,
             service,
             data_centre: &self.state.data_centre,
+            members: &exchange.fleet.view.members,
             excluded: &exchange.targets,
             now: self.state.clock.now(),
         };
