Admit requests through a bounded queue per service

Cause: requests went to a target on arrival, in no order, and nothing bounded how many waited or how long. Change: AdmissionQueue orders by rank, turns of callers and deadline, bounds overtaking at 8, refuses early when the deadline cannot be met and gives the place of the longest backlog to others when full.

--- /dev/null
+++ b/core/src/admission/mod.rs
@@ -0,0 +1,11 @@
+//! Admission: who goes next when a service has more requests than free slots.
+//!
+//! [`AdmissionQueue`] orders the requests that wait; [`window`] says how many
+//! requests of a service may be in flight from this entry.
+
+mod queue;
+pub mod window;
+
+pub use queue::{
+    AdmissionLimits, AdmissionQueue, EarlyRefusal, JoinedCall, QueueDeparture, ServiceRate, WaitKey,
+};
--- /dev/null
+++ b/core/src/admission/queue.rs
@@ -0,0 +1,329 @@
+//! Bounded queue of the requests that wait for a slot of one service.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+use slotmap::SlotMap;
+
+use crate::call::{CallFacts, ReasonCode};
+use crate::clock::Timestamp;
+use crate::decision::AdmissionTrace;
+use crate::keys::CallerKey;
+
+slotmap::new_key_type! {
+    /// Identifies a request that waits in an admission queue.
+    pub struct WaitKey;
+}
+
+/// Limits of an admission queue.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AdmissionLimits {
+    /// Greatest number of requests that wait.
+    pub max_waiting: usize,
+    /// Greatest number of requests of better ranks that go ahead of a rank
+    /// before that rank goes next.
+    pub max_overtakes: u32,
+}
+
+/// Rate at which slots become free, for estimates of the wait.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceRate {
+    /// Requests that may be in flight at the same time.
+    pub window: u32,
+    /// Recent mean time that a request is in flight.
+    pub service_time: Duration,
+}
+
+impl ServiceRate {
+    /// Estimates the time until `requests` requests have been admitted.
+    pub fn wait_for(self, requests: usize) -> Duration {
+        let requests = u32::try_from(requests).unwrap_or(u32::MAX);
+        self.service_time.saturating_mul(requests) / self.window.max(1)
+    }
+}
+
+/// Why a request may not join the queue.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EarlyRefusal {
+    /// The rule that refused.
+    pub reason: ReasonCode,
+    /// Estimated time until a new request of the same rank would be admitted at once.
+    pub retry_after: Duration,
+}
+
+/// A request that joined the queue.
+#[derive(Debug)]
+pub struct JoinedCall<W> {
+    /// Its place.
+    pub key: WaitKey,
+    /// The request that lost its place to it because the queue was full.
+    pub displaced: Option<W>,
+}
+
+/// A request that left the queue.
+#[derive(Debug)]
+pub enum QueueDeparture<W> {
+    /// It goes next. The admission number of the trace is set by the caller.
+    Admitted(AdmissionTrace, W),
+    /// Its deadline passed while it waited.
+    Expired(W),
+}
+
+#[derive(Debug)]
+struct WaitingCall<W> {
+    waiter: W,
+    rank: u8,
+    caller: CallerKey,
+    deadline: Timestamp,
+    order: u64,
+    queued: Timestamp,
+    queue_length: u32,
+    overtaken: u32,
+}
+
+impl<W> WaitingCall<W> {
+    fn place(&self) -> (Timestamp, u64) {
+        (self.deadline, self.order)
+    }
+}
+
+/// Requests of one rank. Callers take turns; a caller that has been served, or
+/// that is new, goes to the back.
+#[derive(Debug, Default)]
+struct RankQueue {
+    turns: VecDeque<CallerKey>,
+    callers: HashMap<CallerKey, BTreeMap<(Timestamp, u64), WaitKey>>,
+    waiting: usize,
+    overtaken: u32,
+}
+
+impl RankQueue {
+    fn add(&mut self, caller: CallerKey, place: (Timestamp, u64), key: WaitKey) {
+        let calls = self.callers.entry(caller).or_default();
+        if calls.is_empty() {
+            self.turns.push_back(caller);
+        }
+        calls.insert(place, key);
+        self.waiting += 1;
+    }
+
+    fn remove(&mut self, caller: CallerKey, place: (Timestamp, u64)) {
+        let Some(calls) = self.callers.get_mut(&caller) else { return };
+        if calls.remove(&place).is_some() {
+            self.waiting -= 1;
+        }
+        if calls.is_empty() {
+            self.callers.remove(&caller);
+            self.turns.retain(|turn| *turn != caller);
+        }
+    }
+
+    fn waiting_of(&self, caller: CallerKey) -> usize {
+        self.callers.get(&caller).map_or(0, BTreeMap::len)
+    }
+
+    /// Counts the requests that go before a new one of `caller`, which waits
+    /// for all earlier turns of its own and as many of each other caller.
+    fn ahead_of(&self, caller: CallerKey) -> usize {
+        let own = self.waiting_of(caller);
+        let others = self.callers.iter().filter(|(other, _)| **other != caller);
+        own + others.map(|(_, calls)| calls.len().min(own + 1)).sum::<usize>()
+    }
+}
+
+/// Requests that wait for a slot of one service, ordered by rank, then by
+/// turns of their callers, then by deadline.
+#[derive(Debug)]
+pub struct AdmissionQueue<W> {
+    limits: AdmissionLimits,
+    calls: SlotMap<WaitKey, WaitingCall<W>>,
+    ranks: BTreeMap<u8, RankQueue>,
+    deadlines: BTreeMap<(Timestamp, u64), WaitKey>,
+    joined: u64,
+}
+
+impl<W> AdmissionQueue<W> {
+    /// Creates an empty queue.
+    pub fn new(limits: AdmissionLimits) -> Self {
+        Self {
+            limits,
+            calls: SlotMap::with_key(),
+            ranks: BTreeMap::new(),
+            deadlines: BTreeMap::new(),
+            joined: 0,
+        }
+    }
+
+    /// Replaces the limits. Requests that already wait keep their places.
+    pub fn set_limits(&mut self, limits: AdmissionLimits) {
+        self.limits = limits;
+    }
+
+    /// Counts the requests that wait.
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Tells whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Adds a request. When the queue is full, the request takes the place of
+    /// one of a worse rank, or of a caller with more requests of the same rank.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when the deadline cannot be met or no place is left.
+    pub fn join(
+        &mut self,
+        facts: &CallFacts,
+        waiter: W,
+        rate: ServiceRate,
+        now: Timestamp,
+    ) -> Result<JoinedCall<W>, EarlyRefusal> {
+        let refusal = |reason| EarlyRefusal {
+            reason,
+            retry_after: rate.wait_for(self.up_to(facts.rank) + 1),
+        };
+        let expected = rate.wait_for(self.ahead_of(facts) + 1);
+        if now + expected + rate.service_time >= facts.deadline {
+            return Err(refusal(ReasonCode::DeadlineUnreachable));
+        }
+        let mut displaced = None;
+        if self.calls.len() >= self.limits.max_waiting {
+            let victim = self.victim_for(facts).ok_or_else(|| refusal(ReasonCode::QueueFull))?;
+            displaced = self.remove(victim);
+        }
+        self.joined += 1;
+        let call = WaitingCall {
+            waiter,
+            rank: facts.rank,
+            caller: facts.caller,
+            deadline: facts.deadline,
+            order: self.joined,
+            queued: now,
+            queue_length: self.calls.len() as u32,
+            overtaken: 0,
+        };
+        let place = call.place();
+        let key = self.calls.insert(call);
+        self.deadlines.insert(place, key);
+        self.ranks.entry(facts.rank).or_default().add(facts.caller, place, key);
+        Ok(JoinedCall { key, displaced })
+    }
+
+    /// Removes a request whose caller no longer waits.
+    pub fn remove(&mut self, key: WaitKey) -> Option<W> {
+        let call = self.calls.remove(key)?;
+        self.forget(&call);
+        Some(call.waiter)
+    }
+
+    /// Takes out the next request: one whose deadline has passed, if any, else
+    /// the one that is admitted next.
+    pub fn take_next(&mut self, now: Timestamp) -> Option<QueueDeparture<W>> {
+        if let Some(waiter) = self.take_expired(now) {
+            return Some(QueueDeparture::Expired(waiter));
+        }
+        let (rank, forced) = self.next_rank()?;
+        let queue = self.ranks.get(&rank)?;
+        let caller = *queue.turns.front()?;
+        let key = *queue.callers.get(&caller)?.first_key_value()?.1;
+        let rule = self.rule_for(rank, forced, caller);
+        let call = self.calls.remove(key)?;
+        self.forget(&call);
+        self.count_overtakes(&call);
+        let trace = AdmissionTrace {
+            rule,
+            queued: call.queued,
+            admitted: now,
+            admission_number: 0,
+            queue_length: call.queue_length,
+            overtaken: call.overtaken,
+        };
+        Some(QueueDeparture::Admitted(trace, call.waiter))
+    }
+
+    fn take_expired(&mut self, now: Timestamp) -> Option<W> {
+        let (place, key) = self.deadlines.first_key_value()?;
+        if place.0 > now {
+            return None;
+        }
+        self.remove(*key)
+    }
+
+    /// Gives the rank that goes next and whether it was overtaken often enough.
+    /// Of several such ranks the worst goes first: serving a better one would
+    /// overtake the worst once more than allowed.
+    fn next_rank(&self) -> Option<(u8, bool)> {
+        let limit = self.limits.max_overtakes;
+        let forced = self.ranks.iter().rev().find(|(_, queue)| queue.overtaken >= limit);
+        match forced {
+            Some((rank, _)) if self.ranks.len() > 1 => Some((*rank, true)),
+            _ => self.ranks.first_key_value().map(|(rank, _)| (*rank, false)),
+        }
+    }
+
+    fn rule_for(&self, rank: u8, forced: bool, caller: CallerKey) -> ReasonCode {
+        let queue = &self.ranks[&rank];
+        if forced && self.ranks.keys().any(|other| *other < rank) {
+            ReasonCode::OvertakenEnough
+        } else if self.ranks.keys().any(|other| *other > rank) {
+            ReasonCode::RankFirst
+        } else if queue.callers.len() > 1 {
+            ReasonCode::CallerTurn
+        } else if queue.waiting_of(caller) > 1 {
+            ReasonCode::DeadlineFirst
+        } else {
+            ReasonCode::AdmittedAfterWait
+        }
+    }
+
+    /// Updates the counts of those that the admitted request overtook, and lets
+    /// its caller take the next turn last. Walks the queue, which is bounded.
+    fn count_overtakes(&mut self, admitted: &WaitingCall<W>) {
+        for call in self.calls.values_mut().filter(|call| call.order < admitted.order) {
+            call.overtaken += 1;
+        }
+        for (rank, queue) in &mut self.ranks {
+            if *rank > admitted.rank {
+                queue.overtaken += 1;
+            }
+        }
+        if let Some(queue) = self.ranks.get_mut(&admitted.rank) {
+            queue.overtaken = 0;
+            if queue.turns.front() == Some(&admitted.caller) {
+                queue.turns.rotate_left(1);
+            }
+        }
+    }
+
+    fn forget(&mut self, call: &WaitingCall<W>) {
+        self.deadlines.remove(&call.place());
+        if let Some(queue) = self.ranks.get_mut(&call.rank) {
+            queue.remove(call.caller, call.place());
+            if queue.waiting == 0 {
+                self.ranks.remove(&call.rank);
+            }
+        }
+    }
+
+    fn up_to(&self, rank: u8) -> usize {
+        self.ranks.range(..=rank).map(|(_, queue)| queue.waiting).sum()
+    }
+
+    fn ahead_of(&self, facts: &CallFacts) -> usize {
+        let better: usize = self.ranks.range(..facts.rank).map(|(_, queue)| queue.waiting).sum();
+        better + self.ranks.get(&facts.rank).map_or(0, |queue| queue.ahead_of(facts.caller))
+    }
+
+    /// Gives the last request of the caller with the most requests in the worst rank.
+    fn victim_for(&self, facts: &CallFacts) -> Option<WaitKey> {
+        let (rank, queue) = self.ranks.last_key_value()?;
+        let calls = queue.callers.values().max_by_key(|calls| calls.len())?;
+        let own = queue.waiting_of(facts.caller);
+        let gives_way = *rank > facts.rank || (*rank == facts.rank && calls.len() > own + 1);
+        gives_way.then(|| calls.last_key_value().map(|(_, key)| *key))?
+    }
+}
--- /dev/null
+++ b/src/gate/admission.rs
@@ -0,0 +1,252 @@
+//! The admission queue of one service, shared by all requests for it.
+
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use zinniaport_core::admission::window::concurrency_window;
+use zinniaport_core::admission::{
+    AdmissionLimits, AdmissionQueue, EarlyRefusal, QueueDeparture, ServiceRate, WaitKey,
+};
+use zinniaport_core::call::{CallFacts, ReasonCode};
+use zinniaport_core::clock::{ClockSource, Timestamp};
+use zinniaport_core::decision::AdmissionTrace;
+use zinniaport_core::fleet::{ServiceCounters, ServiceEntry};
+
+/// Requests of better ranks that go ahead of a rank before it goes next. At 8, a
+/// backlog of lookups leaves one slot in nine to uploads.
+const MAX_OVERTAKES: u32 = 8;
+
+/// Shortest time between two computations of the window, each of which reads
+/// the counters of every open target.
+const WINDOW_PERIOD: Duration = Duration::from_millis(2);
+
+/// Service time assumed before the first request was served.
+const FIRST_SERVICE_TIME_US: u64 = 5_000;
+
+/// Why a request was not admitted. It certainly did not run.
+pub type GateRefusal = EarlyRefusal;
+
+type GateQueue = AdmissionQueue<oneshot::Sender<Verdict>>;
+type Verdict = Result<(AdmissionTrace, SlotGuard), GateRefusal>;
+
+/// Admits the requests of one service to its concurrency window.
+///
+/// A request joins the queue before it looks at the window again, and a slot is
+/// given back before the queue is looked at; both use sequentially consistent
+/// operations, so that one of the two sides sees the other and no wake is lost.
+pub struct AdmissionGate {
+    clock: Arc<dyn ClockSource>,
+    counters: Arc<ServiceCounters>,
+    admissions: Arc<AtomicU64>,
+    window: AtomicU32,
+    window_at: AtomicU64,
+    waiting: AtomicU32,
+    service_time_us: AtomicU64,
+    queue: Mutex<GateQueue>,
+}
+
+impl AdmissionGate {
+    /// Creates a gate. `admissions` counts the admissions of the whole entry.
+    pub fn new(
+        clock: Arc<dyn ClockSource>,
+        counters: Arc<ServiceCounters>,
+        admissions: Arc<AtomicU64>,
+    ) -> Self {
+        let limits = AdmissionLimits { max_waiting: 0, max_overtakes: MAX_OVERTAKES };
+        Self {
+            clock,
+            counters,
+            admissions,
+            window: AtomicU32::new(1),
+            window_at: AtomicU64::new(0),
+            waiting: AtomicU32::new(0),
+            service_time_us: AtomicU64::new(FIRST_SERVICE_TIME_US),
+            queue: Mutex::new(AdmissionQueue::new(limits)),
+        }
+    }
+
+    /// Waits until the request may be dispatched.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request was not admitted.
+    pub async fn admit(
+        self: &Arc<Self>,
+        service: &ServiceEntry,
+        facts: &CallFacts,
+    ) -> Result<(AdmissionTrace, SlotGuard), GateRefusal> {
+        let now = self.clock.now();
+        self.update_window(service, now);
+        if self.waiting.load(Ordering::SeqCst) == 0 && self.take_slot() {
+            return Ok((self.trace_at_once(now), SlotGuard::new(self.clone(), now)));
+        }
+        let place = self.join(service, facts, now)?;
+        self.serve_queue();
+        place.wait(facts.time_left(now)).await
+    }
+
+    /// Gives the rate at which slots become free.
+    pub fn rate(&self) -> ServiceRate {
+        ServiceRate {
+            window: self.window.load(Ordering::Relaxed),
+            service_time: Duration::from_micros(self.service_time_us.load(Ordering::Relaxed)),
+        }
+    }
+
+    fn join(
+        self: &Arc<Self>,
+        service: &ServiceEntry,
+        facts: &CallFacts,
+        now: Timestamp,
+    ) -> Result<WaitPlace, GateRefusal> {
+        let rate = self.rate();
+        let (sender, verdict) = oneshot::channel();
+        let max_waiting = service.intent.max_queue_length as usize;
+        let joined = {
+            let mut queue = self.lock();
+            queue.set_limits(AdmissionLimits { max_waiting, max_overtakes: MAX_OVERTAKES });
+            let joined = queue.join(facts, sender, rate, now)?;
+            self.waiting.store(queue.len() as u32, Ordering::SeqCst);
+            joined
+        };
+        if let Some(displaced) = joined.displaced {
+            let retry_after = rate.wait_for(max_waiting);
+            let refusal = GateRefusal { reason: ReasonCode::QueueFull, retry_after };
+            let _ = displaced.send(Err(refusal));
+        }
+        Ok(WaitPlace { gate: self.clone(), key: joined.key, verdict })
+    }
+
+    /// Admits waiting requests while slots are free.
+    fn serve_queue(self: &Arc<Self>) {
+        while self.waiting.load(Ordering::SeqCst) > 0 && self.take_slot() {
+            let now = self.clock.now();
+            let guard = SlotGuard::new(self.clone(), now);
+            let departure = {
+                let mut queue = self.lock();
+                let departure = queue.take_next(now);
+                self.waiting.store(queue.len() as u32, Ordering::SeqCst);
+                departure
+            };
+            match departure {
+                Some(QueueDeparture::Admitted(trace, sender)) => {
+                    let admission_number = self.next_number();
+                    let trace = AdmissionTrace { admission_number, ..trace };
+                    // A receiver that is gone drops the guard, which frees the slot.
+                    let _ = sender.send(Ok((trace, guard)));
+                }
+                Some(QueueDeparture::Expired(sender)) => {
+                    guard.give_back();
+                    let _ = sender.send(Err(self.expired()));
+                }
+                None => guard.give_back(),
+            }
+        }
+    }
+
+    fn expired(&self) -> GateRefusal {
+        let waiting = self.waiting.load(Ordering::Relaxed) as usize;
+        let retry_after = self.rate().wait_for(waiting + 1);
+        GateRefusal { reason: ReasonCode::DeadlineUnreachable, retry_after }
+    }
+
+    fn trace_at_once(&self, now: Timestamp) -> AdmissionTrace {
+        AdmissionTrace {
+            rule: ReasonCode::AdmittedAtOnce,
+            queued: now,
+            admitted: now,
+            admission_number: self.next_number(),
+            queue_length: 0,
+            overtaken: 0,
+        }
+    }
+
+    fn next_number(&self) -> u64 {
+        self.admissions.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    fn take_slot(&self) -> bool {
+        let window = self.window.load(Ordering::SeqCst);
+        let take = |in_flight: u32| (in_flight < window).then_some(in_flight + 1);
+        let taken = self.counters.in_flight.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take);
+        taken.is_ok()
+    }
+
+    fn update_window(self: &Arc<Self>, service: &ServiceEntry, now: Timestamp) {
+        let last = self.window_at.load(Ordering::Relaxed);
+        if last != 0 && now.since(Timestamp(last)) < WINDOW_PERIOD {
+            return;
+        }
+        let (success, failure) = (Ordering::Relaxed, Ordering::Relaxed);
+        if self.window_at.compare_exchange(last, now.0, success, failure).is_err() {
+            return;
+        }
+        let in_flight = self.counters.in_flight.load(Ordering::Relaxed);
+        // Requests without an open target go on, to be refused by the router.
+        let window = concurrency_window(&service.table, in_flight, now).max(1);
+        if window > self.window.swap(window, Ordering::SeqCst) {
+            self.serve_queue();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateQueue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A place in the queue, given up when the request stops waiting.
+struct WaitPlace {
+    gate: Arc<AdmissionGate>,
+    key: WaitKey,
+    verdict: oneshot::Receiver<Verdict>,
+}
+
+impl WaitPlace {
+    async fn wait(mut self, limit: Duration) -> Verdict {
+        match tokio::time::timeout(limit, &mut self.verdict).await {
+            Ok(Ok(verdict)) => verdict,
+            _ => Err(self.gate.expired()),
+        }
+    }
+}
+
+impl Drop for WaitPlace {
+    fn drop(&mut self) {
+        let mut queue = self.gate.lock();
+        let removed = queue.remove(self.key);
+        self.gate.waiting.store(queue.len() as u32, Ordering::SeqCst);
+        drop(queue);
+        drop(removed);
+    }
+}
+
+/// A slot of the concurrency window, given back when dropped.
+pub struct SlotGuard {
+    gate: Arc<AdmissionGate>,
+    taken: Option<Timestamp>,
+}
+
+impl SlotGuard {
+    fn new(gate: Arc<AdmissionGate>, now: Timestamp) -> Self {
+        Self { gate, taken: Some(now) }
+    }
+
+    /// Gives back a slot that served no request.
+    fn give_back(mut self) {
+        self.taken = None;
+        self.gate.counters.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        let Some(taken) = self.taken else { return };
+        let sample = self.gate.clock.now().since(taken).as_micros() as u64;
+        let average = self.gate.service_time_us.load(Ordering::Relaxed);
+        self.gate.service_time_us.store((average * 15 + sample).div_ceil(16), Ordering::Relaxed);
+        self.gate.counters.in_flight.fetch_sub(1, Ordering::SeqCst);
+        self.gate.serve_queue();
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod exchange;
 pub mod filters;
 pub mod front;
+pub mod gate;
 pub mod pool;
 pub mod refusal;
 pub mod runtime;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -114,7 +114,7 @@
         Arc::new(ClassifyFilter::new(state.clone())),
         Arc::new(QuarantineFilter),
         Arc::new(ClaimFilter),
-        Arc::new(AdmitFilter),
+        Arc::new(AdmitFilter::new(state.clone())),
         Arc::new(RouteFilter::new(state.clone(), Arc::new(TwoChoices))),
         Arc::new(ForwardFilter::new(state.clone(), Arc::new(HttpTransport))),
     ])
--- /dev/null
+++ b/tests/admission_gate.rs
@@ -0,0 +1,79 @@
+//! Slots and places of the admission gate under concurrent requests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use zinniaport::gate::AdmissionGate;
+use zinniaport_core::call::CallFacts;
+use zinniaport_core::clock::{ClockSource, SystemClock, Timestamp};
+use zinniaport_core::fleet::{FleetSnapshot, ServiceEntry};
+use zinniaport_core::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
+use zinniaport_testing::test_cases;
+
+fn service(slots: u32) -> ServiceEntry {
+    let intent = ServiceIntent {
+        service: "pump-history".to_owned(),
+        team: "co-operative".to_owned(),
+        kinds: Vec::new(),
+        targets: vec![TargetIntent {
+            address: SocketAddr::from(([127, 0, 0, 1], 9)),
+            data_centre: "valle-a".to_owned(),
+            slots,
+            state: TargetWish::Serving,
+        }],
+        measuring: MeasuringIntent::default(),
+        max_queue_length: 1_000,
+        retry_percent: 10.0,
+        max_ejected_percent: 34.0,
+        max_crashed_targets: 2,
+    };
+    let mut fleet = FleetSnapshot::default();
+    fleet.apply(intent, 1, Timestamp(1));
+    fleet.find("pump-history").unwrap().1.clone()
+}
+
+fn gate(service: &ServiceEntry) -> (Arc<AdmissionGate>, CallFacts) {
+    let clock = Arc::new(SystemClock::new());
+    let deadline = clock.now() + Duration::from_secs(60);
+    let gate = AdmissionGate::new(clock, service.counters.clone(), Arc::default());
+    (Arc::new(gate), CallFacts { deadline, ..CallFacts::default() })
+}
+
+test_cases! {
+    async every_request_is_admitted: "a wake that is lost between a freed slot and a joining request" => {
+        let service = Arc::new(service(3));
+        let (gate, facts) = gate(&service);
+        let (running, most) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
+        let calls: Vec<_> = (0..400).map(|_| {
+            let (gate, service, running, most) = (gate.clone(), service.clone(), running.clone(), most.clone());
+            tokio::spawn(async move {
+                let (_, slot) = gate.admit(&service, &facts).await.expect("the deadline is far");
+                let now = running.fetch_add(1, Ordering::SeqCst) + 1;
+                most.fetch_max(now, Ordering::SeqCst);
+                tokio::task::yield_now().await;
+                running.fetch_sub(1, Ordering::SeqCst);
+                drop(slot);
+            })
+        }).collect();
+        for call in calls {
+            call.await.unwrap();
+        }
+        assert!(most.load(Ordering::SeqCst) <= 3, "{most:?} requests ran in 3 slots");
+        assert_eq!(service.counters.in_flight.load(Ordering::SeqCst), 0);
+    }
+
+    async dropped_waiters_free_their_places: "a caller that left and still holds a place or a slot" => {
+        let service = Arc::new(service(1));
+        let (gate, facts) = gate(&service);
+        let (_, slot) = gate.admit(&service, &facts).await.unwrap();
+        for _ in 0..20 {
+            let waiting = gate.admit(&service, &facts);
+            assert!(tokio::time::timeout(Duration::from_millis(1), waiting).await.is_err());
+        }
+        drop(slot);
+        let (trace, _slot) = gate.admit(&service, &facts).await.unwrap();
+        assert_eq!(trace.queue_length, 0, "the dropped requests still wait");
+    }
+}
