Own the states of targets in a controller with outlier ejection

Cause: targets that fail, slow down, drain or leave kept receiving work. Change: TargetsController takes intents, the member list, drain signs, the platform's list and failures, and publishes states and routing tables. Ejection after 5 failures in a row or at 4 times the median latency, from 2 s doubling to 60 s, with a return by a ramp of 10 s; the floor holds also when other targets leave. Shedding counts for at most 1 s.

--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -2,8 +2,10 @@
 //! and returns effects for its driver to carry out.
 
 mod settings;
+mod targets;
 
 pub use settings::{SettingsController, SettingsEffect, SettingsMessage};
+pub use targets::{TargetsController, TargetsEffect, TargetsMessage};
 
 use crate::clock::Timestamp;
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod fleet;
 pub mod intent;
 pub mod keys;
+pub mod outlier;
 pub mod policy;
 pub mod retry;
