Retry and hedge in the route filter within a budget

Cause: a request was sent once, to one target, whatever became of it. Change: the route filter picks, calls the next filter and, after a refusal that allows it, picks another target; lookups without a body are hedged after the 95th percentile of recent latency and the loser is dropped. Both spend from a budget that each entry fills from its own first attempts. Refusals of several attempts combine to unknown if any attempt may have run. Attempts feed the counters and the targets controller, which runs in a driver.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -81,6 +81,11 @@
         self.failures_in_row.store(0, Ordering::Relaxed);
         let share = self.failure_share.load(Ordering::Relaxed);
         self.failure_share.store(share - share.div_ceil(8), Ordering::Relaxed);
+        self.record_latency(latency);
+    }
+
+    /// Adds a sample to the average of the time to the response head.
+    pub fn record_latency(&self, latency: Duration) {
         let sample = (latency.as_micros() as u64).max(1);
         let average = match self.latency_us.load(Ordering::Relaxed) {
             0 => sample,
@@ -89,6 +94,12 @@
         self.latency_us.store(average, Ordering::Relaxed);
     }
 
+    /// Gives the reported load if the report arrived at `time` or later.
+    pub fn report_since(&self, time: Timestamp) -> Option<u32> {
+        let fresh = self.reported_at.load(Ordering::Relaxed) >= time.0;
+        fresh.then(|| self.reported_load.load(Ordering::Relaxed))
+    }
+
     /// Records a failure and returns the number of failures in a row.
     pub fn record_failure(&self) -> u32 {
         let share = self.failure_share.load(Ordering::Relaxed);
--- /dev/null
+++ b/core/tests/retry.rs
@@ -0,0 +1,109 @@
+//! Bounds on retries and hedges.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use zinniaport_core::call::{CallFacts, CallOutcome, ReasonCode};
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::retry::{
+    DispatchCount, LatencyQuantile, MAX_SAVED_RETRIES, RetryBudget, may_hedge, may_retry,
+};
+use zinniaport_testing::{check_property, test_cases};
+
+const OUTCOMES: [(ReasonCode, CallOutcome); 5] = [
+    (ReasonCode::TargetRefused, CallOutcome::NotRun),
+    (ReasonCode::TargetUnreachable, CallOutcome::NotRun),
+    (ReasonCode::TargetLost, CallOutcome::Unknown),
+    (ReasonCode::DeadlinePassed, CallOutcome::Unknown),
+    (ReasonCode::BodyTooLarge, CallOutcome::NotRun),
+];
+
+test_cases! {
+    retries_stay_within_their_share: "retries that multiply the load of a service in trouble" => {
+        // First attempts (`false`) and wishes to retry (`true`) at three entries.
+        let history = proptest::collection::vec((0_usize..3, any::<bool>()), 1..400);
+        check_property(256, &(0.0_f64..60.0, history), |(percent, history)| {
+            let budgets: [RetryBudget; 3] = Default::default();
+            let mut sent = Vec::new();
+            for (entry, retry) in history {
+                if !retry {
+                    budgets[entry].record_first_attempt(percent);
+                    sent.push(false);
+                } else if budgets[entry].try_spend() {
+                    sent.push(true);
+                }
+            }
+            for start in 0..sent.len() {
+                let window = &sent[start..];
+                let retries = window.iter().filter(|retry| **retry).count() as f64;
+                let earned = (window.len() as f64 - retries) * percent / 100.0;
+                let saved = if start == 0 { 0.0 } else { 3.0 * MAX_SAVED_RETRIES as f64 };
+                prop_assert!(retries <= earned + saved, "{retries} retries for {earned} earned");
+            }
+            Ok(())
+        });
+    }
+
+    quiet_hours_save_few_retries: "a burst of retries saved up over hours of healthy traffic" => {
+        let budget = RetryBudget::default();
+        for _ in 0..100_000 {
+            budget.record_first_attempt(10.0);
+        }
+        let retries = (0..1_000).filter(|_| budget.try_spend()).count();
+        assert!(retries <= 10, "{retries} retries at once");
+    }
+
+    runs_are_bounded: "a request that runs more often than its intent allows, or twice although it is not idempotent" => {
+        let input = (any::<bool>(), 1_u8..4, proptest::collection::vec((0_usize..5, any::<bool>(), 0_u64..90), 1..12));
+        check_property(1024, &input, |(idempotent, max_runs, steps)| {
+            let budget = RetryBudget::default();
+            for _ in 0..1_000 {
+                budget.record_first_attempt(100.0);
+            }
+            let facts = CallFacts { idempotent, max_runs, deadline: Timestamp(100), ..CallFacts::default() };
+            let (mut runs, mut now) = (0, 0);
+            let mut count = DispatchCount::default();
+            count.begin();
+            for (outcome, hedges, passed) in steps {
+                now += passed;
+                if hedges && may_hedge(&facts, count, &budget, Timestamp(now)) {
+                    prop_assert!(now < 100, "hedged after the deadline");
+                    count.begin();
+                    runs += 1;
+                }
+                let failure = OUTCOMES[outcome];
+                count.end(failure.1);
+                runs += u8::from(failure.1 != CallOutcome::NotRun);
+                if !may_retry(&facts, count, failure, true, (&budget, Timestamp(now))) {
+                    break;
+                }
+                prop_assert!(now < 100, "retried after the deadline");
+                prop_assert!(outcome < 3, "{failure:?} is not a fault of the target");
+                prop_assert!(runs < max_runs.max(1) && (idempotent || runs == 0), "{runs} runs and one more");
+                count.begin();
+            }
+            Ok(())
+        });
+    }
+
+    taken_bodies_are_not_sent_again: "a retry with an empty body in place of the caller's" => {
+        let budget = RetryBudget::default();
+        (0..100).for_each(|_| budget.record_first_attempt(100.0));
+        let facts = CallFacts { idempotent: true, max_runs: 3, deadline: Timestamp(9), ..CallFacts::default() };
+        assert!(may_retry(&facts, DispatchCount::default(), OUTCOMES[0], true, (&budget, Timestamp(1))));
+        assert!(!may_retry(&facts, DispatchCount::default(), OUTCOMES[0], false, (&budget, Timestamp(1))));
+    }
+
+    quantile_follows_latency: "hedges after the median, which would double the load" => {
+        let quantile = LatencyQuantile::default();
+        assert_eq!(quantile.get(), None);
+        let mut above = 0;
+        for sample in 0..40_000_u64 {
+            // 1 to 1000 in an order that covers the range evenly.
+            let latency = Duration::from_micros(1 + sample * 7_919 % 1_000);
+            above += usize::from(sample >= 20_000 && quantile.get().is_some_and(|limit| latency > limit));
+            quantile.record(latency);
+        }
+        assert!((600..1_400).contains(&above), "{above} of 20000 samples were above the 95th percentile");
+    }
+}
--- /dev/null
+++ b/src/filters/attempt.rs
@@ -0,0 +1,167 @@
+//! One attempt at a target: what is recorded of it, and the hedge beside it.
+
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::{Either, select};
+use zinniaport_core::call::ReasonCode;
+use zinniaport_core::clock::{ClockSource, Timestamp};
+use zinniaport_core::controllers::TargetsMessage;
+use zinniaport_core::fleet::{ServiceCounters, TargetCounters};
+use zinniaport_core::keys::TargetKey;
+use zinniaport_core::retry::{DispatchCount, may_hedge};
+
+use super::route::worst_of;
+use super::{FilterNext, FilterResult, RouteFilter};
+use crate::exchange::{CallResponse, Exchange, empty_body};
+use crate::refusal::Refusal;
+use crate::targets::TargetsHandle;
+
+/// Response header by which a target announces its drain.
+pub const DRAIN_HEADER: &str = "x-drain";
+
+/// Time for which a target is taken to shed load that names none itself.
+const SHEDDING_TIME: Duration = Duration::from_millis(100);
+
+/// Records the outcome of an attempt in the counters of its target.
+pub struct AttemptRecord {
+    clock: Arc<dyn ClockSource>,
+    targets: TargetsHandle,
+    target: TargetKey,
+    counters: Arc<TargetCounters>,
+    service: Arc<ServiceCounters>,
+    started: Timestamp,
+    finished: bool,
+}
+
+impl AttemptRecord {
+    /// Starts the record of an attempt at the target that was picked last.
+    pub fn start(filter: &RouteFilter, exchange: &Exchange) -> Option<Self> {
+        let target = *exchange.targets.last()?;
+        Some(Self {
+            clock: filter.state.clock.clone(),
+            targets: filter.targets.clone(),
+            target,
+            counters: exchange.fleet.targets.get(target)?.counters.clone(),
+            service: exchange.fleet.services.get(exchange.facts.service)?.counters.clone(),
+            started: filter.state.clock.now(),
+            finished: false,
+        })
+    }
+
+    /// Ends the record with the response or refusal.
+    pub fn finish(mut self, result: &FilterResult) {
+        self.finished = true;
+        let now = self.clock.now();
+        match result {
+            Ok(response) => self.record_response(response, now),
+            Err(refusal) => self.record_refusal(refusal, now),
+        }
+    }
+
+    fn record_response(&self, response: &CallResponse, now: Timestamp) {
+        let latency = now.since(self.started);
+        if response.headers().contains_key(DRAIN_HEADER) {
+            self.targets.notify(TargetsMessage::Drained(self.target));
+        }
+        if response.status().is_server_error() {
+            self.record_failure();
+            return;
+        }
+        self.counters.record_success(latency);
+        self.service.latency.record(latency);
+        if let Some(load) = self.counters.report_since(self.started) {
+            self.service.probes.add(self.target, load, latency, now);
+        }
+    }
+
+    fn record_refusal(&self, refusal: &Refusal, now: Timestamp) {
+        match refusal.reason {
+            ReasonCode::TargetLost | ReasonCode::TargetUnreachable => self.record_failure(),
+            ReasonCode::TargetRefused => {
+                let period = refusal.retry_after.unwrap_or(SHEDDING_TIME);
+                self.counters.record_shedding(period, now);
+            }
+            ReasonCode::DeadlinePassed => self.counters.record_latency(now.since(self.started)),
+            _ => {}
+        }
+    }
+
+    fn record_failure(&self) {
+        self.counters.record_failure();
+        self.targets.notify(TargetsMessage::Failed(self.target));
+    }
+}
+
+impl Drop for AttemptRecord {
+    /// An attempt that was dropped, such as the loser of a hedge, took at least
+    /// the time until now; without it a slow target would never look slow.
+    fn drop(&mut self) {
+        if !self.finished {
+            self.counters.record_latency(self.clock.now().since(self.started));
+        }
+    }
+}
+
+impl RouteFilter {
+    /// Makes an attempt and, when it takes longer than most, a second one at
+    /// another target. The loser is dropped, which cancels it.
+    pub(super) async fn attempt_hedged(
+        &self,
+        exchange: &mut Exchange,
+        next: FilterNext<'_>,
+        count: &mut DispatchCount,
+    ) -> FilterResult {
+        let Some((delay, mut copy)) = prepare_hedge(exchange) else {
+            return self.attempt(exchange, next).await;
+        };
+        let result = {
+            let mut first = pin!(self.attempt(&mut *exchange, next));
+            match tokio::time::timeout(delay, first.as_mut()).await {
+                Ok(result) => return result,
+                Err(_) if !self.start_hedge(&mut copy, *count) => return first.await,
+                Err(_) => {}
+            }
+            count.begin();
+            let second = pin!(self.attempt(&mut copy, next));
+            match select(first, second).await {
+                Either::Left((Ok(response), _)) | Either::Right((Ok(response), _)) => Ok(response),
+                Either::Left((Err(refusal), second)) => {
+                    second.await.map_err(|later| worst_of(Some(refusal), later))
+                }
+                Either::Right((Err(refusal), first)) => {
+                    first.await.map_err(|later| worst_of(Some(refusal), later))
+                }
+            }
+        };
+        exchange.targets.extend(copy.targets.last());
+        if let Some(dispatch) = copy.trace.dispatches.iter().flatten().last() {
+            exchange.trace.add_dispatch(*dispatch);
+        }
+        result
+    }
+
+    fn start_hedge(&self, copy: &mut Exchange, count: DispatchCount) -> bool {
+        let Some(service) = copy.fleet.services.get(copy.facts.service) else { return false };
+        let budget = &service.counters.retries;
+        may_hedge(&copy.facts, count, budget, self.state.clock.now())
+            && self.pick(copy, Some(ReasonCode::Hedged)).is_ok()
+    }
+}
+
+/// Copies a request that may be hedged, with the time after which it is.
+fn prepare_hedge(exchange: &Exchange) -> Option<(Duration, Exchange)> {
+    if !exchange.facts.idempotent || exchange.facts.max_runs < 2 {
+        return None;
+    }
+    let service = exchange.fleet.services.get(exchange.facts.service)?;
+    let delay = service.counters.latency.get()?;
+    let (request_id, fleet) = (exchange.request_id.clone(), exchange.fleet.clone());
+    let request = http::Request::from_parts(exchange.head.clone(), empty_body());
+    let mut copy = Exchange::new(request_id, fleet, request);
+    copy.facts = exchange.facts;
+    copy.targets = exchange.targets.clone();
+    copy.trace = exchange.trace;
+    Some((delay, copy))
+}
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -1,6 +1,7 @@
 //! Filters that a request passes in order.
 
 mod admit;
+mod attempt;
 mod claim;
 mod classify;
 mod forward;
@@ -12,6 +13,7 @@
 use std::sync::Arc;
 
 pub use admit::AdmitFilter;
+pub use attempt::DRAIN_HEADER;
 pub use claim::ClaimFilter;
 pub use classify::{ClassifyFilter, DEADLINE_HEADER};
 pub use forward::ForwardFilter;
--- a/src/filters/route.rs
+++ b/src/filters/route.rs
@@ -1,35 +1,82 @@
-//! Picks the target that runs a request.
+//! Picks the target that runs a request, and another one when that fails.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use futures::future::BoxFuture;
-use zinniaport_core::call::ReasonCode;
+use http_body::Body;
+use zinniaport_core::call::{CallOutcome, ReasonCode};
 use zinniaport_core::decision::DispatchTrace;
-use zinniaport_core::policy::{RouteQuery, RoutingPolicy};
+use zinniaport_core::policy::{RouteChoice, RouteQuery, RoutingPolicy};
+use zinniaport_core::retry::{DispatchCount, may_retry};
 
+use super::attempt::AttemptRecord;
 use super::{FilterNext, FilterResult, RequestFilter};
-use crate::exchange::Exchange;
+use crate::exchange::{Exchange, empty_body, full_body};
+use crate::gate::BufferedBody;
 use crate::refusal::Refusal;
 use crate::state::SharedState;
+use crate::targets::TargetsHandle;
 
-/// Asks a routing policy for a target.
+/// Asks a routing policy for a target, and for another one after a failure
+/// that allows it.
 pub struct RouteFilter {
-    state: Arc<SharedState>,
+    pub(super) state: Arc<SharedState>,
+    pub(super) targets: TargetsHandle,
     policy: Arc<dyn RoutingPolicy>,
 }
 
 impl RouteFilter {
     /// Creates the filter.
-    pub fn new(state: Arc<SharedState>, policy: Arc<dyn RoutingPolicy>) -> Self {
-        Self { state, policy }
+    pub fn new(
+        state: Arc<SharedState>,
+        policy: Arc<dyn RoutingPolicy>,
+        targets: TargetsHandle,
+    ) -> Self {
+        Self { state, targets, policy }
     }
 
-    fn pick(&self, exchange: &mut Exchange) -> Result<(), Refusal> {
-        // The newest snapshot, since the request may have waited in a queue.
+    async fn route(&self, exchange: &mut Exchange, next: FilterNext<'_>) -> FilterResult {
+        let body = ResendBody::of(exchange);
+        let mut count = DispatchCount::default();
+        let mut failed: Option<Refusal> = None;
+        loop {
+            let rule = failed.as_ref().map(|_| ReasonCode::Retried);
+            if let Err(refusal) = self.pick(exchange, rule) {
+                return Err(worst_of(failed, refusal));
+            }
+            count.begin();
+            let result = match &body {
+                ResendBody::Empty => self.attempt_hedged(exchange, next, &mut count).await,
+                _ => self.attempt(exchange, next).await,
+            };
+            let refusal = match result {
+                Ok(response) => return Ok(response),
+                Err(refusal) => worst_of(failed.take(), refusal),
+            };
+            count.end(refusal.outcome);
+            if !self.may_retry(exchange, count, &refusal, &body) {
+                return Err(refusal);
+            }
+            body.restore(exchange);
+            failed = Some(refusal);
+        }
+    }
+
+    /// Picks a target from the newest snapshot, since the request may have
+    /// waited in a queue or for an earlier attempt.
+    pub(super) fn pick(
+        &self,
+        exchange: &mut Exchange,
+        rule: Option<ReasonCode>,
+    ) -> Result<(), Refusal> {
         exchange.fleet = self.state.fleet.load_full();
         let Some(service) = exchange.fleet.services.get(exchange.facts.service) else {
             return Err(Refusal::not_run(ReasonCode::UnknownService, "the service was removed"));
         };
+        if exchange.targets.is_empty() {
+            service.counters.retries.record_first_attempt(service.intent.retry_percent);
+        }
         let query = RouteQuery {
             fleet: &exchange.fleet,
             service,
@@ -42,16 +89,40 @@
             let detail = format!("no target of {} takes requests", service.intent.service);
             return Err(Refusal::not_run(ReasonCode::NoTarget, detail));
         };
-        exchange.trace.add_dispatch(DispatchTrace {
-            target: choice.target,
-            rule: choice.reason,
-            candidates: choice.candidates,
-            dispatched: query.now,
-            report_age_us: None,
-        });
+        let dispatch = trace_of(&query, choice, rule);
+        exchange.trace.add_dispatch(dispatch);
         exchange.targets.push(choice.target);
         Ok(())
     }
+
+    /// Sends the request to the picked target and records what becomes of it.
+    pub(super) async fn attempt(
+        &self,
+        exchange: &mut Exchange,
+        next: FilterNext<'_>,
+    ) -> FilterResult {
+        let Some(record) = AttemptRecord::start(self, exchange) else {
+            return Err(Refusal::not_run(ReasonCode::NoTarget, "the picked target was removed"));
+        };
+        let result = next.run(exchange).await;
+        record.finish(&result);
+        result
+    }
+
+    fn may_retry(
+        &self,
+        exchange: &Exchange,
+        count: DispatchCount,
+        refusal: &Refusal,
+        body: &ResendBody,
+    ) -> bool {
+        let Some(service) = exchange.fleet.services.get(exchange.facts.service) else {
+            return false;
+        };
+        let failure = (refusal.reason, refusal.outcome);
+        let budget = (&service.counters.retries, self.state.clock.now());
+        may_retry(&exchange.facts, count, failure, body.is_resendable(exchange), budget)
+    }
 }
 
 impl RequestFilter for RouteFilter {
@@ -64,9 +135,71 @@
         exchange: &'a mut Exchange,
         next: FilterNext<'a>,
     ) -> BoxFuture<'a, FilterResult> {
-        Box::pin(async move {
-            self.pick(exchange)?;
-            next.run(exchange).await
-        })
+        Box::pin(self.route(exchange, next))
+    }
+}
+
+fn trace_of(
+    query: &RouteQuery<'_>,
+    choice: RouteChoice,
+    rule: Option<ReasonCode>,
+) -> DispatchTrace {
+    let uses_report = matches!(
+        choice.reason,
+        ReasonCode::LowestReport | ReasonCode::ProbedCold | ReasonCode::HomeSlot
+    );
+    let reported_at =
+        query.fleet.targets[choice.target].counters.reported_at.load(Ordering::Relaxed);
+    let age_us = u32::try_from(query.now.0.saturating_sub(reported_at)).unwrap_or(u32::MAX);
+    DispatchTrace {
+        target: choice.target,
+        rule: rule.unwrap_or(choice.reason),
+        candidates: choice.candidates,
+        dispatched: query.now,
+        report_age_us: (uses_report && reported_at > 0).then_some(age_us),
+    }
+}
+
+/// Combines the refusals of two attempts. A request of which one attempt may
+/// have run must not be reported as not run.
+pub(super) fn worst_of(earlier: Option<Refusal>, later: Refusal) -> Refusal {
+    match earlier {
+        Some(earlier)
+            if earlier.outcome != CallOutcome::NotRun && later.outcome == CallOutcome::NotRun =>
+        {
+            earlier
+        }
+        _ => later,
+    }
+}
+
+/// Whether and how the body of a request can be sent again.
+enum ResendBody {
+    Empty,
+    Buffered(BufferedBody),
+    Once,
+}
+
+impl ResendBody {
+    fn of(exchange: &Exchange) -> Self {
+        if let Some(buffered) = exchange.head.extensions.get::<BufferedBody>() {
+            return Self::Buffered(buffered.clone());
+        }
+        match &exchange.body {
+            Some(body) if !body.is_end_stream() => Self::Once,
+            _ => Self::Empty,
+        }
+    }
+
+    fn is_resendable(&self, exchange: &Exchange) -> bool {
+        !matches!(self, Self::Once) || exchange.body.is_some()
+    }
+
+    fn restore(&self, exchange: &mut Exchange) {
+        match self {
+            Self::Empty => exchange.body = Some(empty_body()),
+            Self::Buffered(buffered) => exchange.body = Some(full_body(buffered.0.clone())),
+            Self::Once => {}
+        }
     }
 }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -4,3 +4,8 @@
 mod admission;
 
 pub use admission::{AdmissionGate, GateRefusal, SlotGuard};
+
+/// Body of a request that was read as a whole before dispatch, so that it can
+/// be sent again. Kept among the extensions of the request's head.
+#[derive(Clone, Debug)]
+pub struct BufferedBody(pub bytes::Bytes);
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -12,9 +12,9 @@
 use tokio_util::sync::CancellationToken;
 use zinniaport_core::clock::{ClockSource, SystemClock};
 use zinniaport_core::controllers::{
-    SettingsController, SettingsEffect, SettingsMessage, StateController,
+    SettingsController, SettingsEffect, SettingsMessage, StateController, TargetsMessage,
 };
-use zinniaport_core::policy::TwoChoices;
+use zinniaport_core::policy::{EntryView, TwoChoices};
 
 use crate::admin::{AdminHandler, AdminRequest, AdminResponse, AdminRouter, text_response};
 use crate::filters::{
@@ -25,6 +25,7 @@
 use crate::pool::HttpTransport;
 use crate::settings::EntrySettings;
 use crate::state::SharedState;
+use crate::targets::{TargetsDriver, TargetsHandle};
 
 /// Why an entry cannot start.
 #[derive(Debug, Display, Error)]
@@ -56,15 +57,18 @@
         let state = Arc::new(SharedState::new(clock, &settings.name, &settings.data_centre));
         let (listener, caller_address) = listen(settings.listen).await?;
         let (admin_listener, admin_address) = listen(settings.admin_listen).await?;
-        apply_intents(&state, settings);
+        let (mut driver, targets) = TargetsDriver::new(state.clone());
+        apply_intents(&state, &mut driver, settings);
         let stop = CancellationToken::new();
+        // Runs on during a planned stop, until the last request has ended.
+        tokio::spawn(driver.run(CancellationToken::new()));
         let ready = Arc::new(AtomicBool::new(true));
         let router = AdminRouter::new(vec![
             Arc::new(LivenessHandler),
             Arc::new(ReadinessHandler(ready.clone())),
         ]);
         tokio::spawn(router.serve(admin_listener, stop.clone()));
-        let front = HttpFront::new(state.clone(), build_chain(&state));
+        let front = HttpFront::new(state.clone(), build_chain(&state, targets));
         let front = tokio::spawn(front.serve(listener, stop.clone()));
         Ok(Self { caller_address, admin_address, ready, stop, front })
     }
@@ -96,18 +100,20 @@
     Ok((listener, bound))
 }
 
-fn apply_intents(state: &SharedState, settings: EntrySettings) {
+fn apply_intents(state: &SharedState, driver: &mut TargetsDriver, settings: EntrySettings) {
+    let (name, data_centre) = (state.entry_name.clone(), state.data_centre.clone());
+    driver.deliver(TargetsMessage::View(EntryView { name, data_centre, members: Arc::default() }));
     let mut controller = SettingsController::default();
     for intent in settings.services {
         let message = SettingsMessage::Accepted { intent, version: 1 };
         for effect in controller.handle(message, state.clock.now()) {
             let SettingsEffect::Publish(fleet) = effect;
-            state.fleet.store(fleet);
+            driver.deliver(TargetsMessage::Intents(fleet));
         }
     }
 }
 
-fn build_chain(state: &Arc<SharedState>) -> FilterChain {
+fn build_chain(state: &Arc<SharedState>, targets: TargetsHandle) -> FilterChain {
     FilterChain::new(vec![
         Arc::new(RecordFilter::new(state.clone())),
         Arc::new(IdentifyFilter),
@@ -115,7 +121,7 @@
         Arc::new(QuarantineFilter),
         Arc::new(ClaimFilter),
         Arc::new(AdmitFilter::new(state.clone())),
-        Arc::new(RouteFilter::new(state.clone(), Arc::new(TwoChoices))),
+        Arc::new(RouteFilter::new(state.clone(), Arc::new(TwoChoices), targets)),
         Arc::new(ForwardFilter::new(state.clone(), Arc::new(HttpTransport))),
     ])
 }
--- /dev/null
+++ b/src/targets.rs
@@ -0,0 +1,76 @@
+//! Runs the targets controller and publishes its snapshots.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+use tokio_util::sync::CancellationToken;
+use zinniaport_core::controllers::{
+    StateController, TargetsController, TargetsEffect, TargetsMessage,
+};
+
+use crate::state::SharedState;
+
+/// Messages that wait for the controller. A lost failure or drain sign is
+/// repeated by the next response or tick.
+const MAX_MESSAGES: usize = 4096;
+
+/// Time between ticks.
+const TICK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Runs the targets controller.
+pub struct TargetsDriver {
+    state: Arc<SharedState>,
+    controller: TargetsController,
+    messages: mpsc::Receiver<TargetsMessage>,
+}
+
+/// Tells the targets controller what the request path and other controllers see.
+#[derive(Clone)]
+pub struct TargetsHandle(mpsc::Sender<TargetsMessage>);
+
+impl TargetsHandle {
+    /// Sends a message that may be lost when the controller is behind.
+    pub fn notify(&self, message: TargetsMessage) {
+        let _ = self.0.try_send(message);
+    }
+
+    /// Sends a message that must not be lost.
+    pub async fn send(&self, message: TargetsMessage) {
+        let _ = self.0.send(message).await;
+    }
+}
+
+impl TargetsDriver {
+    /// Creates a driver with its handle.
+    pub fn new(state: Arc<SharedState>) -> (Self, TargetsHandle) {
+        let (sender, messages) = mpsc::channel(MAX_MESSAGES);
+        let driver = Self { state, controller: TargetsController::default(), messages };
+        (driver, TargetsHandle(sender))
+    }
+
+    /// Delivers one message and publishes the result.
+    pub fn deliver(&mut self, message: TargetsMessage) {
+        for effect in self.controller.handle(message, self.state.clock.now()) {
+            let TargetsEffect::Publish(fleet) = effect;
+            self.state.fleet.store(fleet);
+        }
+    }
+
+    /// Delivers messages and ticks until `stop` is cancelled.
+    pub async fn run(mut self, stop: CancellationToken) {
+        let mut ticks = tokio::time::interval(TICK_PERIOD);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                _ = ticks.tick() => self.deliver(TargetsMessage::Tick),
+                message = self.messages.recv() => match message {
+                    Some(message) => self.deliver(message),
+                    None => return,
+                },
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/route_filter.rs
@@ -0,0 +1,170 @@
+//! Retries and hedges of the route filter over a scripted transport.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use zinniaport::exchange::{CallBody, Exchange, empty_body, full_body};
+use zinniaport::filters::{FilterChain, FilterNext, FilterResult, RequestFilter, RouteFilter};
+use zinniaport::refusal::Refusal;
+use zinniaport::state::SharedState;
+use zinniaport::targets::{TargetsDriver, TargetsHandle};
+use zinniaport_core::call::{CallOutcome, ReasonCode};
+use zinniaport_core::clock::SystemClock;
+use zinniaport_core::controllers::TargetsMessage;
+use zinniaport_core::fleet::FleetSnapshot;
+use zinniaport_core::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
+use zinniaport_core::keys::TargetKey;
+use zinniaport_core::policy::TwoChoices;
+use zinniaport_testing::test_cases;
+
+/// What the scripted transport does with one dispatch.
+#[derive(Clone, Copy)]
+enum Step {
+    Answer,
+    Refuse,
+    Lose,
+    Hang,
+}
+
+/// Stands in for the forward filter and notes the target of each dispatch.
+struct ScriptedForward {
+    steps: Mutex<Vec<Step>>,
+    sent: Arc<Mutex<Vec<TargetKey>>>,
+}
+
+impl RequestFilter for ScriptedForward {
+    fn name(&self) -> &'static str {
+        "scripted-forward"
+    }
+
+    fn handle<'a>(
+        &'a self,
+        exchange: &'a mut Exchange,
+        _next: FilterNext<'a>,
+    ) -> BoxFuture<'a, FilterResult> {
+        self.sent.lock().unwrap().extend(exchange.targets.last());
+        exchange.body = None;
+        let step = self.steps.lock().unwrap().remove(0);
+        Box::pin(async move {
+            match step {
+                Step::Answer => Ok(http::Response::new(empty_body())),
+                Step::Refuse => Err(Refusal::not_run(ReasonCode::TargetRefused, "refused")),
+                Step::Lose => Err(Refusal::unknown(ReasonCode::TargetLost, "lost")),
+                Step::Hang => std::future::pending().await,
+            }
+        })
+    }
+}
+
+struct Outcome {
+    result: Result<(), (ReasonCode, CallOutcome)>,
+    sent: Vec<TargetKey>,
+    runs_left: usize,
+}
+
+fn intent() -> ServiceIntent {
+    let target = |port| TargetIntent {
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        data_centre: "valle-a".to_owned(),
+        slots: 3,
+        state: TargetWish::Serving,
+    };
+    ServiceIntent {
+        service: "pump-history".to_owned(),
+        team: "co-operative".to_owned(),
+        kinds: Vec::new(),
+        targets: (1..=5).map(target).collect(),
+        measuring: MeasuringIntent::default(),
+        max_queue_length: 10,
+        retry_percent: 100.0,
+        max_ejected_percent: 34.0,
+        max_crashed_targets: 2,
+    }
+}
+
+fn start() -> (Arc<SharedState>, TargetsHandle) {
+    let state = Arc::new(SharedState::new(Arc::new(SystemClock::new()), "entry-1", "valle-a"));
+    let (mut driver, handle) = TargetsDriver::new(state.clone());
+    let mut fleet = FleetSnapshot::default();
+    fleet.apply(intent(), 1, state.clock.now());
+    driver.deliver(TargetsMessage::Intents(Arc::new(fleet)));
+    (state, handle)
+}
+
+async fn run(idempotent: bool, body: CallBody, steps: &[Step]) -> Outcome {
+    let (state, handle) = start();
+    let fleet = state.fleet.load_full();
+    let (service, entry) = fleet.find("pump-history").unwrap();
+    for _ in 0..100 {
+        entry.counters.latency.record(Duration::from_millis(1));
+        entry.counters.retries.record_first_attempt(100.0);
+    }
+    let mut exchange =
+        Exchange::new("request-1".to_owned(), fleet.clone(), http::Request::new(body));
+    exchange.facts.service = service;
+    exchange.facts.idempotent = idempotent;
+    exchange.facts.max_runs = 2;
+    exchange.facts.deadline = state.clock.now() + Duration::from_secs(60);
+    let sent = Arc::new(Mutex::new(Vec::new()));
+    let forward = ScriptedForward { steps: Mutex::new(steps.to_vec()), sent: sent.clone() };
+    let route = RouteFilter::new(state, Arc::new(TwoChoices), handle);
+    let chain = FilterChain::new(vec![Arc::new(route), Arc::new(forward)]);
+    let result = chain.run(&mut exchange).await;
+    let sent = sent.lock().unwrap().clone();
+    let runs_left = steps.len() - sent.len();
+    Outcome {
+        result: result.map(drop).map_err(|refusal| (refusal.reason, refusal.outcome)),
+        sent,
+        runs_left,
+    }
+}
+
+fn streamed_body() -> CallBody {
+    let frame = http_body::Frame::data("photo".into());
+    BodyExt::boxed(StreamBody::new(stream::iter([Ok(frame)])))
+}
+
+test_cases! {
+    async refused_work_goes_elsewhere: "a sign-up that fails although no target ran it" => {
+        let outcome = run(false, empty_body(), &[Step::Refuse, Step::Answer]).await;
+        assert_eq!(outcome.result, Ok(()));
+        assert_ne!(outcome.sent[0], outcome.sent[1]);
+    }
+
+    async lost_work_is_not_repeated: "a sign-up that runs twice" => {
+        let outcome = run(false, empty_body(), &[Step::Lose, Step::Answer]).await;
+        assert_eq!(outcome.result, Err((ReasonCode::TargetLost, CallOutcome::Unknown)));
+        assert_eq!(outcome.runs_left, 1);
+    }
+
+    async one_unknown_attempt_decides: "a lookup reported as not run because its last attempt was refused" => {
+        let outcome = run(true, empty_body(), &[Step::Lose, Step::Refuse, Step::Refuse, Step::Refuse]).await;
+        assert_eq!(outcome.result.unwrap_err().1, CallOutcome::Unknown);
+        let outcome = run(true, empty_body(), &[Step::Lose, Step::Lose]).await;
+        assert_eq!(outcome.result.unwrap_err().1, CallOutcome::Unknown);
+    }
+
+    async streamed_bodies_are_sent_once: "a photo whose second attempt has no content" => {
+        let outcome = run(true, streamed_body(), &[Step::Refuse, Step::Answer]).await;
+        assert_eq!(outcome.result, Err((ReasonCode::TargetRefused, CallOutcome::NotRun)));
+        let outcome = run(true, full_body("photo"), &[Step::Refuse, Step::Answer]).await;
+        assert_eq!(outcome.runs_left, 1, "a body that is not kept aside was sent again");
+    }
+
+    async slow_lookups_are_hedged: "a lookup that waits for a silent target until its deadline" => {
+        let outcome = run(true, empty_body(), &[Step::Hang, Step::Answer]).await;
+        assert_eq!(outcome.result, Ok(()));
+        assert_ne!(outcome.sent[0], outcome.sent[1]);
+    }
+
+    async hedges_count_as_runs: "a lookup that runs more often than its intent allows" => {
+        let outcome = run(true, empty_body(), &[Step::Hang, Step::Answer, Step::Answer]).await;
+        assert_eq!(outcome.runs_left, 1);
+        let lost = run(true, empty_body(), &[Step::Lose, Step::Lose, Step::Answer]).await;
+        assert_eq!((lost.result, lost.runs_left), (Err((ReasonCode::TargetLost, CallOutcome::Unknown)), 1));
+    }
+}
