Quarantine requests that crash targets, copies included

Cause: a request that crashes each target that runs it could take down a service while its caller resends it. Change: QuarantineTable counts the distinct targets lost by fingerprint. A fingerprint that has not succeeded yet has at most as many copies in flight as targets it may crash, a suspect one has one; waiting copies are woken or refused not-run. The filter buffers bodies of up to 16 KiB for the digest, which also lets them be sent again; hedges and retries need a permit of their own.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -10,7 +10,9 @@
 
 /// Identifies requests that are the same piece of work: a digest over service,
 /// method, path, first part of the body and idempotency key.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
 pub struct CallFingerprint(pub u64);
 
 /// What decisions know of a request. Nothing here depends on its encoding.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod keys;
 pub mod outlier;
 pub mod policy;
+pub mod quarantine;
 pub mod retry;
--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at a target: what is recorded of it, and the hedge beside it.
 
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,11 +11,13 @@
 use zinniaport_core::controllers::TargetsMessage;
 use zinniaport_core::fleet::{ServiceCounters, TargetCounters};
 use zinniaport_core::keys::TargetKey;
+use zinniaport_core::quarantine::RunEnd;
 use zinniaport_core::retry::{DispatchCount, may_hedge};
 
 use super::route::worst_of;
 use super::{FilterNext, FilterResult, RouteFilter};
 use crate::exchange::{CallResponse, Exchange, empty_body};
+use crate::gate::PermitHandle;
 use crate::refusal::Refusal;
 use crate::targets::TargetsHandle;
 
@@ -31,6 +34,8 @@
     target: TargetKey,
     counters: Arc<TargetCounters>,
     service: Arc<ServiceCounters>,
+    permit: Option<PermitHandle>,
+    address: SocketAddr,
     started: Timestamp,
     finished: bool,
 }
@@ -39,11 +44,14 @@
     /// Starts the record of an attempt at the target that was picked last.
     pub fn start(filter: &RouteFilter, exchange: &Exchange) -> Option<Self> {
         let target = *exchange.targets.last()?;
+        let entry = exchange.fleet.targets.get(target)?;
         Some(Self {
             clock: filter.state.clock.clone(),
             targets: filter.targets.clone(),
             target,
-            counters: exchange.fleet.targets.get(target)?.counters.clone(),
+            counters: entry.counters.clone(),
+            permit: exchange.head.extensions.get().cloned(),
+            address: entry.address,
             service: exchange.fleet.services.get(exchange.facts.service)?.counters.clone(),
             started: filter.state.clock.now(),
             finished: false,
@@ -54,6 +62,15 @@
     pub fn finish(mut self, result: &FilterResult) {
         self.finished = true;
         let now = self.clock.now();
+        if let Some(permit) = &self.permit {
+            match result {
+                Ok(_) => permit.end(RunEnd::Answered),
+                Err(refusal) if refusal.reason == ReasonCode::TargetLost => {
+                    permit.crash(self.address);
+                }
+                Err(_) => {}
+            }
+        }
         match result {
             Ok(response) => self.record_response(response, now),
             Err(refusal) => self.record_refusal(refusal, now),
@@ -143,6 +160,14 @@
     }
 
     fn start_hedge(&self, copy: &mut Exchange, count: DispatchCount) -> bool {
+        let started = fork_permit(copy) && self.may_hedge(copy, count);
+        if !started {
+            copy.head.extensions.remove::<PermitHandle>();
+        }
+        started
+    }
+
+    fn may_hedge(&self, copy: &mut Exchange, count: DispatchCount) -> bool {
         let Some(service) = copy.fleet.services.get(copy.facts.service) else { return false };
         let budget = &service.counters.retries;
         may_hedge(&copy.facts, count, budget, self.state.clock.now())
@@ -150,6 +175,15 @@
     }
 }
 
+/// Gives the copy a permit of its own; a request that may crash targets is not
+/// hedged beyond what its quarantine allows.
+fn fork_permit(copy: &mut Exchange) -> bool {
+    let Some(permit) = copy.head.extensions.remove::<PermitHandle>() else { return true };
+    let Some(forked) = permit.fork() else { return false };
+    copy.head.extensions.insert(forked);
+    true
+}
+
 /// Copies a request that may be hedged, with the time after which it is.
 fn prepare_hedge(exchange: &Exchange) -> Option<(Duration, Exchange)> {
     if !exchange.facts.idempotent || exchange.facts.max_runs < 2 {
--- a/src/filters/quarantine.rs
+++ b/src/filters/quarantine.rs
@@ -1,13 +1,70 @@
 //! Refuses a request that has crashed too many targets.
 
+use std::sync::Arc;
+
 use futures::future::BoxFuture;
+use http_body::Body;
+use http_body_util::BodyExt;
+use sha2::{Digest, Sha256};
+use zinniaport_core::call::{CallFingerprint, ReasonCode};
 
 use super::{FilterNext, FilterResult, RequestFilter};
-use crate::exchange::Exchange;
+use crate::exchange::{BodyError, Exchange, full_body};
+use crate::gate::{BufferedBody, PermitHandle, QuarantineGate, SuspectCall};
+use crate::refusal::Refusal;
+use crate::state::SharedState;
+
+/// Longest body that is read as a whole before dispatch, in bytes. Sign-ups and
+/// visit records fit; photos do not.
+const MAX_BUFFERED_BYTES: u64 = 16 << 10;
+
+/// Header that identifies repetitions of the same work.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Refuses a request that has crashed as many targets as the intent allows, and
+/// lets copies of a suspect one run one at a time.
+pub struct QuarantineFilter {
+    state: Arc<SharedState>,
+    gate: Arc<QuarantineGate>,
+}
 
-/// Refuses a request that has crashed too many targets.
-#[derive(Debug, Default)]
-pub struct QuarantineFilter;
+impl QuarantineFilter {
+    /// Creates the filter.
+    pub fn new(state: Arc<SharedState>, gate: Arc<QuarantineGate>) -> Self {
+        Self { state, gate }
+    }
+
+    async fn enter(&self, exchange: &mut Exchange) -> Result<(), Refusal> {
+        self.buffer_body(exchange).await?;
+        let Some(service) = exchange.fleet.services.get(exchange.facts.service) else {
+            return Err(Refusal::not_run(ReasonCode::UnknownService, "the service was removed"));
+        };
+        let fingerprint = fingerprint_of(&service.intent.service, exchange);
+        let call = SuspectCall { fingerprint, max_crashed: service.intent.max_crashed_targets };
+        exchange.facts.fingerprint = Some(fingerprint);
+        let limit = exchange.facts.time_left(self.state.clock.now());
+        let permit = self.gate.enter(call, limit).await.map_err(refusal_of)?;
+        exchange.head.extensions.insert(PermitHandle::new(permit));
+        Ok(())
+    }
+
+    /// Reads a short body of known length, so that it can be sent again.
+    async fn buffer_body(&self, exchange: &mut Exchange) -> Result<(), Refusal> {
+        let length = exchange.body.as_ref().and_then(|body| body.size_hint().exact());
+        if !length.is_some_and(|length| (1..=MAX_BUFFERED_BYTES).contains(&length)) {
+            return Ok(());
+        }
+        let Some(body) = exchange.body.take() else { return Ok(()) };
+        let limit = exchange.facts.time_left(self.state.clock.now());
+        let collected = tokio::time::timeout(limit, body.collect()).await;
+        let content =
+            collected.map_err(|_| slow_sender())?.map_err(|error| body_refusal(&error))?;
+        let buffered = BufferedBody(content.to_bytes());
+        exchange.body = Some(full_body(buffered.0.clone()));
+        exchange.head.extensions.insert(buffered);
+        Ok(())
+    }
+}
 
 impl RequestFilter for QuarantineFilter {
     fn name(&self) -> &'static str {
@@ -19,6 +76,48 @@
         exchange: &'a mut Exchange,
         next: FilterNext<'a>,
     ) -> BoxFuture<'a, FilterResult> {
-        next.run(exchange)
+        Box::pin(async move {
+            self.enter(exchange).await?;
+            let result = next.run(&mut *exchange).await;
+            exchange.head.extensions.remove::<PermitHandle>();
+            result
+        })
     }
 }
+
+/// Digests what makes two requests the same work.
+fn fingerprint_of(service: &str, exchange: &Exchange) -> CallFingerprint {
+    let mut digest = Sha256::new();
+    let mut add = |part: &[u8]| {
+        digest.update((part.len() as u64).to_be_bytes());
+        digest.update(part);
+    };
+    add(service.as_bytes());
+    add(exchange.head.method.as_str().as_bytes());
+    add(exchange.head.uri.path_and_query().map_or("", |path| path.as_str()).as_bytes());
+    add(exchange.head.headers.get(KEY_HEADER).map_or(&[], |key| key.as_bytes()));
+    add(exchange.head.extensions.get::<BufferedBody>().map_or(&[], |body| &body.0));
+    let first = digest.finalize().first_chunk().copied().unwrap_or_default();
+    CallFingerprint(u64::from_be_bytes(first))
+}
+
+fn refusal_of(reason: ReasonCode) -> Refusal {
+    let detail = match reason {
+        ReasonCode::Quarantined => "this request has crashed as many targets as the intent allows",
+        _ => "other copies of this request must end first, since it may crash targets",
+    };
+    Refusal::not_run(reason, detail)
+}
+
+fn slow_sender() -> Refusal {
+    Refusal::not_run(ReasonCode::SlowSender, "the body did not arrive within the deadline")
+}
+
+fn body_refusal(error: &BodyError) -> Refusal {
+    let reason = match error {
+        BodyError::TooLarge { .. } => ReasonCode::BodyTooLarge,
+        BodyError::Stalled { .. } => ReasonCode::SlowSender,
+        _ => ReasonCode::CallerLeft,
+    };
+    Refusal::not_run(reason, error.to_string())
+}
--- a/src/filters/route.rs
+++ b/src/filters/route.rs
@@ -13,7 +13,7 @@
 use super::attempt::AttemptRecord;
 use super::{FilterNext, FilterResult, RequestFilter};
 use crate::exchange::{Exchange, empty_body, full_body};
-use crate::gate::BufferedBody;
+use crate::gate::{BufferedBody, PermitHandle};
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 use crate::targets::TargetsHandle;
@@ -119,6 +119,10 @@
         let Some(service) = exchange.fleet.services.get(exchange.facts.service) else {
             return false;
         };
+        let permit = exchange.head.extensions.get::<PermitHandle>();
+        if permit.is_some_and(|permit| !permit.renew()) {
+            return false;
+        }
         let failure = (refusal.reason, refusal.outcome);
         let budget = (&service.counters.retries, self.state.clock.now());
         may_retry(&exchange.facts, count, failure, body.is_resendable(exchange), budget)
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -2,8 +2,10 @@
 //! behind a short mutex that no controller holds.
 
 mod admission;
+mod quarantine;
 
 pub use admission::{AdmissionGate, GateRefusal, SlotGuard};
+pub use quarantine::{PermitHandle, QuarantineGate, RunPermit, SuspectCall};
 
 /// Body of a request that was read as a whole before dispatch, so that it can
 /// be sent again. Kept among the extensions of the request's head.
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -22,6 +22,7 @@
     QuarantineFilter, RecordFilter, RouteFilter,
 };
 use crate::front::HttpFront;
+use crate::gate::QuarantineGate;
 use crate::pool::HttpTransport;
 use crate::settings::EntrySettings;
 use crate::state::SharedState;
@@ -114,11 +115,12 @@
 }
 
 fn build_chain(state: &Arc<SharedState>, targets: TargetsHandle) -> FilterChain {
+    let quarantine = Arc::new(QuarantineGate::new(state.clock.clone()));
     FilterChain::new(vec![
         Arc::new(RecordFilter::new(state.clone())),
         Arc::new(IdentifyFilter),
         Arc::new(ClassifyFilter::new(state.clone())),
-        Arc::new(QuarantineFilter),
+        Arc::new(QuarantineFilter::new(state.clone(), quarantine)),
         Arc::new(ClaimFilter),
         Arc::new(AdmitFilter::new(state.clone())),
         Arc::new(RouteFilter::new(state.clone(), Arc::new(TwoChoices), targets)),
