Spend a fixed share of the measuring budget per entry

Cause: the cost of measuring must stay within the operator's budget whatever the entries believe of each other. Change: ProbeBudget keeps a distance between the probes of one entry to one target, which makes the sum over max_entries stay within the budget in every window of 60 s or more, delays of up to 1 s included. It starts empty, is charged at send time and needs a confirmation asked for in the last 4 s, so that probes under a lowered budget have arrived 5 s after its acceptance. A budget below one probe of each entry per 60 s turns measuring off.

--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -1,9 +1,11 @@
 //! Controllers: each owns one piece of state, takes messages and clock readings,
 //! and returns effects for its driver to carry out.
 
+mod measuring;
 mod settings;
 mod targets;
 
+pub use measuring::{MeasuringController, MeasuringEffect, MeasuringMessage};
 pub use settings::{SettingsController, SettingsEffect, SettingsMessage};
 pub use targets::{TargetsController, TargetsEffect, TargetsMessage};
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod keys;
 pub mod outlier;
 pub mod policy;
+pub mod probe;
 pub mod quarantine;
 pub mod retry;
--- /dev/null
+++ b/core/src/probe.rs
@@ -0,0 +1,88 @@
+//! What measuring may cost.
+//!
+//! An entry's share of the budget depends on the intent alone and on no member
+//! list: the budget divided by the greatest number of entries. Probes of one
+//! entry to one target keep a distance that makes the sum over all entries stay
+//! within the budget in every window of [`BUDGET_WINDOW`] or longer, whenever
+//! the entries start, pause or resume.
+
+use std::time::Duration;
+
+use crate::clock::Timestamp;
+use crate::intent::MeasuringIntent;
+
+/// Shortest window over which the budget holds. A probe is not divisible, so
+/// that no budget holds over an instant.
+pub const BUDGET_WINDOW: Duration = Duration::from_secs(60);
+
+/// Longest time from the charge of a probe to its arrival. A probe that was not
+/// sent and answered within it is given up.
+pub const MAX_PROBE_DELAY: Duration = Duration::from_secs(1);
+
+/// Time after a confirmation was asked for in which the intent may be spent. A
+/// lowered budget has to take effect at the targets within 5 s of acceptance,
+/// 1 s of which a probe may be on its way.
+pub const CONFIRMED_TIME: Duration = Duration::from_secs(4);
+
+/// Permission to send one probe.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ProbeGrant {
+    /// The probe must have reached the target by then, or be given up.
+    pub arrive_before: Timestamp,
+}
+
+/// Share of one entry of the budget for one target. Starts empty, holds at most
+/// one probe and is charged when the probe is sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ProbeBudget {
+    distance: Option<Duration>,
+    earliest: Timestamp,
+}
+
+impl ProbeBudget {
+    /// Takes over the budget of an intent for a target with this number of
+    /// slots. A changed budget starts empty again.
+    pub fn set(&mut self, intent: &MeasuringIntent, slots: u32, now: Timestamp) {
+        let distance = probe_distance(intent, slots);
+        if distance == self.distance {
+            return;
+        }
+        self.distance = distance;
+        if let Some(distance) = distance {
+            self.earliest = self.earliest.max(now + distance);
+        }
+    }
+
+    /// Takes one probe. `confirmed` is when the store or a peer was last asked
+    /// for the intent and answered that it is the newest.
+    pub fn try_spend(
+        &mut self,
+        confirmed: Option<Timestamp>,
+        now: Timestamp,
+    ) -> Option<ProbeGrant> {
+        let distance = self.distance?;
+        let confirmed = confirmed?;
+        if now.since(confirmed) >= CONFIRMED_TIME || now < self.earliest {
+            return None;
+        }
+        self.earliest = now + distance;
+        Some(ProbeGrant { arrive_before: now + MAX_PROBE_DELAY })
+    }
+}
+
+/// Gives the distance between the probes of one entry to one target, none if the
+/// budget does not allow one probe of each entry per window.
+///
+/// In a window W, probes that take up to D to arrive come from W + D, so that an
+/// entry with the distance T lands at most (W + D) / T + 1 of them. Setting this
+/// equal to the entry's share of the window gives T = (W + D) / (share - 1).
+fn probe_distance(intent: &MeasuringIntent, slots: u32) -> Option<Duration> {
+    let slot_time = BUDGET_WINDOW.as_secs_f64() * f64::from(slots);
+    let budget = slot_time * intent.budget_percent.clamp(0.0, 100.0) / 100.0;
+    let probes = budget / (intent.probe_cost_ms / 1_000.0);
+    let share = probes / f64::from(intent.max_entries.max(1));
+    let distance = (BUDGET_WINDOW + MAX_PROBE_DELAY).as_secs_f64() / (share - 1.0);
+    // Rounded up, as a distance that is too short would exceed the budget.
+    let micros = (distance * 1e6).ceil() + 1.0;
+    (share > 1.0 && micros.is_finite()).then(|| Duration::from_micros(micros as u64))
+}
