Test that a drain sign in a response closes its target

Change: a case in tests/route_filter.rs that runs the targets driver. Result: fails with 'the target is still open' when the sign is not passed on.

--- a/tests/route_filter.rs
+++ b/tests/route_filter.rs
@@ -7,8 +7,11 @@
 use futures::future::BoxFuture;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
+use tokio_util::sync::CancellationToken;
 use zinniaport::exchange::{CallBody, Exchange, empty_body, full_body};
-use zinniaport::filters::{FilterChain, FilterNext, FilterResult, RequestFilter, RouteFilter};
+use zinniaport::filters::{
+    DRAIN_HEADER, FilterChain, FilterNext, FilterResult, RequestFilter, RouteFilter,
+};
 use zinniaport::refusal::Refusal;
 use zinniaport::state::SharedState;
 use zinniaport::targets::{TargetsDriver, TargetsHandle};
@@ -25,6 +28,7 @@
 #[derive(Clone, Copy)]
 enum Step {
     Answer,
+    AnswerDraining,
     Refuse,
     Lose,
     Hang,
@@ -52,6 +56,10 @@
         Box::pin(async move {
             match step {
                 Step::Answer => Ok(http::Response::new(empty_body())),
+                Step::AnswerDraining => {
+                    let response = http::Response::builder().header(DRAIN_HEADER, "1");
+                    Ok(response.body(empty_body()).unwrap())
+                }
                 Step::Refuse => Err(Refusal::not_run(ReasonCode::TargetRefused, "refused")),
                 Step::Lose => Err(Refusal::unknown(ReasonCode::TargetLost, "lost")),
                 Step::Hang => std::future::pending().await,
@@ -64,6 +72,7 @@
     result: Result<(), (ReasonCode, CallOutcome)>,
     sent: Vec<TargetKey>,
     runs_left: usize,
+    state: Arc<SharedState>,
 }
 
 fn intent() -> ServiceIntent {
@@ -92,6 +101,7 @@
     let mut fleet = FleetSnapshot::default();
     fleet.apply(intent(), 1, state.clock.now());
     driver.deliver(TargetsMessage::Intents(Arc::new(fleet)));
+    tokio::spawn(driver.run(CancellationToken::new()));
     (state, handle)
 }
 
@@ -111,7 +121,7 @@
     exchange.facts.deadline = state.clock.now() + Duration::from_secs(60);
     let sent = Arc::new(Mutex::new(Vec::new()));
     let forward = ScriptedForward { steps: Mutex::new(steps.to_vec()), sent: sent.clone() };
-    let route = RouteFilter::new(state, Arc::new(TwoChoices), handle);
+    let route = RouteFilter::new(state.clone(), Arc::new(TwoChoices), handle);
     let chain = FilterChain::new(vec![Arc::new(route), Arc::new(forward)]);
     let result = chain.run(&mut exchange).await;
     let sent = sent.lock().unwrap().clone();
@@ -120,6 +130,7 @@
         result: result.map(drop).map_err(|refusal| (refusal.reason, refusal.outcome)),
         sent,
         runs_left,
+        state,
     }
 }
 
@@ -161,6 +172,17 @@
         assert_ne!(outcome.sent[0], outcome.sent[1]);
     }
 
+    async drain_signs_close_targets: "a target that keeps receiving work after it announced its drain" => {
+        let outcome = run(true, empty_body(), &[Step::AnswerDraining]).await;
+        let is_open = || outcome.state.fleet.load().targets[outcome.sent[0]].state.takes_requests();
+        let closed = async {
+            while is_open() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(20), closed).await.expect("the target is still open");
+    }
+
     async hedges_count_as_runs: "a lookup that runs more often than its intent allows" => {
         let outcome = run(true, empty_body(), &[Step::Hang, Step::Answer, Step::Answer]).await;
         assert_eq!(outcome.runs_left, 1);
