--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 //! ```
 
 pub mod admin;
+pub mod bench;
 pub mod commands;
 pub mod exchange;
 pub mod filters;
