Report all faults of a settings file at once

Cause: settings were checked by their types only, and a fault gave the message of the operating system. Change: a check pass over the parsed settings collects every value that breaks a rule, with its YAML path, the limit and the remedy. Sections implement CheckSettings in files of their own. EntrySettings has a builder, so that a new section does not touch the code that makes settings.

--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -9,7 +9,8 @@
 
 /// Arguments of `zinniaport check`.
 #[derive(Debug, Args)]
-#[command(after_help = "Example: zinniaport check --settings examples/one-entry.yaml")]
+#[command(after_help = "Example: zinniaport check --settings examples/one-entry.yaml\n\n\
+                        Exit codes: 0 no faults, 2 faults (one line each)")]
 pub struct CheckArguments {
     /// YAML file with the settings of an entry.
     #[arg(long, value_name = "FILE")]
--- a/src/commands/try_out.rs
+++ b/src/commands/try_out.rs
@@ -40,13 +40,13 @@
             }
         }
         let addresses: Vec<_> = targets.iter().map(StandinTarget::address).collect();
-        let settings = EntrySettings {
-            name: "entry-1".to_owned(),
-            data_centre: "valle-a".to_owned(),
-            listen: any_port,
-            admin_listen: any_port,
-            services: vec![demo_intent(&addresses)],
-        };
+        let settings = EntrySettings::builder()
+            .name("entry-1")
+            .data_centre("valle-a")
+            .listen(any_port)
+            .admin_listen(any_port)
+            .services(vec![demo_intent(&addresses)])
+            .build();
         let entry = match EntryRuntime::start(settings).await {
             Ok(entry) => entry,
             Err(error) => {
--- /dev/null
+++ b/src/settings/log.rs
@@ -0,0 +1,31 @@
+//! Settings of logs.
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumString};
+
+/// Settings of logs, which are JSON lines on standard error.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LogSettings {
+    /// Least severe level that is written.
+    #[serde(default)]
+    pub level: LogLevel,
+}
+
+/// Severity of a log line.
+#[derive(
+    Clone, Copy, Debug, Default, Display, EnumString, Eq, PartialEq, Serialize, Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum LogLevel {
+    /// Only faults that need an operator.
+    Error,
+    /// Also faults that the entry works around.
+    Warn,
+    /// Also refusals and changes of state.
+    #[default]
+    Info,
+    /// Also details for developers.
+    Debug,
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,14 +1,23 @@
 //! Settings of an entry, read from YAML.
 
+pub mod fault;
+mod intent;
+mod log;
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use derive_more::{Display, Error};
+pub use fault::{CheckSettings, FaultList, SettingsFault};
+pub use log::{LogLevel, LogSettings};
 use serde::Deserialize;
 use zinniaport_core::intent::ServiceIntent;
 
+use self::fault::{check_each, element, field};
+
 /// Settings of one entry.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, bon::Builder)]
+#[builder(on(String, into))]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
     /// Name of the entry.
@@ -19,23 +28,46 @@
     pub listen: SocketAddr,
     /// Address for administration.
     pub admin_listen: SocketAddr,
+    /// Logs.
+    #[serde(default)]
+    #[builder(default)]
+    pub log: LogSettings,
     /// Intents to start with when no platform is set.
     #[serde(default)]
+    #[builder(default)]
     pub services: Vec<ServiceIntent>,
 }
 
+impl CheckSettings for EntrySettings {
+    fn check(&self, path: &str, faults: &mut FaultList) {
+        faults.check_name(field(path, "name"), &self.name);
+        faults.check_name(field(path, "data_centre"), &self.data_centre);
+        if self.listen == self.admin_listen && self.listen.port() != 0 {
+            let limit = format!("unlike {}", field(path, "listen"));
+            let remedy = "give administration a port of its own";
+            faults.add(field(path, "admin_listen"), self.admin_listen, limit, remedy);
+        }
+        check_each(path, "services", &self.services, faults);
+        let names = self.services.iter().map(|intent| intent.service.as_str());
+        intent::check_unique(names, faults, "state each service once", |position| {
+            field(&element(path, "services", position), "service")
+        });
+    }
+}
+
 /// Why settings cannot be used.
 #[derive(Debug, Display, Error)]
 pub enum SettingsError {
     /// The file cannot be read.
-    #[display("cannot read {}: {source}; give --settings the path of a readable YAML file", path.display())]
+    #[display("{}: {cause}; give --settings the path of a readable YAML file", path.display())]
     Unreadable {
         /// The file.
         path: PathBuf,
         /// What failed.
-        source: std::io::Error,
+        #[error(not(source))]
+        cause: String,
     },
-    /// The file is not valid.
+    /// The file is not valid YAML, or a field is unknown or of the wrong type.
     #[display("{}: {source}; correct the line, see docs/OPERATORS.md for each setting", path.display())]
     Invalid {
         /// The file.
@@ -43,18 +75,55 @@
         /// What is wrong.
         source: serde_norway::Error,
     },
+    /// Values break rules; one line for each.
+    #[display("{}", join_lines(faults))]
+    Faulty {
+        /// The faults.
+        #[error(not(source))]
+        faults: Vec<SettingsFault>,
+    },
+}
+
+fn join_lines(faults: &[SettingsFault]) -> String {
+    faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
 }
 
 impl EntrySettings {
-    /// Reads settings from a file.
+    /// Reads settings from a file and checks them.
     ///
     /// # Errors
     ///
-    /// Returns an error when the file cannot be read or is not valid.
+    /// Returns an error when the file cannot be read or is not valid; it names
+    /// all values that break a rule.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| SettingsError::Unreadable { path: path.into(), source })?;
-        serde_norway::from_str(&text)
-            .map_err(|source| SettingsError::Invalid { path: path.into(), source })
+        let unreadable =
+            |cause: &str| SettingsError::Unreadable { path: path.into(), cause: cause.to_owned() };
+        if path.is_dir() {
+            return Err(unreadable("is a directory, not a file"));
+        }
+        let bytes = std::fs::read(path).map_err(|error| unreadable(&read_fault(&error)))?;
+        let text = String::from_utf8(bytes).map_err(|error| {
+            let position = error.utf8_error().valid_up_to();
+            unreadable(&format!("byte {position} is not UTF-8"))
+        })?;
+        if text.trim().is_empty() {
+            return Err(unreadable("the file is empty"));
+        }
+        let settings: Self = serde_norway::from_str(&text)
+            .map_err(|source| SettingsError::Invalid { path: path.into(), source })?;
+        let mut faults = FaultList::default();
+        settings.check("", &mut faults);
+        match faults.into_faults() {
+            faults if faults.is_empty() => Ok(settings),
+            faults => Err(SettingsError::Faulty { faults }),
+        }
+    }
+}
+
+fn read_fault(error: &std::io::Error) -> String {
+    match error.kind() {
+        std::io::ErrorKind::NotFound => "no such file".to_owned(),
+        std::io::ErrorKind::PermissionDenied => "no permission to read the file".to_owned(),
+        _ => error.to_string(),
     }
 }
