Keep decision records in a ring and explain them

Cause: the trace of a request was dropped with the request, so nobody could ask afterwards why it waited. DecisionRing keeps the newest records; each slot is replaced as a whole by read-copy-update, so writers wait for no reader. explain and compare are pure functions over records with names. Burn windows count records away from the request path in a controller of their own. ReasonCode gains target-error, the cause of an answer with a 5xx status.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -146,6 +146,8 @@
     DeadlinePassed,
     /// No target can take the request.
     NoTarget,
+    /// The target answered with an error of its own.
+    TargetError,
     /// The target refused before running.
     TargetRefused,
     /// The target could not be reached.
--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -1,8 +1,10 @@
 //! Controllers: each owns one piece of state, takes messages and clock readings,
 //! and returns effects for its driver to carry out.
 
+mod burn;
 mod settings;
 
+pub use burn::{BurnController, BurnEffect, BurnMessage};
 pub use settings::{SettingsController, SettingsEffect, SettingsMessage};
 
 use crate::clock::Timestamp;
--- /dev/null
+++ b/core/src/decision/compare.rs
@@ -0,0 +1,121 @@
+//! Why one request was served after another.
+
+use strum::{Display, IntoStaticStr};
+
+use super::words::in_ms;
+use super::{AdmissionTrace, Explanation, NamedRecord};
+use crate::call::ReasonCode;
+
+/// The rule that put one request before another.
+#[derive(Clone, Copy, Debug, Display, Eq, IntoStaticStr, PartialEq)]
+#[strum(serialize_all = "kebab-case")]
+pub enum WaitRule {
+    /// The other's kind has a lower rank number.
+    KindRank,
+    /// It was the turn of the other's caller.
+    CallerTurn,
+    /// The other's deadline was nearer.
+    EarlierDeadline,
+    /// The other had been overtaken as often as is allowed.
+    OvertakingBound,
+    /// The other had arrived earlier.
+    ArrivedEarlier,
+    /// The other had left the queue before this request joined it.
+    LeftBefore,
+    /// This request was admitted before the other.
+    ServedFirst,
+    /// Different entries or services do not queue together.
+    SeparateQueues,
+    /// At least one of the two never was in the queue.
+    NotQueued,
+}
+
+/// Explains why `record` was served after `other`.
+pub fn compare(record: &NamedRecord, other: &NamedRecord) -> Explanation {
+    let rule = find_rule(record, other);
+    Explanation {
+        sentence: sentence(rule, record, other),
+        rules: vec![rule.to_string()],
+        columns: vec![record.request_id.clone(), other.request_id.clone()],
+        rows: super::explain::rows(&[record, other]),
+    }
+}
+
+fn find_rule(record: &NamedRecord, other: &NamedRecord) -> WaitRule {
+    if record.entry != other.entry || record.service != other.service {
+        return WaitRule::SeparateQueues;
+    }
+    let (Some(mine), Some(theirs)) = (record.admission, other.admission) else {
+        return WaitRule::NotQueued;
+    };
+    if mine.admission_number <= theirs.admission_number {
+        WaitRule::ServedFirst
+    } else if theirs.admitted <= mine.queued {
+        WaitRule::LeftBefore
+    } else {
+        queue_rule(record, other, &theirs)
+    }
+}
+
+/// Finds the rule for two requests that were in the queue at the same time. The
+/// rule that the queue wrote down comes first; what both records show of the
+/// queue's order follows if that rule says nothing about this pair.
+fn queue_rule(record: &NamedRecord, other: &NamedRecord, theirs: &AdmissionTrace) -> WaitRule {
+    let same_rank = record.rank == other.rank;
+    match theirs.rule {
+        ReasonCode::OvertakenEnough => WaitRule::OvertakingBound,
+        _ if other.rank < record.rank => WaitRule::KindRank,
+        ReasonCode::CallerTurn if same_rank && record.caller != other.caller => {
+            WaitRule::CallerTurn
+        }
+        _ if same_rank && other.deadline < record.deadline => WaitRule::EarlierDeadline,
+        _ => WaitRule::ArrivedEarlier,
+    }
+}
+
+fn sentence(rule: WaitRule, record: &NamedRecord, other: &NamedRecord) -> String {
+    let (mine, theirs) = (&record.request_id, &other.request_id);
+    let waited = in_ms(record.waited());
+    match rule {
+        WaitRule::KindRank => format!(
+            "Request {mine} waited {waited} and {theirs} went first because {} (rank {}) is \
+             served before {} (rank {}).",
+            other.kind, other.rank, record.kind, record.rank
+        ),
+        WaitRule::CallerTurn => format!(
+            "Request {mine} waited {waited} and {theirs} went first because callers of one rank \
+             take turns and it was the turn of {}, not of {}.",
+            other.caller, record.caller
+        ),
+        WaitRule::EarlierDeadline => format!(
+            "Request {mine} waited {waited} and {theirs} went first because its deadline was \
+             {} nearer.",
+            in_ms(record.deadline.since(other.deadline))
+        ),
+        WaitRule::OvertakingBound => format!(
+            "Request {mine} waited {waited} and {theirs} went first because {theirs} had been \
+             overtaken {} times, as often as is allowed.",
+            other.admission.map_or(0, |trace| trace.overtaken)
+        ),
+        WaitRule::ArrivedEarlier => format!(
+            "Request {mine} waited {waited} and {theirs} went first because it arrived {} earlier.",
+            in_ms(record.arrived.since(other.arrived))
+        ),
+        WaitRule::LeftBefore => format!(
+            "Request {mine} did not queue behind {theirs}, which arrived earlier and had left the \
+             queue before {mine} joined it."
+        ),
+        WaitRule::ServedFirst => {
+            format!("Request {mine} did not wait for {theirs}: it was admitted first.")
+        }
+        WaitRule::SeparateQueues => format!(
+            "Request {mine} ({} at {}) did not wait for {theirs} ({} at {}): different entries or \
+             services do not queue together.",
+            record.service, record.entry, other.service, other.entry
+        ),
+        WaitRule::NotQueued => format!(
+            "Request {mine} did not wait for {theirs}: {} was not queued.",
+            if record.admission.is_none() { mine } else { theirs }
+        ),
+    }
+}
--- a/core/src/decision.rs
+++ b/core/src/decision/mod.rs
@@ -1,5 +1,17 @@
 //! What is written down about the decisions on one request.
 
+mod compare;
+mod explain;
+mod named;
+mod record;
+mod ring;
+mod words;
+
+pub use compare::{WaitRule, compare};
+pub use explain::{ExplainedRow, Explanation, explain};
+pub use named::{NamedDispatch, NamedRecord};
+pub use record::{CallEnd, DecisionRecord, MAX_REQUEST_ID_LENGTH, RequestId};
+pub use ring::{DecisionRing, RingBatch};
 use serde::{Deserialize, Serialize};
 
 use crate::call::ReasonCode;
--- /dev/null
+++ b/core/src/decision/named.rs
@@ -0,0 +1,134 @@
+//! Records with names in place of keys, for people and for other entries.
+
+use serde::{Deserialize, Serialize};
+use slotmap::Key;
+
+use super::{AdmissionTrace, DecisionRecord};
+use crate::call::{CallOutcome, ReasonCode};
+use crate::clock::Timestamp;
+use crate::fleet::FleetSnapshot;
+
+/// A record that is meaningful outside the entry that wrote it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NamedRecord {
+    /// Entry that wrote the record.
+    pub entry: String,
+    /// Number of the record at that entry.
+    pub number: u64,
+    /// Identity of the request.
+    pub request_id: String,
+    /// Name of the service.
+    pub service: String,
+    /// Name of the kind.
+    pub kind: String,
+    /// Rank of the kind.
+    pub rank: u8,
+    /// The caller, as this entry knows it.
+    pub caller: String,
+    /// Version of the intent under which the request was classified.
+    pub config_version: u64,
+    /// When the request arrived.
+    pub arrived: Timestamp,
+    /// Its deadline; 0 if it was refused before it had one.
+    pub deadline: Timestamp,
+    /// How it was admitted.
+    pub admission: Option<AdmissionTrace>,
+    /// Its dispatches, in order.
+    pub dispatches: Vec<NamedDispatch>,
+    /// What is known of whether it ran.
+    pub outcome: CallOutcome,
+    /// The rule behind the answer.
+    pub reason: ReasonCode,
+    /// Status of the answer, 0 if the caller left before it.
+    pub status: u16,
+    /// When the head of the answer was ready.
+    pub answered: Timestamp,
+    /// Age of the fleet snapshot at the end of the request, in microseconds.
+    pub snapshot_age_us: u64,
+}
+
+/// One dispatch to a target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NamedDispatch {
+    /// Address of the target.
+    pub target: String,
+    /// The rule that picked it.
+    pub rule: ReasonCode,
+    /// How many targets could have been picked.
+    pub candidates: u16,
+    /// When the request was dispatched.
+    pub dispatched: Timestamp,
+    /// Age of the load report behind the pick, in microseconds.
+    pub report_age_us: Option<u32>,
+}
+
+impl DecisionRecord {
+    /// Replaces keys by the names that `fleet` has for them. A key of something
+    /// that was removed meanwhile is given as such.
+    pub fn named(&self, number: u64, entry: &str, fleet: &FleetSnapshot) -> NamedRecord {
+        let facts = &self.facts;
+        let service = fleet.services.get(facts.service);
+        let dispatches = self.dispatches().map(|dispatch| NamedDispatch {
+            target: fleet
+                .targets
+                .get(dispatch.target)
+                .map_or_else(|| "removed target".to_owned(), |found| found.address.to_string()),
+            rule: dispatch.rule,
+            candidates: dispatch.candidates,
+            dispatched: dispatch.dispatched,
+            report_age_us: dispatch.report_age_us,
+        });
+        NamedRecord {
+            entry: entry.to_owned(),
+            number,
+            request_id: self.request_id.to_string(),
+            service: match service {
+                Some(service) => service.intent.service.clone(),
+                None if facts.service.is_null() => "unknown service".to_owned(),
+                None => "removed service".to_owned(),
+            },
+            kind: self.kind_name(fleet),
+            rank: facts.rank,
+            caller: if facts.caller.is_null() {
+                "unnamed".to_owned()
+            } else {
+                format!("caller-{:x}", facts.caller.data().as_ffi())
+            },
+            config_version: facts.config_version,
+            arrived: facts.arrived,
+            deadline: facts.deadline,
+            admission: self.trace.admission,
+            dispatches: dispatches.collect(),
+            outcome: self.end.outcome,
+            reason: self.end.reason,
+            status: self.end.status,
+            answered: self.end.answered,
+            snapshot_age_us: self.end.answered.since(self.end.snapshot_published).as_micros()
+                as u64,
+        }
+    }
+
+    /// Gives the name of the kind. Positions refer to one version of the intent,
+    /// so a kind of an earlier version is given by its position.
+    pub fn kind_name(&self, fleet: &FleetSnapshot) -> String {
+        let position = self.facts.kind;
+        let service = fleet.services.get(self.facts.service);
+        match service {
+            _ if !self.is_classified() => "unknown kind".to_owned(),
+            Some(service) if service.version == self.facts.config_version => service
+                .intent
+                .kinds
+                .get(position)
+                .map_or_else(|| format!("kind-{position}"), |kind| kind.name.clone()),
+            _ => format!("kind-{position}"),
+        }
+    }
+}
+
+impl NamedRecord {
+    /// Gives the time that the request spent in the queue; zero if it was not
+    /// queued.
+    pub fn waited(&self) -> std::time::Duration {
+        self.admission.map(|trace| trace.admitted.since(trace.queued)).unwrap_or_default()
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! random source, and returns what to do together with the reason. The crate
 //! knows no HTTP, no RPC and no YAML, so that several front ends can share it.
 
+pub mod burn;
 pub mod call;
 pub mod clock;
 pub mod controllers;
--- /dev/null
+++ b/core/tests/burn.rs
@@ -0,0 +1,54 @@
+//! Service-level burn.
+
+use zinniaport_core::burn::{BURN_WINDOWS, WindowBurn, WindowCounter, WindowSum};
+use zinniaport_core::call::ReasonCode;
+use zinniaport_core::clock::Timestamp;
+use zinniaport_testing::{check_property, test_cases};
+
+test_cases! {
+    windows_equal_a_naive_count: "buckets that are counted after they left the window" => {
+        // Steps of up to 40 s over 5 minutes pass the end of the window many times.
+        let events = proptest::collection::vec((0_u64..40_000_000, proptest::bool::ANY), 1..200);
+        check_property(256, &events, |events| {
+            let span = BURN_WINDOWS[0];
+            let bucket_us = span.bucket.as_micros() as u64;
+            let mut counter = WindowCounter::new(span);
+            let mut naive: Vec<(u64, bool)> = Vec::new();
+            let mut now = 1_800_000_000_000_000;
+            for (step, failed) in events {
+                now += step;
+                counter.add(Timestamp(now), failed.then_some(ReasonCode::QueueFull));
+                naive.push((now / bucket_us, failed));
+                let oldest = now / bucket_us + 1 - span.buckets as u64;
+                let held: Vec<_> = naive.iter().filter(|(index, _)| *index >= oldest).collect();
+                let sum = counter.sum(Timestamp(now));
+                proptest::prop_assert_eq!(sum.requests, held.len() as u64);
+                let failures = held.iter().filter(|(_, failed)| *failed).count() as u64;
+                proptest::prop_assert_eq!(sum.failed, failures);
+                proptest::prop_assert_eq!(sum.causes.iter().map(|(_, n)| n).sum::<u64>(), failures);
+            }
+            Ok(())
+        });
+    }
+
+    late_records_are_kept_apart: "a record that arrives late and clears a newer bucket" => {
+        let span = BURN_WINDOWS[0];
+        let mut counter = WindowCounter::new(span);
+        let turn = span.bucket.as_micros() as u64 * span.buckets as u64;
+        counter.add(Timestamp(2 * turn), None);
+        counter.add(Timestamp(turn), Some(ReasonCode::NoTarget));
+        assert_eq!(counter.sum(Timestamp(2 * turn)).requests, 1);
+        assert_eq!(counter.sum(Timestamp(2 * turn)).failed, 0);
+    }
+
+    rates_follow_the_objective: "a burn rate that ignores the objective" => {
+        let causes = vec![(ReasonCode::NoTarget, 3), (ReasonCode::QueueFull, 7)];
+        let sum = WindowSum { requests: 1000, failed: 10, causes };
+        let burn = WindowBurn::new(BURN_WINDOWS[1], sum.clone(), 99.0);
+        assert!((burn.burn_rate - 1.0).abs() < 1e-9);
+        assert!(burn.budget_left_percent.abs() < 1e-6);
+        assert_eq!(burn.causes[0].reason, ReasonCode::QueueFull);
+        assert!((WindowBurn::new(BURN_WINDOWS[1], sum.clone(), 99.9).burn_rate - 10.0).abs() < 1e-6);
+        assert!(WindowBurn::new(BURN_WINDOWS[1], sum, 100.0).burn_rate.is_finite());
+    }
+}
