Add status, burn, explain, completions and a demo that checks promises

Cause: the administration address could be read with curl only, and the demo had one service and no load.

--- /dev/null
+++ b/src/commands/explain.rs
@@ -0,0 +1,51 @@
+//! `zinniaport explain`.
+
+use std::process::ExitCode;
+
+use clap::Args;
+use zinniaport_core::decision::Explanation;
+
+use super::client::fetch;
+use super::output::{AdminArguments, EXIT_CODES, RowColour, TextTable, wrap};
+use crate::admin::encode;
+
+/// Arguments of `zinniaport explain`.
+#[derive(Debug, Args)]
+#[command(after_help = format!(
+    "Example: zinniaport explain 0190163d-8694-739b-aea5-966c26f8ad91 --admin 127.0.0.1:7901\n\n{EXIT_CODES}"
+))]
+pub struct ExplainArguments {
+    /// Identity of the request, from the response header X-Request-Id.
+    #[arg(value_name = "REQUEST_ID")]
+    request_id: String,
+    /// Explain why the request was served after this one.
+    #[arg(long, value_name = "OTHER_ID")]
+    why_after: Option<String>,
+    #[command(flatten)]
+    admin: AdminArguments,
+}
+
+impl ExplainArguments {
+    /// Asks the entry and prints one sentence and a table.
+    pub async fn run(self) -> ExitCode {
+        let mut path = format!("/v1/explain/{}", encode(&self.request_id));
+        if let Some(other) = &self.why_after {
+            path.push_str(&format!("?why_after={}", encode(other)));
+        }
+        let answer = fetch::<Explanation>(self.admin.admin, &path).await;
+        self.admin.print(answer, explanation_text)
+    }
+}
+
+/// Gives an explanation as text.
+pub fn explanation_text(explanation: &Explanation) -> String {
+    let mut headings = vec!["fact"];
+    headings.extend(explanation.columns.iter().map(String::as_str));
+    let mut table = TextTable::new(&headings);
+    for row in &explanation.rows {
+        let mut cells = vec![row.name.clone()];
+        cells.extend(row.values.iter().cloned());
+        table.add(RowColour::Plain, cells);
+    }
+    format!("{}rule: {}\n\n{table}", wrap(&explanation.sentence), explanation.rules.join(", "))
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,8 +1,15 @@
 //! Subcommands of `zinniaport` and the command lines of the daemons.
 
+mod burn;
+mod burn_page;
 mod check;
+mod client;
+mod completions;
 mod entry;
+mod explain;
+mod output;
 mod standin;
+mod status;
 mod try_out;
 
 use std::process::ExitCode;
@@ -25,6 +32,14 @@
     Try(try_out::TryArguments),
     /// Checks settings without starting.
     Check(check::CheckArguments),
+    /// Explains why a request waited and what became of it.
+    Explain(explain::ExplainArguments),
+    /// Shows services and targets as an entry sees them.
+    Status(status::StatusArguments),
+    /// Shows how fast services use up what their objectives allow.
+    Burn(burn::BurnArguments),
+    /// Prints a completion script for a shell.
+    Completions(completions::CompletionArguments),
 }
 
 impl Arguments {
@@ -33,6 +48,10 @@
         match self.command {
             Command::Try(arguments) => arguments.run().await,
             Command::Check(arguments) => arguments.run(),
+            Command::Explain(arguments) => arguments.run().await,
+            Command::Status(arguments) => arguments.run().await,
+            Command::Burn(arguments) => arguments.run().await,
+            Command::Completions(arguments) => arguments.run(),
         }
     }
 }
--- /dev/null
+++ b/src/commands/output.rs
@@ -0,0 +1,176 @@
+//! Output of commands: tables within 80 columns, colour on terminals only, JSON.
+
+use std::fmt;
+use std::io::IsTerminal;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::{Args, ValueEnum};
+use serde::Serialize;
+
+use super::client::AdminError;
+
+/// Width that tables and text fit.
+const MAX_WIDTH: usize = 80;
+
+/// Exit codes, for the help of commands that ask an entry.
+pub const EXIT_CODES: &str =
+    "Exit codes: 0 done, 1 the entry refused or cannot be reached, 2 wrong usage";
+
+/// Form of the output.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, ValueEnum)]
+pub enum OutputFormat {
+    /// Text for people.
+    #[default]
+    Text,
+    /// One JSON value.
+    Json,
+}
+
+/// Arguments of commands that ask an entry.
+#[derive(Debug, Args)]
+pub struct AdminArguments {
+    /// Administration address of an entry.
+    #[arg(long, value_name = "ADDRESS")]
+    pub admin: SocketAddr,
+    /// Form of the output.
+    #[arg(long, value_enum, default_value_t)]
+    pub output: OutputFormat,
+}
+
+impl AdminArguments {
+    /// Prints the answer of an entry and gives the exit code.
+    pub fn print<T: Serialize>(
+        &self,
+        answer: Result<T, AdminError>,
+        text: impl Fn(&T) -> String,
+    ) -> ExitCode {
+        match answer {
+            Ok(value) if self.output == OutputFormat::Json => {
+                println!("{}", serde_json::to_string_pretty(&value).unwrap_or_default());
+                ExitCode::SUCCESS
+            }
+            Ok(value) => {
+                print!("{}", text(&value));
+                ExitCode::SUCCESS
+            }
+            Err(error) => {
+                eprintln!("{error}");
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
+
+/// Colour of a table row on a terminal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RowColour {
+    /// As the rest of the terminal.
+    Plain,
+    /// Needs attention.
+    Yellow,
+    /// Does not work.
+    Red,
+}
+
+/// Tells whether standard output takes colour (see no-color.org).
+fn takes_colour() -> bool {
+    let refused = std::env::var_os("NO_COLOR").is_some_and(|value| !value.is_empty());
+    !refused && std::io::stdout().is_terminal()
+}
+
+/// A table of text.
+#[derive(Clone, Debug)]
+pub struct TextTable {
+    headings: Vec<String>,
+    rows: Vec<(RowColour, Vec<String>)>,
+}
+
+impl TextTable {
+    /// Creates a table without rows.
+    pub fn new(headings: &[&str]) -> Self {
+        Self { headings: headings.iter().map(ToString::to_string).collect(), rows: Vec::new() }
+    }
+
+    /// Adds a row.
+    pub fn add(&mut self, colour: RowColour, cells: Vec<String>) {
+        self.rows.push((colour, cells));
+    }
+
+    /// Gives the width of each column, the widest ones cut until a row fits.
+    fn widths(&self) -> Vec<usize> {
+        let mut widths: Vec<_> = self.headings.iter().map(|cell| cell.chars().count()).collect();
+        for (_, cells) in &self.rows {
+            for (width, cell) in widths.iter_mut().zip(cells) {
+                *width = (*width).max(cell.chars().count());
+            }
+        }
+        let gaps = 2 * widths.len().saturating_sub(1);
+        while widths.iter().sum::<usize>() + gaps > MAX_WIDTH {
+            let Some(widest) = widths.iter_mut().max().filter(|width| **width > 1) else { break };
+            *widest -= 1;
+        }
+        widths
+    }
+}
+
+impl fmt::Display for TextTable {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let widths = self.widths();
+        writeln!(formatter, "{}", line(&self.headings, &widths))?;
+        for (colour, cells) in &self.rows {
+            let text = line(cells, &widths);
+            match colour {
+                RowColour::Yellow if takes_colour() => {
+                    writeln!(formatter, "\x1b[33m{text}\x1b[0m")?;
+                }
+                RowColour::Red if takes_colour() => writeln!(formatter, "\x1b[31m{text}\x1b[0m")?,
+                _ => writeln!(formatter, "{text}")?,
+            }
+        }
+        Ok(())
+    }
+}
+
+fn line(cells: &[String], widths: &[usize]) -> String {
+    let cells = cells.iter().zip(widths).map(|(cell, width)| {
+        if cell.chars().count() > *width {
+            let kept: String = cell.chars().take(width - 1).collect();
+            format!("{kept}…")
+        } else {
+            format!("{cell:width$}")
+        }
+    });
+    cells.collect::<Vec<_>>().join("  ").trim_end().to_owned()
+}
+
+/// Breaks text into lines that fit.
+pub fn wrap(text: &str) -> String {
+    let mut wrapped = String::new();
+    let mut column = 0;
+    for word in text.split_whitespace() {
+        let length = word.chars().count();
+        if column > 0 && column + 1 + length > MAX_WIDTH {
+            wrapped.push('\n');
+            column = 0;
+        } else if column > 0 {
+            wrapped.push(' ');
+            column += 1;
+        }
+        wrapped.push_str(word);
+        column += length;
+    }
+    wrapped.push('\n');
+    wrapped
+}
+
+/// Gives the time since `earlier` in its largest unit.
+pub fn age(now: u64, earlier: u64) -> String {
+    let seconds = now.saturating_sub(earlier) / 1_000_000;
+    match seconds {
+        0..60 => format!("{seconds} s"),
+        60..3_600 => format!("{} min", seconds / 60),
+        3_600..172_800 => format!("{} h", seconds / 3_600),
+        _ => format!("{} d", seconds / 86_400),
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -109,7 +109,17 @@
         if text.trim().is_empty() {
             return Err(unreadable("the file is empty"));
         }
-        let settings: Self = serde_norway::from_str(&text)
+        Self::parse(path, &text)
+    }
+
+    /// Reads settings from text and checks them; `path` appears in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the text is not valid; it names all values that
+    /// break a rule.
+    pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = serde_norway::from_str(text)
             .map_err(|source| SettingsError::Invalid { path: path.into(), source })?;
         let mut faults = FaultList::default();
         settings.check("", &mut faults);
