--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -171,3 +171,31 @@
     /// The caller left.
     CallerLeft,
 }
+
+impl ReasonCode {
+    /// Tells whether a request can end for this reason without an answer from a
+    /// target. The other reasons say why a request was admitted or a target
+    /// picked.
+    pub fn can_refuse(self) -> bool {
+        !matches!(
+            self,
+            Self::Answered
+                | Self::AdmittedAtOnce
+                | Self::AdmittedAfterWait
+                | Self::RankFirst
+                | Self::DeadlineFirst
+                | Self::CallerTurn
+                | Self::OvertakenEnough
+                | Self::OnlyTarget
+                | Self::RandomTarget
+                | Self::NextInTurn
+                | Self::FewestInFlight
+                | Self::LowestReport
+                | Self::ProbedCold
+                | Self::HomeSlot
+                | Self::Retried
+                | Self::Hedged
+                | Self::TargetError
+        )
+    }
+}
--- a/core/src/decision/explain.rs
+++ b/core/src/decision/explain.rs
@@ -85,7 +85,7 @@
 }
 
 fn end_words(record: &NamedRecord) -> String {
-    let taken = in_ms(record.answered.since(record.arrived));
+    let taken = in_ms(record.taken());
     if record.outcome == CallOutcome::Ran {
         let in_time = if record.answered <= record.deadline { "within" } else { "after" };
         return format!(
--- a/core/src/decision/named.rs
+++ b/core/src/decision/named.rs
@@ -126,6 +126,11 @@
 }
 
 impl NamedRecord {
+    /// Gives the time from arrival until the head of the answer was ready.
+    pub fn taken(&self) -> std::time::Duration {
+        self.answered.since(self.arrived)
+    }
+
     /// Gives the time that the request spent in the queue; zero if it was not
     /// queued.
     pub fn waited(&self) -> std::time::Duration {
--- a/src/commands/burn_page.rs
+++ b/src/commands/burn_page.rs
@@ -82,7 +82,9 @@
     let objective = [(0.0, 1.0), (groups, 1.0)];
     chart.draw_series(LineSeries::new(objective, BLACK.stroke_width(1)))?;
     chart.draw_series(labels.iter().enumerate().map(|(group, label)| {
-        Text::new(label.clone(), (group as f64 + 0.1, highest * 0.97), ("sans-serif", 12))
+        // Long names of neighbours would overlap on one line.
+        let height = highest * (0.97 - 0.05 * (group % 4) as f64);
+        Text::new(label.clone(), (group as f64 + 0.1, height), ("sans-serif", 12))
     }))?;
     chart.configure_series_labels().border_style(BLACK).background_style(WHITE).draw()?;
     area.present()
--- a/src/commands/try_out/mod.rs
+++ b/src/commands/try_out/mod.rs
@@ -14,7 +14,7 @@
 use indexmap::IndexMap;
 use tally::{BrokenPromise, CallerPromise, LoadTally};
 use zinniaport_core::burn::BurnReport;
-use zinniaport_core::decision::Explanation;
+use zinniaport_core::decision::{NamedRecord, explain};
 
 use super::client::{AdminError, fetch};
 use super::explain::explanation_text;
@@ -87,12 +87,9 @@
     records.read().await;
     records.check(&mut tally);
     println!("\n{}\n{}", tally.table(), tally.promises());
-    if let Some((_, request_id)) = &tally.slowest {
-        println!("$ zinniaport explain {request_id}");
-        match fetch::<Explanation>(admin, &format!("/v1/explain/{request_id}")).await {
-            Ok(explanation) => println!("{}", explanation_text(&explanation)),
-            Err(error) => println!("{error}"),
-        }
+    if let Some(record) = &records.slowest {
+        println!("$ zinniaport explain {}", record.request_id);
+        println!("{}", explanation_text(&explain(record)));
     }
     tally.broken.is_empty() && tally.requests == requests
 }
@@ -103,12 +100,14 @@
     last: u64,
     lost: u64,
     dispatches: IndexMap<String, usize>,
+    /// The request that took longest at the entry.
+    slowest: Option<NamedRecord>,
     fault: Option<AdminError>,
 }
 
 impl RecordReader {
     fn new(admin: SocketAddr) -> Self {
-        Self { admin, last: 0, lost: 0, dispatches: IndexMap::new(), fault: None }
+        Self { admin, last: 0, lost: 0, dispatches: IndexMap::new(), slowest: None, fault: None }
     }
 
     async fn read(&mut self) {
@@ -127,7 +126,11 @@
             }
             self.last = batch.last;
             for record in batch.records {
-                *self.dispatches.entry(record.request_id).or_default() += record.dispatches.len();
+                let dispatches = self.dispatches.entry(record.request_id.clone()).or_default();
+                *dispatches += record.dispatches.len();
+                if self.slowest.as_ref().is_none_or(|slowest| record.taken() > slowest.taken()) {
+                    self.slowest = Some(record);
+                }
             }
         }
     }
--- a/src/commands/try_out/tally.rs
+++ b/src/commands/try_out/tally.rs
@@ -57,8 +57,6 @@
     pub requests: u64,
     /// Identities of non-idempotent requests, to be looked up in the records.
     pub once: Vec<String>,
-    /// The slowest answered request with its time in microseconds.
-    pub slowest: Option<(u64, String)>,
 }
 
 impl LoadTally {
@@ -75,13 +73,7 @@
             unknown: 0,
             latency_us: Histogram::new_with_max(MAX_LATENCY_US, 3).expect("the bounds are valid"),
         });
-        Self {
-            kinds: kinds.collect(),
-            broken: Vec::new(),
-            requests: 0,
-            once: Vec::new(),
-            slowest: None,
-        }
+        Self { kinds: kinds.collect(), broken: Vec::new(), requests: 0, once: Vec::new() }
     }
 
     /// Counts an answer and checks its promises.
@@ -121,9 +113,6 @@
         } else {
             tally.served += 1;
         }
-        if self.slowest.as_ref().is_none_or(|(slowest, _)| taken_us > *slowest) {
-            self.slowest = Some((taken_us, answer.request_id.clone()));
-        }
         let echoed = String::from_utf8_lossy(body);
         let first = echoed.lines().next().unwrap_or_default();
         if first != answer.expected {
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,7 +10,7 @@
 
 use crate::telemetry::EntryMetrics;
 
-/// Decision records that an entry keeps, about 8 MB. At 7,000 requests per
+/// Decision records that an entry keeps, about 6 MB at 384 bytes each. At 7,000 requests per
 /// second, the share of one of 200 entries, they cover the last 2 seconds;
 /// neighbours copy them before they are overwritten.
 pub const KEPT_RECORDS: usize = 16_384;
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,168 @@
+//! What operators see: explanations, status, burn, metrics, examples, pages.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Output;
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use strum::IntoEnumIterator;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use zinniaport::refusal::Refusal;
+use zinniaport::runtime::EntryRuntime;
+use zinniaport::settings::{EntrySettings, LogSettings};
+use zinniaport_core::call::ReasonCode;
+use zinniaport_core::intent::{KindIntent, MeasuringIntent, ServiceIntent, TargetIntent};
+use zinniaport_testing::client::get;
+use zinniaport_testing::process::{ChildProcess, ChildSignal};
+use zinniaport_testing::test_cases;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_zinniaport");
+
+async fn run(arguments: &[&str]) -> Output {
+    tokio::process::Command::new(PROGRAM).args(arguments).output().await.expect("the binary runs")
+}
+
+fn page(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs").join(name);
+    std::fs::read_to_string(path).expect("the page exists")
+}
+
+fn examples() -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples");
+    let paths = std::fs::read_dir(folder).expect("the folder exists").flatten();
+    let paths = paths.map(|entry| entry.path());
+    paths.filter(|path| path.extension().is_some_and(|end| end == "yaml")).collect()
+}
+
+/// Names the fields of a type from its refusal of an unknown field, so that a new
+/// field cannot be forgotten here.
+fn fields_of<T: DeserializeOwned>() -> Vec<String> {
+    let Err(error) = serde_json::from_str::<T>(r#"{"no such field": 0}"#) else {
+        panic!("the type accepts unknown fields");
+    };
+    error.to_string().split('`').skip(3).step_by(2).map(ToOwned::to_owned).collect()
+}
+
+/// Settings of an entry with one target that accepts and never answers.
+fn silent_settings(target: SocketAddr) -> EntrySettings {
+    let text = format!(
+        "{{name: entry-1, data_centre: a, listen: '127.0.0.1:0', admin_listen: '127.0.0.1:0', \
+         services: [{{service: s, team: t, \
+         kinds: [{{name: k, rank: 0, idempotent: true, deadline_ms: 30000}}], \
+         targets: [{{address: '{target}', data_centre: a, slots: 1}}]}}]}}"
+    );
+    EntrySettings::parse(Path::new("silent"), &text).expect("the settings are valid")
+}
+
+test_cases! {
+    async try_holds_its_promises: "a demo that loses, mixes up or repeats requests" => {
+        let output = run(&["try", "--requests", "200"]).await;
+        let text = String::from_utf8(output.stdout).unwrap();
+        assert_eq!(output.status.code(), Some(0), "{text}");
+        assert_eq!(text.matches("held: ").count(), 4, "{text}");
+        assert!(text.contains("rule: "), "the demo ends with an explanation: {text}");
+        assert!(text.lines().all(|line| line.chars().count() <= 80), "{text}");
+    }
+
+    async commands_ask_a_running_demo: "a command that cannot read what the entry answers" => {
+        let mut demo = ChildProcess::start(PROGRAM, ["try"]);
+        let callers = demo.wait_for_line("callers:").await.parse().unwrap();
+        let admin = demo.wait_for_line("admin:").await;
+        let mut ids = Vec::new();
+        for _ in 0..2 {
+            let response = get(callers, "/pump-history/pumps/17").await.unwrap();
+            ids.push(response.headers()["x-request-id"].to_str().unwrap().to_owned());
+        }
+        let page = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("burn.html");
+        let calls: [&[&str]; 4] = [
+            &["explain", &ids[0]],
+            &["explain", &ids[1], "--why-after", &ids[0]],
+            &["status"],
+            &["burn", "--html", page.to_str().unwrap()],
+        ];
+        for call in calls {
+            let text = run(&[call, &["--admin", &admin]].concat()).await;
+            assert_eq!(text.status.code(), Some(0), "{call:?}");
+            let text = String::from_utf8(text.stdout).unwrap();
+            assert!(!text.contains('\x1b'), "no colour without a terminal: {text}");
+            assert!(text.lines().all(|line| line.chars().count() <= 80), "{text}");
+            let json = run(&[call, &["--admin", &admin, "--output", "json"]].concat()).await;
+            assert!(serde_json::from_slice::<Value>(&json.stdout).unwrap().is_object());
+        }
+        assert!(std::fs::read_to_string(page).unwrap().contains("<svg"));
+        let unknown = run(&["explain", "no-such-id", "--admin", &admin]).await;
+        assert_eq!(unknown.status.code(), Some(1));
+        let metrics = get(admin.parse().unwrap(), "/metrics").await.unwrap();
+        let metrics = String::from_utf8(metrics.into_body().into()).unwrap();
+        let line = "zinniaport_requests_total{service=\"pump-history\",kind=\"lookup\"";
+        assert!(metrics.contains(line), "{metrics}");
+        demo.signal(ChildSignal::INT);
+        assert!(demo.wait().await.success());
+    }
+
+    async records_callers_that_leave: "a request without a record because its caller left" => {
+        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let entry = EntryRuntime::start(silent_settings(silent.local_addr().unwrap())).await;
+        let entry = entry.unwrap();
+        let mut caller = TcpStream::connect(entry.caller_address()).await.unwrap();
+        let head = "GET /s/1 HTTP/1.1\r\nhost: s\r\nx-request-id: left/early\r\n\r\n";
+        caller.write_all(head.as_bytes()).await.unwrap();
+        let (dispatched, _) = silent.accept().await.unwrap();
+        drop(caller);
+        let mut explanation = Value::Null;
+        for _ in 0..500 {
+            let path = "/v1/explain/left%2Fearly";
+            let answer = get(entry.admin_address(), path).await.unwrap();
+            if answer.status() == 200 {
+                explanation = serde_json::from_slice(answer.body()).unwrap();
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        drop(dispatched);
+        let sentence = explanation["sentence"].as_str().expect("the request has a record");
+        assert!(sentence.contains("its caller left; it may have run"), "{sentence}");
+        entry.stop().await;
+    }
+
+    examples_load: "an example that no longer matches the settings" => {
+        let examples = examples();
+        assert!(examples.len() >= 6, "{examples:?}");
+        for path in examples {
+            EntrySettings::load(&path).unwrap();
+        }
+    }
+
+    async completions_cover_commands: "a completion script without a subcommand" => {
+        let script = String::from_utf8(run(&["completions", "bash"]).await.stdout).unwrap();
+        for command in ["try", "check", "explain", "status", "burn", "completions"] {
+            assert!(script.contains(&format!("zinniaport__subcmd__{command}")) ||
+                    script.contains(&format!("zinniaport__{command}")), "{command}");
+        }
+    }
+
+    operators_page_is_whole: "a setting or refusal that operators cannot look up" => {
+        let page = page("OPERATORS.md");
+        let fields = [
+            fields_of::<EntrySettings>(),
+            fields_of::<LogSettings>(),
+            fields_of::<ServiceIntent>(),
+            fields_of::<KindIntent>(),
+            fields_of::<TargetIntent>(),
+            fields_of::<MeasuringIntent>(),
+        ].concat();
+        assert!(fields.len() > 25, "{fields:?}");
+        for field in fields {
+            assert!(page.contains(&format!("| `{field}` |")), "no row for the setting {field}");
+        }
+        for reason in ReasonCode::iter().filter(|reason| reason.can_refuse()) {
+            let row = page.lines().find(|line| line.starts_with(&format!("| `{reason}` |")));
+            let row = row.unwrap_or_else(|| panic!("no row for the refusal {reason}"));
+            let remedy = Refusal::not_run(reason, "").remedy();
+            assert!(row.contains(remedy), "the row for {reason} does not say: {remedy}");
+        }
+    }
+}
