Read burn windows later than their last request in the property test

Cause: a window that was one bucket too long passed the test, since each read followed a write that had overwritten the extra bucket. Change: each read is up to 400 s later than the last request. Result: with the window one bucket too long the test fails; it passes with the code as it is.

--- a/core/tests/burn.rs
+++ b/core/tests/burn.rs
@@ -7,21 +7,24 @@
 
 test_cases! {
     windows_equal_a_naive_count: "buckets that are counted after they left the window" => {
-        // Steps of up to 40 s over 5 minutes pass the end of the window many times.
-        let events = proptest::collection::vec((0_u64..40_000_000, proptest::bool::ANY), 1..200);
+        // Steps of up to 40 s over 5 minutes pass the end of the window many times;
+        // a read up to 400 s later sees buckets that nothing has overwritten.
+        let event = (0_u64..40_000_000, proptest::bool::ANY, 0_u64..400_000_000);
+        let events = proptest::collection::vec(event, 1..200);
         check_property(256, &events, |events| {
             let span = BURN_WINDOWS[0];
             let bucket_us = span.bucket.as_micros() as u64;
             let mut counter = WindowCounter::new(span);
             let mut naive: Vec<(u64, bool)> = Vec::new();
             let mut now = 1_800_000_000_000_000;
-            for (step, failed) in events {
+            for (step, failed, delay) in events {
                 now += step;
                 counter.add(Timestamp(now), failed.then_some(ReasonCode::QueueFull));
                 naive.push((now / bucket_us, failed));
-                let oldest = now / bucket_us + 1 - span.buckets as u64;
+                let read = now + delay;
+                let oldest = read / bucket_us + 1 - span.buckets as u64;
                 let held: Vec<_> = naive.iter().filter(|(index, _)| *index >= oldest).collect();
-                let sum = counter.sum(Timestamp(now));
+                let sum = counter.sum(Timestamp(read));
                 proptest::prop_assert_eq!(sum.requests, held.len() as u64);
                 let failures = held.iter().filter(|(_, failed)| *failed).count() as u64;
                 proptest::prop_assert_eq!(sum.failed, failures);
