Name the recorded rule when a later request went first

Cause: a request that joined later and went first by a rule that both records do not show was explained as having arrived earlier. Change: the rule that the queue wrote down is named in that case. A test reads the log line of a refusal.

--- a/core/src/decision/compare.rs
+++ b/core/src/decision/compare.rs
@@ -2,7 +2,7 @@
 
 use strum::{Display, IntoStaticStr};
 
-use super::words::in_ms;
+use super::words::{in_ms, reason_words};
 use super::{AdmissionTrace, Explanation, NamedRecord};
 use crate::call::ReasonCode;
 
@@ -20,6 +20,8 @@
     OvertakingBound,
     /// The other had arrived earlier.
     ArrivedEarlier,
+    /// The rule that the queue wrote down for the other, which had joined later.
+    RecordedRule,
     /// The other had left the queue before this request joined it.
     LeftBefore,
     /// This request was admitted before the other.
@@ -69,7 +71,8 @@
             WaitRule::CallerTurn
         }
         _ if same_rank && other.deadline < record.deadline => WaitRule::EarlierDeadline,
-        _ => WaitRule::ArrivedEarlier,
+        _ if other.arrived <= record.arrived => WaitRule::ArrivedEarlier,
+        _ => WaitRule::RecordedRule,
     }
 }
 
@@ -101,6 +104,10 @@
             "Request {mine} waited {waited} and {theirs} went first because it arrived {} earlier.",
             in_ms(record.arrived.since(other.arrived))
         ),
+        WaitRule::RecordedRule => format!(
+            "Request {mine} waited {waited} and {theirs} joined later but went first because {}.",
+            other.admission.map_or("it was not queued", |trace| reason_words(trace.rule))
+        ),
         WaitRule::LeftBefore => format!(
             "Request {mine} did not queue behind {theirs}, which arrived earlier and had left the \
              queue before {mine} joined it."
--- a/core/tests/decision.rs
+++ b/core/tests/decision.rs
@@ -150,17 +150,19 @@
         let rank = named("rank", 0, Some(admission(RankFirst, 6_000, 20_000, 9)));
         let turn = named("turn", 1, Some(admission(CallerTurn, 6_000, 20_000, 9)));
         let bound = named("bound", 2, Some(admission(OvertakenEnough, 4_000, 20_000, 9)));
-        let earlier = named("earlier", 1, Some(admission(AdmittedAfterWait, 4_000, 20_000, 9)));
-        let mut earlier = earlier;
+        let mut earlier = named("earlier", 1, Some(admission(AdmittedAfterWait, 4_000, 20_000, 9)));
         earlier.deadline = me.deadline;
         let mut nearer = named("nearer", 1, Some(admission(AdmittedAfterWait, 6_000, 20_000, 9)));
         nearer.deadline = Timestamp(me.deadline.0 - 100_000);
         let left = named("left", 1, Some(admission(AdmittedAtOnce, 3_000, 3_000, 8)));
         let later = named("later", 1, Some(admission(AdmittedAfterWait, 6_000, 40_000, 11)));
+        let mut jumped = named("jumped", 2, Some(admission(AdmittedAfterWait, 6_000, 20_000, 9)));
+        jumped.deadline = me.deadline;
         let mut elsewhere = earlier.clone();
         elsewhere.entry = "entry-2".to_owned();
         let refused = named("refused", 1, None);
-        let others = [rank, turn, bound, earlier, nearer, left, later, elsewhere, refused];
+        let others =
+            [rank, turn, bound, earlier, nearer, left, later, jumped, elsewhere, refused];
         let sentences: Vec<_> = others.iter().map(|other| text(&compare(&me, other))).collect();
         insta::assert_snapshot!(sentences.join("\n"));
     }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -109,6 +109,7 @@
     }
 
     /// Gives the handles of a service, registering those of a new version.
+    /// Requests in flight while the version changes count under its kinds.
     fn service(&self, key: ServiceKey, entry: &ServiceEntry) -> Arc<ServiceMetrics> {
         if let Some(known) = self.services.load().get(key)
             && known.version >= entry.version
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -2,13 +2,13 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Output;
+use std::process::{Output, Stdio};
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use strum::IntoEnumIterator;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use zinniaport::refusal::Refusal;
 use zinniaport::runtime::EntryRuntime;
@@ -128,6 +128,31 @@
         entry.stop().await;
     }
 
+    async logs_refusals_as_json: "a log line that does not say which request was refused and why" => {
+        let settings = Path::new(env!("CARGO_TARGET_TMPDIR")).join("logs.yaml");
+        let text = "name: entry-7\ndata_centre: a\nlisten: 127.0.0.1:0\nadmin_listen: 127.0.0.1:0\n";
+        std::fs::write(&settings, text).unwrap();
+        let mut entry = tokio::process::Command::new(env!("CARGO_BIN_EXE_zinniaport-entry"))
+            .arg("--settings").arg(settings)
+            .stdout(Stdio::piped()).stderr(Stdio::piped()).kill_on_drop(true)
+            .spawn().unwrap();
+        let mut output = BufReader::new(entry.stdout.take().unwrap()).lines();
+        let first = output.next_line().await.unwrap().unwrap();
+        let callers = first.strip_prefix("callers: ").unwrap().parse().unwrap();
+        let mut lines = BufReader::new(entry.stderr.take().unwrap()).lines();
+        let refused = get(callers, "/no-such-service").await.unwrap();
+        let line = lines.next_line().await.unwrap().unwrap();
+        let line: Value = serde_json::from_str(&line).unwrap();
+        let request_id = refused.headers()["x-request-id"].to_str().unwrap();
+        assert_eq!(line["kvs"]["request_id"], request_id, "{line}");
+        assert_eq!(line["kvs"]["reason"], "unknown-service", "{line}");
+        assert_eq!(line["kvs"]["config_version"], 0, "{line}");
+        assert_eq!(line["diags"]["entry"], "entry-7", "{line}");
+        assert_eq!(line["level"], "INFO", "{line}");
+        assert!(line["timestamp"].is_string() && line["message"].is_string(), "{line}");
+        entry.kill().await.unwrap();
+    }
+
     examples_load: "an example that no longer matches the settings" => {
         let examples = examples();
         assert!(examples.len() >= 6, "{examples:?}");
