Pause after a failed accept and bound the demo's wait for an answer

Cause: the administration listener retried a failed accept at once, which spins while the process is out of files; a lost answer hung the demo. Change: a pause of 100 ms and a log line; a generated request counts as lost 10 s after its deadline.

--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -6,6 +6,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 pub use explain::{
@@ -30,6 +31,9 @@
 /// Largest body of an administration request, in bytes.
 const MAX_ADMIN_BODY_BYTES: usize = 1 << 20;
 
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// Response of the administration address.
 pub type AdminResponse = Response<Full<Bytes>>;
 
@@ -62,7 +66,13 @@
                 () = stop.cancelled() => return,
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => stream,
-                    Err(_) => continue,
+                    Err(error) => {
+                        log::warn!("cannot accept a connection: {error}; check the limit of open files");
+                        // The error persists while files are short; without a
+                        // pause the loop would spin.
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                        continue;
+                    }
                 },
             };
             let router = self.clone();
--- a/src/commands/try_out/load.rs
+++ b/src/commands/try_out/load.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
+use tokio::time::timeout;
 use uuid::Uuid;
 
 use crate::front::REQUEST_ID_HEADER;
@@ -22,6 +23,10 @@
 /// Connections that send requests at the same time. The demo has 105 slots.
 const SENDERS: u64 = 32;
 
+/// Time after the deadline at which a request counts as lost. The entry answers
+/// at the deadline, so this covers a slow machine only.
+const ANSWER_GRACE: Duration = Duration::from_secs(10);
+
 /// One kind of generated request.
 pub struct LoadKind {
     /// Service of the requests.
@@ -137,7 +142,12 @@
             .body(Full::from(vec![b'x'; load.body_bytes]));
         let started = Instant::now();
         let result = match request {
-            Ok(request) => self.exchange(request).await.map_err(|error| error.to_string()),
+            Ok(request) => {
+                match timeout(load.deadline + ANSWER_GRACE, self.exchange(request)).await {
+                    Ok(answered) => answered.map_err(|error| error.to_string()),
+                    Err(_) => Err("no answer long after the deadline".to_owned()),
+                }
+            }
             Err(error) => Err(error.to_string()),
         };
         let expected = format!("{} {path}", load.method);
