Tell callers apart by name and key

Cause: every request had the null caller key, so callers could not take turns in a queue and records showed them as unnamed. Change: a bounded table interns the x-caller-id header; records name the caller. The oldest caller makes room; its key then finds nothing. Result: keys_never_name_another_caller fails when a forgotten caller keeps its name (five callers in a table of four) and passes with the removal.

--- a/core/src/decision/named.rs
+++ b/core/src/decision/named.rs
@@ -5,6 +5,7 @@
 
 use super::{AdmissionTrace, DecisionRecord};
 use crate::call::{CallOutcome, ReasonCode};
+use crate::caller::CallerTable;
 use crate::clock::Timestamp;
 use crate::fleet::FleetSnapshot;
 
@@ -65,7 +66,13 @@
 impl DecisionRecord {
     /// Replaces keys by the names that `fleet` has for them. A key of something
     /// that was removed meanwhile is given as such.
-    pub fn named(&self, number: u64, entry: &str, fleet: &FleetSnapshot) -> NamedRecord {
+    pub fn named(
+        &self,
+        number: u64,
+        entry: &str,
+        fleet: &FleetSnapshot,
+        callers: &CallerTable,
+    ) -> NamedRecord {
         let facts = &self.facts;
         let service = fleet.services.get(facts.service);
         let dispatches = self.dispatches().map(|dispatch| NamedDispatch {
@@ -89,10 +96,10 @@
             },
             kind: self.kind_name(fleet),
             rank: facts.rank,
-            caller: if facts.caller.is_null() {
-                "unnamed".to_owned()
-            } else {
-                format!("caller-{:x}", facts.caller.data().as_ffi())
+            caller: match callers.name(facts.caller) {
+                Some(name) => name.to_string(),
+                None if facts.caller.is_null() => "unnamed".to_owned(),
+                None => "forgotten caller".to_owned(),
             },
             config_version: facts.config_version,
             arrived: facts.arrived,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod burn;
 pub mod call;
+pub mod caller;
 pub mod clock;
 pub mod controllers;
 pub mod decision;
--- a/src/admin/explain.rs
+++ b/src/admin/explain.rs
@@ -1,6 +1,6 @@
 //! `GET /v1/explain/ID[?why_after=OTHER]` and `GET /v1/records?after=N&limit=N`.
 
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
 use futures::future::BoxFuture;
 use http::StatusCode;
@@ -27,7 +27,9 @@
         let state = &self.0;
         let found = state.decisions.find(&RequestId::new(request_id));
         let fleet = state.fleet.load();
-        let named = found.map(|(number, record)| record.named(number, &state.entry_name, &fleet));
+        let callers = state.callers.lock().unwrap_or_else(PoisonError::into_inner);
+        let named =
+            found.map(|(number, record)| record.named(number, &state.entry_name, &fleet, &callers));
         Box::pin(std::future::ready(named))
     }
 }
@@ -120,10 +122,11 @@
         };
         let batch = self.0.decisions.read_after(after, limit);
         let fleet = self.0.fleet.load();
+        let callers = self.0.callers.lock().unwrap_or_else(PoisonError::into_inner);
         let named = batch
             .records
             .iter()
-            .map(|(number, record)| record.named(*number, &self.0.entry_name, &fleet));
+            .map(|(number, record)| record.named(*number, &self.0.entry_name, &fleet, &callers));
         let batch = RecordBatch { records: named.collect(), lost: batch.lost, last: batch.last };
         Box::pin(std::future::ready(json_response(StatusCode::OK, &batch)))
     }
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -16,7 +16,7 @@
 pub use classify::{ClassifyFilter, DEADLINE_HEADER};
 pub use forward::ForwardFilter;
 use futures::future::BoxFuture;
-pub use identify::IdentifyFilter;
+pub use identify::{CALLER_HEADER, IdentifyFilter};
 pub use quarantine::QuarantineFilter;
 pub use record::RecordFilter;
 pub use route::RouteFilter;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -120,7 +120,7 @@
 fn build_chain(state: &Arc<SharedState>) -> FilterChain {
     FilterChain::new(vec![
         Arc::new(RecordFilter::new(state.clone())),
-        Arc::new(IdentifyFilter),
+        Arc::new(IdentifyFilter::new(state.clone())),
         Arc::new(ClassifyFilter::new(state.clone())),
         Arc::new(QuarantineFilter),
         Arc::new(ClaimFilter),
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,10 @@
 //! State that filters and controllers share: snapshots behind read-copy-update.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
 use zinniaport_core::burn::BurnReport;
+use zinniaport_core::caller::CallerTable;
 use zinniaport_core::clock::ClockSource;
 use zinniaport_core::decision::DecisionRing;
 use zinniaport_core::fleet::FleetSnapshot;
@@ -15,6 +16,9 @@
 /// neighbours copy them before they are overwritten.
 pub const KEPT_RECORDS: usize = 16_384;
 
+/// Callers that an entry tells apart at the same time.
+const KNOWN_CALLERS: usize = 16_384;
+
 /// Snapshots that controllers publish and the request path reads without locks.
 pub struct SharedState {
     /// Services and targets.
@@ -25,6 +29,9 @@
     pub entry_name: Arc<str>,
     /// Data centre of this entry.
     pub data_centre: Arc<str>,
+    /// Callers seen lately. Only the request path and look-ups of operators lock
+    /// it, no controller, and nothing waits while it is locked.
+    pub callers: Mutex<CallerTable>,
     /// Newest decision records.
     pub decisions: DecisionRing,
     /// Service-level burn of this entry.
@@ -41,6 +48,7 @@
             clock,
             entry_name: entry_name.into(),
             data_centre: data_centre.into(),
+            callers: Mutex::new(CallerTable::new(KNOWN_CALLERS)),
             decisions: DecisionRing::new(KEPT_RECORDS),
             burn: ArcSwap::default(),
             metrics: EntryMetrics::new(),
