Give the stand-in target the faults of real targets

Cause: the first target served every request in a fixed time, so nothing could test drain, cold start, shedding, crashes, silent connections or cancellation.

--- /dev/null
+++ b/standin/src/target/runs.rs
@@ -0,0 +1,100 @@
+//! Counts of what a target ran and refused.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+/// What a target has done so far. A request counts as started once it holds a
+/// slot.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct RunCounts {
+    /// Requests that got a slot.
+    pub started: u64,
+    /// Requests that ran to their end.
+    pub completed: u64,
+    /// Requests whose connection was dropped while they waited or ran, by the
+    /// caller or by a crash.
+    pub cancelled: u64,
+    /// Requests refused because the queue was full.
+    pub shed: u64,
+    /// Requests whose deadline passed while they waited.
+    pub expired_waiting: u64,
+    /// Requests whose deadline passed while they ran.
+    pub expired_running: u64,
+    /// Requests failed at once.
+    pub failed: u64,
+    /// Crashes.
+    pub crashes: u64,
+    /// Answered probes.
+    pub probes: u64,
+    /// Starts by `X-Request-Id`.
+    pub by_request: IndexMap<String, u64>,
+    /// Starts by `Idempotency-Key`.
+    pub by_key: IndexMap<String, u64>,
+}
+
+impl RunCounts {
+    /// Gives how often a request id started.
+    pub fn of_request(&self, id: &str) -> u64 {
+        self.by_request.get(id).copied().unwrap_or(0)
+    }
+
+    /// Gives how often an idempotency key started.
+    pub fn of_key(&self, key: &str) -> u64 {
+        self.by_key.get(key).copied().unwrap_or(0)
+    }
+}
+
+/// Shared counts.
+#[derive(Debug, Default)]
+pub(super) struct RunLog(Mutex<RunCounts>);
+
+impl RunLog {
+    pub(super) fn counts(&self) -> RunCounts {
+        self.lock().clone()
+    }
+
+    pub(super) fn count(&self, counter: impl FnOnce(&mut RunCounts) -> &mut u64) {
+        *counter(&mut self.lock()) += 1;
+    }
+
+    pub(super) fn start(&self, request_id: Option<&str>, key: Option<&str>) {
+        let mut counts = self.lock();
+        counts.started += 1;
+        if let Some(id) = request_id {
+            *counts.by_request.entry(id.to_owned()).or_default() += 1;
+        }
+        if let Some(key) = key {
+            *counts.by_key.entry(key.to_owned()).or_default() += 1;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RunCounts> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Counts a request as cancelled unless it came to an end.
+pub(super) struct OpenRun<'a> {
+    log: &'a RunLog,
+    ended: bool,
+}
+
+impl<'a> OpenRun<'a> {
+    pub(super) fn new(log: &'a RunLog) -> Self {
+        Self { log, ended: false }
+    }
+
+    pub(super) fn end(&mut self) {
+        self.ended = true;
+    }
+}
+
+impl Drop for OpenRun<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.log.count(|counts| &mut counts.cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/target/server.rs
@@ -0,0 +1,239 @@
+//! Serves requests, probes and test control.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+use zinniaport_core::clock::{ClockSource, SystemClock, Timestamp};
+
+use super::behaviour::{TargetBehaviour, from_millis};
+use super::runs::{OpenRun, RunLog};
+use super::slots::TargetSlots;
+use crate::http1::{Answer, AnswerBody, closed, header_text, json_answer, text_answer};
+
+/// Largest body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
+/// Header that says that the target refused a request before running it.
+pub const REFUSED_HEADER: &str = "x-zinniaport-refused";
+
+/// State of a running target.
+pub(super) struct TargetServer {
+    pub(super) behaviour: ArcSwap<TargetBehaviour>,
+    pub(super) runs: RunLog,
+    /// Whether a marked request has crashed the target.
+    pub(super) crashed: watch::Sender<bool>,
+    slots: TargetSlots,
+    clock: SystemClock,
+    started: AtomicU64,
+    /// Raised to make the connections opened before go silent.
+    silence_round: AtomicU64,
+    random: Mutex<SmallRng>,
+}
+
+impl TargetServer {
+    pub(super) fn new(slots: usize, behaviour: TargetBehaviour, seed: u64) -> Self {
+        let clock = SystemClock::new();
+        Self {
+            behaviour: ArcSwap::from_pointee(behaviour),
+            runs: RunLog::default(),
+            crashed: watch::Sender::new(false),
+            slots: TargetSlots::new(slots),
+            started: AtomicU64::new(clock.now().0),
+            clock,
+            silence_round: AtomicU64::new(0),
+            random: Mutex::new(SmallRng::seed_from_u64(seed)),
+        }
+    }
+
+    /// Begins a cold start.
+    pub(super) fn begin(&self) {
+        self.started.store(self.clock.now().0, Ordering::Relaxed);
+    }
+
+    pub(super) fn load(&self) -> u32 {
+        self.slots.load()
+    }
+
+    pub(super) fn silence_round(&self) -> u64 {
+        self.silence_round.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn silence_connections(&self) {
+        self.silence_round.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Answers a request on a connection opened in `round`.
+    pub(super) async fn answer(self: Arc<Self>, request: Request<Incoming>, round: u64) -> Answer {
+        let arrived = Instant::now();
+        if self.silence_round() != round {
+            return std::future::pending().await;
+        }
+        let (head, body) = request.into_parts();
+        let body = Limited::new(body, MAX_BODY_BYTES).collect().await.map_err(|_| closed())?;
+        let request = Request::from_parts(head, body.to_bytes());
+        let behaviour = self.behaviour.load_full();
+        let response = match (request.method(), request.uri().path()) {
+            (&Method::GET, "/probe") => self.probe(&behaviour).await,
+            (&Method::GET, "/standin/runs") => json_answer(&self.runs.counts()),
+            (&Method::GET, "/standin/behaviour") => json_answer(&*behaviour),
+            (&Method::PUT, "/standin/behaviour") => return Ok(self.change(request.body())),
+            (&Method::POST, "/standin/silence") => {
+                self.silence_connections();
+                return Ok(text_answer(StatusCode::OK, ""));
+            }
+            _ => self.run(&request, &behaviour, arrived).await?,
+        };
+        if self.silence_round() != round {
+            return std::future::pending().await;
+        }
+        Ok(response)
+    }
+
+    fn change(&self, body: &Bytes) -> Response<AnswerBody> {
+        match serde_json::from_slice(body) {
+            Ok(behaviour) => {
+                self.behaviour.store(Arc::new(behaviour));
+                text_answer(StatusCode::OK, "")
+            }
+            Err(error) => text_answer(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+
+    async fn probe(&self, behaviour: &TargetBehaviour) -> Response<AnswerBody> {
+        if behaviour.probe_ms > 0.0 {
+            let Some(_slot) = self.slots.enter(behaviour.queue_length).await else {
+                return self.shed();
+            };
+            tokio::time::sleep(from_millis(behaviour.probe_ms)).await;
+        }
+        self.runs.count(|counts| &mut counts.probes);
+        let lag = Duration::from_millis(behaviour.report_lag_ms);
+        let load = self.slots.load_before(lag);
+        let mut response = text_answer(StatusCode::OK, format!("{load}\n"));
+        self.add_report(&mut response, behaviour, load);
+        response
+    }
+
+    async fn run(
+        &self,
+        request: &Request<Bytes>,
+        behaviour: &TargetBehaviour,
+        arrived: Instant,
+    ) -> Answer {
+        if behaviour.fail_fast {
+            self.runs.count(|counts| &mut counts.failed);
+            let mut response = text_answer(StatusCode::INTERNAL_SERVER_ERROR, "failed\n");
+            self.add_report(&mut response, behaviour, self.load());
+            return Ok(response);
+        }
+        let deadline = deadline(request, behaviour, arrived);
+        let mut open = OpenRun::new(&self.runs);
+        let mut response = self.work(request, behaviour, deadline).await?;
+        open.end();
+        tokio::time::sleep(Duration::from_millis(behaviour.late_ms)).await;
+        self.add_report(&mut response, behaviour, self.load());
+        Ok(response)
+    }
+
+    async fn work(
+        &self,
+        request: &Request<Bytes>,
+        behaviour: &TargetBehaviour,
+        deadline: Instant,
+    ) -> Answer {
+        let Ok(slot) = timeout_at(deadline, self.slots.enter(behaviour.queue_length)).await else {
+            self.runs.count(|counts| &mut counts.expired_waiting);
+            return Ok(refusal(StatusCode::GATEWAY_TIMEOUT, "deadline"));
+        };
+        let Some(_slot) = slot else { return Ok(self.shed()) };
+        self.runs
+            .start(header_text(request, "x-request-id"), header_text(request, "idempotency-key"));
+        if request.headers().contains_key("x-crash") {
+            self.runs.count(|counts| &mut counts.crashes);
+            self.crashed.send_replace(true);
+            return std::future::pending().await;
+        }
+        let time = behaviour.slot_time(self.age(), self.uniform());
+        if timeout_at(deadline, tokio::time::sleep(time)).await.is_err() {
+            self.runs.count(|counts| &mut counts.expired_running);
+            return Ok(text_answer(StatusCode::GATEWAY_TIMEOUT, "the deadline passed\n"));
+        }
+        self.runs.count(|counts| &mut counts.completed);
+        Ok(run_response(request, behaviour))
+    }
+
+    fn shed(&self) -> Response<AnswerBody> {
+        self.runs.count(|counts| &mut counts.shed);
+        refusal(StatusCode::SERVICE_UNAVAILABLE, "shed")
+    }
+
+    fn add_report(
+        &self,
+        response: &mut Response<AnswerBody>,
+        behaviour: &TargetBehaviour,
+        load: u32,
+    ) {
+        let headers = response.headers_mut();
+        headers.insert("x-load", HeaderValue::from(load));
+        if behaviour.draining {
+            headers.insert("x-drain", HeaderValue::from(1));
+        }
+    }
+
+    fn age(&self) -> Duration {
+        self.clock.now().since(Timestamp(self.started.load(Ordering::Relaxed)))
+    }
+
+    fn uniform(&self) -> f64 {
+        self.random.lock().unwrap_or_else(PoisonError::into_inner).random()
+    }
+}
+
+fn deadline(request: &Request<Bytes>, behaviour: &TargetBehaviour, arrived: Instant) -> Instant {
+    /// Time limit of a request without a deadline.
+    const NO_DEADLINE: Duration = Duration::from_secs(3600);
+    let limit = header_text(request, "x-deadline-ms").and_then(|text| text.parse().ok());
+    let limit = limit.filter(|_| behaviour.honour_deadline);
+    arrived + limit.map_or(NO_DEADLINE, |ms: u32| Duration::from_millis(ms.into()))
+}
+
+fn refusal(status: StatusCode, reason: &'static str) -> Response<AnswerBody> {
+    let mut response = text_answer(status, "refused before running\n");
+    response.headers_mut().insert(REFUSED_HEADER, HeaderValue::from_static(reason));
+    response
+}
+
+/// Makes the response of a request that ran. Padding repeats the request id,
+/// so that a caller notices bytes of another caller's response.
+fn run_response(request: &Request<Bytes>, behaviour: &TargetBehaviour) -> Response<AnswerBody> {
+    let mut text = format!("{} {}\n", request.method(), request.uri().path());
+    let id = header_text(request, "x-request-id");
+    while text.len() < behaviour.response_bytes {
+        text.push_str(id.unwrap_or("no request id"));
+        text.push('\n');
+    }
+    let data = Bytes::from(text);
+    let mut response = if behaviour.cut_responses {
+        let mut response = Response::new(AnswerBody::cut_after(data.slice(..data.len() / 2)));
+        response.headers_mut().insert(header::CONTENT_LENGTH, HeaderValue::from(data.len()));
+        response
+    } else {
+        Response::new(AnswerBody::complete(data))
+    };
+    if let Some(id) = id.and_then(|id| HeaderValue::from_str(id).ok()) {
+        response.headers_mut().insert("x-standin-request-id", id);
+    }
+    let received = HeaderValue::from(request.body().len());
+    response.headers_mut().insert("x-standin-received-bytes", received);
+    response
+}
--- /dev/null
+++ b/standin/src/target/slots.rs
@@ -0,0 +1,121 @@
+//! Slots of a target, the bounded queue in front of them, and their load.
+
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::{Semaphore, SemaphorePermit};
+use zinniaport_core::clock::{ClockSource, SystemClock, Timestamp};
+
+/// Load samples kept for lagging reports.
+const MAX_SAMPLES: usize = 8192;
+
+/// Slots with a bounded queue, first come, first served.
+#[derive(Debug)]
+pub(super) struct TargetSlots {
+    slots: Semaphore,
+    running: AtomicU32,
+    waiting: AtomicU32,
+    clock: SystemClock,
+    history: LoadHistory,
+}
+
+impl TargetSlots {
+    pub(super) fn new(slots: usize) -> Self {
+        Self {
+            slots: Semaphore::new(slots),
+            running: AtomicU32::new(0),
+            waiting: AtomicU32::new(0),
+            clock: SystemClock::new(),
+            history: LoadHistory::default(),
+        }
+    }
+
+    /// Gives the number of requests that run or wait.
+    pub(super) fn load(&self) -> u32 {
+        self.running.load(Ordering::Relaxed) + self.waiting.load(Ordering::Relaxed)
+    }
+
+    /// Gives the load that was in force `lag` ago.
+    pub(super) fn load_before(&self, lag: Duration) -> u32 {
+        self.history.load_before(self.clock.now(), lag)
+    }
+
+    fn record_load(&self) {
+        self.history.record(self.clock.now(), self.load());
+    }
+
+    /// Waits for a slot; gives none if `queue_length` requests wait already.
+    pub(super) async fn enter(&self, queue_length: u32) -> Option<HeldSlot<'_>> {
+        if let Ok(permit) = self.slots.try_acquire() {
+            return Some(HeldSlot::new(self, permit));
+        }
+        let _place = QueuePlace::take(self, queue_length)?;
+        let permit = self.slots.acquire().await.ok()?;
+        Some(HeldSlot::new(self, permit))
+    }
+}
+
+/// A slot that is freed when dropped.
+pub(super) struct HeldSlot<'a> {
+    slots: &'a TargetSlots,
+    _permit: SemaphorePermit<'a>,
+}
+
+impl<'a> HeldSlot<'a> {
+    fn new(slots: &'a TargetSlots, permit: SemaphorePermit<'a>) -> Self {
+        slots.running.fetch_add(1, Ordering::Relaxed);
+        slots.record_load();
+        Self { slots, _permit: permit }
+    }
+}
+
+impl Drop for HeldSlot<'_> {
+    fn drop(&mut self) {
+        self.slots.running.fetch_sub(1, Ordering::Relaxed);
+        self.slots.record_load();
+    }
+}
+
+/// A place in the queue that is freed when dropped.
+struct QueuePlace<'a>(&'a TargetSlots);
+
+impl<'a> QueuePlace<'a> {
+    fn take(slots: &'a TargetSlots, limit: u32) -> Option<Self> {
+        let add = |count| (count < limit).then_some(count + 1);
+        slots.waiting.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add).ok()?;
+        slots.record_load();
+        Some(Self(slots))
+    }
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.fetch_sub(1, Ordering::Relaxed);
+        self.0.record_load();
+    }
+}
+
+/// Past load, for reports that lag.
+#[derive(Debug, Default)]
+pub struct LoadHistory(Mutex<VecDeque<(Timestamp, u32)>>);
+
+impl LoadHistory {
+    /// Records the load from `now` on.
+    pub fn record(&self, now: Timestamp, load: u32) {
+        let mut samples = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if samples.len() == MAX_SAMPLES {
+            samples.pop_front();
+        }
+        samples.push_back((now, load));
+    }
+
+    /// Gives the load that was in force `lag` before `now`, 0 before the first
+    /// record.
+    pub fn load_before(&self, now: Timestamp, lag: Duration) -> u32 {
+        let samples = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut past = samples.iter().rev();
+        past.find(|(at, _)| *at + lag <= now).map_or(0, |(_, load)| *load)
+    }
+}
