Add a stand-in for the platform's object API

Cause: plans, claims and settings need a store with versions, conditional changes and watches that can fail in the ways the real one does.

--- /dev/null
+++ b/standin/src/platform/mod.rs
@@ -0,0 +1,131 @@
+//! Stand-in for the platform: its object API and its list of VMs.
+
+mod faults;
+mod messages;
+mod server;
+mod state;
+mod wire;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bon::Builder;
+pub use faults::{FaultGate, FaultVerdict, PlatformFaults};
+use hyper::service::service_fn;
+pub use messages::{
+    CallCounts, CallKey, CallKind, ChangeBatch, ChangeCondition, ObjectChange, PlatformAnswer,
+    PlatformEffect, PlatformMessage, PlatformRequest, VmEntry, VmState,
+};
+use server::PlatformServer;
+pub use state::{MAX_CONTENT_BYTES, PlatformSnapshot, PlatformState};
+pub use wire::VERSION_HEADER;
+
+use crate::http1::{HeldPort, OpenServer};
+
+/// Settings of a platform.
+#[derive(Clone, Debug, Builder)]
+pub struct PlatformSettings {
+    /// Address to listen on.
+    #[builder(default = SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))]
+    pub listen: SocketAddr,
+    /// Number of changes kept for watches.
+    #[builder(default = 4096)]
+    pub history_limit: usize,
+    /// Time until a change of the VMs shows in their list.
+    #[builder(default = Duration::from_secs(2))]
+    pub vm_lag: Duration,
+}
+
+/// A running platform.
+pub struct StandinPlatform {
+    port: HeldPort,
+    server: Arc<PlatformServer>,
+    connections: Option<OpenServer>,
+}
+
+impl StandinPlatform {
+    /// Starts a platform without objects.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be listened on.
+    pub fn start(settings: &PlatformSettings) -> std::io::Result<Self> {
+        let port = HeldPort::hold(settings.listen)?;
+        let stored = PlatformSnapshot::default();
+        let state = PlatformState::new(stored, settings.history_limit, settings.vm_lag);
+        let server = Arc::new(PlatformServer::new(state));
+        let mut platform = Self { port, server, connections: None };
+        platform.listen()?;
+        Ok(platform)
+    }
+
+    /// Gives the address that the platform listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.port.address()
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.server.set_faults(faults);
+    }
+
+    /// Gives the number of calls so far.
+    pub fn counts(&self) -> CallCounts {
+        self.server.lock().state.counts()
+    }
+
+    /// Creates or replaces an object without a condition or a counted call,
+    /// and returns its version.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the content is larger than 1 MiB.
+    pub fn seed(&self, name: &str, content: &str) -> u64 {
+        let seed = PlatformRequest::Seed { name: name.to_owned(), content: content.into() };
+        match self.server.control(seed) {
+            Some(PlatformAnswer::Changed { version }) => version,
+            answer => panic!("cannot seed {name}: {answer:?}"),
+        }
+    }
+
+    /// Sets the list of VMs; it shows after the lag.
+    pub fn set_vms(&self, vms: Vec<VmEntry>) {
+        self.server.control(PlatformRequest::SetVms { vms });
+    }
+
+    /// Copies the objects, as a backup does.
+    pub fn snapshot(&self) -> PlatformSnapshot {
+        self.server.lock().state.snapshot()
+    }
+
+    /// Closes all connections and refuses new ones until the restart.
+    pub async fn stop(&mut self) {
+        if let Some(connections) = self.connections.take() {
+            connections.close().await;
+        }
+    }
+
+    /// Closes all connections and starts again at the same address from
+    /// `snapshot`; an older one plays a restored backup.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be listened on again.
+    pub async fn restart(&mut self, snapshot: PlatformSnapshot) -> std::io::Result<()> {
+        self.stop().await;
+        self.server.lock().state.restore(snapshot);
+        self.listen()
+    }
+
+    fn listen(&mut self) -> std::io::Result<()> {
+        let listener = self.port.listen()?;
+        let server = self.server.clone();
+        let make_service = move || {
+            let server = server.clone();
+            service_fn(move |request| server.clone().answer(request))
+        };
+        self.connections = Some(OpenServer::start(listener, make_service));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/standin/src/platform/state.rs
@@ -0,0 +1,266 @@
+//! State of the platform: objects, their history, waiting watches and VMs.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::controllers::StateController;
+
+use super::messages::{
+    CallCounts, CallKey, ChangeBatch, ChangeCondition, ObjectChange, PlatformAnswer,
+    PlatformEffect, PlatformMessage, PlatformRequest, VmEntry,
+};
+
+/// Largest content of an object, in bytes.
+pub const MAX_CONTENT_BYTES: usize = 1 << 20;
+
+/// Bytes of content that the history keeps, so that large objects cannot use
+/// up the memory of a test machine.
+const MAX_HISTORY_BYTES: usize = 64 << 20;
+
+/// Objects and store version at one moment, as a backup holds them.
+#[derive(Clone, Debug, Default)]
+pub struct PlatformSnapshot {
+    objects: BTreeMap<String, (u64, Arc<str>)>,
+    version: u64,
+}
+
+#[derive(Debug)]
+struct WaitingWatch {
+    prefix: String,
+    after: u64,
+}
+
+/// The platform's state, driven by messages and a clock reading.
+#[derive(Debug)]
+pub struct PlatformState {
+    stored: PlatformSnapshot,
+    history: VecDeque<ObjectChange>,
+    history_bytes: usize,
+    history_limit: usize,
+    /// Version of the newest change that the history has dropped.
+    dropped_version: u64,
+    watches: SecondaryMap<CallKey, WaitingWatch>,
+    vm_lists: VecDeque<(Timestamp, Vec<VmEntry>)>,
+    vm_lag: Duration,
+    counts: CallCounts,
+}
+
+impl PlatformState {
+    /// Creates a state from a snapshot. The history starts empty.
+    pub fn new(stored: PlatformSnapshot, history_limit: usize, vm_lag: Duration) -> Self {
+        Self {
+            dropped_version: stored.version,
+            stored,
+            history: VecDeque::new(),
+            history_bytes: 0,
+            history_limit,
+            watches: SecondaryMap::new(),
+            vm_lists: VecDeque::new(),
+            vm_lag,
+            counts: CallCounts::default(),
+        }
+    }
+
+    /// Copies objects and store version.
+    pub fn snapshot(&self) -> PlatformSnapshot {
+        self.stored.clone()
+    }
+
+    /// Replaces objects and store version by those of a backup. The history is
+    /// lost, and waiting watches end; VMs and counts stay.
+    pub fn restore(&mut self, stored: PlatformSnapshot) {
+        self.dropped_version = stored.version;
+        self.stored = stored;
+        self.history.clear();
+        self.history_bytes = 0;
+        self.watches.clear();
+    }
+
+    /// Gives the number of calls so far.
+    pub fn counts(&self) -> CallCounts {
+        CallCounts { waiting_watches: self.watches.len() as u64, ..self.counts.clone() }
+    }
+
+    /// Counts a call that the rate limit refused.
+    pub fn count_limited(&mut self) {
+        self.counts.limited += 1;
+    }
+
+    fn read(&self, name: &str) -> PlatformAnswer {
+        match self.stored.objects.get(name) {
+            Some((version, content)) => {
+                PlatformAnswer::Object { version: *version, content: content.clone() }
+            }
+            None => PlatformAnswer::Missing,
+        }
+    }
+
+    fn list(&self, prefix: &str) -> ChangeBatch {
+        let from_prefix = self.stored.objects.range(prefix.to_owned()..);
+        let mut changes: Vec<_> = from_prefix
+            .take_while(|(name, _)| name.starts_with(prefix))
+            .map(|(name, (version, content))| ObjectChange {
+                name: name.clone(),
+                version: *version,
+                content: Some(content.clone()),
+            })
+            .collect();
+        changes.sort_by_key(|change| change.version);
+        ChangeBatch { version: self.stored.version, changes }
+    }
+
+    /// Changes an object, or deletes it if there is no content.
+    fn change(
+        &mut self,
+        name: String,
+        content: Option<Arc<str>>,
+        condition: ChangeCondition,
+    ) -> PlatformAnswer {
+        if content.as_ref().is_some_and(|content| content.len() > MAX_CONTENT_BYTES) {
+            return PlatformAnswer::TooLarge;
+        }
+        let present = self.stored.objects.get(&name).map_or(0, |(version, _)| *version);
+        let holds = match condition {
+            ChangeCondition::Absent => present == 0,
+            ChangeCondition::AtVersion(version) => present != 0 && present == version,
+        };
+        if !holds {
+            return PlatformAnswer::Conflict { version: present };
+        }
+        self.stored.version += 1;
+        let version = self.stored.version;
+        match &content {
+            Some(content) => {
+                self.stored.objects.insert(name.clone(), (version, content.clone()));
+            }
+            None => {
+                self.stored.objects.remove(&name);
+            }
+        }
+        self.keep(ObjectChange { name, version, content });
+        PlatformAnswer::Changed { version }
+    }
+
+    fn keep(&mut self, change: ObjectChange) {
+        self.history_bytes += change.content_bytes();
+        self.history.push_back(change);
+        while self.history.len() > self.history_limit || self.history_bytes > MAX_HISTORY_BYTES {
+            let Some(dropped) = self.history.pop_front() else { return };
+            self.history_bytes -= dropped.content_bytes();
+            self.dropped_version = dropped.version;
+        }
+    }
+
+    /// Collects the changes after a version. A version ahead of the store's
+    /// comes from before a restore, so the caller has to list the objects too.
+    fn changes_after(&self, prefix: &str, after: u64) -> Option<ChangeBatch> {
+        if after < self.dropped_version || after > self.stored.version {
+            return None;
+        }
+        let changes = self.history.iter();
+        let changes = changes
+            .filter(|change| change.version > after && change.name.starts_with(prefix))
+            .cloned()
+            .collect();
+        Some(ChangeBatch { version: self.stored.version, changes })
+    }
+
+    fn watch(&mut self, call: CallKey, prefix: String, after: u64) -> Option<PlatformAnswer> {
+        match self.changes_after(&prefix, after) {
+            None => Some(PlatformAnswer::TooOld),
+            Some(batch) if !batch.changes.is_empty() => Some(PlatformAnswer::Batch(batch)),
+            Some(_) => {
+                self.watches.insert(call, WaitingWatch { prefix, after });
+                None
+            }
+        }
+    }
+
+    fn end_watch(&mut self, call: CallKey) -> Option<PlatformAnswer> {
+        let watch = self.watches.remove(call)?;
+        Some(self.answer_watch(&watch))
+    }
+
+    fn answer_watch(&self, watch: &WaitingWatch) -> PlatformAnswer {
+        self.changes_after(&watch.prefix, watch.after)
+            .map_or(PlatformAnswer::TooOld, PlatformAnswer::Batch)
+    }
+
+    /// Answers the watches that the newest change concerns.
+    fn wake_watches(&mut self) -> Vec<PlatformEffect> {
+        let Some(name) = self.history.back().map(|change| change.name.clone()) else {
+            return Vec::new();
+        };
+        let concerned: Vec<_> = self
+            .watches
+            .iter()
+            .filter(|(_, watch)| name.starts_with(&watch.prefix))
+            .map(|(call, _)| call)
+            .collect();
+        concerned
+            .into_iter()
+            .filter_map(|call| Some(PlatformEffect { call, answer: self.end_watch(call)? }))
+            .collect()
+    }
+
+    fn set_vms(&mut self, vms: Vec<VmEntry>, now: Timestamp) {
+        while self.vm_lists.get(1).is_some_and(|(set_at, _)| *set_at + self.vm_lag <= now) {
+            self.vm_lists.pop_front();
+        }
+        // The first list is the state at the start and is known at once.
+        let set_at = if self.vm_lists.is_empty() { Timestamp::default() } else { now };
+        self.vm_lists.push_back((set_at, vms));
+    }
+
+    fn list_vms(&self, now: Timestamp) -> Vec<VmEntry> {
+        let mut known = self.vm_lists.iter().rev();
+        let known = known.find(|(set_at, _)| *set_at + self.vm_lag <= now);
+        known.map(|(_, vms)| vms.clone()).unwrap_or_default()
+    }
+}
+
+impl StateController for PlatformState {
+    type Message = PlatformMessage;
+    type Effect = PlatformEffect;
+
+    fn handle(&mut self, message: PlatformMessage, now: Timestamp) -> Vec<PlatformEffect> {
+        let PlatformMessage { call, request } = message;
+        if let Some(kind) = request.kind() {
+            self.counts.add(kind);
+        }
+        let answer = match request {
+            PlatformRequest::Read { name } => Some(self.read(&name)),
+            PlatformRequest::List { prefix } => Some(PlatformAnswer::Batch(self.list(&prefix))),
+            PlatformRequest::Write { name, content, condition } => {
+                Some(self.change(name, Some(content), condition))
+            }
+            PlatformRequest::Delete { name, version } => {
+                Some(self.change(name, None, ChangeCondition::AtVersion(version)))
+            }
+            PlatformRequest::Watch { prefix, after } => self.watch(call, prefix, after),
+            PlatformRequest::EndWatch => self.end_watch(call),
+            PlatformRequest::ListVms => Some(PlatformAnswer::Vms(self.list_vms(now))),
+            PlatformRequest::Seed { name, content } => {
+                let condition = match self.stored.objects.get(&name) {
+                    Some((version, _)) => ChangeCondition::AtVersion(*version),
+                    None => ChangeCondition::Absent,
+                };
+                Some(self.change(name, Some(content), condition))
+            }
+            PlatformRequest::SetVms { vms } => {
+                self.set_vms(vms, now);
+                Some(PlatformAnswer::Done)
+            }
+        };
+        let changed = matches!(answer, Some(PlatformAnswer::Changed { .. }));
+        let mut effects: Vec<_> =
+            answer.map(|answer| PlatformEffect { call, answer }).into_iter().collect();
+        if changed {
+            effects.extend(self.wake_watches());
+        }
+        effects
+    }
+}
--- /dev/null
+++ b/standin/src/platform/wire.rs
@@ -0,0 +1,146 @@
+//! Encoding of the object API in HTTP and JSON.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri};
+
+use super::faults::PlatformFaults;
+use super::messages::{ChangeCondition, PlatformAnswer, PlatformRequest};
+use crate::http1::{AnswerBody, header_text, json_answer, text_answer};
+
+/// Header with the version of an object.
+pub const VERSION_HEADER: &str = "x-version";
+
+/// Time that a watch waits when the caller names none.
+const DEFAULT_WATCH_TIME: Duration = Duration::from_secs(30);
+
+/// A decoded request.
+#[derive(Debug)]
+pub(super) enum WireCall {
+    /// A call of the object API; a watch ends after the time.
+    Platform(PlatformRequest, Duration),
+    SetFaults(PlatformFaults),
+    Faults,
+    Counts,
+}
+
+/// Decodes a request, or gives the response that says what is wrong with it.
+pub(super) fn decode(request: &Request<Bytes>) -> Result<WireCall, Box<Response<AnswerBody>>> {
+    let path = request.uri().path();
+    let platform = |call| Ok(WireCall::Platform(call, DEFAULT_WATCH_TIME));
+    if let Some(name) = path.strip_prefix("/objects/").filter(|name| !name.is_empty()) {
+        return decode_object(request, name.to_owned()).and_then(platform);
+    }
+    let prefix = || query_value(request.uri(), "prefix").unwrap_or_default().to_owned();
+    match (request.method(), path) {
+        (&Method::GET, "/objects") => platform(PlatformRequest::List { prefix: prefix() }),
+        (&Method::GET, "/watch") => {
+            let after = parse(query_value(request.uri(), "after"), 0, "after=VERSION")?;
+            let default = DEFAULT_WATCH_TIME.as_millis() as u64;
+            let limit =
+                parse(query_value(request.uri(), "timeout_ms"), default, "timeout_ms=NUMBER")?;
+            let watch = PlatformRequest::Watch { prefix: prefix(), after };
+            Ok(WireCall::Platform(watch, Duration::from_millis(limit)))
+        }
+        (&Method::GET, "/vms") => platform(PlatformRequest::ListVms),
+        (&Method::PUT, "/vms") => {
+            platform(PlatformRequest::SetVms { vms: decode_json(request.body())? })
+        }
+        (&Method::GET, "/counts") => Ok(WireCall::Counts),
+        (&Method::GET, "/faults") => Ok(WireCall::Faults),
+        (&Method::PUT, "/faults") => Ok(WireCall::SetFaults(decode_json(request.body())?)),
+        _ => Err(refusal(StatusCode::NOT_FOUND, "use /objects, /watch, /vms, /counts or /faults")),
+    }
+}
+
+fn decode_object(
+    request: &Request<Bytes>,
+    name: String,
+) -> Result<PlatformRequest, Box<Response<AnswerBody>>> {
+    match *request.method() {
+        Method::GET => Ok(PlatformRequest::Read { name }),
+        Method::PUT => {
+            let condition = match (header_text(request, "if-none-match"), if_match(request)?) {
+                (Some("*"), None) => ChangeCondition::Absent,
+                (None, Some(version)) => ChangeCondition::AtVersion(version),
+                _ => return Err(condition_needed()),
+            };
+            let content = std::str::from_utf8(request.body())
+                .map_err(|_| refusal(StatusCode::BAD_REQUEST, "send the content as UTF-8"))?;
+            Ok(PlatformRequest::Write { name, content: Arc::from(content), condition })
+        }
+        Method::DELETE => match if_match(request)? {
+            Some(version) => Ok(PlatformRequest::Delete { name, version }),
+            None => Err(condition_needed()),
+        },
+        _ => Err(refusal(StatusCode::METHOD_NOT_ALLOWED, "use GET, PUT or DELETE")),
+    }
+}
+
+fn if_match(request: &Request<Bytes>) -> Result<Option<u64>, Box<Response<AnswerBody>>> {
+    let Some(tag) = header_text(request, "if-match") else { return Ok(None) };
+    let version = tag.trim_matches('"').parse();
+    version.map(Some).map_err(|_| refusal(StatusCode::BAD_REQUEST, "send If-Match: \"VERSION\""))
+}
+
+/// Encodes an answer.
+pub(super) fn encode(answer: PlatformAnswer) -> Response<AnswerBody> {
+    match answer {
+        PlatformAnswer::Object { version, content } => versioned(
+            text_answer(StatusCode::OK, Bytes::copy_from_slice(content.as_bytes())),
+            version,
+        ),
+        PlatformAnswer::Missing => text_answer(StatusCode::NOT_FOUND, "no object has this name"),
+        PlatformAnswer::Changed { version } => versioned(text_answer(StatusCode::OK, ""), version),
+        PlatformAnswer::Conflict { version } => {
+            let text = "the object is at another version";
+            versioned(text_answer(StatusCode::PRECONDITION_FAILED, text), version)
+        }
+        PlatformAnswer::TooLarge => {
+            text_answer(StatusCode::PAYLOAD_TOO_LARGE, "send at most 1 MiB")
+        }
+        PlatformAnswer::Batch(batch) => json_answer(&batch),
+        PlatformAnswer::TooOld => text_answer(StatusCode::GONE, "list the objects again"),
+        PlatformAnswer::Vms(vms) => json_answer(&vms),
+        PlatformAnswer::Done => text_answer(StatusCode::OK, ""),
+    }
+}
+
+fn versioned(mut response: Response<AnswerBody>, version: u64) -> Response<AnswerBody> {
+    response.headers_mut().insert(VERSION_HEADER, HeaderValue::from(version));
+    response
+}
+
+fn refusal(status: StatusCode, text: &'static str) -> Box<Response<AnswerBody>> {
+    Box::new(text_answer(status, text))
+}
+
+fn condition_needed() -> Box<Response<AnswerBody>> {
+    refusal(
+        StatusCode::PRECONDITION_REQUIRED,
+        "send If-Match: \"VERSION\", or If-None-Match: * to create",
+    )
+}
+
+fn decode_json<T: serde::de::DeserializeOwned>(
+    body: &Bytes,
+) -> Result<T, Box<Response<AnswerBody>>> {
+    serde_json::from_slice(body)
+        .map_err(|error| Box::new(text_answer(StatusCode::BAD_REQUEST, error.to_string())))
+}
+
+fn query_value<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
+    let mut pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+fn parse(
+    value: Option<&str>,
+    default: u64,
+    usage: &'static str,
+) -> Result<u64, Box<Response<AnswerBody>>> {
+    let Some(value) = value else { return Ok(default) };
+    value.parse().map_err(|_| refusal(StatusCode::BAD_REQUEST, usage))
+}
--- /dev/null
+++ b/standin/tests/platform_state.rs
@@ -0,0 +1,151 @@
+//! The platform's state and faults, without a network.
+
+use std::time::Duration;
+
+use slotmap::SlotMap;
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::controllers::StateController;
+use zinniaport_standin::platform::{
+    CallKey, CallKind, ChangeCondition, FaultGate, FaultVerdict, MAX_CONTENT_BYTES, PlatformAnswer,
+    PlatformEffect, PlatformFaults, PlatformMessage, PlatformRequest, PlatformSnapshot,
+    PlatformState, VmEntry, VmState,
+};
+use zinniaport_testing::test_cases;
+
+/// State with keys for calls.
+struct Bench {
+    state: PlatformState,
+    calls: SlotMap<CallKey, ()>,
+}
+
+impl Bench {
+    fn new(history_limit: usize) -> Self {
+        let lag = Duration::from_secs(2);
+        let state = PlatformState::new(PlatformSnapshot::default(), history_limit, lag);
+        Self { state, calls: SlotMap::with_key() }
+    }
+
+    fn send(&mut self, request: PlatformRequest, at: u64) -> (CallKey, Vec<PlatformEffect>) {
+        let call = self.calls.insert(());
+        (call, self.state.handle(PlatformMessage { call, request }, Timestamp(at)))
+    }
+
+    fn ask(&mut self, request: PlatformRequest, at: u64) -> PlatformAnswer {
+        self.send(request, at).1.remove(0).answer
+    }
+
+    fn write(&mut self, name: &str, condition: ChangeCondition) -> PlatformAnswer {
+        let content = "x".into();
+        self.ask(PlatformRequest::Write { name: name.to_owned(), content, condition }, 0)
+    }
+}
+
+fn watch(prefix: &str, after: u64) -> PlatformRequest {
+    PlatformRequest::Watch { prefix: prefix.to_owned(), after }
+}
+
+fn vm(state: VmState) -> VmEntry {
+    let [name, address, data_centre] = ["vm-1", "10.0.0.1", "valle-a"].map(str::to_owned);
+    VmEntry { name, address, data_centre, state }
+}
+
+test_cases! {
+    conditions_decide: "a change whose condition does not hold" => {
+        let mut bench = Bench::new(8);
+        let conflict = |version| PlatformAnswer::Conflict { version };
+        assert_eq!(bench.write("a", ChangeCondition::AtVersion(0)), conflict(0));
+        assert_eq!(
+            bench.write("a", ChangeCondition::Absent),
+            PlatformAnswer::Changed { version: 1 }
+        );
+        assert_eq!(bench.write("a", ChangeCondition::Absent), conflict(1));
+        assert_eq!(
+            bench.write("b", ChangeCondition::Absent),
+            PlatformAnswer::Changed { version: 2 }
+        );
+        assert_eq!(bench.write("a", ChangeCondition::AtVersion(2)), conflict(1));
+        let delete = PlatformRequest::Delete { name: "a".to_owned(), version: 1 };
+        assert_eq!(bench.ask(delete.clone(), 0), PlatformAnswer::Changed { version: 3 });
+        assert_eq!(bench.ask(delete, 0), conflict(0));
+    }
+
+    content_is_limited: "values above 1 MiB that a real platform refuses" => {
+        let mut bench = Bench::new(8);
+        let write = |length| PlatformRequest::Write {
+            name: "a".to_owned(),
+            content: "x".repeat(length).into(),
+            condition: ChangeCondition::Absent,
+        };
+        assert_eq!(bench.ask(write(MAX_CONTENT_BYTES + 1), 0), PlatformAnswer::TooLarge);
+        let fits = bench.ask(write(MAX_CONTENT_BYTES), 0);
+        assert_eq!(fits, PlatformAnswer::Changed { version: 1 });
+    }
+
+    old_watch_is_refused: "a watch that silently skips dropped changes" => {
+        let mut bench = Bench::new(2);
+        for name in ["a", "b", "c"] {
+            bench.write(name, ChangeCondition::Absent);
+        }
+        assert_eq!(bench.ask(watch("", 0), 0), PlatformAnswer::TooOld);
+        let PlatformAnswer::Batch(batch) = bench.ask(watch("", 1), 0) else { panic!() };
+        assert_eq!(batch.version, 3);
+        assert_eq!(batch.changes.len(), 2);
+        // Ahead of the store: the caller saw versions that a restore undid.
+        assert_eq!(bench.ask(watch("", 4), 0), PlatformAnswer::TooOld);
+    }
+
+    change_wakes_its_watches: "a waiting watch that misses a change or wakes for another prefix" => {
+        let mut bench = Bench::new(8);
+        let (waiting, effects) = bench.send(watch("intents/", 0), 0);
+        assert!(effects.is_empty());
+        bench.write("claims/x", ChangeCondition::Absent);
+        assert_eq!(bench.state.counts().waiting_watches, 1);
+        let write = PlatformRequest::Write {
+            name: "intents/x".to_owned(),
+            content: "x".into(),
+            condition: ChangeCondition::Absent,
+        };
+        let (_, effects) = bench.send(write, 0);
+        let woken = effects.iter().find(|effect| effect.call == waiting).unwrap();
+        let PlatformAnswer::Batch(batch) = &woken.answer else { panic!() };
+        assert_eq!((batch.version, batch.changes.len()), (2, 1));
+        let counts = bench.state.counts();
+        assert_eq!((counts.of(CallKind::Watch), counts.waiting_watches), (1, 0));
+        assert_eq!(counts.of(CallKind::Write), 2);
+    }
+
+    vm_list_lags: "tests that pass only with a list that is always current" => {
+        let mut bench = Bench::new(8);
+        let second = 1_000_000;
+        for (state, at) in [(VmState::Live, 10), (VmState::Leaving, 20)] {
+            bench.ask(PlatformRequest::SetVms { vms: vec![vm(state)] }, at * second);
+        }
+        for (at, state) in [(10, VmState::Live), (21, VmState::Live), (22, VmState::Leaving)] {
+            let answer = bench.ask(PlatformRequest::ListVms, at * second);
+            assert_eq!(answer, PlatformAnswer::Vms(vec![vm(state)]), "at {at} s");
+        }
+    }
+
+    faults_combine: "a fault that hides another one that is also on" => {
+        let mut gate = FaultGate::default();
+        gate.set_faults(PlatformFaults {
+            slow_ms: 7,
+            lost_answers: 1,
+            silent_watches: true,
+            calls_per_second: Some(4),
+            ..PlatformFaults::default()
+        });
+        let delay = Duration::from_millis(7);
+        let handled = |lose_answer| FaultVerdict::Handle { delay, lose_answer };
+        let now = Timestamp(5_000_000);
+        assert_eq!(gate.judge(CallKind::Read, now), handled(false));
+        assert_eq!(gate.judge(CallKind::Write, now), handled(true));
+        assert_eq!(gate.judge(CallKind::Delete, now), handled(false));
+        assert_eq!(gate.judge(CallKind::Watch, now), FaultVerdict::Silence);
+        assert_eq!(gate.judge(CallKind::Read, now), FaultVerdict::Limit);
+        let next_second = now + Duration::from_secs(1);
+        assert_eq!(gate.judge(CallKind::Read, next_second), handled(false));
+        gate.set_faults(PlatformFaults { down: true, ..gate.faults().clone() });
+        assert_eq!(gate.judge(CallKind::Watch, next_second), FaultVerdict::Close);
+    }
+}
