Add the HTTP client of the object API and the stand-ins' command lines

Cause: an entry reaches the platform only over its object API, and a write whose answer is lost must never look refused. Change: HttpStore with a time limit on each call, one reused connection and no retry; only a 4xx answer or a failed connect is Refused, all else NoAnswer. zinniaport-platform and zinniaport-target take their settings and faults on the command line; a crashed target process ends with exit code 1.

--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -2,35 +2,71 @@
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Parser;
-use zinniaport_standin::target::StandinTarget;
+use serde::de::DeserializeOwned;
+use zinniaport_standin::platform::{PlatformFaults, PlatformSettings, StandinPlatform};
+use zinniaport_standin::target::{ServiceTime, StandinTarget, TargetBehaviour, TargetSettings};
 
 use super::wait_for_stop;
 
 /// Runs a stand-in for a target.
+///
+/// A request with the header `x-crash: 1` crashes it: it ends with exit code 1,
+/// or listens again after `--restart-after-ms`. `PUT /standin/behaviour` changes
+/// its behaviour, `POST /standin/silence` makes open connections silent, and
+/// `GET /standin/runs` tells what it ran.
 #[derive(Debug, Parser)]
-#[command(version, about, after_help = "Example: zinniaport-target --listen 127.0.0.1:7101")]
+#[command(
+    version,
+    after_help = "Example: zinniaport-target --listen 127.0.0.1:7101 --slots 4 \
+        --behaviour '{\"probe_ms\": 6, \"service_time\": {\"shape\": \"exponential\", \"mean_ms\": 8}}'"
+)]
 pub struct TargetArguments {
     /// Address to listen on.
-    #[arg(long, default_value = "127.0.0.1:0")]
+    #[arg(long, value_name = "ADDRESS", default_value = "127.0.0.1:0")]
     listen: SocketAddr,
     /// Requests that run at the same time.
-    #[arg(long, default_value_t = 3)]
+    #[arg(long, value_name = "N", default_value_t = 3)]
     slots: usize,
+    /// Milliseconds that each request holds its slot.
+    #[arg(long, value_name = "MS", conflicts_with = "behaviour")]
+    service_ms: Option<f64>,
+    /// Behaviour at the start, as JSON; what it leaves out keeps its default.
+    #[arg(long, value_name = "JSON", value_parser = parse_json::<TargetBehaviour>)]
+    behaviour: Option<TargetBehaviour>,
+    /// Listen again this many milliseconds after a crash.
+    #[arg(long, value_name = "MS")]
+    restart_after_ms: Option<u64>,
+    /// Seed of the service times.
+    #[arg(long, value_name = "N", default_value_t = 1)]
+    seed: u64,
 }
 
 impl TargetArguments {
-    /// Runs the target until SIGTERM or Ctrl-C.
+    /// Runs the target until SIGTERM, Ctrl-C or a crash.
     pub async fn run(self) -> ExitCode {
-        match StandinTarget::start(self.listen, self.slots).await {
-            Ok(target) => {
-                println!("listening: {}", target.address());
-                wait_for_stop().await;
-                ExitCode::SUCCESS
-            }
-            Err(error) => {
-                eprintln!("cannot listen on {}: {error}; choose another address", self.listen);
+        let mut behaviour = self.behaviour.unwrap_or_default();
+        if let Some(ms) = self.service_ms {
+            behaviour.service_time = ServiceTime::Fixed { ms };
+        }
+        let settings = TargetSettings::builder()
+            .listen(self.listen)
+            .slots(self.slots)
+            .behaviour(behaviour)
+            .maybe_restart_after(self.restart_after_ms.map(Duration::from_millis))
+            .seed(self.seed)
+            .build();
+        let target = match StandinTarget::start_with(settings) {
+            Ok(target) => target,
+            Err(error) => return cannot_listen(self.listen, &error),
+        };
+        println!("listening: {}", target.address());
+        tokio::select! {
+            () = wait_for_stop() => ExitCode::SUCCESS,
+            () = target.stopped(), if self.restart_after_ms.is_none() => {
+                eprintln!("a request with x-crash crashed the target; start it again");
                 ExitCode::FAILURE
             }
         }
@@ -38,26 +74,54 @@
 }
 
 /// Runs a stand-in for the platform.
+///
+/// It serves `/objects`, `/watch` and `/vms`; `PUT /faults`, `PUT /vms` and
+/// `GET /counts` are for tests.
 #[derive(Debug, Parser)]
-#[command(version, about, after_help = "Example: zinniaport-platform --listen 127.0.0.1:7001")]
+#[command(
+    version,
+    after_help = "Example: zinniaport-platform --listen 127.0.0.1:7001 --faults '{\"slow_ms\": 50}'"
+)]
 pub struct PlatformArguments {
     /// Address to listen on.
-    #[arg(long, default_value = "127.0.0.1:0")]
+    #[arg(long, value_name = "ADDRESS", default_value = "127.0.0.1:0")]
     listen: SocketAddr,
+    /// Number of changes kept for watches.
+    #[arg(long, value_name = "N", default_value_t = 4096)]
+    history: usize,
+    /// Milliseconds until a change of the VMs shows in their list.
+    #[arg(long, value_name = "MS", default_value_t = 2000)]
+    vm_lag_ms: u64,
+    /// Faults in force at the start, as JSON.
+    #[arg(long, value_name = "JSON", value_parser = parse_json::<PlatformFaults>)]
+    faults: Option<PlatformFaults>,
 }
 
 impl PlatformArguments {
     /// Runs the platform until SIGTERM or Ctrl-C.
     pub async fn run(self) -> ExitCode {
-        match tokio::net::TcpListener::bind(self.listen).await {
-            Ok(_listener) => {
-                wait_for_stop().await;
-                ExitCode::SUCCESS
-            }
-            Err(error) => {
-                eprintln!("cannot listen on {}: {error}; choose another address", self.listen);
-                ExitCode::FAILURE
-            }
-        }
+        let settings = PlatformSettings::builder()
+            .listen(self.listen)
+            .history_limit(self.history)
+            .vm_lag(Duration::from_millis(self.vm_lag_ms))
+            .build();
+        let platform = match StandinPlatform::start(&settings) {
+            Ok(platform) => platform,
+            Err(error) => return cannot_listen(self.listen, &error),
+        };
+        platform.set_faults(self.faults.unwrap_or_default());
+        println!("listening: {}", platform.address());
+        wait_for_stop().await;
+        ExitCode::SUCCESS
     }
 }
+
+fn parse_json<T: DeserializeOwned>(text: &str) -> Result<T, String> {
+    serde_json::from_str(text)
+        .map_err(|error| format!("{error}; send a JSON object with known fields"))
+}
+
+fn cannot_listen(address: SocketAddr, error: &std::io::Error) -> ExitCode {
+    eprintln!("cannot listen on {address}: {error}; choose another address");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/src/store/http.rs
@@ -0,0 +1,258 @@
+//! Client of the platform's object API over HTTP/1.1.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use bon::Builder;
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::task::AbortOnDropHandle;
+
+use super::{ObjectStore, StoreError, StoredObject, WatchBatch, WriteCondition};
+
+/// Header with the version of an object.
+const VERSION_HEADER: &str = "x-version";
+
+/// Largest answer that is read, in bytes: a list of 64 objects of 1 MiB.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// Largest content that the platform takes, in bytes.
+const MAX_CONTENT_BYTES: usize = 1 << 20;
+
+/// The platform's object store over HTTP. Calls reuse one connection while it
+/// works; calls made at the same time open others. Nothing is sent twice.
+#[derive(Debug, Builder)]
+pub struct HttpStore {
+    /// Address of the platform.
+    address: SocketAddr,
+    /// Time limit of each call but watches, which name their own.
+    #[builder(default = Duration::from_secs(2))]
+    call_limit: Duration,
+    #[builder(skip)]
+    idle: Mutex<Option<StoreConnection>>,
+}
+
+/// An open connection, closed when dropped.
+#[derive(Debug)]
+struct StoreConnection {
+    sender: SendRequest<Full<Bytes>>,
+    _driver: AbortOnDropHandle<hyper::Result<()>>,
+}
+
+impl StoreConnection {
+    async fn open(address: SocketAddr) -> Result<Self, String> {
+        let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
+        stream.set_nodelay(true).map_err(|error| error.to_string())?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
+        Ok(Self { sender, _driver: AbortOnDropHandle::new(tokio::spawn(connection)) })
+    }
+
+    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, String> {
+        let response = self.sender.send_request(request).await;
+        let (head, body) = response.map_err(|error| error.to_string())?.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        Ok(Response::from_parts(head, body))
+    }
+}
+
+impl HttpStore {
+    async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, StoreError> {
+        let Ok(answer) = timeout(limit, self.exchange(request)).await else {
+            return Err(no_answer(format!("{} ms passed", limit.as_millis())));
+        };
+        answer
+    }
+
+    async fn exchange(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, StoreError> {
+        let mut connection = match self.working_connection().await {
+            Some(connection) => connection,
+            None => StoreConnection::open(self.address)
+                .await
+                .map_err(|cause| refused(format!("cannot connect: {cause}")))?,
+        };
+        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        let response = connection.exchange(request).await.map_err(no_answer)?;
+        *self.idle.lock().unwrap_or_else(PoisonError::into_inner) = Some(connection);
+        Ok(response)
+    }
+
+    /// Takes the idle connection if the platform has not closed it.
+    async fn working_connection(&self) -> Option<StoreConnection> {
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let mut connection = idle?;
+        connection.sender.ready().await.ok()?;
+        Some(connection)
+    }
+
+    async fn change(
+        &self,
+        name: &str,
+        request: http::request::Builder,
+        content: Bytes,
+    ) -> Result<u64, StoreError> {
+        let request = object_request(request, name, content)?;
+        let response = self.call(request, self.call_limit).await?;
+        match response.status() {
+            StatusCode::OK => {
+                version(&response).ok_or_else(|| no_answer("the answer has no X-Version"))
+            }
+            StatusCode::PRECONDITION_FAILED => match version(&response) {
+                Some(version) => Err(StoreError::Conflict { version }),
+                None => Err(refused("condition failed, and the answer has no X-Version")),
+            },
+            _ => Err(failure(&response)),
+        }
+    }
+
+    async fn batch(&self, target: String, limit: Duration) -> Result<WatchBatch, StoreError> {
+        let request = request_to(Request::get(target), Bytes::new())?;
+        let response = self.call(request, limit).await?;
+        match response.status() {
+            StatusCode::OK => serde_json::from_slice(response.body())
+                .map_err(|error| no_answer(format!("the answer is not valid: {error}"))),
+            StatusCode::GONE => Err(StoreError::TooOld),
+            _ => Err(failure(&response)),
+        }
+    }
+}
+
+impl ObjectStore for HttpStore {
+    fn read<'a>(
+        &'a self,
+        name: &'a str,
+    ) -> BoxFuture<'a, Result<Option<StoredObject>, StoreError>> {
+        Box::pin(async move {
+            let request = object_request(Request::get("/"), name, Bytes::new())?;
+            let response = self.call(request, self.call_limit).await?;
+            match response.status() {
+                StatusCode::OK => decode_object(name, &response).map(Some),
+                StatusCode::NOT_FOUND => Ok(None),
+                _ => Err(failure(&response)),
+            }
+        })
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<WatchBatch, StoreError>> {
+        Box::pin(async move {
+            let prefix = check_name(prefix)?;
+            self.batch(format!("/objects?prefix={prefix}"), self.call_limit).await
+        })
+    }
+
+    fn write<'a>(
+        &'a self,
+        name: &'a str,
+        content: Bytes,
+        condition: WriteCondition,
+    ) -> BoxFuture<'a, Result<u64, StoreError>> {
+        Box::pin(async move {
+            // Checked here, because the platform may close the connection
+            // before it has read a larger body, which looks like a lost answer.
+            if content.len() > MAX_CONTENT_BYTES {
+                return Err(refused("the content is larger than 1 MiB"));
+            }
+            let request = Request::builder().method(Method::PUT);
+            let request = match condition {
+                WriteCondition::Absent => request.header(header::IF_NONE_MATCH, "*"),
+                WriteCondition::AtVersion(version) => {
+                    request.header(header::IF_MATCH, format!("\"{version}\""))
+                }
+            };
+            self.change(name, request, content).await
+        })
+    }
+
+    fn delete<'a>(&'a self, name: &'a str, version: u64) -> BoxFuture<'a, Result<(), StoreError>> {
+        Box::pin(async move {
+            let request = Request::builder().method(Method::DELETE);
+            let request = request.header(header::IF_MATCH, format!("\"{version}\""));
+            self.change(name, request, Bytes::new()).await.map(|_| ())
+        })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        version: u64,
+        limit: Duration,
+    ) -> BoxFuture<'a, Result<WatchBatch, StoreError>> {
+        Box::pin(async move {
+            let prefix = check_name(prefix)?;
+            // A quarter of the limit is left for the answer on its way.
+            let wait = (limit * 3 / 4).as_millis();
+            let target = format!("/watch?prefix={prefix}&after={version}&timeout_ms={wait}");
+            self.batch(target, limit).await
+        })
+    }
+}
+
+fn object_request(
+    request: http::request::Builder,
+    name: &str,
+    content: Bytes,
+) -> Result<Request<Full<Bytes>>, StoreError> {
+    let name = check_name(name)?;
+    request_to(request.uri(format!("/objects/{name}")), content)
+}
+
+fn request_to(
+    request: http::request::Builder,
+    content: Bytes,
+) -> Result<Request<Full<Bytes>>, StoreError> {
+    request.body(Full::new(content)).map_err(|error| refused(error.to_string()))
+}
+
+/// Checks that a name can be sent without escapes.
+fn check_name(name: &str) -> Result<&str, StoreError> {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~/:".contains(&byte);
+    if name.bytes().all(allowed) {
+        return Ok(name);
+    }
+    Err(refused(format!("the name {name:?} has characters other than A-Z a-z 0-9 - . _ ~ / :")))
+}
+
+fn decode_object(name: &str, response: &Response<Bytes>) -> Result<StoredObject, StoreError> {
+    let version = version(response).ok_or_else(|| no_answer("the answer has no X-Version"))?;
+    let content = String::from_utf8(response.body().to_vec())
+        .map_err(|error| no_answer(format!("the content is not UTF-8: {error}")))?;
+    Ok(StoredObject { name: name.to_owned(), version, content: Some(content) })
+}
+
+fn version(response: &Response<Bytes>) -> Option<u64> {
+    response.headers().get(VERSION_HEADER)?.to_str().ok()?.parse().ok()
+}
+
+/// Maps an unexpected status. Only a 4xx says that nothing changed; a 5xx may
+/// come after the change.
+fn failure(response: &Response<Bytes>) -> StoreError {
+    let status = response.status();
+    let text = String::from_utf8_lossy(response.body());
+    let cause = format!("{status} {text}");
+    if status.is_client_error() { refused(cause) } else { no_answer(cause) }
+}
+
+fn refused(cause: impl Into<String>) -> StoreError {
+    StoreError::Refused { cause: cause.into() }
+}
+
+fn no_answer(cause: impl Into<String>) -> StoreError {
+    StoreError::NoAnswer { cause: cause.into() }
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,10 +1,13 @@
 //! The platform's object store, as the entry sees it.
 
+mod http;
+
 use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
+pub use http::HttpStore;
 use serde::{Deserialize, Serialize};
 
 /// Object with the version of its last change. Versions come from one counter
