Run routing and overhead experiments on loopback

Cause: policies and the cost of an entry could not be compared. Change: zinniaport bench routing SCENARIO starts targets and entries of a deployment, brings about the event of the scenario and reports each policy against the first; bench overhead alternates calls straight to a target with calls through an entry.

--- a/src/bench/load.rs
+++ b/src/bench/load.rs
@@ -31,6 +31,16 @@
     pub factor: f64,
 }
 
+/// From when a latency counts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LatencyOrigin {
+    /// From the planned arrival.
+    Planned,
+    /// From the moment of sending. For effects below the timer's resolution of
+    /// 1 ms, by which arrivals are late.
+    Sent,
+}
+
 /// Load on one service.
 #[derive(Clone, Debug)]
 pub struct LoadPlan {
@@ -44,6 +54,8 @@
     pub phases: Vec<LoadPhase>,
     /// Deadline of each request.
     pub deadline: Duration,
+    /// From when latencies count.
+    pub origin: LatencyOrigin,
     /// Seed of arrivals and of the choice of address.
     pub seed: u64,
 }
@@ -96,18 +108,22 @@
         path: &str,
         planned: Instant,
     ) -> LoadSample {
+        let start = match plan.origin {
+            LatencyOrigin::Planned => planned,
+            LatencyOrigin::Sent => Instant::now(),
+        };
         let request = Request::builder()
             .method(plan.method.clone())
             .uri(path)
             .header("x-deadline-ms", plan.deadline.as_millis() as u64)
             .body(empty_body());
-        let Ok(request) = request else { return LoadSample::failed(planned.elapsed()) };
+        let Ok(request) = request else { return LoadSample::failed(start.elapsed()) };
         let Ok(response) = self.transport.send(address, request).await else {
-            return LoadSample::failed(planned.elapsed());
+            return LoadSample::failed(start.elapsed());
         };
         let (head, body) = response.into_parts();
         let whole = body.collect().await.is_ok();
-        let latency = planned.elapsed();
+        let latency = start.elapsed();
         let refused = head.headers.get(OUTCOME_HEADER).is_some_and(|outcome| outcome == "not-run");
         LoadSample {
             latency,
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -5,8 +5,14 @@
 
 mod deployment;
 mod load;
+mod overhead;
 mod report;
+mod scenario;
+mod trial;
 
 pub use deployment::{CO_OPERATIVE, Deployment, POTECA, ServiceShape};
-pub use load::{LoadPhase, LoadPlan, OpenLoad};
+pub use load::{LatencyOrigin, LoadPhase, LoadPlan, OpenLoad};
+pub use overhead::OverheadTrial;
 pub use report::{ArmSummary, BenchReport, RunResult};
+pub use scenario::BenchScenario;
+pub use trial::{BenchTrial, TrialResult};
--- /dev/null
+++ b/src/bench/overhead.rs
@@ -0,0 +1,118 @@
+//! What an entry adds to a call: the same call straight to a target and through
+//! an entry, in alternating blocks.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Method;
+use indexmap::IndexMap;
+use zinniaport_core::intent::{
+    KindIntent, MeasuringIntent, ServiceIntent, TargetIntent, TargetWish,
+};
+use zinniaport_standin::target::{ServiceTime, StandinTarget, TargetBehaviour, TargetSettings};
+
+use super::load::{LatencyOrigin, LoadPhase, LoadPlan, OpenLoad};
+use super::report::{BenchReport, RunResult};
+use crate::pool::TargetTransport;
+use crate::runtime::EntryRuntime;
+use crate::settings::EntrySettings;
+
+/// Length of one block.
+const BLOCK_LENGTH: Duration = Duration::from_millis(500);
+
+/// Blocks of each arm in one run.
+const BLOCKS: u64 = 4;
+
+/// Calls a second to one target of many slots that answers at once.
+#[derive(Clone, Copy, Debug)]
+pub struct OverheadTrial {
+    /// Calls a second.
+    pub rate: f64,
+    /// Runs, each with a seed of its own.
+    pub runs: u64,
+}
+
+impl OverheadTrial {
+    /// Runs the experiment.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the target or the entry cannot start.
+    pub async fn run(
+        &self,
+        transport: Arc<dyn TargetTransport>,
+    ) -> Result<BenchReport, Box<dyn std::error::Error>> {
+        let behaviour =
+            TargetBehaviour::builder().service_time(ServiceTime::Fixed { ms: 0.0 }).build();
+        let settings = TargetSettings::builder().slots(1000).behaviour(behaviour).build();
+        let target = StandinTarget::start_with(settings)?;
+        let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let settings = EntrySettings::builder()
+            .name("entry-1".to_owned())
+            .data_centre("dc-a".to_owned())
+            .listen(any_port)
+            .admin_listen(any_port)
+            .services(vec![overhead_intent(target.address())])
+            .build();
+        let entry = EntryRuntime::start(settings).await?;
+        let mut arms: IndexMap<String, Vec<RunResult>> = IndexMap::new();
+        let direct = OpenLoad::new(&[target.address()], transport.clone());
+        let through = OpenLoad::new(&[entry.caller_address()], transport);
+        for run in 0..self.runs {
+            let mut results = [RunResult::default(), RunResult::default()];
+            for block in 0..BLOCKS {
+                let plan = self.plan(run * BLOCKS + block);
+                results[0].merge(&direct.run(&plan).await);
+                results[1].merge(&through.run(&plan).await);
+            }
+            for (arm, result) in ["direct", "through-entry"].into_iter().zip(results) {
+                arms.entry(arm.to_owned()).or_default().push(result);
+            }
+        }
+        entry.stop().await;
+        let setting = format!("{} calls/s, one target that answers at once", self.rate);
+        Ok(BenchReport::new("overhead", setting, &arms))
+    }
+
+    fn plan(&self, seed: u64) -> LoadPlan {
+        LoadPlan {
+            service: "overhead",
+            method: Method::GET,
+            rate: self.rate,
+            phases: vec![LoadPhase { length: BLOCK_LENGTH, factor: 1.0 }],
+            deadline: Duration::from_secs(2),
+            origin: LatencyOrigin::Sent,
+            seed,
+        }
+    }
+}
+
+fn overhead_intent(address: SocketAddr) -> ServiceIntent {
+    ServiceIntent {
+        service: "overhead".to_owned(),
+        team: "bench".to_owned(),
+        kinds: vec![KindIntent {
+            name: "request".to_owned(),
+            methods: Vec::new(),
+            path_prefix: String::new(),
+            rank: 0,
+            idempotent: true,
+            max_runs: 1,
+            deadline_ms: 2000,
+            require_key: false,
+            objective_percent: 99.0,
+        }],
+        targets: vec![TargetIntent {
+            address,
+            data_centre: "dc-a".to_owned(),
+            slots: 1000,
+            state: TargetWish::Serving,
+        }],
+        measuring: MeasuringIntent::default(),
+        max_queue_length: 256,
+        retry_percent: 0.0,
+        max_ejected_percent: 0.0,
+        max_crashed_targets: 1,
+    }
+}
--- /dev/null
+++ b/src/commands/bench.rs
@@ -0,0 +1,142 @@
+//! `zinniaport bench`: experiments on loopback.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use clap::{Args, Subcommand, ValueEnum};
+use indexmap::IndexMap;
+
+use super::output::OutputFormat;
+use crate::bench::{
+    BenchReport, BenchScenario, BenchTrial, CO_OPERATIVE, Deployment, OverheadTrial, POTECA,
+    RunResult,
+};
+use crate::pool::HttpTransport;
+
+/// Arguments of `zinniaport bench`.
+#[derive(Debug, Args)]
+#[command(after_help = "Example: zinniaport bench routing steady --plot steady.svg")]
+pub struct BenchArguments {
+    #[command(subcommand)]
+    experiment: Experiment,
+    /// Form of the output.
+    #[arg(long, value_enum, default_value_t, global = true)]
+    output: OutputFormat,
+    /// Also draws a plot into this SVG file.
+    #[arg(long, value_name = "FILE", global = true)]
+    plot: Option<PathBuf>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Experiment {
+    /// Compares routing policies in one scenario.
+    Routing(RoutingArguments),
+    /// Compares calls through an entry with calls straight to a target.
+    Overhead(OverheadArguments),
+}
+
+#[derive(Debug, Args)]
+struct RoutingArguments {
+    /// What happens during a run.
+    #[arg(value_parser = clap::builder::ValueParser::new(parse_scenario))]
+    scenario: BenchScenario,
+    /// Servers and entries.
+    #[arg(long, value_enum, default_value_t = DeploymentName::CoOperative)]
+    deployment: DeploymentName,
+    /// Routing policies, the baseline first.
+    #[arg(long, value_delimiter = ',', default_value = "two-choices,random")]
+    policies: Vec<String>,
+    /// Seeds; each gives one run of every policy.
+    #[arg(long, default_value_t = 3)]
+    seeds: u64,
+    /// Share of the time that the slots are busy, in percent.
+    #[arg(long, default_value_t = 60.0)]
+    utilisation_percent: f64,
+}
+
+#[derive(Debug, Args)]
+struct OverheadArguments {
+    /// Calls a second.
+    #[arg(long, default_value_t = 1000.0)]
+    rate: f64,
+    /// Runs of alternating blocks.
+    #[arg(long, default_value_t = 5)]
+    runs: u64,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum DeploymentName {
+    CoOperative,
+    Poteca,
+}
+
+impl DeploymentName {
+    fn deployment(self) -> Deployment {
+        match self {
+            Self::CoOperative => CO_OPERATIVE,
+            Self::Poteca => POTECA,
+        }
+    }
+}
+
+fn parse_scenario(name: &str) -> Result<BenchScenario, String> {
+    use strum::IntoEnumIterator;
+    let names: Vec<_> = BenchScenario::iter().map(|scenario| scenario.to_string()).collect();
+    name.parse().map_err(|_| format!("no scenario has this name; use one of {}", names.join(", ")))
+}
+
+impl BenchArguments {
+    /// Runs the experiment and prints its report.
+    pub async fn run(self) -> ExitCode {
+        let report = match &self.experiment {
+            Experiment::Routing(arguments) => arguments.run().await,
+            Experiment::Overhead(arguments) => {
+                let trial = OverheadTrial { rate: arguments.rate, runs: arguments.runs };
+                trial.run(Arc::new(HttpTransport)).await
+            }
+        };
+        match report.and_then(|report| self.print(&report)) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => {
+                eprintln!(
+                    "the experiment failed: {error}; check the limit of open files and run it again"
+                );
+                ExitCode::FAILURE
+            }
+        }
+    }
+
+    fn print(&self, report: &BenchReport) -> Result<(), Box<dyn std::error::Error>> {
+        match self.output {
+            OutputFormat::Text => print!("{}", report.table()),
+            OutputFormat::Json => println!("{}", serde_json::to_string_pretty(report)?),
+        }
+        self.plot.as_ref().map_or(Ok(()), |path| report.plot(path))
+    }
+}
+
+impl RoutingArguments {
+    async fn run(&self) -> Result<BenchReport, Box<dyn std::error::Error>> {
+        let deployment = self.deployment.deployment();
+        let mut arms: IndexMap<String, Vec<RunResult>> = IndexMap::new();
+        for seed in 1..=self.seeds {
+            for policy in &self.policies {
+                let trial = BenchTrial {
+                    deployment,
+                    scenario: self.scenario,
+                    policy: policy.clone(),
+                    utilisation: self.utilisation_percent / 100.0,
+                    seed,
+                };
+                let result = trial.run(Arc::new(HttpTransport)).await?;
+                arms.entry(policy.clone()).or_default().push(result.first);
+            }
+        }
+        let setting = format!(
+            "{}, {} entries, {}% of slots busy, {} seeds, requests of rank 0",
+            deployment.name, deployment.entries, self.utilisation_percent, self.seeds
+        );
+        Ok(BenchReport::new(&self.scenario.to_string(), setting, &arms))
+    }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! Subcommands of `zinniaport` and the command lines of the daemons.
 
+mod bench;
 mod burn;
 mod burn_page;
 mod check;
@@ -38,6 +39,8 @@
     Status(status::StatusArguments),
     /// Shows how fast services use up what their objectives allow.
     Burn(burn::BurnArguments),
+    /// Runs experiments with entries and stand-in targets on loopback.
+    Bench(bench::BenchArguments),
     /// Prints a completion script for a shell.
     Completions(completions::CompletionArguments),
 }
@@ -51,6 +54,7 @@
             Command::Explain(arguments) => arguments.run().await,
             Command::Status(arguments) => arguments.run().await,
             Command::Burn(arguments) => arguments.run().await,
+            Command::Bench(arguments) => arguments.run().await,
             Command::Completions(arguments) => arguments.run(),
         }
     }
