--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -5,6 +5,9 @@
 mod settings;
 
 pub use burn::{BurnController, BurnEffect, BurnMessage};
+mod drain;
+
+pub use drain::{DrainController, DrainEffect, DrainLimits, DrainMessage, DrainState};
 pub use settings::{SettingsController, SettingsEffect, SettingsMessage};
 
 use crate::clock::Timestamp;
--- /dev/null
+++ b/core/tests/drain.rs
@@ -0,0 +1,45 @@
+//! Steps of a planned stop.
+
+use std::time::Duration;
+
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::controllers::{
+    DrainController, DrainEffect, DrainLimits, DrainMessage, DrainState, StateController,
+};
+use zinniaport_testing::test_cases;
+
+fn controller() -> DrainController {
+    let balancer_lag = Duration::from_micros(100);
+    DrainController::new(DrainLimits { balancer_lag, in_flight: Duration::from_micros(1000) })
+}
+
+test_cases! {
+    stop_goes_in_order: "a listener that closes before readiness turned false and the lag passed" => {
+        let mut drain = controller();
+        assert_eq!(drain.handle(DrainMessage::TimerFired, Timestamp(1)), []);
+        assert_eq!(drain.handle(DrainMessage::ConnectionsEnded, Timestamp(2)), []);
+        let effects = drain.handle(DrainMessage::StopRequested, Timestamp(10));
+        let timer = DrainEffect::SetTimer(Timestamp(110));
+        assert_eq!(effects, [DrainEffect::PublishReadiness(false), timer]);
+        assert_eq!(drain.handle(DrainMessage::StopRequested, Timestamp(20)), []);
+        assert_eq!(drain.handle(DrainMessage::ConnectionsEnded, Timestamp(30)), []);
+        assert_eq!(drain.handle(DrainMessage::TimerFired, Timestamp(109)), [timer]);
+        assert_eq!(drain.state(), DrainState::Announcing);
+        let effects = drain.handle(DrainMessage::TimerFired, Timestamp(110));
+        let timer = DrainEffect::SetTimer(Timestamp(1110));
+        assert_eq!(effects, [DrainEffect::CloseListener, timer]);
+        assert_eq!(drain.state(), DrainState::Closing);
+        let effects = drain.handle(DrainMessage::ConnectionsEnded, Timestamp(500));
+        assert_eq!(effects, [DrainEffect::Finish { cut: false }]);
+        assert_eq!(drain.state(), DrainState::Stopped);
+        assert_eq!(drain.handle(DrainMessage::TimerFired, Timestamp(1110)), []);
+    }
+
+    wait_is_bounded: "a stop that waits forever for one caller" => {
+        let mut drain = controller();
+        drain.handle(DrainMessage::StopRequested, Timestamp(0));
+        drain.handle(DrainMessage::TimerFired, Timestamp(100));
+        let effects = drain.handle(DrainMessage::TimerFired, Timestamp(1100));
+        assert_eq!(effects, [DrainEffect::Finish { cut: true }]);
+    }
+}
