--- a/src/bench/load.rs
+++ b/src/bench/load.rs
@@ -17,7 +17,7 @@
 use super::report::RunResult;
 use crate::exchange::empty_body;
 use crate::front::OUTCOME_HEADER;
-use crate::pool::TargetTransport;
+use crate::pool::{TargetCall, TargetTransport};
 
 /// Latencies are kept with this many significant digits.
 const HISTOGRAM_DIGITS: u8 = 3;
@@ -118,7 +118,9 @@
             .header("x-deadline-ms", plan.deadline.as_millis() as u64)
             .body(empty_body());
         let Ok(request) = request else { return LoadSample::failed(start.elapsed()) };
-        let Ok(response) = self.transport.send(address, request).await else {
+        let deadline = start + plan.deadline;
+        let call = TargetCall { address, request, deadline };
+        let Ok(response) = self.transport.send(call).await else {
             return LoadSample::failed(start.elapsed());
         };
         let (head, body) = response.into_parts();
--- a/src/bench/overhead.rs
+++ b/src/bench/overhead.rs
@@ -12,6 +12,7 @@
 };
 use zinniaport_standin::target::{ServiceTime, StandinTarget, TargetBehaviour, TargetSettings};
 
+use super::immediate_stop;
 use super::load::{LatencyOrigin, LoadPhase, LoadPlan, OpenLoad};
 use super::report::{BenchReport, RunResult};
 use crate::pool::TargetTransport;
@@ -53,6 +54,7 @@
             .data_centre("dc-a".to_owned())
             .listen(any_port)
             .admin_listen(any_port)
+            .stop(immediate_stop())
             .services(vec![overhead_intent(target.address())])
             .build();
         let entry = EntryRuntime::start(settings).await?;
--- a/src/bench/trial.rs
+++ b/src/bench/trial.rs
@@ -12,6 +12,7 @@
 use zinniaport_standin::target::{StandinTarget, TargetSettings};
 
 use super::deployment::{Deployment, ServiceShape};
+use super::immediate_stop;
 use super::load::{LatencyOrigin, LoadPlan, OpenLoad};
 use super::report::RunResult;
 use super::scenario::{BenchScenario, EVENT_AFTER};
@@ -112,6 +113,7 @@
                 .data_centre(DATA_CENTRES[position % DATA_CENTRES.len()].to_owned())
                 .listen(any_port)
                 .admin_listen(any_port)
+                .stop(immediate_stop())
                 .services(intents.clone())
                 .build();
             entries.push(EntryRuntime::start(settings).await?);
--- a/src/commands/bench.rs
+++ b/src/commands/bench.rs
@@ -2,7 +2,6 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
 
 use clap::{Args, Subcommand, ValueEnum};
 use indexmap::IndexMap;
@@ -10,9 +9,8 @@
 use super::output::OutputFormat;
 use crate::bench::{
     BenchReport, BenchScenario, BenchTrial, CO_OPERATIVE, Deployment, OverheadTrial, POTECA,
-    RunResult,
+    RunResult, load_transport,
 };
-use crate::pool::HttpTransport;
 
 /// Arguments of `zinniaport bench`.
 #[derive(Debug, Args)]
@@ -93,7 +91,7 @@
             Experiment::Routing(arguments) => arguments.run().await,
             Experiment::Overhead(arguments) => {
                 let trial = OverheadTrial { rate: arguments.rate, runs: arguments.runs };
-                trial.run(Arc::new(HttpTransport)).await
+                trial.run(load_transport()).await
             }
         };
         match report.and_then(|report| self.print(&report)) {
@@ -129,7 +127,7 @@
                     utilisation: self.utilisation_percent / 100.0,
                     seed,
                 };
-                let result = trial.run(Arc::new(HttpTransport)).await?;
+                let result = trial.run(load_transport()).await?;
                 arms.entry(policy.clone()).or_default().push(result.first);
             }
         }
--- a/src/commands/try_out/demo.rs
+++ b/src/commands/try_out/demo.rs
@@ -44,6 +44,8 @@
             EntrySettings::parse(Path::new("examples/co-operative.yaml"), DEMO_SETTINGS)?;
         settings.listen = any_port;
         settings.admin_listen = any_port;
+        // The demo has no balancer that would need time to learn of the stop.
+        settings.stop.balancer_lag_ms = 0;
         let mut targets = Vec::new();
         for intent in settings.services.iter_mut().flat_map(|service| &mut service.targets) {
             let target = StandinTarget::start(any_port, intent.slots as usize).await?;
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -1,6 +1,7 @@
 //! One request in progress.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
@@ -34,6 +35,10 @@
         /// The limit, in bytes.
         limit_bytes: u64,
     },
+    /// The deadline passed within the body.
+    #[from(ignore)]
+    #[display("the deadline passed within the body; allow more time in X-Deadline-Ms")]
+    DeadlinePassed,
     /// No progress within the time limit.
     #[from(ignore)]
     #[display("no data arrived within {limit_ms} ms; check the sender or raise its time limit")]
@@ -53,6 +58,36 @@
     Full::new(content.into()).map_err(|never| match never {}).boxed()
 }
 
+/// What went wrong with the body that a caller sends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub enum BodyFault {
+    /// It exceeds its limit.
+    TooLarge = 1,
+    /// The caller sent nothing for too long.
+    Stalled,
+    /// The caller's connection or stream ended within it.
+    Broken,
+}
+
+/// Shows what became of a request body after it was handed to a transport.
+#[derive(Clone, Debug, Default)]
+pub struct BodyWatch(Arc<AtomicU8>);
+
+impl BodyWatch {
+    /// Notes a fault.
+    pub fn report(&self, fault: BodyFault) {
+        self.0.store(fault as u8, Ordering::Release);
+    }
+
+    /// Gives the fault, if there is one.
+    pub fn fault(&self) -> Option<BodyFault> {
+        [BodyFault::TooLarge, BodyFault::Stalled, BodyFault::Broken]
+            .into_iter()
+            .find(|fault| *fault as u8 == self.0.load(Ordering::Acquire))
+    }
+}
+
 /// One request in progress, from its head to its answer.
 pub struct Exchange {
     /// Identity of the request, given by the caller or made here.
@@ -65,6 +100,8 @@
     pub head: http::request::Parts,
     /// Body of the request until it is dispatched.
     pub body: Option<CallBody>,
+    /// What becomes of that body.
+    pub body_watch: BodyWatch,
     /// Targets that the request was dispatched to, the present one last.
     pub targets: Vec<TargetKey>,
     /// The decisions taken so far.
@@ -85,6 +122,7 @@
             facts: CallFacts::default(),
             head,
             body: Some(body),
+            body_watch: BodyWatch::default(),
             targets: Vec::new(),
             trace: DecisionTrace::default(),
         }
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -1,23 +1,40 @@
 //! Dispatches a request to the target that was picked.
 
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::future::BoxFuture;
-use http::{HeaderMap, HeaderValue};
+use http::{HeaderMap, HeaderValue, Uri, header};
+use http_body::{Body, Frame, SizeHint};
+use http_body_util::{BodyExt, Limited};
+use tokio::time::{Instant, timeout};
 use zinniaport_core::call::ReasonCode;
 use zinniaport_core::fleet::TargetCounters;
 
 use super::{DEADLINE_HEADER, FilterNext, FilterResult, RequestFilter};
-use crate::exchange::{CallBody, CallResponse, Exchange, empty_body};
-use crate::pool::{TargetTransport, TransportError};
+use crate::exchange::{BodyError, BodyFault, CallBody, CallResponse, Exchange, empty_body};
+use crate::front::{OUTCOME_HEADER, REQUEST_ID_HEADER, strip_hop_headers};
+use crate::pool::{TargetCall, TargetTransport, TransportError};
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 
 /// Response header in which a target reports its running and queued requests.
 pub const LOAD_HEADER: &str = "x-load";
 
+/// Response header by which a target tells that it refused a request before
+/// running it.
+pub const REFUSED_HEADER: &str = "x-zinniaport-refused";
+
+/// Longest body of such a refusal that is read to keep the connection, in bytes.
+const MAX_REFUSAL_BYTES: usize = 16 << 10;
+
+/// Longest time in which that body is read.
+const REFUSAL_READ_LIMIT: Duration = Duration::from_secs(1);
+
 /// Dispatches a request once and streams the answer back.
 pub struct ForwardFilter {
     state: Arc<SharedState>,
@@ -41,20 +58,26 @@
             let detail = "the deadline passed before the request was dispatched";
             return Err(Refusal::not_run(ReasonCode::DeadlineUnreachable, detail));
         }
-        let request = target_request(exchange, left);
+        let call = TargetCall {
+            address: target.address,
+            request: target_request(exchange, left),
+            deadline: Instant::now() + left,
+        };
         let guard = InFlightGuard::new(target.counters.clone());
-        let sent = tokio::time::timeout(left, self.transport.send(target.address, request)).await;
-        match sent {
-            Err(_) => {
-                let detail = "the target did not answer within the deadline";
-                Err(Refusal::unknown(ReasonCode::DeadlinePassed, detail))
-            }
-            Ok(Err(error)) => Err(refusal_of(&error)),
-            Ok(Ok(response)) => {
-                self.read_report(&target.counters, response.headers());
-                Ok(guard.attach(response))
-            }
+        let mut response = match self.transport.send(call).await {
+            Ok(response) => response,
+            Err(error) => return Err(refusal_of(&error, exchange.body_watch.fault())),
+        };
+        self.read_report(&target.counters, response.headers());
+        if response.headers().contains_key(REFUSED_HEADER) {
+            let refusal = target_refusal(&response);
+            tokio::spawn(drop_whole(response));
+            return Err(refusal);
         }
+        strip_hop_headers(response.headers_mut());
+        // Only the entry states the outcome.
+        response.headers_mut().remove(OUTCOME_HEADER);
+        Ok(response.map(|inner| CountedBody { inner, _guard: guard }.boxed()))
     }
 
     fn read_report(&self, counters: &TargetCounters, headers: &HeaderMap) {
@@ -84,25 +107,58 @@
     let body = exchange.body.take().unwrap_or_else(empty_body);
     let mut request = http::Request::new(body);
     *request.method_mut() = exchange.head.method.clone();
-    *request.uri_mut() = exchange.head.uri.clone();
     *request.headers_mut() = exchange.head.headers.clone();
-    let left_ms = HeaderValue::from(left.as_millis().max(1) as u64);
-    request.headers_mut().insert(DEADLINE_HEADER, left_ms);
+    let uri = &exchange.head.uri;
+    // An HTTP/2 caller names the host in the URI alone.
+    let host = uri.authority().and_then(|host| HeaderValue::from_str(host.as_str()).ok());
+    *request.uri_mut() = uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
+    let headers = request.headers_mut();
+    strip_hop_headers(headers);
+    // The entry itself asks the caller to continue, by reading the body.
+    headers.remove(header::EXPECT);
+    if let Some(host) = host {
+        headers.insert(header::HOST, host);
+    }
+    headers.insert(DEADLINE_HEADER, HeaderValue::from(left.as_millis().max(1) as u64));
     if let Ok(request_id) = HeaderValue::from_str(&exchange.request_id) {
-        request.headers_mut().insert("x-request-id", request_id);
+        headers.insert(REQUEST_ID_HEADER, request_id);
     }
     request
 }
 
-fn refusal_of(error: &TransportError) -> Refusal {
-    match error {
-        TransportError::NotSent { .. } => {
-            Refusal::not_run(ReasonCode::TargetUnreachable, error.to_string())
+/// Says what a failed dispatch means for the caller. A fault of the caller's own
+/// body explains a lost exchange, but not whether the request ran.
+fn refusal_of(error: &TransportError, fault: Option<BodyFault>) -> Refusal {
+    let reason = match (fault, error) {
+        (_, TransportError::NotSent { .. }) => {
+            return Refusal::not_run(ReasonCode::TargetUnreachable, error.to_string());
         }
-        TransportError::Lost { .. } => Refusal::unknown(ReasonCode::TargetLost, error.to_string()),
+        (Some(BodyFault::TooLarge), _) => ReasonCode::BodyTooLarge,
+        (Some(BodyFault::Stalled), _) => ReasonCode::SlowSender,
+        (Some(BodyFault::Broken), _) => ReasonCode::CallerLeft,
+        (None, TransportError::DeadlinePassed { .. }) => ReasonCode::DeadlinePassed,
+        (None, _) => ReasonCode::TargetLost,
+    };
+    Refusal::unknown(reason, error.to_string())
+}
+
+/// Says what the target's own refusal means for the caller.
+fn target_refusal(response: &CallResponse) -> Refusal {
+    let detail = "the target refused the request before running it";
+    let refusal = Refusal::not_run(ReasonCode::TargetRefused, detail);
+    let seconds = response.headers().get(header::RETRY_AFTER);
+    match seconds.and_then(|value| value.to_str().ok()?.parse().ok()) {
+        Some(seconds) => refusal.retry_after(Duration::from_secs(seconds)),
+        None => refusal,
     }
 }
 
+/// Reads a short body to its end, which keeps the connection in use.
+async fn drop_whole(response: CallResponse) {
+    let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES);
+    let _ = timeout(REFUSAL_READ_LIMIT, body.collect()).await;
+}
+
 /// Counts a request as in flight until it is dropped.
 struct InFlightGuard(Arc<TargetCounters>);
 
@@ -111,18 +167,6 @@
         counters.in_flight.fetch_add(1, Ordering::Relaxed);
         Self(counters)
     }
-
-    /// Keeps the request counted until the response body is dropped.
-    fn attach(self, response: CallResponse) -> CallResponse {
-        use http_body_util::BodyExt;
-        response.map(|body| {
-            body.map_frame(move |frame| {
-                let _counted = &self;
-                frame
-            })
-            .boxed()
-        })
-    }
 }
 
 impl Drop for InFlightGuard {
@@ -130,3 +174,29 @@
         self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// Response body whose request counts as in flight until the body is dropped.
+struct CountedBody {
+    inner: CallBody,
+    _guard: InFlightGuard,
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.inner).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/src/front/hop_headers.rs
@@ -0,0 +1,22 @@
+//! Headers that concern one connection and never pass through.
+
+use http::header::{CONNECTION, HeaderMap, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Removes the headers that concern one connection only (RFC 9110, 7.6.1): the
+/// fixed ones, all `Proxy-*` and those that `Connection` names.
+pub fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .flat_map(|value| value.as_bytes().split(|byte| *byte == b','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim_ascii()).ok())
+        .collect();
+    let proxy: Vec<HeaderName> =
+        headers.keys().filter(|name| name.as_str().starts_with("proxy-")).cloned().collect();
+    let fixed = [CONNECTION, KEEP_ALIVE, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+    for name in named.into_iter().chain(proxy).chain(fixed) {
+        headers.remove(name);
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,25 +1,36 @@
 //! HTTP front end towards callers.
 
+mod caller_stream;
+mod connection;
+mod guarded_body;
+mod head_inspector;
+mod hop_headers;
 mod problem;
 
-use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
-use http::{HeaderValue, Request};
+use connection::CallerConnection;
+use guarded_body::GuardedBody;
+use head_inspector::HeadVerdict;
+pub use hop_headers::strip_hop_headers;
+use http::request::Parts;
+use http::{HeaderValue, Request, Version, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioExecutor, TokioIo};
-use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
 pub use problem::OUTCOME_HEADER;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio::time::{Duration, sleep};
 use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
-use zinniaport_core::call::CallOutcome;
+use zinniaport_core::call::{CallOutcome, ReasonCode};
 
-use crate::exchange::{BodyError, CallResponse, Exchange};
+use crate::exchange::{BodyWatch, CallResponse, Exchange};
 use crate::filters::FilterChain;
+use crate::refusal::Refusal;
+use crate::settings::LimitSettings;
 use crate::state::SharedState;
 
 /// Header that carries the identity of a request.
@@ -28,66 +39,165 @@
 /// Longest request id that is taken from a caller, in characters.
 const MAX_REQUEST_ID_LENGTH: usize = 64;
 
+/// Pause after a failed accept. The usual cause, the limit of open files, lasts
+/// until another connection ends, and a retry without a pause would spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Turns HTTP requests into exchanges and runs them through the filter chain.
 #[derive(Clone)]
 pub struct HttpFront {
     state: Arc<SharedState>,
     chain: FilterChain,
+    limits: Arc<LimitSettings>,
+    closing: Arc<AtomicBool>,
 }
 
 impl HttpFront {
     /// Creates a front end.
-    pub fn new(state: Arc<SharedState>, chain: FilterChain) -> Self {
-        Self { state, chain }
+    pub fn new(state: Arc<SharedState>, chain: FilterChain, limits: LimitSettings) -> Self {
+        Self { state, chain, limits: Arc::new(limits), closing: Arc::default() }
+    }
+
+    /// Accepts connections until `close` is cancelled. Idle connections then take
+    /// a last request for `linger`, and requests in flight end.
+    pub async fn serve(self, listener: TcpListener, close: CancellationToken, linger: Duration) {
+        let drain = CancellationToken::new();
+        let mut connections = JoinSet::new();
+        self.accept(&listener, &close, &drain, &mut connections).await;
+        self.closing.store(true, Ordering::Release);
+        self.accept_backlog(&listener, &drain, &mut connections).await;
+        drop(listener);
+        let ended = async { while connections.join_next().await.is_some() {} };
+        if tokio::time::timeout(linger, ended).await.is_err() {
+            drain.cancel();
+            while connections.join_next().await.is_some() {}
+        }
     }
 
-    /// Accepts connections until `stop` is cancelled, then lets requests in
-    /// flight end.
-    pub async fn serve(self, listener: TcpListener, stop: CancellationToken) {
-        let graceful = GracefulShutdown::new();
+    async fn accept(
+        &self,
+        listener: &TcpListener,
+        close: &CancellationToken,
+        drain: &CancellationToken,
+        connections: &mut JoinSet<()>,
+    ) {
+        let permits = Arc::new(Semaphore::new(self.limits.max_caller_connections));
         loop {
-            let stream = tokio::select! {
-                () = stop.cancelled() => break,
-                accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => stream,
+            let accepted = async {
+                let permit = permits.clone().acquire_owned().await;
+                listener.accept().await.map(|(stream, _)| (stream, permit))
+            };
+            tokio::select! {
+                () = close.cancelled() => return,
+                Some(_) = connections.join_next() => {}
+                accepted = accepted => match accepted {
+                    Ok((stream, permit)) => {
+                        let connection = self.connection(stream, drain);
+                        connections.spawn(async move {
+                            let _permit = permit;
+                            connection.serve().await;
+                        });
+                    }
                     Err(error) => {
                         log::warn!("cannot accept a connection: {error}; check the limit of open files");
-                        continue;
+                        sleep(ACCEPT_PAUSE).await;
                     }
                 },
-            };
-            let _ = stream.set_nodelay(true);
-            let front = self.clone();
-            let service = service_fn(move |request| {
-                let front = front.clone();
-                async move { Ok::<_, Infallible>(front.answer(request).await) }
-            });
-            let builder = auto::Builder::new(TokioExecutor::new());
-            let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
-            tokio::spawn(graceful.watch(connection));
+            }
+        }
+    }
+
+    /// Takes the connections that the system has already accepted; closing the
+    /// listener would reset them.
+    async fn accept_backlog(
+        &self,
+        listener: &TcpListener,
+        drain: &CancellationToken,
+        connections: &mut JoinSet<()>,
+    ) {
+        while let Ok(Ok((stream, _))) =
+            tokio::time::timeout(Duration::ZERO, listener.accept()).await
+        {
+            connections.spawn(self.connection(stream, drain).serve());
         }
-        drop(listener);
-        graceful.shutdown().await;
+    }
+
+    fn connection(&self, stream: TcpStream, drain: &CancellationToken) -> CallerConnection {
+        CallerConnection::new(self.clone(), stream, drain.clone())
     }
 
     /// Serves one request.
-    async fn answer(&self, request: Request<Incoming>) -> CallResponse {
+    async fn answer(&self, request: Request<Incoming>, verdict: &HeadVerdict) -> CallResponse {
         let request_id = request_id(&request);
-        let request = request.map(|body| body.map_err(BodyError::from).boxed());
-        let mut exchange = Exchange::new(request_id, self.state.fleet.load_full(), request);
-        let mut response = match self.chain.run(&mut exchange).await {
+        let version = request.version();
+        let (head, body) = request.into_parts();
+        let watch = BodyWatch::default();
+        let mut response = match self.check_head(&head, verdict) {
+            Err(refusal) => problem::problem_response(&refusal, &request_id),
+            Ok(()) => {
+                let body = GuardedBody::new(body, watch.clone(), &self.limits).boxed();
+                let request = Request::from_parts(head, body);
+                let fleet = self.state.fleet.load_full();
+                let mut exchange = Exchange::new(request_id.clone(), fleet, request);
+                exchange.body_watch = watch;
+                self.run(&mut exchange).await
+            }
+        };
+        if let Ok(value) = HeaderValue::from_str(&request_id) {
+            response.headers_mut().insert(REQUEST_ID_HEADER, value);
+        }
+        let ends = self.closing.load(Ordering::Acquire) || verdict.is_ambiguous();
+        if ends && version < Version::HTTP_2 {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn run(&self, exchange: &mut Exchange) -> CallResponse {
+        match self.chain.run(exchange).await {
             Ok(mut response) => {
                 let outcome = HeaderValue::from_static(CallOutcome::Ran.into());
                 response.headers_mut().entry(OUTCOME_HEADER).or_insert(outcome);
                 response
             }
             Err(refusal) => problem::problem_response(&refusal, &exchange.request_id),
-        };
-        if let Ok(value) = HeaderValue::from_str(&exchange.request_id) {
-            response.headers_mut().insert(REQUEST_ID_HEADER, value);
         }
-        response
     }
+
+    fn check_head(&self, head: &Parts, verdict: &HeadVerdict) -> Result<(), Refusal> {
+        if verdict.is_ambiguous() {
+            let detail = "the length of the body is ambiguous, or a line does not end in CRLF";
+            return Err(Refusal::not_run(ReasonCode::BadRequest, detail));
+        }
+        let count = head.headers.len();
+        if count > self.limits.max_header_count {
+            let limit = self.limits.max_header_count;
+            let detail = format!("the request has {count} headers, the limit is {limit}");
+            return Err(Refusal::not_run(ReasonCode::HeadTooLarge, detail));
+        }
+        let size = head_size(head);
+        if size > self.limits.max_header_bytes as usize {
+            let limit = self.limits.max_header_bytes;
+            let detail = format!("the request head has {size} bytes, the limit is {limit}");
+            return Err(Refusal::not_run(ReasonCode::HeadTooLarge, detail));
+        }
+        let length = head.headers.get(header::CONTENT_LENGTH);
+        let length = length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+        if let Some(length) = length.filter(|length| *length > self.limits.max_body_bytes) {
+            let limit = self.limits.max_body_bytes;
+            let detail = format!("the request body has {length} bytes, the limit is {limit}");
+            return Err(Refusal::not_run(ReasonCode::BodyTooLarge, detail));
+        }
+        Ok(())
+    }
+}
+
+/// Gives the size of a request head as HTTP/1.1 writes it, in bytes.
+fn head_size(head: &Parts) -> usize {
+    let target = head.uri.path_and_query().map_or(1, |path| path.as_str().len());
+    let line = head.method.as_str().len() + target + " HTTP/1.1\r\n ".len();
+    let headers = head.headers.iter();
+    line + headers.map(|(name, value)| name.as_str().len() + value.len() + 4).sum::<usize>()
 }
 
 /// Takes the caller's request id if it is usable, else makes one.
--- /dev/null
+++ b/src/pool/connections.rs
@@ -0,0 +1,174 @@
+//! The connections to one target: a fixed number of slots, each leased to one
+//! exchange at a time.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use arc_swap::ArcSwapOption;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Duration, Instant, sleep_until};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::exchange::CallBody;
+use crate::settings::MAX_CONNECTIONS_PER_TARGET;
+
+/// An open connection. Dropping it closes it.
+pub(super) struct TargetConnection {
+    pub(super) sender: SendRequest<CallBody>,
+    /// Whether an exchange has ended on it before.
+    pub(super) reused: bool,
+    idle_since: Instant,
+    /// Generation of the pool that it was opened in.
+    generation: u64,
+    driver: AbortOnDropHandle<()>,
+}
+
+impl TargetConnection {
+    /// Closes the connection at `deadline` unless the result is dropped before.
+    /// This reaches an exchange whose caller has stopped reading, and whose
+    /// response body is therefore not polled.
+    pub(super) fn close_at(&self, deadline: Instant) -> AbortOnDropHandle<()> {
+        let driver = self.driver.abort_handle();
+        AbortOnDropHandle::new(tokio::spawn(async move {
+            sleep_until(deadline).await;
+            driver.abort();
+        }))
+    }
+}
+
+/// The connections to one target. No lock guards them: a bit of `vacant`
+/// belongs to whoever cleared it, and with it the slot of that number.
+pub(super) struct TargetPool {
+    pub(super) address: SocketAddr,
+    permits: Arc<Semaphore>,
+    vacant: AtomicU64,
+    slots: Box<[ArcSwapOption<TargetConnection>]>,
+    generation: AtomicU64,
+}
+
+impl TargetPool {
+    /// Creates a pool of at most `size` connections.
+    pub(super) fn new(address: SocketAddr, size: usize) -> Self {
+        let size = size.clamp(1, MAX_CONNECTIONS_PER_TARGET);
+        Self {
+            address,
+            permits: Arc::new(Semaphore::new(size)),
+            vacant: AtomicU64::new(u64::MAX >> (MAX_CONNECTIONS_PER_TARGET - size)),
+            slots: (0..size).map(|_| ArcSwapOption::empty()).collect(),
+            generation: AtomicU64::new(0),
+        }
+    }
+
+    /// Waits for a slot. Dropping the future gives up the wait.
+    pub(super) async fn lease(self: &Arc<Self>) -> Option<ConnectionLease> {
+        let permit = self.permits.clone().acquire_owned().await.ok()?;
+        self.take_slot(permit)
+    }
+
+    /// Closes the idle connections that are older than `idle_limit`.
+    pub(super) fn close_idle(self: &Arc<Self>, idle_limit: Duration) {
+        let mut leases = Vec::new();
+        while let Ok(permit) = self.permits.clone().try_acquire_owned() {
+            leases.extend(self.take_slot(permit));
+        }
+        for mut lease in leases {
+            if let Some(connection) = lease.take_usable(idle_limit) {
+                lease.put_back(connection);
+            }
+        }
+    }
+
+    /// Tells whether no exchange runs and no connection is open.
+    pub(super) fn is_unused(&self) -> bool {
+        self.permits.available_permits() == self.slots.len()
+            && self.slots.iter().all(|slot| slot.load().is_none())
+    }
+
+    /// Stops the use of all connections that are open now.
+    pub(super) fn retire_all(&self) {
+        self.generation.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// Takes the lowest vacant slot, so that few connections stay busy and the
+    /// others reach their idle limit.
+    fn take_slot(self: &Arc<Self>, permit: OwnedSemaphorePermit) -> Option<ConnectionLease> {
+        let without_lowest = |vacant: u64| vacant & (vacant - 1);
+        let vacant = self
+            .vacant
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |vacant| {
+                (vacant != 0).then(|| without_lowest(vacant))
+            })
+            .ok()?;
+        let slot = vacant.trailing_zeros() as usize;
+        let connection = self.slots[slot].swap(None).and_then(Arc::into_inner);
+        Some(ConnectionLease { pool: self.clone(), slot, connection, _permit: permit })
+    }
+
+    async fn connect(&self) -> std::io::Result<TargetConnection> {
+        // Read before the connection is opened, so that retiring in between counts.
+        let generation = self.generation.load(Ordering::Acquire);
+        let stream = TcpStream::connect(self.address).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+        let driver = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("a connection to a target ended: {error}");
+            }
+        });
+        Ok(TargetConnection {
+            sender,
+            reused: false,
+            idle_since: Instant::now(),
+            generation,
+            driver: AbortOnDropHandle::new(driver),
+        })
+    }
+}
+
+/// The use of one slot by one exchange.
+pub(super) struct ConnectionLease {
+    pool: Arc<TargetPool>,
+    slot: usize,
+    connection: Option<TargetConnection>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl ConnectionLease {
+    /// Takes the idle connection of the slot if it may still be used.
+    pub(super) fn take_usable(&mut self, idle_limit: Duration) -> Option<TargetConnection> {
+        let generation = self.pool.generation.load(Ordering::Acquire);
+        self.connection.take().filter(|connection| {
+            connection.generation == generation
+                && connection.idle_since.elapsed() < idle_limit
+                && !connection.sender.is_closed()
+        })
+    }
+
+    /// Opens a connection.
+    pub(super) async fn connect(&self, limit: Duration) -> std::io::Result<TargetConnection> {
+        tokio::time::timeout(limit, self.pool.connect()).await?
+    }
+
+    /// Keeps a connection whose exchange ended whole for the next exchange.
+    pub(super) fn keep(self, mut connection: TargetConnection) {
+        connection.reused = true;
+        connection.idle_since = Instant::now();
+        self.put_back(connection);
+    }
+
+    fn put_back(mut self, connection: TargetConnection) {
+        self.connection = Some(connection);
+    }
+}
+
+impl Drop for ConnectionLease {
+    fn drop(&mut self) {
+        self.pool.slots[self.slot].store(self.connection.take().map(Arc::new));
+        self.pool.vacant.fetch_or(1 << self.slot, Ordering::AcqRel);
+    }
+}
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -1,16 +1,21 @@
 //! Connections to targets.
 
+mod connections;
+mod leased_body;
+mod progress;
+mod silence;
+mod transport;
+
 use std::net::SocketAddr;
 
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
-use http::{HeaderValue, Request, header};
-use http_body_util::BodyExt;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use http::Request;
+pub use silence::{SilenceCause, SilenceObserver, UnobservedSilence};
+use tokio::time::Instant;
+pub use transport::HttpTransport;
 
-use crate::exchange::{BodyError, CallBody, CallResponse};
+use crate::exchange::{CallBody, CallResponse};
 
 /// Why a target gave no answer.
 #[derive(Debug, Display, Error)]
@@ -35,52 +40,37 @@
         #[error(not(source))]
         cause: String,
     },
-}
-
-/// Sends requests to targets.
-pub trait TargetTransport: Send + Sync {
-    /// Sends a request and returns the response once its head has arrived.
-    /// Dropping the future cancels the request at the target.
-    fn send(
-        &self,
+    /// The deadline passed after part of the request may have been sent.
+    #[display("target {address} did not answer within the deadline; look up whether it ran")]
+    DeadlinePassed {
+        /// Address of the target.
         address: SocketAddr,
-        request: Request<CallBody>,
-    ) -> BoxFuture<'_, Result<CallResponse, TransportError>>;
+    },
+    /// Nothing moved on the connection for too long after part of the request
+    /// may have been sent.
+    #[display("target {address} was silent for {limit_ms} ms; look up whether the request ran")]
+    Silent {
+        /// Address of the target.
+        address: SocketAddr,
+        /// The limit, in milliseconds.
+        limit_ms: u64,
+    },
 }
 
-/// Sends HTTP/1.1 requests, one exchange on a connection at a time.
-#[derive(Debug, Default)]
-pub struct HttpTransport;
-
-impl HttpTransport {
-    async fn exchange(
-        address: SocketAddr,
-        mut request: Request<CallBody>,
-    ) -> Result<CallResponse, TransportError> {
-        let not_sent =
-            |cause: &dyn ToString| TransportError::NotSent { address, cause: cause.to_string() };
-        let stream = TcpStream::connect(address).await.map_err(|error| not_sent(&error))?;
-        stream.set_nodelay(true).map_err(|error| not_sent(&error))?;
-        let (mut sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|error| not_sent(&error))?;
-        tokio::spawn(connection);
-        if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
-            request.headers_mut().entry(header::HOST).or_insert(host);
-        }
-        let response = sender
-            .send_request(request)
-            .await
-            .map_err(|error| TransportError::Lost { address, cause: error.to_string() })?;
-        Ok(response.map(|body| body.map_err(BodyError::from).boxed()))
-    }
+/// One dispatch to a target.
+#[derive(Debug)]
+pub struct TargetCall {
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// The request, without headers that concern one connection only.
+    pub request: Request<CallBody>,
+    /// When the answer, its body included, is of no more use.
+    pub deadline: Instant,
 }
 
-impl TargetTransport for HttpTransport {
-    fn send(
-        &self,
-        address: SocketAddr,
-        request: Request<CallBody>,
-    ) -> BoxFuture<'_, Result<CallResponse, TransportError>> {
-        Box::pin(Self::exchange(address, request))
-    }
+/// Sends requests to targets.
+pub trait TargetTransport: Send + Sync {
+    /// Sends a request and returns the response once its head has arrived.
+    /// Dropping the future or the response body cancels the request at the target.
+    fn send(&self, call: TargetCall) -> BoxFuture<'_, Result<CallResponse, TransportError>>;
 }
--- /dev/null
+++ b/src/pool/progress.rs
@@ -0,0 +1,80 @@
+//! Progress of a request body on its way to a target.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+
+use crate::exchange::{BodyError, CallBody};
+
+/// What the sender of a request knows of its body.
+#[derive(Debug, Default)]
+pub(super) struct SendProgress {
+    frames: AtomicU64,
+    whole: AtomicBool,
+    awaits_caller: AtomicBool,
+}
+
+impl SendProgress {
+    /// Gives the number of frames taken from the body.
+    pub(super) fn frames(&self) -> u64 {
+        self.frames.load(Ordering::Acquire)
+    }
+
+    /// Tells whether the body was taken to its end.
+    pub(super) fn is_whole(&self) -> bool {
+        self.whole.load(Ordering::Acquire)
+    }
+
+    /// Tells whether the target waits for the caller rather than the reverse.
+    pub(super) fn awaits_caller(&self) -> bool {
+        self.awaits_caller.load(Ordering::Acquire)
+    }
+}
+
+/// A request body that reports its progress.
+pub(super) struct ProgressBody {
+    inner: CallBody,
+    progress: Arc<SendProgress>,
+}
+
+impl ProgressBody {
+    pub(super) fn new(inner: CallBody, progress: Arc<SendProgress>) -> Self {
+        progress.whole.store(inner.is_end_stream(), Ordering::Release);
+        Self { inner, progress }
+    }
+}
+
+impl Body for ProgressBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(context);
+        let progress = &self.progress;
+        progress.awaits_caller.store(polled.is_pending(), Ordering::Release);
+        match &polled {
+            Poll::Ready(Some(Ok(_))) => {
+                progress.frames.fetch_add(1, Ordering::AcqRel);
+                progress.whole.store(self.inner.is_end_stream(), Ordering::Release);
+            }
+            Poll::Ready(None) => progress.whole.store(true, Ordering::Release),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
--- /dev/null
+++ b/src/pool/transport.rs
@@ -0,0 +1,223 @@
+//! Sends HTTP/1.1 requests over pooled connections.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Weak};
+
+use arc_swap::ArcSwap;
+use futures::future::BoxFuture;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::{Duration, Instant, sleep_until, timeout_at};
+
+use super::connections::{ConnectionLease, TargetConnection, TargetPool};
+use super::leased_body::{HeldConnection, LeasedBody};
+use super::progress::{ProgressBody, SendProgress};
+use super::silence::SilenceReport;
+use super::{SilenceObserver, TargetCall, TargetTransport, TransportError};
+use crate::exchange::{CallBody, CallResponse};
+use crate::settings::PoolSettings;
+
+type PoolTable = HashMap<SocketAddr, Arc<TargetPool>>;
+
+/// Sends HTTP/1.1 requests, one exchange on a connection at a time.
+pub struct HttpTransport {
+    settings: PoolSettings,
+    pools: Arc<ArcSwap<PoolTable>>,
+    observer: Arc<dyn SilenceObserver>,
+}
+
+impl HttpTransport {
+    /// Creates a transport; its runtime must be running.
+    pub fn new(settings: PoolSettings, observer: Arc<dyn SilenceObserver>) -> Self {
+        let pools = Arc::new(ArcSwap::default());
+        tokio::spawn(close_idle(Arc::downgrade(&pools), settings.idle_limit()));
+        Self { settings, pools, observer }
+    }
+
+    fn pool(&self, address: SocketAddr) -> Arc<TargetPool> {
+        if let Some(pool) = self.pools.load().get(&address) {
+            return pool.clone();
+        }
+        let pool = Arc::new(TargetPool::new(address, self.settings.max_connections_per_target));
+        self.pools.rcu(|pools| {
+            let mut pools = PoolTable::clone(pools);
+            pools.entry(address).or_insert_with(|| pool.clone());
+            pools
+        });
+        self.pools.load().get(&address).cloned().unwrap_or(pool)
+    }
+
+    async fn exchange(&self, call: TargetCall) -> Result<CallResponse, TransportError> {
+        let TargetCall { address, request, deadline } = call;
+        let pool = self.pool(address);
+        let not_sent = |cause: String| TransportError::NotSent { address, cause };
+        let mut lease =
+            timeout_at(deadline, pool.lease()).await.ok().flatten().ok_or_else(|| {
+                not_sent("all connections stayed busy until the deadline".to_owned())
+            })?;
+        let progress = Arc::new(SendProgress::default());
+        let mut request = prepare(request, address, &progress);
+        let mut usable = self.ready_connection(&mut lease, deadline).await;
+        loop {
+            let mut connection = match usable.take() {
+                Some(connection) => connection,
+                None => self.connect(&lease, deadline).await.map_err(not_sent)?,
+            };
+            let silence = SilenceReport {
+                pool: pool.clone(),
+                observer: self.observer.clone(),
+                limit: self.settings.connect_timeout(),
+            };
+            let limits = HeadLimits { address, deadline, silence: self.settings.head_silence() };
+            match response_head(&mut connection, request, &progress, limits).await {
+                Ok(response) => {
+                    let closer = connection.close_at(deadline);
+                    let held = HeldConnection { connection, lease, progress, silence, closer };
+                    return self.answer(response, held, deadline);
+                }
+                // The request came back untouched: no byte of it was written.
+                Err(HeadError::Untouched(returned, _)) if connection.reused => request = *returned,
+                Err(HeadError::Untouched(_, cause)) => return Err(not_sent(cause)),
+                Err(HeadError::Failed(error)) => {
+                    match error {
+                        TransportError::Silent { .. } => silence.report(connection.reused),
+                        // The others may be silent too, and each would cost a deadline.
+                        TransportError::DeadlinePassed { .. } => pool.retire_all(),
+                        _ => {}
+                    }
+                    return Err(error);
+                }
+            }
+        }
+    }
+
+    /// Takes the idle connection of the slot if the target still holds it open.
+    async fn ready_connection(
+        &self,
+        lease: &mut ConnectionLease,
+        deadline: Instant,
+    ) -> Option<TargetConnection> {
+        let mut connection = lease.take_usable(self.settings.idle_limit())?;
+        let limit = deadline.min(Instant::now() + self.settings.connect_timeout());
+        timeout_at(limit, connection.sender.ready()).await.ok()?.ok()?;
+        Some(connection)
+    }
+
+    async fn connect(
+        &self,
+        lease: &ConnectionLease,
+        deadline: Instant,
+    ) -> Result<TargetConnection, String> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let limit = left.min(self.settings.connect_timeout());
+        lease.connect(limit).await.map_err(|error| error.to_string())
+    }
+
+    fn answer(
+        &self,
+        response: Response<Incoming>,
+        held: HeldConnection,
+        deadline: Instant,
+    ) -> Result<CallResponse, TransportError> {
+        if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+            let cause = "it switched protocols unasked".to_owned();
+            return Err(TransportError::Lost { address: held.silence.pool.address, cause });
+        }
+        let limit = self.settings.body_silence();
+        let (mut head, body) = response.into_parts();
+        head.version = http::Version::HTTP_11;
+        let body = LeasedBody::new(body, held, deadline, limit);
+        Ok(Response::from_parts(head, body.boxed()))
+    }
+}
+
+impl TargetTransport for HttpTransport {
+    fn send(&self, call: TargetCall) -> BoxFuture<'_, Result<CallResponse, TransportError>> {
+        Box::pin(self.exchange(call))
+    }
+}
+
+/// Why no response head arrived.
+enum HeadError {
+    /// The request came back before any byte of it was written.
+    Untouched(Box<Request<CallBody>>, String),
+    /// The exchange failed.
+    Failed(TransportError),
+}
+
+/// Bounds of the wait for a response head.
+#[derive(Clone, Copy)]
+struct HeadLimits {
+    address: SocketAddr,
+    deadline: Instant,
+    silence: Duration,
+}
+
+/// Sends the request and waits for the response head.
+async fn response_head(
+    connection: &mut TargetConnection,
+    request: Request<CallBody>,
+    progress: &SendProgress,
+    limits: HeadLimits,
+) -> Result<Response<Incoming>, HeadError> {
+    let HeadLimits { address, deadline, silence } = limits;
+    let sending = connection.sender.try_send_request(request);
+    tokio::pin!(sending);
+    let mut frames = progress.frames();
+    loop {
+        tokio::select! {
+            sent = &mut sending => return sent.map_err(|mut error| {
+                let cause = error.error().to_string();
+                match error.take_message() {
+                    Some(request) => HeadError::Untouched(Box::new(request), cause),
+                    None => HeadError::Failed(TransportError::Lost { address, cause }),
+                }
+            }),
+            () = sleep_until(deadline.min(Instant::now() + silence)) => {}
+        }
+        if Instant::now() >= deadline {
+            return Err(HeadError::Failed(TransportError::DeadlinePassed { address }));
+        }
+        let moved = progress.frames();
+        if moved == frames && !progress.awaits_caller() {
+            let limit_ms = silence.as_millis() as u64;
+            return Err(HeadError::Failed(TransportError::Silent { address, limit_ms }));
+        }
+        frames = moved;
+    }
+}
+
+/// Adds what every request to a target carries.
+fn prepare(
+    request: Request<CallBody>,
+    address: SocketAddr,
+    progress: &Arc<SendProgress>,
+) -> Request<CallBody> {
+    let mut request = request.map(|body| ProgressBody::new(body, progress.clone()).boxed());
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().entry(header::HOST).or_insert(host);
+    }
+    request
+}
+
+/// Closes connections past their idle limit until the transport is dropped.
+async fn close_idle(pools: Weak<ArcSwap<PoolTable>>, idle_limit: Duration) {
+    let mut ticks = tokio::time::interval((idle_limit / 2).max(Duration::from_millis(10)));
+    loop {
+        ticks.tick().await;
+        let Some(pools) = pools.upgrade() else { return };
+        for pool in pools.load().values() {
+            pool.close_idle(idle_limit);
+        }
+        // Targets come and go; a pool in use by a late exchange still holds its bound.
+        if pools.load().values().any(|pool| pool.is_unused()) {
+            pools.rcu(|pools| {
+                let mut pools = PoolTable::clone(pools);
+                pools.retain(|_, pool| !pool.is_unused());
+                pools
+            });
+        }
+    }
+}
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -8,12 +8,14 @@
 use futures::future::BoxFuture;
 use http::StatusCode;
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
-use zinniaport_core::clock::{ClockSource, SystemClock};
+use tokio_util::task::AbortOnDropHandle;
+use zinniaport_core::clock::{ClockSource, SystemClock, Timestamp};
 use zinniaport_core::controllers::{
-    SettingsController, SettingsEffect, SettingsMessage, StateController,
+    DrainController, DrainEffect, DrainMessage, SettingsController, SettingsEffect,
+    SettingsMessage, StateController,
 };
+use zinniaport_core::intent::ServiceIntent;
 use zinniaport_core::policy::TwoChoices;
 
 use crate::admin::{
@@ -25,7 +27,7 @@
     QuarantineFilter, RecordFilter, RouteFilter,
 };
 use crate::front::HttpFront;
-use crate::pool::HttpTransport;
+use crate::pool::{HttpTransport, TargetTransport, UnobservedSilence};
 use crate::settings::EntrySettings;
 use crate::state::SharedState;
 use crate::telemetry::drive_burn;
@@ -44,9 +46,12 @@
 pub struct EntryRuntime {
     caller_address: SocketAddr,
     admin_address: SocketAddr,
+    clock: Arc<dyn ClockSource>,
     ready: Arc<AtomicBool>,
+    close: CancellationToken,
     stop: CancellationToken,
-    front: JoinHandle<()>,
+    front: AbortOnDropHandle<()>,
+    drain: DrainController,
 }
 
 impl EntryRuntime {
@@ -57,10 +62,12 @@
     /// Returns an error when an address cannot be listened on.
     pub async fn start(settings: EntrySettings) -> Result<Self, StartError> {
         let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
-        let state = Arc::new(SharedState::new(clock, &settings.name, &settings.data_centre));
+        let state =
+            Arc::new(SharedState::new(clock.clone(), &settings.name, &settings.data_centre));
         let (listener, caller_address) = listen(settings.listen).await?;
         let (admin_listener, admin_address) = listen(settings.admin_listen).await?;
-        apply_intents(&state, settings);
+        let EntrySettings { limits, pool, stop: stop_settings, services, .. } = settings;
+        apply_intents(&state, services);
         let stop = CancellationToken::new();
         let ready = Arc::new(AtomicBool::new(true));
         let router = AdminRouter::new(vec![
@@ -74,9 +81,14 @@
         ]);
         tokio::spawn(router.serve(admin_listener, stop.clone()));
         tokio::spawn(drive_burn(state.clone(), stop.clone()));
-        let front = HttpFront::new(state.clone(), build_chain(&state));
-        let front = tokio::spawn(front.serve(listener, stop.clone()));
-        Ok(Self { caller_address, admin_address, ready, stop, front })
+        let transport = Arc::new(HttpTransport::new(pool, Arc::new(UnobservedSilence)));
+        let front = HttpFront::new(state.clone(), build_chain(&state, transport), limits);
+        let close = CancellationToken::new();
+        let linger = stop_settings.idle_linger();
+        let front = tokio::spawn(front.serve(listener, close.clone(), linger));
+        let front = AbortOnDropHandle::new(front);
+        let drain = DrainController::new(stop_settings.drain_limits());
+        Ok(Self { caller_address, admin_address, clock, ready, close, stop, front, drain })
     }
 
     /// Gives the address for callers.
@@ -89,12 +101,49 @@
         self.admin_address
     }
 
-    /// Stops accepting connections and waits for requests in flight.
-    pub async fn stop(self) {
-        self.ready.store(false, Ordering::Release);
+    /// Runs a planned stop: readiness turns false, new work is still served while
+    /// the platform's balancer lags, then the listener closes and requests in
+    /// flight end.
+    pub async fn stop(mut self) {
+        let mut message = DrainMessage::StopRequested;
+        loop {
+            let effects = self.drain.handle(message, self.clock.now());
+            log::info!("planned stop: {}", self.drain.state());
+            let Some(timer) = self.carry_out(effects) else { break };
+            message = self.next_message(timer).await;
+        }
         self.stop.cancel();
-        if let Err(error) = self.front.await {
-            log::error!("the front end failed: {error}; report this with the log above");
+    }
+
+    /// Carries out effects and returns the timer to wait for, if any.
+    fn carry_out(&self, effects: Vec<DrainEffect>) -> Option<Timestamp> {
+        let mut timer = None;
+        for effect in effects {
+            match effect {
+                DrainEffect::PublishReadiness(ready) => self.ready.store(ready, Ordering::Release),
+                DrainEffect::SetTimer(time) => timer = Some(time),
+                DrainEffect::CloseListener => self.close.cancel(),
+                DrainEffect::Finish { cut: false } => {}
+                DrainEffect::Finish { cut: true } => {
+                    log::warn!("requests are cut by the stop; raise stop.drain_limit_ms");
+                }
+            }
+        }
+        timer
+    }
+
+    /// Waits for the timer or, once the listener is closed, for the last caller
+    /// connection.
+    async fn next_message(&mut self, timer: Timestamp) -> DrainMessage {
+        let wait = tokio::time::sleep(timer.since(self.clock.now()));
+        tokio::select! {
+            () = wait => DrainMessage::TimerFired,
+            ended = &mut self.front, if self.close.is_cancelled() => {
+                if let Err(error) = ended {
+                    log::error!("the front end failed: {error}; report this with the log above");
+                }
+                DrainMessage::ConnectionsEnded
+            }
         }
     }
 }
@@ -106,9 +155,9 @@
     Ok((listener, bound))
 }
 
-fn apply_intents(state: &SharedState, settings: EntrySettings) {
+fn apply_intents(state: &SharedState, services: Vec<ServiceIntent>) {
     let mut controller = SettingsController::default();
-    for intent in settings.services {
+    for intent in services {
         let message = SettingsMessage::Accepted { intent, version: 1 };
         for effect in controller.handle(message, state.clock.now()) {
             let SettingsEffect::Publish(fleet) = effect;
@@ -117,7 +166,7 @@
     }
 }
 
-fn build_chain(state: &Arc<SharedState>) -> FilterChain {
+fn build_chain(state: &Arc<SharedState>, transport: Arc<dyn TargetTransport>) -> FilterChain {
     FilterChain::new(vec![
         Arc::new(RecordFilter::new(state.clone())),
         Arc::new(IdentifyFilter::new(state.clone())),
@@ -126,7 +175,7 @@
         Arc::new(ClaimFilter),
         Arc::new(AdmitFilter),
         Arc::new(RouteFilter::new(state.clone(), Arc::new(TwoChoices))),
-        Arc::new(ForwardFilter::new(state.clone(), Arc::new(HttpTransport))),
+        Arc::new(ForwardFilter::new(state.clone(), transport)),
     ])
 }
 
--- /dev/null
+++ b/src/settings/limits.rs
@@ -0,0 +1,74 @@
+//! Limits on what a caller may send and how slowly.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use super::fault::{CheckSettings, FaultList, field};
+
+/// Limits of the front end.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LimitSettings {
+    /// Largest request head, in bytes.
+    pub max_header_bytes: u32,
+    /// Greatest number of header lines in a request.
+    pub max_header_count: usize,
+    /// Largest request body, in bytes.
+    pub max_body_bytes: u64,
+    /// Longest time for a whole request head, in milliseconds. A connection that
+    /// stays idle this long is closed too.
+    pub header_read_timeout_ms: u64,
+    /// Longest time without progress in a body of either direction, in
+    /// milliseconds.
+    pub body_progress_timeout_ms: u64,
+    /// Greatest number of open caller connections.
+    pub max_caller_connections: usize,
+    /// Greatest number of open streams of one HTTP/2 connection.
+    pub max_http2_streams: u32,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            max_header_bytes: 16 << 10,
+            max_header_count: 100,
+            max_body_bytes: 4 << 30,
+            header_read_timeout_ms: 10_000,
+            body_progress_timeout_ms: 10_000,
+            max_caller_connections: 10_000,
+            max_http2_streams: 100,
+        }
+    }
+}
+
+impl LimitSettings {
+    /// Gives the longest time for a whole request head.
+    pub fn header_read_timeout(&self) -> Duration {
+        Duration::from_millis(self.header_read_timeout_ms)
+    }
+
+    /// Gives the longest time without progress in a body.
+    pub fn body_progress_timeout(&self) -> Duration {
+        Duration::from_millis(self.body_progress_timeout_ms)
+    }
+}
+
+impl CheckSettings for LimitSettings {
+    fn check(&self, path: &str, faults: &mut FaultList) {
+        let bytes = "give a size in bytes within the limit";
+        let time = "give a time in milliseconds within the limit";
+        let count = "give a number within the limit";
+        let at = |name| field(path, name);
+        faults.check_range(at("max_header_bytes"), self.max_header_bytes, 1024..=1 << 20, bytes);
+        faults.check_range(at("max_header_count"), self.max_header_count, 1..=1000, count);
+        faults.check_range(at("max_body_bytes"), self.max_body_bytes, 0..=1 << 40, bytes);
+        let timeout = self.header_read_timeout_ms;
+        faults.check_range(at("header_read_timeout_ms"), timeout, 100..=600_000, time);
+        let timeout = self.body_progress_timeout_ms;
+        faults.check_range(at("body_progress_timeout_ms"), timeout, 100..=600_000, time);
+        let connections = self.max_caller_connections;
+        faults.check_range(at("max_caller_connections"), connections, 1..=1_000_000, count);
+        faults.check_range(at("max_http2_streams"), self.max_http2_streams, 1..=10_000, count);
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,15 +2,21 @@
 
 pub mod fault;
 mod intent;
+mod limits;
 mod log;
+mod pool;
+mod stop;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use derive_more::{Display, Error};
 pub use fault::{CheckSettings, FaultList, SettingsFault};
+pub use limits::LimitSettings;
 pub use log::{LogLevel, LogSettings};
+pub use pool::{MAX_CONNECTIONS_PER_TARGET, PoolSettings};
 use serde::Deserialize;
+pub use stop::StopSettings;
 use zinniaport_core::intent::ServiceIntent;
 
 use self::fault::{check_each, element, field};
@@ -32,6 +38,18 @@
     #[serde(default)]
     #[builder(default)]
     pub log: LogSettings,
+    /// Limits on what callers may send.
+    #[serde(default)]
+    #[builder(default)]
+    pub limits: LimitSettings,
+    /// Limits on connections to targets.
+    #[serde(default)]
+    #[builder(default)]
+    pub pool: PoolSettings,
+    /// Time limits of a planned stop.
+    #[serde(default)]
+    #[builder(default)]
+    pub stop: StopSettings,
     /// Intents to start with when no platform is set.
     #[serde(default)]
     #[builder(default)]
@@ -47,6 +65,9 @@
             let remedy = "give administration a port of its own";
             faults.add(field(path, "admin_listen"), self.admin_listen, limit, remedy);
         }
+        self.limits.check(&field(path, "limits"), faults);
+        self.pool.check(&field(path, "pool"), faults);
+        self.stop.check(&field(path, "stop"), faults);
         check_each(path, "services", &self.services, faults);
         let names = self.services.iter().map(|intent| intent.service.as_str());
         intent::check_unique(names, faults, "state each service once", |position| {
--- /dev/null
+++ b/tests/pass_through.rs
@@ -0,0 +1,172 @@
+//! What passes between caller and target, and what must not.
+
+mod support;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use support::{FakeTarget, echo_heads, read_head, read_request, send_raw, start_entry};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+use zinniaport_testing::test_cases;
+
+const GET: &[u8] = b"GET /pump-history/a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+
+/// Starts a target that answers with `bytes` and ends the connection.
+async fn scripted(bytes: &'static str) -> FakeTarget {
+    FakeTarget::start(move |mut stream, _| async move {
+        read_request(&mut stream).await;
+        let _ = stream.write_all(bytes.as_bytes()).await;
+    })
+    .await
+}
+
+/// Starts a target that answers with `bytes`, reports its request as received
+/// and then reports the end of its connection.
+async fn watching(bytes: &'static str) -> (FakeTarget, mpsc::UnboundedReceiver<&'static str>) {
+    let (events, received) = mpsc::unbounded_channel();
+    let target = FakeTarget::start(move |mut stream, _| {
+        let events = events.clone();
+        async move {
+            read_request(&mut stream).await;
+            let _ = stream.write_all(bytes.as_bytes()).await;
+            let _ = events.send("received");
+            let _ = stream.read_u8().await;
+            let _ = events.send("ended");
+        }
+    })
+    .await;
+    (target, received)
+}
+
+/// Sends a GET over HTTP/2 and reads the answer to its end.
+async fn get_http2(address: std::net::SocketAddr) -> hyper::Result<Bytes> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut sender, connection) =
+        http2::handshake(TokioExecutor::new(), TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    let uri = format!("http://{address}/pump-history/a");
+    let request = http::Request::get(uri).body(Empty::<Bytes>::new()).unwrap();
+    Ok(sender.send_request(request).await?.into_body().collect().await?.to_bytes())
+}
+
+test_cases! {
+    async hop_headers_stay: "a header about one connection that changes another" => {
+        let target = FakeTarget::start(|stream, _| echo_heads(stream)).await;
+        let entry = start_entry(target.address, "").await;
+        let raw = "GET /pump-history/a HTTP/1.1\r\nHost: a\r\nConnection: close, X-Named , TE\r\n\
+            Connection: x-other\r\nX-Named: 1\r\nX-Other: 1\r\nKeep-Alive: 1\r\nTE: trailers\r\n\
+            Trailer: x-t\r\nUpgrade: h2c\r\nProxy-Authorization: a\r\nProxy-Connection: a\r\n\
+            X-End: 1\r\nX-Request-Id: given-id\r\nX-Deadline-Ms: 9000\r\n\r\n";
+        let answer = send_raw(entry.caller_address(), raw.as_bytes()).await;
+        let (head, seen) = answer.split_once("\r\n\r\n").unwrap();
+        for name in ["connection", "x-named", "x-other", "keep-alive", "te", "trailer", "upgrade"] {
+            assert!(!seen.contains(&format!("\r\n{name}: ")), "{name} passed: {seen}");
+        }
+        assert!(!seen.contains("proxy-"), "{seen}");
+        assert!(seen.contains("x-end: 1") && seen.contains("host: a"), "{seen}");
+        assert!(seen.contains("x-request-id: given-id"), "{seen}");
+        assert!(head.contains("x-request-id: given-id"), "{head}");
+        let left = seen.lines().find_map(|line| line.strip_prefix("x-deadline-ms: ")).unwrap();
+        assert!((1..9000).contains(&left.parse::<u32>().unwrap()), "{left}");
+
+        let target = scripted(
+            "HTTP/1.1 200 OK\r\nconnection: x-named\r\nx-named: 1\r\nkeep-alive: 1\r\n\
+             proxy-status: a\r\nupgrade: h2c\r\nx-zinniaport-outcome: not-run\r\nx-end: 1\r\n\
+             content-length: 2\r\n\r\nok",
+        )
+        .await;
+        let entry = start_entry(target.address, "").await;
+        let answer = send_raw(entry.caller_address(), GET).await;
+        for name in ["x-named", "keep-alive", "proxy-status", "upgrade", "not-run"] {
+            assert!(!answer.contains(name), "{name} passed: {answer}");
+        }
+        assert!(answer.contains("x-end: 1") && answer.ends_with("\r\n\r\nok"), "{answer}");
+    }
+
+    async cut_answers_stay_cut: "an answer cut short at the target that looks whole to the caller" => {
+        let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n";
+        let sized = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhello";
+        for script in [chunked, sized] {
+            let target = scripted(script).await;
+            let entry = start_entry(target.address, "").await;
+            let answer = send_raw(entry.caller_address(), GET).await;
+            assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
+            assert!(!answer.ends_with("0\r\n\r\n"), "the last chunk was added: {answer}");
+            let error = get_http2(entry.caller_address()).await.unwrap_err();
+            assert!(error.to_string().contains("body") || error.is_incomplete_message(), "{error}");
+        }
+        let target = scripted(&*format!("{chunked}0\r\n\r\n").leak()).await;
+        let entry = start_entry(target.address, "").await;
+        assert!(send_raw(entry.caller_address(), GET).await.ends_with("0\r\n\r\n"));
+        assert_eq!(get_http2(entry.caller_address()).await.unwrap(), "hello");
+    }
+
+    async deadline_covers_the_body: "an answer that goes on after its deadline" => {
+        // The answer never pauses for long and would end whole after its deadline.
+        let target = FakeTarget::start(|mut stream, _| async move {
+            read_request(&mut stream).await;
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            let mut sent = stream.write_all(head.as_bytes()).await;
+            for _ in 0..200 {
+                sleep(Duration::from_millis(10)).await;
+                sent = sent.and(stream.write_all(b"5\r\nhello\r\n").await);
+            }
+            let _ = sent.and(stream.write_all(b"0\r\n\r\n").await);
+        })
+        .await;
+        let entry = start_entry(target.address, "").await;
+        let raw = b"GET /pump-history/a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\
+            X-Deadline-Ms: 200\r\n\r\n";
+        let answer = send_raw(entry.caller_address(), raw).await;
+        assert!(answer.contains("hello") && !answer.ends_with("0\r\n\r\n"), "{answer}");
+    }
+
+    async leaving_callers_cancel: "work that goes on at a target after its caller left" => {
+        let part = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n";
+        for script in ["", part] {
+            let (target, mut events) = watching(script).await;
+            let entry = start_entry(target.address, "").await;
+            let mut caller = TcpStream::connect(entry.caller_address()).await.unwrap();
+            caller.write_all(b"GET /pump-history/a HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+            assert_eq!(events.recv().await, Some("received"));
+            if !script.is_empty() {
+                read_head(&mut caller).await.unwrap();
+            }
+            drop(caller);
+            assert_eq!(events.recv().await, Some("ended"));
+
+            let call = tokio::spawn(get_http2(entry.caller_address()));
+            assert_eq!(events.recv().await, Some("received"));
+            call.abort();
+            assert_eq!(events.recv().await, Some("ended"));
+        }
+    }
+
+    async deadline_frees_the_target: "a target held by a caller that stopped reading" => {
+        let (ended, mut ends) = mpsc::unbounded_channel();
+        let target = FakeTarget::start(move |mut stream, _| {
+            let ended = ended.clone();
+            async move {
+                read_request(&mut stream).await;
+                let head = b"HTTP/1.1 200 OK\r\ncontent-length: 1000000000\r\n\r\n";
+                stream.write_all(head).await.unwrap();
+                let _ = tokio::io::copy(&mut tokio::io::repeat(1), &mut stream).await;
+                let _ = ended.send(());
+            }
+        })
+        .await;
+        let limits = "limits: { body_progress_timeout_ms: 3600000 }";
+        let entry = start_entry(target.address, limits).await;
+        let mut caller = TcpStream::connect(entry.caller_address()).await.unwrap();
+        let head = b"GET /pump-history/a HTTP/1.1\r\nHost: a\r\nX-Deadline-Ms: 200\r\n\r\n";
+        caller.write_all(head).await.unwrap();
+        ends.recv().await.unwrap();
+        drop(caller);
+    }
+}
--- /dev/null
+++ b/tests/pool.rs
@@ -0,0 +1,261 @@
+//! Connections to targets: bounded, one exchange at a time, never used again
+//! after an exchange that did not end whole.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use proptest::prelude::*;
+use support::{FakeTarget, echo_heads, read_request, send_raw, start_entry};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, timeout};
+use zinniaport::exchange::{CallBody, CallResponse, empty_body, full_body};
+use zinniaport::pool::{
+    HttpTransport, SilenceCause, SilenceObserver, TargetCall, TargetTransport, TransportError,
+    UnobservedSilence,
+};
+use zinniaport::settings::PoolSettings;
+use zinniaport_testing::{check_property, test_cases};
+
+const LONG: Duration = Duration::from_secs(20);
+
+fn transport(connections: usize) -> Arc<HttpTransport> {
+    let settings = PoolSettings { max_connections_per_target: connections, ..Default::default() };
+    Arc::new(HttpTransport::new(settings, Arc::new(UnobservedSilence)))
+}
+
+fn call(address: SocketAddr, path: &str, body: CallBody, left: Duration) -> TargetCall {
+    let request = http::Request::post(path).body(body).unwrap();
+    TargetCall { address, request, deadline: Instant::now() + left }
+}
+
+async fn read_text(response: CallResponse) -> Option<String> {
+    let body = response.into_body().collect().await.ok()?.to_bytes();
+    String::from_utf8(body.to_vec()).ok()
+}
+
+/// Answers `/NUMBER/PAUSE_US/MODE` with NUMBER after a pause: whole (`w`), cut
+/// short (`c`), not at all (`n`) or in two parts with a pause between them (`p`).
+async fn answer_slowly(mut stream: TcpStream) {
+    while let Some(head) = read_request(&mut stream).await {
+        let mut parts = head.split([' ', '/']).skip(2);
+        let (number, pause) = (parts.next().unwrap(), parts.next().unwrap().parse().unwrap());
+        let mode = parts.next().unwrap();
+        let pause = Duration::from_micros(pause);
+        sleep(pause).await;
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", number.len());
+        if mode != "n" {
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+        if mode == "n" || mode == "c" {
+            return;
+        }
+        let middle = if mode == "p" { number.len() / 2 } else { number.len() };
+        let _ = stream.write_all(&number.as_bytes()[..middle]).await;
+        if mode == "p" {
+            sleep(pause).await;
+            let _ = stream.write_all(&number.as_bytes()[middle..]).await;
+        }
+    }
+}
+
+/// A call of the property test: pause at the target, time after which the caller
+/// leaves, and the mode of the answer.
+type CallPlan = (u64, u64, &'static str);
+
+async fn run_plans(plans: Vec<CallPlan>) -> Result<(), TestCaseError> {
+    let target = FakeTarget::start(|stream, _| answer_slowly(stream)).await;
+    let transport = transport(3);
+    let calls = plans.into_iter().enumerate().map(|(index, (pause, patience, mode))| {
+        let (transport, address) = (transport.clone(), target.address);
+        tokio::spawn(async move {
+            let number = format!("call-{index:05}");
+            let path = format!("/{number}/{pause}/{mode}");
+            let call = call(address, &path, empty_body(), LONG);
+            let exchange = async { read_text(transport.send(call).await.ok()?).await };
+            let text = timeout(Duration::from_micros(patience), exchange).await.ok().flatten();
+            (number, mode, text)
+        })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        let (number, mode, text) = call.await.unwrap();
+        if let Some(text) = text {
+            prop_assert_eq!(&text, &number);
+            prop_assert!(mode == "w" || mode == "p", "a cut answer looked whole");
+        }
+    }
+    Ok(())
+}
+
+struct ChannelObserver(mpsc::UnboundedSender<SilenceCause>);
+
+impl SilenceObserver for ChannelObserver {
+    fn observe(&self, _address: SocketAddr, cause: SilenceCause) {
+        let _ = self.0.send(cause);
+    }
+}
+
+test_cases! {
+    answers_reach_their_callers: "a late answer that reaches another caller" => {
+        let modes = prop_oneof![3 => Just("w"), 2 => Just("p"), 1 => Just("c"), 1 => Just("n")];
+        let plan = (0_u64..3000, prop_oneof![100_u64..6000, Just(1_000_000)], modes);
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        check_property(40, &prop::collection::vec(plan, 1..40), |plans| {
+            runtime.block_on(run_plans(plans))
+        });
+    }
+
+    async whole_exchanges_share_a_connection: "a pool that opens a connection for each request" => {
+        let target = FakeTarget::start(|stream, _| echo_heads(stream)).await;
+        let transport = transport(4);
+        for _ in 0..20 {
+            let call = call(target.address, "/a", full_body("body"), LONG);
+            let text = read_text(transport.send(call).await.unwrap()).await.unwrap();
+            assert!(text.starts_with("POST /a "));
+        }
+        assert_eq!(target.connections(), 1);
+    }
+
+    async abandoned_connections_end: "a connection used again after an abandoned exchange" => {
+        let target = FakeTarget::start(|stream, _| answer_slowly(stream)).await;
+        let transport = transport(1);
+        for round in 0..5 {
+            let address = target.address;
+            let left = call(address, "/left/50000/w", empty_body(), LONG);
+            assert!(timeout(Duration::from_millis(10), transport.send(left)).await.is_err());
+            let unread = call(address, "/unread/1000/p", empty_body(), LONG);
+            drop(transport.send(unread).await.unwrap());
+            let whole = call(address, "/whole/0/w", empty_body(), LONG);
+            let text = read_text(transport.send(whole).await.unwrap()).await;
+            assert_eq!(text.as_deref(), Some("whole"));
+            // The first call of a later round takes the connection of `whole`.
+            assert_eq!(target.connections(), 3 + 2 * round);
+        }
+    }
+
+    async bound_holds_until_the_deadline: "more connections than allowed, or a wait past the deadline" => {
+        let target = FakeTarget::start(|stream, _| answer_slowly(stream)).await;
+        let transport = transport(2);
+        let address = target.address;
+        let held: Vec<_> = (0..2)
+            .map(|_| {
+                let transport = transport.clone();
+                let call = call(address, "/a/500000/w", empty_body(), LONG);
+                tokio::spawn(async move { transport.send(call).await.map(drop) })
+            })
+            .collect();
+        sleep(Duration::from_millis(50)).await;
+        let late = call(address, "/b/0/w", empty_body(), Duration::from_millis(50));
+        assert!(matches!(transport.send(late).await, Err(TransportError::NotSent { .. })));
+        for call in held {
+            call.await.unwrap().unwrap();
+        }
+        assert_eq!(target.connections(), 2);
+    }
+
+    async stale_connections_are_replaced: "a request lost to an idle connection that the target closed" => {
+        let target = FakeTarget::start(|mut stream, _| async move {
+            read_request(&mut stream).await;
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await;
+        })
+        .await;
+        let transport = transport(1);
+        let mut lost = 0;
+        for _ in 0..50 {
+            let call = call(target.address, "/a", empty_body(), LONG);
+            match transport.send(call).await {
+                Ok(response) => drop(response.into_body().collect().await.unwrap()),
+                Err(TransportError::Lost { .. }) => lost += 1,
+                Err(error) => panic!("{error}"),
+            }
+            sleep(Duration::from_millis(2)).await;
+        }
+        assert_eq!(lost, 0);
+        drop(target);
+    }
+
+    async failures_are_truthful: "a request reported as not run although bytes of it were sent" => {
+        let target = FakeTarget::start(|mut stream, _| async move {
+            read_request(&mut stream).await;
+        })
+        .await;
+        let sent = transport(1).send(call(target.address, "/a", empty_body(), LONG)).await;
+        assert!(matches!(sent, Err(TransportError::Lost { .. })));
+        let closed = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = closed.local_addr().unwrap();
+        drop(closed);
+        let sent = transport(1).send(call(address, "/a", empty_body(), LONG)).await;
+        assert!(matches!(sent, Err(TransportError::NotSent { .. })));
+
+        let target = FakeTarget::start(|mut stream, _| async move {
+            read_request(&mut stream).await;
+            let refusal = "HTTP/1.1 503 Busy\r\nx-zinniaport-refused: 1\r\ncontent-length: 4\r\n\r\nbusy";
+            let _ = stream.write_all(refusal.as_bytes()).await;
+        })
+        .await;
+        let entry = start_entry(target.address, "").await;
+        let get = b"GET /pump-history/a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        let answer = send_raw(entry.caller_address(), get).await;
+        assert!(answer.contains("outcome: not-run") && answer.contains("target-refused"), "{answer}");
+    }
+
+    async silence_is_explained: "a silent path taken for a silent target, or kept in use" => {
+        // A connection goes silent after its first answer; new ones work.
+        let served = Arc::new(AtomicUsize::new(0));
+        let count = served.clone();
+        let target = FakeTarget::start(move |mut stream, _| {
+            let count = count.clone();
+            async move {
+                // The check after a silence opens a connection and sends nothing.
+                if read_request(&mut stream).await.is_none() {
+                    return;
+                }
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await;
+                count.fetch_add(1, Ordering::SeqCst);
+                std::future::pending::<()>().await;
+            }
+        })
+        .await;
+        let (sender, mut causes) = mpsc::unbounded_channel();
+        let settings = PoolSettings { head_silence_ms: 30, ..Default::default() };
+        let transport = HttpTransport::new(settings, Arc::new(ChannelObserver(sender)));
+        let send = async || transport.send(call(target.address, "/a", empty_body(), LONG)).await;
+        for round in 1..4 {
+            assert!(send().await.is_ok());
+            assert_eq!(served.load(Ordering::SeqCst), round);
+            assert!(matches!(send().await, Err(TransportError::Silent { .. })));
+            assert_eq!(causes.recv().await, Some(SilenceCause::Path));
+        }
+        let silent = FakeTarget::start(|stream, _| async move {
+            let _open = stream;
+            std::future::pending::<()>().await;
+        })
+        .await;
+        let sent = transport.send(call(silent.address, "/a", empty_body(), LONG)).await;
+        assert!(matches!(sent, Err(TransportError::Silent { .. })));
+        assert_eq!(causes.recv().await, Some(SilenceCause::Target));
+    }
+
+    async idle_connections_end: "connections that stay open at a target without use" => {
+        let (ended, mut ends) = mpsc::unbounded_channel();
+        let target = FakeTarget::start(move |stream, _| {
+            let ended = ended.clone();
+            async move {
+                echo_heads(stream).await;
+                let _ = ended.send(());
+            }
+        })
+        .await;
+        let settings = PoolSettings { idle_limit_ms: 40, ..Default::default() };
+        let transport = HttpTransport::new(settings, Arc::new(UnobservedSilence));
+        let call = call(target.address, "/a", empty_body(), LONG);
+        read_text(transport.send(call).await.unwrap()).await.unwrap();
+        ends.recv().await.unwrap();
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,116 @@
+//! Entries and raw-socket targets for tests of the path of bytes.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use zinniaport::runtime::EntryRuntime;
+use zinniaport::settings::EntrySettings;
+
+/// Writes the settings of an entry with one target; `extra` is more YAML.
+pub fn settings_text(target: SocketAddr, extra: &str) -> String {
+    format!(
+        "name: entry-1\n\
+         data_centre: valle-a\n\
+         listen: 127.0.0.1:0\n\
+         admin_listen: 127.0.0.1:0\n\
+         {extra}\n\
+         services:\n\
+         - service: pump-history\n\
+         \x20 team: co-operative\n\
+         \x20 kinds:\n\
+         \x20 - {{ name: lookup, rank: 0, idempotent: false, deadline_ms: 20000 }}\n\
+         \x20 targets:\n\
+         \x20 - {{ address: \"{target}\", data_centre: valle-a, slots: 100 }}\n"
+    )
+}
+
+/// Starts an entry in this process.
+pub async fn start_entry(target: SocketAddr, extra: &str) -> EntryRuntime {
+    let settings: EntrySettings = serde_norway::from_str(&settings_text(target, extra)).unwrap();
+    EntryRuntime::start(settings).await.unwrap()
+}
+
+/// A target that treats each connection as a test says.
+pub struct FakeTarget {
+    pub address: SocketAddr,
+    pub connections: Arc<AtomicUsize>,
+    accept: JoinHandle<()>,
+}
+
+impl FakeTarget {
+    /// Starts a target; `serve` gets each connection with its number from 0.
+    pub async fn start<F, S>(serve: S) -> Self
+    where
+        S: Fn(TcpStream, usize) -> F + Send + 'static,
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let connections = Arc::new(AtomicUsize::new(0));
+        let counter = connections.clone();
+        let accept = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, counter.fetch_add(1, Ordering::SeqCst)));
+            }
+        });
+        Self { address, connections, accept }
+    }
+
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for FakeTarget {
+    fn drop(&mut self) {
+        self.accept.abort();
+    }
+}
+
+/// Reads up to the end of a message head; none at the end of the connection.
+pub async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    String::from_utf8(head).ok()
+}
+
+/// Reads a whole request and returns its head.
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let head = read_head(stream).await?;
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let mut left = length.map_or(0, |length| length.parse().unwrap());
+    let mut body = Vec::new();
+    let chunked = head.contains("transfer-encoding: chunked");
+    while left > 0 || (chunked && !body.ends_with(b"0\r\n\r\n")) {
+        body.push(stream.read_u8().await.ok()?);
+        left = usize::saturating_sub(left, 1);
+    }
+    Some(head)
+}
+
+/// Answers every request on a connection with its own head as the body.
+pub async fn echo_heads(mut stream: TcpStream) {
+    while let Some(head) = read_request(&mut stream).await {
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{head}", head.len());
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Sends raw bytes and reads until the entry closes the connection.
+pub async fn send_raw(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
