--- a/testing/src/process.rs
+++ b/testing/src/process.rs
@@ -59,14 +59,22 @@
         timeout(CHILD_TIMEOUT, search).await.expect("the child prints its line in time")
     }
 
+    /// Gives the process id of the child.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the child has already been waited for.
+    pub fn id(&self) -> u32 {
+        self.child.id().expect("the child is running")
+    }
+
     /// Sends `signal` to the child.
     ///
     /// # Panics
     ///
     /// Panics when the child has already been waited for.
     pub fn signal(&self, signal: Signal) {
-        let id = self.child.id().expect("the child is running");
-        let pid = Pid::from_raw(id.cast_signed()).expect("a process id is positive");
+        let pid = Pid::from_raw(self.id().cast_signed()).expect("a process id is positive");
         kill_process(pid, signal).expect("the child can be signalled");
     }
 
