Tell a request that GOAWAY overtook from one that was cut

GOAWAY promises that the request was not processed (RFC 9113, 6.8). The test now gives each HTTP/2 request its own path and checks that the target never received one that GOAWAY overtook; every other failure counts as a cut, with its error in the message.

--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -5,8 +5,8 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -42,21 +42,28 @@
     /// Whether the balancer still opens connections to the entry.
     open: AtomicBool,
     whole: AtomicUsize,
-    cut: AtomicUsize,
+    /// What became of each request that got no whole answer.
+    cut: Mutex<Vec<String>>,
+    /// Paths of HTTP/2 requests that GOAWAY overtook. They may be sent again, so
+    /// none may have reached the target (RFC 9113, 6.8).
+    overtaken: Mutex<Vec<String>>,
+    /// Heads that the target received.
+    received: Mutex<Vec<String>>,
 }
 
 impl LoadCounts {
     async fn record(&self, answer: hyper::Result<http::Response<hyper::body::Incoming>>) -> bool {
-        let (whole, closes) = match answer {
-            Ok(answer) => {
-                let ok = answer.status() == 200;
-                let closes = answer.headers().get("connection").is_some_and(|v| v == "close");
-                (ok && answer.into_body().collect().await.is_ok(), closes)
-            }
-            Err(_) => (false, true),
+        let mut closes = true;
+        let whole = async {
+            let answer = answer?;
+            closes = answer.headers().get("connection").is_some_and(|value| value == "close");
+            let status = answer.status();
+            answer.into_body().collect().await.map(|_| status)
         };
-        let count = if whole { &self.whole } else { &self.cut };
-        count.fetch_add(1, Ordering::SeqCst);
+        match whole.await {
+            Ok(http::StatusCode::OK) => drop(self.whole.fetch_add(1, Ordering::SeqCst)),
+            other => self.cut.lock().unwrap().push(format!("{other:?}")),
+        }
         !closes
     }
 }
@@ -92,7 +99,7 @@
 }
 
 /// Sends requests over HTTP/2 until the entry says that it goes away.
-async fn load_http2(address: SocketAddr, counts: Arc<LoadCounts>) {
+async fn load_http2(address: SocketAddr, caller: usize, counts: Arc<LoadCounts>) {
     let stream = TcpStream::connect(address).await.unwrap();
     let io = TokioIo::new(stream);
     let (mut sender, connection) = http2::handshake(TokioExecutor::new(), io).await.unwrap();
@@ -102,22 +109,25 @@
             break;
         }
         sleep(think_time(number)).await;
-        let uri = format!("http://{address}/pump-history/a");
-        let request = http::Request::get(uri).body(Empty::<Bytes>::new()).unwrap();
-        // A request that GOAWAY overtook was refused untouched and is not cut.
-        match sender.try_send_request(request).await {
-            Ok(answer) => drop(counts.record(Ok(answer)).await),
-            Err(mut error) => match error.take_message() {
-                Some(_) => break,
-                None => drop(counts.record(Err(error.into_error())).await),
-            },
+        let path = format!("/pump-history/{caller}/{number}");
+        let request = http::Request::get(format!("http://{address}{path}"));
+        let answer = sender.send_request(request.body(Empty::<Bytes>::new()).unwrap()).await;
+        let overtaken = answer.as_ref().is_err_and(|error| {
+            let error = format!("{error:?}");
+            error.contains("GoAway") && error.contains("NO_ERROR") || error.contains("Canceled")
+        });
+        if overtaken {
+            counts.overtaken.lock().unwrap().push(path);
+        } else {
+            counts.record(answer).await;
         }
     }
 }
 
 /// Answers each request in two parts with pauses before them.
-async fn answer_in_parts(mut stream: TcpStream) {
-    while read_request(&mut stream).await.is_some() {
+async fn answer_in_parts(mut stream: TcpStream, counts: Arc<LoadCounts>) {
+    while let Some(head) = read_request(&mut stream).await {
+        counts.received.lock().unwrap().push(head);
         for part in ["HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhello", "hello"] {
             sleep(Duration::from_millis(3)).await;
             if stream.write_all(part.as_bytes()).await.is_err() {
@@ -152,14 +162,16 @@
 
 test_cases! {
     async stops_without_a_cut: "a planned stop that cuts a request in flight or drops a late one" => {
-        let target = FakeTarget::start(|stream, _| answer_in_parts(stream)).await;
+        let counts = Arc::new(LoadCounts { open: AtomicBool::new(true), ..Default::default() });
+        let shared = counts.clone();
+        let serve = move |stream, _| answer_in_parts(stream, shared.clone());
+        let target = FakeTarget::start(serve).await;
         let stop = "stop: { balancer_lag_ms: 500, idle_linger_ms: 500 }";
         let (mut entry, callers, admin) = start_process("stop.yaml", target.address, stop).await;
-        let counts = Arc::new(LoadCounts { open: AtomicBool::new(true), ..Default::default() });
         let mut load = tokio::task::JoinSet::new();
-        for _ in 0..20 {
+        for caller in 0..20 {
             load.spawn(load_http1(callers, counts.clone()));
-            load.spawn(load_http2(callers, counts.clone()));
+            load.spawn(load_http2(callers, caller, counts.clone()));
         }
         sleep(Duration::from_millis(200)).await;
         assert_eq!(get(admin, "/readyz").await.unwrap().status(), 200);
@@ -176,8 +188,13 @@
             ended.unwrap();
         }
         assert!(entry.wait().await.success());
-        assert_eq!(counts.cut.load(Ordering::SeqCst), 0);
+        assert_eq!(*counts.cut.lock().unwrap(), Vec::<String>::new());
         assert!(counts.whole.load(Ordering::SeqCst) > before);
+        for path in counts.overtaken.lock().unwrap().iter() {
+            let line = format!("GET {path} ");
+            let received = counts.received.lock().unwrap();
+            assert!(!received.iter().any(|head| head.starts_with(&line)), "{path} had run");
+        }
     }
 
     async bodies_are_not_held: "a body that is collected in the memory of the entry" => {
