--- a/standin/src/target/server.rs
+++ b/standin/src/target/server.rs
@@ -164,7 +164,10 @@
             return std::future::pending().await;
         }
         let time = behaviour.slot_time(self.age(), self.uniform());
-        if timeout_at(deadline, tokio::time::sleep(time)).await.is_err() {
+        // A timer rounds up to a whole millisecond, also from zero.
+        let expired =
+            !time.is_zero() && timeout_at(deadline, tokio::time::sleep(time)).await.is_err();
+        if expired {
             self.runs.count(|counts| &mut counts.expired_running);
             return Ok(text_answer(StatusCode::GATEWAY_TIMEOUT, "the deadline passed\n"));
         }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use zinniaport::refusal::Refusal;
 use zinniaport::runtime::EntryRuntime;
-use zinniaport::settings::{EntrySettings, LogSettings};
+use zinniaport::settings::{EntrySettings, LimitSettings, LogSettings, PoolSettings, StopSettings};
 use zinniaport_core::call::ReasonCode;
 use zinniaport_core::intent::{KindIntent, MeasuringIntent, ServiceIntent, TargetIntent};
 use zinniaport_testing::client::get;
@@ -174,6 +174,9 @@
         let fields = [
             fields_of::<EntrySettings>(),
             fields_of::<LogSettings>(),
+            fields_of::<LimitSettings>(),
+            fields_of::<PoolSettings>(),
+            fields_of::<StopSettings>(),
             fields_of::<ServiceIntent>(),
             fields_of::<KindIntent>(),
             fields_of::<TargetIntent>(),
