--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -1,10 +1,14 @@
 //! Controllers: each owns one piece of state, takes messages and clock readings,
 //! and returns effects for its driver to carry out.
 
+mod burn;
+mod drain;
 mod measuring;
 mod settings;
 mod targets;
 
+pub use burn::{BurnController, BurnEffect, BurnMessage};
+pub use drain::{DrainController, DrainEffect, DrainLimits, DrainMessage, DrainState};
 pub use measuring::{MeasuringController, MeasuringEffect, MeasuringMessage};
 pub use settings::{SettingsController, SettingsEffect, SettingsMessage};
 pub use targets::{TargetsController, TargetsEffect, TargetsMessage};
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,7 +5,9 @@
 //! knows no HTTP, no RPC and no YAML, so that several front ends can share it.
 
 pub mod admission;
+pub mod burn;
 pub mod call;
+pub mod caller;
 pub mod clock;
 pub mod controllers;
 pub mod decision;
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,9 +1,18 @@
 //! Administration address of an entry: HTTP with JSON.
 
+mod explain;
+mod observe;
+mod query;
+
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+pub use explain::{
+    AdminFault, ExplainHandler, LocalRecords, RecordBatch, RecordLookup, RecordsHandler,
+    fault_response,
+};
 use futures::future::BoxFuture;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
@@ -11,6 +20,10 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use hyper_util::server::conn::auto;
+pub use observe::{
+    BurnHandler, EntryStatus, MetricsHandler, ServiceStatus, StatusHandler, TargetStatus,
+};
+pub use query::{decode, encode, query_value};
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -18,6 +31,9 @@
 /// Largest body of an administration request, in bytes.
 const MAX_ADMIN_BODY_BYTES: usize = 1 << 20;
 
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// Response of the administration address.
 pub type AdminResponse = Response<Full<Bytes>>;
 
@@ -50,7 +66,13 @@
                 () = stop.cancelled() => return,
                 accepted = listener.accept() => match accepted {
                     Ok((stream, _)) => stream,
-                    Err(_) => continue,
+                    Err(error) => {
+                        log::warn!("cannot accept a connection: {error}; check the limit of open files");
+                        // The error persists while files are short; without a
+                        // pause the loop would spin.
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                        continue;
+                    }
                 },
             };
             let router = self.clone();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 //! ```
 
 pub mod admin;
+pub mod bench;
 pub mod commands;
 pub mod exchange;
 pub mod filters;
@@ -31,3 +32,4 @@
 pub mod state;
 pub mod store;
 pub mod targets;
+pub mod telemetry;
