--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -10,7 +10,9 @@
 
 /// Identifies requests that are the same piece of work: a digest over service,
 /// method, path, first part of the body and idempotency key.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
 pub struct CallFingerprint(pub u64);
 
 /// What decisions know of a request. Nothing here depends on its encoding.
@@ -146,6 +148,8 @@
     DeadlinePassed,
     /// No target can take the request.
     NoTarget,
+    /// The target answered with an error of its own.
+    TargetError,
     /// The target refused before running.
     TargetRefused,
     /// The target could not be reached.
@@ -169,3 +173,31 @@
     /// The caller left.
     CallerLeft,
 }
+
+impl ReasonCode {
+    /// Tells whether a request can end for this reason without an answer from a
+    /// target. The other reasons say why a request was admitted or a target
+    /// picked.
+    pub fn can_refuse(self) -> bool {
+        !matches!(
+            self,
+            Self::Answered
+                | Self::AdmittedAtOnce
+                | Self::AdmittedAfterWait
+                | Self::RankFirst
+                | Self::DeadlineFirst
+                | Self::CallerTurn
+                | Self::OvertakenEnough
+                | Self::OnlyTarget
+                | Self::RandomTarget
+                | Self::NextInTurn
+                | Self::FewestInFlight
+                | Self::LowestReport
+                | Self::ProbedCold
+                | Self::HomeSlot
+                | Self::Retried
+                | Self::Hedged
+                | Self::TargetError
+        )
+    }
+}
--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -1,15 +1,22 @@
 //! Controllers: each owns one piece of state, takes messages and clock readings,
 //! and returns effects for its driver to carry out.
 
+mod burn;
 mod claims;
+mod drain;
+mod measuring;
 mod membership;
 mod plans;
 mod replies;
 mod settings;
+mod targets;
 
+pub use burn::{BurnController, BurnEffect, BurnMessage};
 pub use claims::{
     CLAIM_BATCH, ClaimAnswer, ClaimsController, ClaimsEffect, ClaimsMessage, SegmentName,
 };
+pub use drain::{DrainController, DrainEffect, DrainLimits, DrainMessage, DrainState};
+pub use measuring::{MeasuringController, MeasuringEffect, MeasuringMessage};
 pub use membership::{
     GONE_AFTER, Heartbeat, MemberEntry, MemberMessage, MemberNote, MemberState,
     MembershipController, MembershipEffect, MembershipMessage, SUSPECT_AFTER, VmHint,
@@ -20,6 +27,7 @@
     ConfigMessage, ConfigSummary, EntryPlace, SettingsController, SettingsEffect, SettingsMessage,
     StoreBatch, VersionedIntent, WATCHERS_PER_REGION, choose_watchers,
 };
+pub use targets::{TargetsController, TargetsEffect, TargetsMessage};
 
 use crate::clock::Timestamp;
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,8 +4,11 @@
 //! random source, and returns what to do together with the reason. The crate
 //! knows no HTTP, no RPC and no YAML, so that several front ends can share it.
 
+pub mod admission;
 pub mod backoff;
+pub mod burn;
 pub mod call;
+pub mod caller;
 pub mod claims;
 pub mod clock;
 pub mod controllers;
@@ -14,5 +17,9 @@
 pub mod fleet;
 pub mod intent;
 pub mod keys;
+pub mod outlier;
 pub mod plan;
 pub mod policy;
+pub mod probe;
+pub mod quarantine;
+pub mod retry;
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,10 +1,18 @@
 //! Subcommands of `zinniaport` and the command lines of the daemons.
 
 mod admin_client;
+mod bench;
+mod burn;
+mod burn_page;
 mod check;
+mod client;
+mod completions;
 mod entry;
+mod explain;
+mod output;
 mod plans;
 mod standin;
+mod status;
 mod try_out;
 
 use std::process::ExitCode;
@@ -33,6 +41,16 @@
     Plan(plans::PlanArguments),
     /// Confirms a plan.
     Confirm(plans::ConfirmArguments),
+    /// Explains why a request waited and what became of it.
+    Explain(explain::ExplainArguments),
+    /// Shows services and targets as an entry sees them.
+    Status(status::StatusArguments),
+    /// Shows how fast services use up what their objectives allow.
+    Burn(burn::BurnArguments),
+    /// Runs experiments with entries and stand-in targets on loopback.
+    Bench(bench::BenchArguments),
+    /// Prints a completion script for a shell.
+    Completions(completions::CompletionArguments),
 }
 
 impl Arguments {
@@ -44,6 +62,11 @@
             Command::Intent(arguments) => arguments.run().await,
             Command::Plan(arguments) => arguments.run().await,
             Command::Confirm(arguments) => arguments.run().await,
+            Command::Explain(arguments) => arguments.run().await,
+            Command::Status(arguments) => arguments.run().await,
+            Command::Burn(arguments) => arguments.run().await,
+            Command::Bench(arguments) => arguments.run().await,
+            Command::Completions(arguments) => arguments.run(),
         }
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -11,9 +11,8 @@
 };
 
 use crate::admin::{AdminHandler, PlanBook, PlanDesk, TeamDirectory};
-use crate::peers::{
-    CallAnswers, CallListener, GossipNetwork, GroupAnswerer, NoQuarantine, PeerGroup, PeerParts,
-};
+use crate::gate::QuarantineGate;
+use crate::peers::{CallAnswers, CallListener, GossipNetwork, GroupAnswerer, PeerGroup, PeerParts};
 use crate::propagation::{
     IntentAnnouncer, PropagationHandle, PropagationParts, PropagationStatus, follow_store,
 };
@@ -21,6 +20,21 @@
 use crate::settings::{EntrySettings, PeerSettings, PlatformSettings};
 use crate::state::SharedState;
 use crate::store::{ObjectStore, StoreCaller};
+use crate::targets::TargetsHandle;
+
+/// What the shared state of an entry is built from.
+pub struct ControlParts {
+    /// The platform and the teams.
+    pub platform: PlatformSettings,
+    /// The platform's store.
+    pub store: Arc<dyn ObjectStore>,
+    /// Snapshots of the entry.
+    pub state: Arc<SharedState>,
+    /// Takes intents and members.
+    pub targets: TargetsHandle,
+    /// Fingerprints of requests that crash targets.
+    pub quarantine: Arc<QuarantineGate>,
+}
 
 /// What an entry shares with the others through the store and by messages.
 pub struct ControlPlane {
@@ -40,11 +54,10 @@
     /// Returns an error when an address cannot be listened on.
     pub async fn start(
         settings: &EntrySettings,
-        platform: &PlatformSettings,
-        store: Arc<dyn ObjectStore>,
-        state: Arc<SharedState>,
+        parts: ControlParts,
         stop: CancellationToken,
     ) -> Result<Self, StartError> {
+        let ControlParts { platform, store, state, targets, quarantine } = parts;
         let store = StoreCaller::new(store, Duration::from_millis(platform.call_ms));
         let hold = Duration::from_millis(platform.watch_ms);
         let teams = TeamDirectory::new(&platform.teams);
@@ -54,6 +67,7 @@
             store: store.clone(),
             hold,
             state: state.clone(),
+            targets: targets.clone(),
             place,
             announcer,
         };
@@ -74,7 +88,8 @@
             own,
             seeds: peers.seeds.clone(),
             clock: state.clock.clone(),
-            quarantine: Arc::new(NoQuarantine),
+            targets: targets.clone(),
+            quarantine,
         });
         let parts = parts(place(&peers.region), group.clone());
         let propagation = follow_store(parts, stop.clone());
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -1,6 +1,7 @@
 //! Filters that a request passes in order.
 
 mod admit;
+mod attempt;
 mod claim;
 mod classify;
 mod forward;
@@ -12,11 +13,12 @@
 use std::sync::Arc;
 
 pub use admit::AdmitFilter;
+pub use attempt::DRAIN_HEADER;
 pub use claim::ClaimFilter;
 pub use classify::{ClassifyFilter, DEADLINE_HEADER};
 pub use forward::ForwardFilter;
 use futures::future::BoxFuture;
-pub use identify::IdentifyFilter;
+pub use identify::{CALLER_HEADER, IdentifyFilter};
 pub use quarantine::QuarantineFilter;
 pub use record::RecordFilter;
 pub use route::RouteFilter;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,11 +19,13 @@
 //! ```
 
 pub mod admin;
+pub mod bench;
 pub mod commands;
 pub mod control;
 pub mod exchange;
 pub mod filters;
 pub mod front;
+pub mod gate;
 pub mod peers;
 pub mod pool;
 pub mod propagation;
@@ -32,3 +34,5 @@
 pub mod settings;
 pub mod state;
 pub mod store;
+pub mod targets;
+pub mod telemetry;
--- a/src/peers/rounds.rs
+++ b/src/peers/rounds.rs
@@ -12,11 +12,14 @@
 use zinniaport_core::clock::ClockSource;
 use zinniaport_core::controllers::{
     ConfigMessage, MemberEntry, MemberNote, MemberState, MembershipController, MembershipEffect,
-    MembershipMessage, SettingsMessage, StateController, VersionedIntent, VmHint, choose_watchers,
+    MembershipMessage, SettingsMessage, StateController, TargetsMessage, VersionedIntent, VmHint,
+    choose_watchers,
 };
+use zinniaport_core::policy::EntryView;
 
 use super::{GossipAnswerer, GossipMessage, GossipTransport};
 use crate::propagation::{IntentAnnouncer, PeerReply, PropagationHandle};
+use crate::targets::TargetsHandle;
 
 /// Time between rounds; each makes one call.
 const ROUND: Duration = Duration::from_secs(1);
@@ -43,18 +46,6 @@
     fn learn(&self, fingerprints: Vec<Vec<u8>>);
 }
 
-/// Stands in until quarantine is wired.
-#[derive(Debug, Default)]
-pub struct NoQuarantine;
-
-impl QuarantineExchange for NoQuarantine {
-    fn held(&self) -> Vec<Vec<u8>> {
-        Vec::new()
-    }
-
-    fn learn(&self, _fingerprints: Vec<Vec<u8>>) {}
-}
-
 /// What a group of peers needs.
 pub struct PeerParts {
     /// This entry.
@@ -63,6 +54,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Clock of the entry.
     pub clock: Arc<dyn ClockSource>,
+    /// Takes the members.
+    pub targets: TargetsHandle,
     /// Quarantined fingerprints.
     pub quarantine: Arc<dyn QuarantineExchange>,
 }
@@ -72,6 +65,7 @@
     own: MemberNote,
     seeds: Vec<SocketAddr>,
     clock: Arc<dyn ClockSource>,
+    targets: TargetsHandle,
     quarantine: Arc<dyn QuarantineExchange>,
     // Held for one step of the controller, never across an await point and never
     // on the path of a request, which reads `members`.
@@ -91,6 +85,7 @@
             own: parts.own,
             seeds: parts.seeds,
             clock: parts.clock,
+            targets: parts.targets,
             quarantine: parts.quarantine,
             members: ArcSwap::default(),
             contacts: Mutex::default(),
@@ -207,6 +202,7 @@
         for effect in effects {
             match effect {
                 MembershipEffect::Publish(members) => {
+                    self.targets.tell(TargetsMessage::View(self.view(&members)));
                     let places = members.iter().map(MemberEntry::place).collect();
                     self.members.store(Arc::new(members.to_vec()));
                     if let Some(propagation) = self.propagation.get() {
@@ -218,6 +214,16 @@
         }
     }
 
+    /// Gives the members that home slots are shared among. A suspect keeps its
+    /// share until it is gone, so that a short silence moves no slots.
+    fn view(&self, members: &[MemberEntry]) -> EntryView {
+        EntryView {
+            name: self.own.name.as_str().into(),
+            data_centre: self.own.data_centre.as_str().into(),
+            members: members.iter().map(|member| member.name.as_str().into()).collect(),
+        }
+    }
+
     /// Entries of one system use the same port for messages.
     fn note_contacts(&self, addresses: &[IpAddr]) {
         let port = self.own.address.port();
--- a/src/propagation.rs
+++ b/src/propagation.rs
@@ -11,12 +11,13 @@
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::{
     ConfigMessage, EntryPlace, SettingsController, SettingsEffect, SettingsMessage,
-    StateController, StoreBatch, VersionedIntent,
+    StateController, StoreBatch, TargetsMessage, VersionedIntent,
 };
 use zinniaport_core::plan::StoredIntent;
 
 use crate::state::SharedState;
 use crate::store::{StoreCaller, WatchBatch};
+use crate::targets::TargetsHandle;
 
 /// Prefix of intents in the store.
 const INTENT_PREFIX: &str = "intents/";
@@ -123,6 +124,8 @@
     pub hold: Duration,
     /// State of the entry.
     pub state: Arc<SharedState>,
+    /// Takes the intents in force.
+    pub targets: TargetsHandle,
     /// This entry.
     pub place: EntryPlace,
     /// Passes changes to peers.
@@ -203,7 +206,9 @@
     fn carry_out(&mut self, effect: SettingsEffect) {
         let (store, state) = (self.parts.store.clone(), self.parts.state.clone());
         match effect {
-            SettingsEffect::Publish(fleet) => self.parts.state.fleet.store(fleet),
+            SettingsEffect::Publish(fleet) => {
+                self.parts.targets.tell(TargetsMessage::Intents(fleet));
+            }
             SettingsEffect::Announce(intent) => self.parts.announcer.announce(&intent),
             SettingsEffect::Confirmed(time) => {
                 self.status.confirmed.store(time.0, Ordering::Release);
--- /dev/null
+++ b/src/runtime/chain.rs
@@ -0,0 +1,40 @@
+//! The filter chain of an entry.
+
+use std::sync::Arc;
+
+use zinniaport_core::policy::RoutingPolicy;
+
+use crate::filters::{
+    AdmitFilter, ClaimFilter, ClassifyFilter, FilterChain, ForwardFilter, IdentifyFilter,
+    QuarantineFilter, RecordFilter, RouteFilter,
+};
+use crate::gate::QuarantineGate;
+use crate::pool::TargetTransport;
+use crate::state::SharedState;
+use crate::targets::TargetsHandle;
+
+/// What the filters of an entry need.
+pub(super) struct ChainParts {
+    pub(super) state: Arc<SharedState>,
+    pub(super) targets: TargetsHandle,
+    pub(super) policy: Arc<dyn RoutingPolicy>,
+    pub(super) transport: Arc<dyn TargetTransport>,
+    pub(super) quarantine: Arc<QuarantineGate>,
+}
+
+impl ChainParts {
+    /// Builds the chain, outermost filter first.
+    pub(super) fn build(self) -> FilterChain {
+        let Self { state, targets, policy, transport, quarantine } = self;
+        FilterChain::new(vec![
+            Arc::new(RecordFilter::new(state.clone())),
+            Arc::new(IdentifyFilter::new(state.clone())),
+            Arc::new(ClassifyFilter::new(state.clone())),
+            Arc::new(QuarantineFilter::new(state.clone(), quarantine)),
+            Arc::new(ClaimFilter),
+            Arc::new(AdmitFilter::new(state.clone())),
+            Arc::new(RouteFilter::new(state.clone(), policy, targets)),
+            Arc::new(ForwardFilter::new(state, transport)),
+        ])
+    }
+}
--- /dev/null
+++ b/src/runtime/mod.rs
@@ -0,0 +1,229 @@
+//! Starts an entry: wires filters, controllers and borders together.
+
+mod chain;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use chain::ChainParts;
+use derive_more::{Display, Error};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+use zinniaport_core::clock::{ClockSource, SystemClock, Timestamp};
+use zinniaport_core::controllers::{
+    DrainController, DrainEffect, DrainMessage, SettingsController, SettingsEffect,
+    SettingsMessage, StateController, TargetsMessage,
+};
+use zinniaport_core::intent::ServiceIntent;
+use zinniaport_core::policy::EntryView;
+
+use crate::admin::{
+    AdminHandler, AdminRouter, BurnHandler, ExplainHandler, LivenessHandler, LocalRecords,
+    MetricsHandler, ReadinessHandler, RecordsHandler, StatusHandler,
+};
+use crate::control::{ControlParts, ControlPlane};
+use crate::front::HttpFront;
+use crate::gate::QuarantineGate;
+use crate::pool::{HttpTransport, UnobservedSilence};
+use crate::settings::{EntrySettings, PlatformSettings};
+use crate::state::SharedState;
+use crate::store::{HttpStore, ObjectStore};
+use crate::targets::TargetsDriver;
+use crate::telemetry::drive_burn;
+
+/// Why an entry cannot start.
+#[derive(Debug, Display, Error)]
+#[display("cannot listen on {address}: {source}; free the port or change the setting")]
+pub struct StartError {
+    /// The address.
+    pub address: SocketAddr,
+    /// What failed.
+    pub source: std::io::Error,
+}
+
+/// A running entry.
+pub struct EntryRuntime {
+    caller_address: SocketAddr,
+    admin_address: SocketAddr,
+    clock: Arc<dyn ClockSource>,
+    ready: Arc<AtomicBool>,
+    close: CancellationToken,
+    stop: CancellationToken,
+    front: AbortOnDropHandle<()>,
+    drain: DrainController,
+    control: Option<ControlPlane>,
+}
+
+impl EntryRuntime {
+    /// Starts an entry that uses the platform of its settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address cannot be listened on.
+    pub async fn start(settings: EntrySettings) -> Result<Self, StartError> {
+        let store = settings.platform.as_ref().map(platform_store);
+        Self::start_with(settings, store).await
+    }
+
+    /// Starts an entry that keeps shared state in `store`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address cannot be listened on.
+    pub async fn start_with(
+        mut settings: EntrySettings,
+        store: Option<Arc<dyn ObjectStore>>,
+    ) -> Result<Self, StartError> {
+        let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
+        let state =
+            Arc::new(SharedState::new(clock.clone(), &settings.name, &settings.data_centre));
+        let (listener, caller_address) = listen(settings.listen).await?;
+        let (admin_listener, admin_address) = listen(settings.admin_listen).await?;
+        let stop = CancellationToken::new();
+        let (mut driver, targets) = TargetsDriver::new(state.clone());
+        apply_intents(&state, &mut driver, std::mem::take(&mut settings.services));
+        // Runs on during a planned stop, until the last request has ended.
+        tokio::spawn(driver.run(CancellationToken::new()));
+        let quarantine = Arc::new(QuarantineGate::new(clock.clone()));
+        let control = match (settings.platform.take(), store) {
+            (Some(platform), Some(store)) => {
+                let parts = ControlParts {
+                    platform,
+                    store,
+                    state: state.clone(),
+                    targets: targets.clone(),
+                    quarantine: quarantine.clone(),
+                };
+                Some(ControlPlane::start(&settings, parts, stop.clone()).await?)
+            }
+            _ => None,
+        };
+        let ready = Arc::new(AtomicBool::new(true));
+        let router = AdminRouter::new(handlers(&state, &ready, control.as_ref()));
+        tokio::spawn(router.serve(admin_listener, stop.clone()));
+        tokio::spawn(drive_burn(state.clone(), stop.clone()));
+        let EntrySettings { limits, pool, stop: stop_settings, routing, .. } = settings;
+        let transport = Arc::new(HttpTransport::new(pool, Arc::new(UnobservedSilence)));
+        let policy = routing.policy();
+        let parts = ChainParts { state: state.clone(), targets, policy, transport, quarantine };
+        let front = HttpFront::new(state, parts.build(), limits);
+        let close = CancellationToken::new();
+        let linger = stop_settings.idle_linger();
+        let front = tokio::spawn(front.serve(listener, close.clone(), linger));
+        let front = AbortOnDropHandle::new(front);
+        let drain = DrainController::new(stop_settings.drain_limits());
+        Ok(Self { caller_address, admin_address, clock, ready, close, stop, front, drain, control })
+    }
+
+    /// Gives the address for callers.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Gives the address for administration.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Gives the state shared with other entries, if a platform is set.
+    pub fn control(&self) -> Option<&ControlPlane> {
+        self.control.as_ref()
+    }
+
+    /// Runs a planned stop: readiness turns false, new work is still served while
+    /// the platform's balancer lags, then the listener closes and requests in
+    /// flight end.
+    pub async fn stop(mut self) {
+        let mut message = DrainMessage::StopRequested;
+        loop {
+            let effects = self.drain.handle(message, self.clock.now());
+            log::info!("planned stop: {}", self.drain.state());
+            let Some(timer) = self.carry_out(effects) else { break };
+            message = self.next_message(timer).await;
+        }
+        self.stop.cancel();
+    }
+
+    /// Carries out effects and returns the timer to wait for, if any.
+    fn carry_out(&self, effects: Vec<DrainEffect>) -> Option<Timestamp> {
+        let mut timer = None;
+        for effect in effects {
+            match effect {
+                DrainEffect::PublishReadiness(ready) => self.ready.store(ready, Ordering::Release),
+                DrainEffect::SetTimer(time) => timer = Some(time),
+                DrainEffect::CloseListener => self.close.cancel(),
+                DrainEffect::Finish { cut: false } => {}
+                DrainEffect::Finish { cut: true } => {
+                    log::warn!("requests are cut by the stop; raise stop.drain_limit_ms");
+                }
+            }
+        }
+        timer
+    }
+
+    /// Waits for the timer or, once the listener is closed, for the last caller
+    /// connection.
+    async fn next_message(&mut self, timer: Timestamp) -> DrainMessage {
+        let wait = tokio::time::sleep(timer.since(self.clock.now()));
+        tokio::select! {
+            () = wait => DrainMessage::TimerFired,
+            ended = &mut self.front, if self.close.is_cancelled() => {
+                if let Err(error) = ended {
+                    log::error!("the front end failed: {error}; report this with the log above");
+                }
+                DrainMessage::ConnectionsEnded
+            }
+        }
+    }
+}
+
+pub(crate) async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+    let start_error = |source| StartError { address, source };
+    let listener = TcpListener::bind(address).await.map_err(start_error)?;
+    let bound = listener.local_addr().map_err(start_error)?;
+    Ok((listener, bound))
+}
+
+fn apply_intents(state: &SharedState, driver: &mut TargetsDriver, services: Vec<ServiceIntent>) {
+    let (name, data_centre) = (state.entry_name.clone(), state.data_centre.clone());
+    driver.deliver(TargetsMessage::View(EntryView { name, data_centre, members: Arc::default() }));
+    let mut controller = SettingsController::default();
+    for intent in services {
+        let message = SettingsMessage::Accepted { intent, version: 1 };
+        for effect in controller.handle(message, state.clock.now()) {
+            if let SettingsEffect::Publish(fleet) = effect {
+                driver.deliver(TargetsMessage::Intents(fleet));
+            }
+        }
+    }
+}
+
+fn platform_store(platform: &PlatformSettings) -> Arc<dyn ObjectStore> {
+    let store = HttpStore::builder()
+        .address(platform.address)
+        .call_limit(Duration::from_millis(platform.call_ms))
+        .build();
+    Arc::new(store)
+}
+
+fn handlers(
+    state: &Arc<SharedState>,
+    ready: &Arc<AtomicBool>,
+    control: Option<&ControlPlane>,
+) -> Vec<Arc<dyn AdminHandler>> {
+    let propagation = control.map(|plane| plane.status().clone());
+    let mut handlers: Vec<Arc<dyn AdminHandler>> = vec![
+        Arc::new(LivenessHandler),
+        Arc::new(ReadinessHandler::new(ready.clone(), propagation)),
+        Arc::new(MetricsHandler(state.clone())),
+        Arc::new(ExplainHandler::new(vec![Arc::new(LocalRecords(state.clone()))])),
+        Arc::new(RecordsHandler(state.clone())),
+        Arc::new(StatusHandler(state.clone())),
+        Arc::new(BurnHandler(state.clone())),
+    ];
+    handlers.extend(control.into_iter().flat_map(ControlPlane::handlers));
+    handlers
+}
--- a/src/settings/peers.rs
+++ b/src/settings/peers.rs
@@ -4,6 +4,8 @@
 
 use serde::Deserialize;
 
+use super::fault::{CheckSettings, FaultList, field};
+
 /// How an entry reaches the others.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -20,3 +22,12 @@
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
 }
+
+impl CheckSettings for PeerSettings {
+    fn check(&self, path: &str, faults: &mut FaultList) {
+        if self.listen.ip().is_unspecified() {
+            let remedy = "name the IP address that the other entries use";
+            faults.add(field(path, "listen"), self.listen, "not 0.0.0.0 or [::]", remedy);
+        }
+    }
+}
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Deserializer};
 
+use super::fault::{CheckSettings, FaultList, check_each, element, field};
+
 /// Where the platform's store is, and who may change what.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -68,3 +70,22 @@
     }
     Ok(digest)
 }
+
+impl CheckSettings for PlatformSettings {
+    fn check(&self, path: &str, faults: &mut FaultList) {
+        let time = "give a time in milliseconds within the limit";
+        faults.check_range(field(path, "call_ms"), self.call_ms, 10..=60_000, time);
+        faults.check_range(field(path, "watch_ms"), self.watch_ms, 100..=4000, time);
+        check_each(path, "teams", &self.teams, faults);
+    }
+}
+
+impl CheckSettings for TeamSettings {
+    fn check(&self, path: &str, faults: &mut FaultList) {
+        faults.check_name(field(path, "name"), &self.name);
+        for (position, token) in self.tokens.iter().enumerate() {
+            let path = field(&element(path, "tokens", position), "author");
+            faults.check_name(path, &token.author);
+        }
+    }
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's object store, as the entry sees it.
 
 mod calls;
+mod http;
 
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 pub use calls::StoreCaller;
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
+pub use http::HttpStore;
 use serde::{Deserialize, Serialize};
 
 /// Object with the version of its last change. Versions come from one counter
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -1,5 +1,6 @@
 //! Messages and calls between entries over real connections.
 
+mod memory_store;
 #[allow(
     clippy::all,
     clippy::nursery,
@@ -10,7 +11,6 @@
 )]
 #[path = "schema/newer_peer_capnp.rs"]
 mod newer_peer_capnp;
-mod support;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -21,8 +21,8 @@
 use capnp::message::{Builder, ReaderOptions};
 use capnp::serialize;
 use futures::future::BoxFuture;
+use memory_store::MemoryStore;
 use serde_json::json;
-use support::MemoryStore;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use zinniaport::peers::peer_capnp::gossip_message;
--- a/tests/plans.rs
+++ b/tests/plans.rs
@@ -1,6 +1,6 @@
 //! Plans through the administration address and the commands.
 
-mod support;
+mod memory_store;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -8,9 +8,9 @@
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
+use memory_store::MemoryStore;
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
-use support::MemoryStore;
 use zinniaport::runtime::EntryRuntime;
 use zinniaport::settings::EntrySettings;
 use zinniaport_testing::client::send;
--- a/tests/propagation.rs
+++ b/tests/propagation.rs
@@ -1,18 +1,19 @@
 //! Intents from the store to the request path, through faults of the store.
 
-mod support;
+mod memory_store;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use memory_store::MemoryStore;
 use serde_json::json;
-use support::MemoryStore;
 use tokio_util::sync::CancellationToken;
 use zinniaport::propagation::{IntentAnnouncer, PropagationHandle, PropagationParts, follow_store};
 use zinniaport::state::SharedState;
 use zinniaport::store::{ObjectStore, StoreCaller, WriteCondition};
+use zinniaport::targets::TargetsDriver;
 use zinniaport_core::clock::{ClockSource, Timestamp};
 use zinniaport_core::controllers::{EntryPlace, SettingsMessage, VersionedIntent};
 use zinniaport_core::intent::ServiceIntent;
@@ -51,7 +52,10 @@
     let clock = Arc::new(PausedClock(tokio::time::Instant::now()));
     let state = Arc::new(SharedState::new(clock, "entry-1", "south-a"));
     let place = EntryPlace { name: "entry-1".to_owned(), region: String::new() };
+    let (driver, targets) = TargetsDriver::new(state.clone());
+    tokio::spawn(driver.run(CancellationToken::new()));
     let parts = PropagationParts {
+        targets,
         store: StoreCaller::new(store.clone(), Duration::from_secs(1)),
         hold: Duration::from_millis(1500),
         state: state.clone(),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,154 +1,116 @@
-//! An object store in memory with switchable faults.
+//! Entries and raw-socket targets for tests of the path of bytes.
+#![allow(dead_code, reason = "each test file uses its own part")]
 
-use std::collections::BTreeMap;
-use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
-use bytes::Bytes;
-use futures::future::BoxFuture;
-use tokio::sync::Notify;
-use zinniaport::store::{ObjectStore, StoreError, StoredObject, WatchBatch, WriteCondition};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use zinniaport::runtime::EntryRuntime;
+use zinniaport::settings::EntrySettings;
 
-#[derive(Default)]
-struct Objects {
-    version: u64,
-    by_name: BTreeMap<String, StoredObject>,
+/// Writes the settings of an entry with one target; `extra` is more YAML.
+pub fn settings_text(target: SocketAddr, extra: &str) -> String {
+    format!(
+        "name: entry-1\n\
+         data_centre: valle-a\n\
+         listen: 127.0.0.1:0\n\
+         admin_listen: 127.0.0.1:0\n\
+         {extra}\n\
+         services:\n\
+         - service: pump-history\n\
+         \x20 team: co-operative\n\
+         \x20 kinds:\n\
+         \x20 - {{ name: lookup, rank: 0, idempotent: false, deadline_ms: 20000 }}\n\
+         \x20 targets:\n\
+         \x20 - {{ address: \"{target}\", data_centre: valle-a, slots: 100 }}\n"
+    )
 }
 
-/// Store whose faults a test switches on and off.
-#[derive(Default)]
-pub struct MemoryStore {
-    objects: Mutex<Objects>,
-    changed: Notify,
-    /// No call is answered.
-    pub down: AtomicBool,
-    /// Writes that take effect without an answer.
-    pub lost_answers: AtomicUsize,
-    /// Watches end without showing changes.
-    pub silent_watch: AtomicBool,
-    /// Watches are refused as too old.
-    pub too_old: AtomicBool,
-    /// Calls so far.
-    pub calls: AtomicUsize,
+/// Starts an entry in this process.
+pub async fn start_entry(target: SocketAddr, extra: &str) -> EntryRuntime {
+    let settings: EntrySettings = serde_norway::from_str(&settings_text(target, extra)).unwrap();
+    EntryRuntime::start(settings).await.unwrap()
 }
 
-impl MemoryStore {
-    fn admit(&self) -> Result<(), StoreError> {
-        self.calls.fetch_add(1, Ordering::SeqCst);
-        if self.down.load(Ordering::SeqCst) { Err(no_answer()) } else { Ok(()) }
-    }
-
-    fn change(&self, name: &str, content: Option<String>) -> u64 {
-        let mut objects = self.objects.lock().unwrap();
-        objects.version += 1;
-        let version = objects.version;
-        let object = StoredObject { name: name.to_owned(), version, content };
-        objects.by_name.insert(name.to_owned(), object);
-        self.changed.notify_waiters();
-        version
-    }
+/// A target that treats each connection as a test says.
+pub struct FakeTarget {
+    pub address: SocketAddr,
+    pub connections: Arc<AtomicUsize>,
+    accept: JoinHandle<()>,
+}
 
-    fn present(&self, name: &str) -> Option<StoredObject> {
-        let objects = self.objects.lock().unwrap();
-        objects.by_name.get(name).filter(|object| object.content.is_some()).cloned()
+impl FakeTarget {
+    /// Starts a target; `serve` gets each connection with its number from 0.
+    pub async fn start<F, S>(serve: S) -> Self
+    where
+        S: Fn(TcpStream, usize) -> F + Send + 'static,
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let connections = Arc::new(AtomicUsize::new(0));
+        let counter = connections.clone();
+        let accept = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, counter.fetch_add(1, Ordering::SeqCst)));
+            }
+        });
+        Self { address, connections, accept }
     }
 
-    fn since(&self, prefix: &str, version: u64) -> WatchBatch {
-        let objects = self.objects.lock().unwrap();
-        let matching = objects.by_name.values().filter(|object| object.name.starts_with(prefix));
-        let mut changes: Vec<_> =
-            matching.filter(|object| object.version > version).cloned().collect();
-        changes.sort_by_key(|object| object.version);
-        WatchBatch { version: objects.version, changes }
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
     }
 }
 
-fn no_answer() -> StoreError {
-    StoreError::NoAnswer { cause: "switched off by the test".to_owned() }
-}
-
-impl ObjectStore for MemoryStore {
-    fn read<'a>(
-        &'a self,
-        name: &'a str,
-    ) -> BoxFuture<'a, Result<Option<StoredObject>, StoreError>> {
-        Box::pin(async move { self.admit().map(|()| self.present(name)) })
+impl Drop for FakeTarget {
+    fn drop(&mut self) {
+        self.accept.abort();
     }
+}
 
-    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<WatchBatch, StoreError>> {
-        Box::pin(async move {
-            self.admit()?;
-            let mut batch = self.since(prefix, 0);
-            batch.changes.retain(|object| object.content.is_some());
-            Ok(batch)
-        })
+/// Reads up to the end of a message head; none at the end of the connection.
+pub async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
     }
+    String::from_utf8(head).ok()
+}
 
-    fn write<'a>(
-        &'a self,
-        name: &'a str,
-        content: Bytes,
-        condition: WriteCondition,
-    ) -> BoxFuture<'a, Result<u64, StoreError>> {
-        Box::pin(async move {
-            self.admit()?;
-            let present = self.present(name).map_or(0, |object| object.version);
-            let wanted = match condition {
-                WriteCondition::Absent => 0,
-                WriteCondition::AtVersion(version) => version,
-            };
-            if present != wanted {
-                return Err(StoreError::Conflict { version: present });
-            }
-            let version = self.change(name, String::from_utf8(content.to_vec()).ok());
-            let lost = self
-                .lost_answers
-                .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| left.checked_sub(1));
-            if lost.is_ok() { Err(no_answer()) } else { Ok(version) }
-        })
+/// Reads a whole request and returns its head.
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let head = read_head(stream).await?;
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+    let mut left = length.map_or(0, |length| length.parse().unwrap());
+    let mut body = Vec::new();
+    let chunked = head.contains("transfer-encoding: chunked");
+    while left > 0 || (chunked && !body.ends_with(b"0\r\n\r\n")) {
+        body.push(stream.read_u8().await.ok()?);
+        left = usize::saturating_sub(left, 1);
     }
+    Some(head)
+}
 
-    fn delete<'a>(&'a self, name: &'a str, version: u64) -> BoxFuture<'a, Result<(), StoreError>> {
-        Box::pin(async move {
-            self.admit()?;
-            match self.present(name).map_or(0, |object| object.version) {
-                present if present == version => {
-                    self.change(name, None);
-                    Ok(())
-                }
-                version => Err(StoreError::Conflict { version }),
-            }
-        })
+/// Answers every request on a connection with its own head as the body.
+pub async fn echo_heads(mut stream: TcpStream) {
+    while let Some(head) = read_request(&mut stream).await {
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{head}", head.len());
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
     }
+}
 
-    fn watch<'a>(
-        &'a self,
-        prefix: &'a str,
-        version: u64,
-        limit: Duration,
-    ) -> BoxFuture<'a, Result<WatchBatch, StoreError>> {
-        Box::pin(async move {
-            self.admit()?;
-            if self.too_old.swap(false, Ordering::SeqCst) {
-                return Err(StoreError::TooOld);
-            }
-            let end = tokio::time::Instant::now() + limit;
-            loop {
-                let changed = self.changed.notified();
-                let batch = self.since(prefix, version);
-                let silent = self.silent_watch.load(Ordering::SeqCst);
-                if !silent && !batch.changes.is_empty() {
-                    return Ok(batch);
-                }
-                if tokio::time::timeout_at(end, changed).await.is_err() {
-                    return Ok(if silent {
-                        WatchBatch { version, changes: Vec::new() }
-                    } else {
-                        batch
-                    });
-                }
-            }
-        })
-    }
+/// Sends raw bytes and reads until the entry closes the connection.
+pub async fn send_raw(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
 }
