Run the bench on entries that follow a platform and know each other

Cause: entries of the bench were alone, so home slots gave each of them every slot of every target. Change: the fleet of a run has a platform, peers and probe counts; a run starts once every entry knows the intents and the members.

--- /dev/null
+++ b/src/bench/fleet.rs
@@ -0,0 +1,202 @@
+//! Targets, platform and entries of a deployment, all on loopback in this process.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use zinniaport_core::intent::{
+    KindIntent, MeasuringIntent, ServiceIntent, TargetIntent, TargetWish,
+};
+use zinniaport_core::plan::StoredIntent;
+use zinniaport_standin::platform::{PlatformSettings as StandinSettings, StandinPlatform};
+use zinniaport_standin::target::{StandinTarget, TargetSettings};
+
+use super::deployment::{Deployment, ServiceShape};
+use super::immediate_stop;
+use super::trial::{BenchTrial, DEADLINE};
+use crate::runtime::EntryRuntime;
+use crate::settings::{EntrySettings, PeerSettings, PlatformSettings, RoutingSettings};
+
+/// Names of the data centres, over which targets and entries are spread in turn.
+const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+
+/// Entries that do not know each other by this time make the run void.
+const START_LIMIT: Duration = Duration::from_secs(60);
+
+/// Targets of one service.
+pub(super) struct ServiceTargets {
+    pub(super) shape: ServiceShape,
+    pub(super) targets: Vec<Arc<StandinTarget>>,
+}
+
+/// Everything that serves the load of one run.
+pub(super) struct BenchFleet {
+    pub(super) services: Vec<ServiceTargets>,
+    entries: Vec<EntryRuntime>,
+    _platform: StandinPlatform,
+}
+
+type StartResult<T> = Result<T, Box<dyn std::error::Error>>;
+
+impl BenchFleet {
+    /// Starts a fleet and waits until every entry knows the intents and the others.
+    pub(super) async fn start(trial: &BenchTrial) -> StartResult<Self> {
+        let services = start_targets(trial)?;
+        let platform = StandinPlatform::start(&StandinSettings::builder().build())?;
+        for service in &services {
+            let intent = service.intent(&trial.deployment);
+            let name = format!("intents/{}", intent.service);
+            let stored =
+                StoredIntent { intent, author: "bench".to_owned(), applied: Default::default() };
+            platform.seed(&name, &serde_json::to_string(&stored)?);
+        }
+        let entries = start_entries(trial, platform.address()).await?;
+        let fleet = Self { services, entries, _platform: platform };
+        tokio::time::timeout(START_LIMIT, fleet.settle())
+            .await
+            .map_err(|_| "the entries did not find each other; run fewer programs beside it")?;
+        Ok(fleet)
+    }
+
+    /// Gives the addresses for callers.
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(EntryRuntime::caller_address).collect()
+    }
+
+    /// Gives the share of the targets' slot time that probes took, in percent.
+    pub(super) fn measuring_percent(&self, probe_ms: u64, slots: u32, length: Duration) -> f64 {
+        let targets = self.services.iter().flat_map(|service| &service.targets);
+        let (mut probes, mut count) = (0, 0);
+        for target in targets {
+            probes += target.counts().probes;
+            count += 1;
+        }
+        let slot_time_ms = f64::from(slots) * f64::from(count) * length.as_millis() as f64;
+        100.0 * (probes * probe_ms) as f64 / slot_time_ms
+    }
+
+    /// Stops the entries.
+    pub(super) async fn stop(self) {
+        join_all(self.entries.into_iter().map(EntryRuntime::stop)).await;
+    }
+
+    async fn settle(&self) {
+        let expected = self.entries.len();
+        let settled = |entry: &EntryRuntime| {
+            entry.control().is_some_and(|control| {
+                let members = control.peers().map_or(0, |peers| peers.members().len());
+                let fleet = control.state().fleet.load();
+                let seen = fleet.view.members.len();
+                let services = fleet.services.len();
+                members == expected && seen == expected && services == self.services.len()
+            })
+        };
+        while !self.entries.iter().all(settled) {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+fn start_targets(trial: &BenchTrial) -> std::io::Result<Vec<ServiceTargets>> {
+    let deployment = &trial.deployment;
+    let start = |shape: &ServiceShape| -> std::io::Result<ServiceTargets> {
+        let targets = (0..shape.targets).map(|position| {
+            let probe_ms = deployment.probe_cost_ms;
+            let settings = TargetSettings::builder()
+                .slots(deployment.slots as usize)
+                .behaviour(trial.scenario.behaviour(shape, position, probe_ms))
+                .seed(trial.seed.wrapping_mul(1000) + position as u64)
+                .build();
+            StandinTarget::start_with(settings).map(Arc::new)
+        });
+        Ok(ServiceTargets { shape: *shape, targets: targets.collect::<Result<_, _>>()? })
+    };
+    deployment.services.iter().map(start).collect()
+}
+
+async fn start_entries(trial: &BenchTrial, platform: SocketAddr) -> StartResult<Vec<EntryRuntime>> {
+    let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let mut entries: Vec<EntryRuntime> = Vec::new();
+    let mut seeds = Vec::new();
+    for position in 0..trial.deployment.entries {
+        let data_centre = DATA_CENTRES[position % DATA_CENTRES.len()];
+        let settings = EntrySettings::builder()
+            .name(format!("entry-{position}"))
+            .data_centre(data_centre)
+            .listen(any_port)
+            .admin_listen(any_port)
+            .stop(immediate_stop())
+            .routing(RoutingSettings { policy: trial.policy.clone() })
+            .platform(PlatformSettings {
+                address: platform,
+                call_ms: 1000,
+                watch_ms: 1500,
+                teams: Vec::new(),
+            })
+            .peers(PeerSettings {
+                listen: any_port,
+                call_listen: None,
+                region: "bench".to_owned(),
+                seeds: seeds.clone(),
+            })
+            .build();
+        let entry = EntryRuntime::start(settings).await?;
+        if seeds.is_empty() {
+            seeds.push(first_peer_address(&entry).await?);
+        }
+        entries.push(entry);
+    }
+    Ok(entries)
+}
+
+/// Waits until the first entry lists itself with its address for messages.
+async fn first_peer_address(entry: &EntryRuntime) -> StartResult<SocketAddr> {
+    let peers = entry.control().and_then(|control| control.peers()).ok_or("no peers are set")?;
+    let wait = async {
+        loop {
+            if let Some(member) = peers.members().first() {
+                return member.address;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    Ok(tokio::time::timeout(START_LIMIT, wait).await?)
+}
+
+impl ServiceTargets {
+    fn intent(&self, deployment: &Deployment) -> ServiceIntent {
+        let shape = &self.shape;
+        let targets = self.targets.iter().enumerate().map(|(position, target)| TargetIntent {
+            address: target.address(),
+            data_centre: DATA_CENTRES[position % DATA_CENTRES.len()].to_owned(),
+            slots: deployment.slots,
+            state: TargetWish::Serving,
+        });
+        ServiceIntent {
+            service: shape.name.to_owned(),
+            team: deployment.name.to_owned(),
+            kinds: vec![KindIntent {
+                name: "request".to_owned(),
+                methods: Vec::new(),
+                path_prefix: String::new(),
+                rank: shape.rank,
+                idempotent: shape.idempotent,
+                max_runs: if shape.idempotent { 2 } else { 1 },
+                deadline_ms: DEADLINE.as_millis() as u64,
+                require_key: false,
+                objective_percent: 99.0,
+            }],
+            targets: targets.collect(),
+            measuring: MeasuringIntent {
+                budget_percent: 1.0,
+                probe_cost_ms: deployment.probe_cost_ms as f64,
+                max_entries: deployment.entries as u32,
+            },
+            max_queue_length: 256,
+            retry_percent: 10.0,
+            max_ejected_percent: 34.0,
+            max_crashed_targets: 2,
+        }
+    }
+}
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -4,6 +4,7 @@
 //! the same seeds, so that results are ratios measured on one machine in one run.
 
 mod deployment;
+mod fleet;
 mod load;
 mod overhead;
 mod report;
--- a/src/bench/report.rs
+++ b/src/bench/report.rs
@@ -23,11 +23,20 @@
     pub refused: u64,
     /// Requests without a whole answer from a target, and not refused.
     pub failed: u64,
+    /// Share of the targets' slot time that probes took, in percent.
+    pub measuring_percent: f64,
 }
 
 impl Default for RunResult {
     fn default() -> Self {
-        Self { latency_us: latency_histogram(), sent: 0, in_time: 0, refused: 0, failed: 0 }
+        Self {
+            latency_us: latency_histogram(),
+            sent: 0,
+            in_time: 0,
+            refused: 0,
+            failed: 0,
+            measuring_percent: 0.0,
+        }
     }
 }
 
@@ -200,10 +209,15 @@
         p99_ratio_spread,
         p999_ratio,
         p999_ratio_spread,
-        measuring_percent: 0.0,
+        measuring_percent: mean(results.iter().map(|run| run.measuring_percent)),
     }
 }
 
+fn mean(values: impl ExactSizeIterator<Item = f64>) -> f64 {
+    let count = values.len().max(1) as f64;
+    values.sum::<f64>() / count
+}
+
 /// Gives the median, lowest and highest ratio over the seeds.
 fn ratios(results: &[RunResult], baseline: &[RunResult], quantile: f64) -> (f64, [f64; 2]) {
     let mut ratios: Vec<f64> = results
