--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,6 +1,5 @@
 //! Subcommands of `zinniaport` and the command lines of the daemons.
 
-mod admin_client;
 mod bench;
 mod burn;
 mod burn_page;
@@ -13,6 +12,7 @@
 mod plans;
 mod standin;
 mod status;
+mod team_access;
 mod try_out;
 
 use std::process::ExitCode;
--- a/src/commands/plans.rs
+++ b/src/commands/plans.rs
@@ -10,16 +10,16 @@
 use zinniaport_core::intent::ServiceIntent;
 use zinniaport_core::plan::{ChangePlan, IntentStatement, PlannedChange};
 
-use super::admin_client::{EXIT_CODES, EntryAccess};
+use super::team_access::{EXIT_CODES, TeamAccess};
 
 /// Arguments of `zinniaport intent`.
 #[derive(Debug, Args)]
 #[command(after_help = format!(
-    "Example: zinniaport intent --entry 10.0.0.7:7902 --file visit-ledger.yaml\n\n{EXIT_CODES}"
+    "Example: zinniaport intent --admin 10.0.0.7:7902 --file visit-ledger.yaml\n\n{EXIT_CODES}"
 ))]
 pub struct IntentArguments {
     #[command(flatten)]
-    access: EntryAccess,
+    access: TeamAccess,
     /// YAML file with the intent of one service.
     #[arg(long, value_name = "FILE")]
     file: PathBuf,
@@ -55,10 +55,10 @@
 
 /// Arguments of `zinniaport plan`.
 #[derive(Debug, Args)]
-#[command(after_help = format!("Example: zinniaport plan --entry 10.0.0.7:7902\n\n{EXIT_CODES}"))]
+#[command(after_help = format!("Example: zinniaport plan --admin 10.0.0.7:7902\n\n{EXIT_CODES}"))]
 pub struct PlanArguments {
     #[command(flatten)]
-    access: EntryAccess,
+    access: TeamAccess,
 }
 
 impl PlanArguments {
@@ -72,12 +72,12 @@
 #[derive(Debug, Args)]
 #[command(after_help = format!(
     "Confirming a plan again is safe: it is applied at most once.\n\
-     Example: zinniaport confirm --entry 10.0.0.7:7902 0123456789abcdef0123456789abcdef\n\n\
+     Example: zinniaport confirm --admin 10.0.0.7:7902 0123456789abcdef0123456789abcdef\n\n\
      {EXIT_CODES}"
 ))]
 pub struct ConfirmArguments {
     #[command(flatten)]
-    access: EntryAccess,
+    access: TeamAccess,
     /// Identity of the plan, as `zinniaport intent` printed it.
     plan: String,
 }
--- a/tests/plans.rs
+++ b/tests/plans.rs
@@ -117,7 +117,7 @@
         std::fs::write(&intent, yaml).unwrap();
         let run = |command: &str, more: &[&str]| {
             let token = token.to_str().unwrap();
-            let common = [command, "--entry", &address, "--token-file", token];
+            let common = [command, "--admin", &address, "--token-file", token];
             ChildProcess::start(env!("CARGO_BIN_EXE_zinniaport"), common.iter().chain(more))
         };
         let mut stated = run("intent", &["--file", intent.to_str().unwrap()]);
