--- a/src/admin/plan_book.rs
+++ b/src/admin/plan_book.rs
@@ -8,12 +8,14 @@
     ConfirmOutcome, PlansController, PlansEffect, PlansMessage, ReadReply, SettingsMessage,
     StateController, WriteReply,
 };
+use zinniaport_core::intent::ServiceIntent;
 use zinniaport_core::plan::{
     ChangePlan, IntentStatement, PlanBasis, PlanError, PlanIdentity, PlanStamp, StoredIntent,
 };
 
 use super::access::TeamMember;
 use crate::propagation::PropagationHandle;
+use crate::settings::{CheckSettings, FaultList, SettingsFault, join_lines};
 use crate::state::SharedState;
 use crate::store::StoreCaller;
 
@@ -26,6 +28,17 @@
 pub enum PlanBookError {
     /// The statement yields no plan.
     Plan(PlanError),
+    /// Values of the intent break rules; one line for each.
+    #[from(ignore)]
+    #[display("{}", join_lines(faults))]
+    Faulty {
+        /// The faults.
+        #[error(not(source))]
+        faults: Vec<SettingsFault>,
+    },
+    /// No intent is in force for the service.
+    #[display("no intent is in force for this service; state one")]
+    NoIntent,
     /// The service belongs to another team.
     #[from(ignore)]
     #[display("service {service} does not belong to team {team}; ask its owners to change it")]
@@ -71,13 +84,9 @@
         member: &TeamMember,
         statement: IntentStatement,
     ) -> Result<ChangePlan, PlanBookError> {
+        check_intent(&statement.intent)?;
         let service = statement.intent.service.clone();
-        let (base, base_version) = match self.store.read(&intent_name(&service)).await {
-            ReadReply::Found { content, version } => (Some::<StoredIntent>(content), version),
-            ReadReply::Absent => (None, 0),
-            ReadReply::Unavailable => return Err(PlanBookError::StoreDown),
-        };
-        let base = base.map(|stored| stored.intent);
+        let (base, base_version) = self.read_base(&service).await?;
         let owners = base.iter().chain([&statement.intent]).map(|intent| &intent.team);
         if owners.into_iter().any(|team| *team != member.team) {
             return Err(PlanBookError::ForeignService { service, team: member.team.clone() });
@@ -98,6 +107,38 @@
         }
     }
 
+    /// Gives the intent in force of a team's service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the service has no intent or is foreign, or the
+    /// store does not answer.
+    pub async fn read_intent(
+        &self,
+        member: &TeamMember,
+        service: &str,
+    ) -> Result<ServiceIntent, PlanBookError> {
+        let (base, _) = self.read_base(service).await?;
+        let intent = base.ok_or(PlanBookError::NoIntent)?;
+        if intent.team != member.team {
+            let (service, team) = (service.to_owned(), member.team.clone());
+            return Err(PlanBookError::ForeignService { service, team });
+        }
+        Ok(intent)
+    }
+
+    /// Reads the intent in force with its version, 0 if there is none.
+    async fn read_base(
+        &self,
+        service: &str,
+    ) -> Result<(Option<ServiceIntent>, u64), PlanBookError> {
+        match self.store.read::<StoredIntent>(&intent_name(service)).await {
+            ReadReply::Found { content, version } => Ok((Some(content.intent), version)),
+            ReadReply::Absent => Ok((None, 0)),
+            ReadReply::Unavailable => Err(PlanBookError::StoreDown),
+        }
+    }
+
     /// Lists a team's plans and removes outlived ones.
     ///
     /// # Errors
@@ -186,3 +227,11 @@
 fn plan_name(plan: PlanIdentity) -> String {
     format!("plans/{plan}")
 }
+
+/// Checks an intent by the rules for settings files.
+fn check_intent(intent: &ServiceIntent) -> Result<(), PlanBookError> {
+    let mut faults = FaultList::default();
+    intent.check("", &mut faults);
+    let faults = faults.into_faults();
+    if faults.is_empty() { Ok(()) } else { Err(PlanBookError::Faulty { faults }) }
+}
--- a/src/admin/plans.rs
+++ b/src/admin/plans.rs
@@ -39,9 +39,11 @@
 impl From<PlanBookError> for AdminRefusal {
     fn from(error: PlanBookError) -> Self {
         let status = match error {
-            PlanBookError::Plan(_) => StatusCode::UNPROCESSABLE_ENTITY,
+            PlanBookError::Plan(_) | PlanBookError::Faulty { .. } => {
+                StatusCode::UNPROCESSABLE_ENTITY
+            }
             PlanBookError::ForeignService { .. } => StatusCode::FORBIDDEN,
-            PlanBookError::NoPlan => StatusCode::NOT_FOUND,
+            PlanBookError::NoPlan | PlanBookError::NoIntent => StatusCode::NOT_FOUND,
             PlanBookError::StoreDown => StatusCode::SERVICE_UNAVAILABLE,
         };
         refuse(status, error.to_string())
@@ -68,11 +70,15 @@
         })
     }
 
-    async fn state_intent(&self, request: &AdminRequest) -> Result<AdminResponse, AdminRefusal> {
+    async fn answer_intent(&self, request: &AdminRequest) -> Result<AdminResponse, AdminRefusal> {
         let path: Vec<_> = request.uri().path().split('/').skip(3).collect();
         let [service, "intent"] = path[..] else { return Err(unknown_path()) };
-        require(request, &Method::POST)?;
         let member = self.member(request)?;
+        if request.method() == Method::GET {
+            let intent = self.book.read_intent(&member, service).await?;
+            return Ok(json_response(StatusCode::OK, &intent));
+        }
+        require(request, &Method::POST)?;
         let statement: IntentStatement =
             serde_json::from_slice(request.body()).map_err(|error| {
                 let error = format!("cannot read the statement: {error}; correct this field");
@@ -138,7 +144,7 @@
     Err(refuse(StatusCode::METHOD_NOT_ALLOWED, format!("use {method} for this path")))
 }
 
-/// Answers a stated intent with a plan.
+/// Gives the intent in force, and answers a stated one with a plan.
 struct IntentHandler(Arc<PlanDesk>);
 
 impl AdminHandler for IntentHandler {
@@ -148,7 +154,7 @@
 
     fn handle<'a>(&'a self, request: &'a AdminRequest) -> BoxFuture<'a, AdminResponse> {
         Box::pin(async {
-            self.0.state_intent(request).await.unwrap_or_else(|refusal| refusal.response())
+            self.0.answer_intent(request).await.unwrap_or_else(|refusal| refusal.response())
         })
     }
 }
--- a/src/commands/plans.rs
+++ b/src/commands/plans.rs
@@ -21,17 +21,25 @@
     #[command(flatten)]
     access: TeamAccess,
     /// YAML file with the intent of one service.
-    #[arg(long, value_name = "FILE")]
-    file: PathBuf,
+    #[arg(long, value_name = "FILE", required_unless_present = "show")]
+    file: Option<PathBuf>,
+    /// Prints the intent in force of this service as YAML, to be edited.
+    #[arg(long, value_name = "SERVICE", conflicts_with = "file")]
+    show: Option<String>,
     /// Allows a plan that leaves fewer slots than the present load.
     #[arg(long)]
     allow_below_load: bool,
 }
 
 impl IntentArguments {
-    /// States the intent and prints the plan that would put it in force.
+    /// States the intent and prints the plan that would put it in force, or
+    /// prints the intent in force.
     pub async fn run(self) -> ExitCode {
-        let intent = match read_intent(&self.file) {
+        let Some(file) = &self.file else {
+            let path = format!("/v1/services/{}/intent", self.show.unwrap_or_default());
+            return self.access.call(Method::GET, &path, Vec::new(), describe_intent).await;
+        };
+        let intent = match read_intent(file) {
             Ok(intent) => intent,
             Err(error) => {
                 eprintln!("{error}");
@@ -90,6 +98,11 @@
     }
 }
 
+fn describe_intent(body: &[u8]) -> Option<String> {
+    let intent: ServiceIntent = serde_json::from_slice(body).ok()?;
+    serde_norway::to_string(&intent).ok()
+}
+
 fn describe_plan(body: &[u8]) -> Option<String> {
     let plan: ChangePlan = serde_json::from_slice(body).ok()?;
     let mut text = format!(
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -128,7 +128,8 @@
     },
 }
 
-fn join_lines(faults: &[SettingsFault]) -> String {
+/// Joins faults to text of one line each.
+pub(crate) fn join_lines(faults: &[SettingsFault]) -> String {
     faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n")
 }
 
