--- a/core/src/plan/changes.rs
+++ b/core/src/plan/changes.rs
@@ -17,11 +17,11 @@
     /// Adds a target.
     AddTarget,
     /// Changes a target that keeps or gains slots.
-    WidenTarget,
+    RaiseTarget,
     /// Changes a kind or another setting of the service.
     ChangeSetting,
     /// Takes slots from a target or lets it leave.
-    NarrowTarget,
+    ReduceTarget,
     /// Removes a target.
     RemoveTarget,
 }
@@ -61,9 +61,9 @@
         None => Some(target_change(ChangeAction::AddTarget, None, Some(target), target)),
         Some(before) if before == *target => None,
         Some(before) => {
-            let narrower = open_slots(target) < open_slots(&before);
+            let reduced = open_slots(target) < open_slots(&before);
             let action =
-                if narrower { ChangeAction::NarrowTarget } else { ChangeAction::WidenTarget };
+                if reduced { ChangeAction::ReduceTarget } else { ChangeAction::RaiseTarget };
             Some(target_change(action, Some(&before), Some(target), target))
         }
     });
--- a/core/tests/plans.rs
+++ b/core/tests/plans.rs
@@ -299,7 +299,7 @@
         assert_eq!(actions, [
             ChangeAction::AddTarget,
             ChangeAction::ChangeSetting,
-            ChangeAction::NarrowTarget,
+            ChangeAction::ReduceTarget,
             ChangeAction::RemoveTarget,
         ]);
         let slots: Vec<_> =
