Measure how memory, processor time and bytes grow

The design size cannot run on one machine, so its figures have to come from measured slopes.

Times are processor time of one thread (CLOCK_THREAD_CPUTIME_ID, through rustix, already in the lock file); memory is the growth of RssAnon; bytes of exchanges are counted by a relay on loopback.

--- /dev/null
+++ b/src/bench/capacity/decisions.rs
@@ -0,0 +1,111 @@
+//! Decisions on the request path and their records.
+
+use std::hint::black_box;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use zinniaport_core::admission::window::concurrency_window;
+use zinniaport_core::call::{CallFacts, CallOutcome, ReasonCode};
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::decision::{CallEnd, DecisionRecord, DecisionRing, DecisionTrace, RequestId};
+use zinniaport_core::fleet::FleetSnapshot;
+use zinniaport_core::policy::{RouteQuery, policies};
+
+use super::fixtures::{NOW, fleet, service_name};
+use super::meter::{memory_bytes, processor_us};
+use super::report::{SlopeRow, SlopeSubject};
+use super::{ROUNDS, TARGETS};
+
+/// Operations of one round.
+const OPERATIONS: u32 = 5_000;
+
+/// Records that a ring keeps.
+const RECORDS: [usize; 3] = [1_024, 4_096, 16_384];
+
+fn record(number: u64) -> DecisionRecord {
+    let end = CallEnd {
+        outcome: CallOutcome::Ran,
+        reason: ReasonCode::Answered,
+        status: 200,
+        answered: Timestamp(number),
+        snapshot_published: NOW,
+    };
+    DecisionRecord {
+        request_id: RequestId::new(black_box("0190163d-8694-739b-aea5-966c26f8ad91")),
+        facts: CallFacts::default(),
+        trace: DecisionTrace::default(),
+        end,
+    }
+}
+
+fn filled_ring(records: usize) -> DecisionRing {
+    let ring = DecisionRing::new(records);
+    for number in 0..records as u64 {
+        ring.write(record(number));
+    }
+    ring
+}
+
+/// Measures the memory of a full ring. It must run before measurements that
+/// free memory; the rings stay in `kept`.
+pub fn memory_row(kept: &mut Vec<DecisionRing>) -> SlopeRow {
+    let subject =
+        SlopeSubject { quantity: "Full ring of decision records", unit: "bytes", size: "records" };
+    SlopeRow::measure(subject, &RECORDS, 3, |records| {
+        memory_bytes(RECORDS[2] / records, kept, || filled_ring(records))
+    })
+}
+
+fn write_us(records: usize) -> f64 {
+    let ring = filled_ring(records);
+    let mut number = 0;
+    processor_us(OPERATIONS * 4, || {
+        number += 1;
+        ring.write(record(number));
+    })
+}
+
+fn query(fleet: &FleetSnapshot) -> Option<RouteQuery<'_>> {
+    Some(RouteQuery {
+        fleet,
+        service: fleet.find(&service_name(0))?.1,
+        data_centre: &fleet.view.data_centre,
+        members: &fleet.view.members,
+        excluded: &[],
+        now: NOW,
+    })
+}
+
+/// Measures picks of every policy, the concurrency window and records.
+pub fn time_rows() -> Vec<SlopeRow> {
+    let fleets = TARGETS.map(|targets| fleet(1, targets, 200));
+    let fleet_of = |targets| &fleets[TARGETS.iter().position(|t| *t == targets).unwrap_or(0)];
+    let subject = |quantity, size| SlopeSubject { quantity, unit: "us", size };
+    let mut rows = Vec::new();
+    for (name, policy) in policies() {
+        let mut random = SmallRng::seed_from_u64(1);
+        let subject = SlopeSubject { quantity: "Pick of a target", unit: "us", size: "targets" };
+        let mut row = SlopeRow::measure(subject, &TARGETS, ROUNDS, |targets| {
+            let Some(query) = query(fleet_of(targets)) else { return f64::NAN };
+            processor_us(OPERATIONS, || {
+                black_box(policy.pick(&query, &mut random));
+            })
+        });
+        row.variant = Some(name);
+        rows.push(row);
+    }
+    rows.push(SlopeRow::measure(
+        subject("Concurrency window of one service", "targets"),
+        &TARGETS,
+        ROUNDS,
+        |targets| {
+            let Some(query) = query(fleet_of(targets)) else { return f64::NAN };
+            processor_us(OPERATIONS / 10, || {
+                black_box(concurrency_window(&query.service.table, 6, NOW));
+            })
+        },
+    ));
+    let written = subject("Write of a decision record", "records in the ring");
+    rows.push(SlopeRow::measure(written, &RECORDS, ROUNDS, write_us));
+    rows
+}
--- /dev/null
+++ b/src/bench/capacity/fixtures.rs
@@ -0,0 +1,127 @@
+//! Intents, fleets and members of a chosen size.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::controllers::{
+    MemberMessage, MemberNote, MembershipController, MembershipMessage, StateController,
+    VersionedIntent,
+};
+use zinniaport_core::fleet::FleetSnapshot;
+use zinniaport_core::intent::{
+    KindIntent, MeasuringIntent, ServiceIntent, TargetIntent, TargetWish,
+};
+use zinniaport_core::policy::EntryView;
+
+/// Clock reading of all measurements.
+pub const NOW: Timestamp = Timestamp(1_790_000_000_000_000);
+
+/// Data centres of the design scale.
+const DATA_CENTRES: usize = 24;
+
+/// Names a service with the length of an ordinary name.
+pub fn service_name(number: usize) -> String {
+    format!("pump-history-{number:03}")
+}
+
+/// Makes the intent of a service with three kinds. `first` tells the addresses of
+/// its targets apart from those of other services.
+pub fn intent(number: usize, targets: usize, first: usize) -> ServiceIntent {
+    let kind = |name: &str, rank: u8| KindIntent {
+        name: name.to_owned(),
+        methods: vec!["GET".to_owned()],
+        path_prefix: format!("/{name}"),
+        rank,
+        idempotent: true,
+        max_runs: 2,
+        deadline_ms: 1_000,
+        require_key: false,
+        objective_percent: 99.0,
+    };
+    let target = |position: usize| {
+        let index = first + position;
+        let [high, middle, low] =
+            [index / 62_500, index / 250 % 250, index % 250].map(|octet| octet as u8);
+        TargetIntent {
+            address: SocketAddr::from(([10, high, middle, low], 8080)),
+            data_centre: format!("region-{}-{}", index % 6, index % DATA_CENTRES / 6),
+            slots: 3,
+            state: TargetWish::Serving,
+        }
+    };
+    ServiceIntent {
+        service: service_name(number),
+        team: "co-operative".to_owned(),
+        kinds: vec![kind("lookup", 0), kind("upload", 1), kind("report", 2)],
+        targets: (0..targets).map(target).collect(),
+        measuring: MeasuringIntent::default(),
+        max_queue_length: 256,
+        retry_percent: 10.0,
+        max_ejected_percent: 34.0,
+        max_crashed_targets: 2,
+    }
+}
+
+/// Makes an intent with a version of the size that stores reach within a year.
+pub fn versioned(number: usize, targets: usize) -> VersionedIntent {
+    let intent = Arc::new(intent(number, targets, number * targets));
+    VersionedIntent { intent, version: 1_000_000 + number as u64 }
+}
+
+/// Makes the view of the first of `entries` entries.
+pub fn view(entries: usize) -> EntryView {
+    EntryView {
+        name: "entry-0000".into(),
+        data_centre: "region-0-0".into(),
+        members: (0..entries).map(|entry| format!("entry-{entry:04}").into()).collect(),
+    }
+}
+
+/// Makes a snapshot of `targets` targets shared evenly among `services`, whose
+/// targets all reported their load.
+pub fn fleet(services: usize, targets: usize, entries: usize) -> FleetSnapshot {
+    let mut fleet = FleetSnapshot { view: view(entries), ..FleetSnapshot::default() };
+    for number in 0..services {
+        let first = targets * number / services;
+        let share = targets * (number + 1) / services - first;
+        fleet.apply(intent(number, share, first), 1_000_000 + number as u64, NOW);
+    }
+    for (position, target) in fleet.targets.values().enumerate() {
+        target.counters.record_report(2 + position as u32 % 4, NOW);
+        target.counters.record_success(Duration::from_millis(5));
+    }
+    fleet
+}
+
+fn note(member: usize) -> MemberNote {
+    let [high, low] = [member / 250, member % 250].map(|octet| octet as u8);
+    MemberNote {
+        name: format!("entry-{member:04}"),
+        incarnation: NOW.0 - member as u64,
+        address: SocketAddr::from(([10, 200, high, low], 7400)),
+        call_address: SocketAddr::from(([10, 200, high, low], 7401)),
+        data_centre: format!("region-{}-{}", member % 6, member % DATA_CENTRES / 6),
+        region: format!("region-{}", member % 6),
+        beat: NOW,
+    }
+}
+
+/// Makes the membership of the first of `members` entries, all of them alive.
+pub fn membership(members: usize) -> MembershipController {
+    let mut controller = MembershipController::new(note(0));
+    let all = (1..members).map(note).collect();
+    let message = MemberMessage { members: all, ..MemberMessage::default() };
+    controller.handle(MembershipMessage::Received { message, answer: false }, NOW);
+    controller
+}
+
+/// Makes an ordinary message and one with the full list of members.
+pub fn member_messages(members: usize) -> (MemberMessage, MemberMessage) {
+    let mut controller = membership(members);
+    let ordinary = controller.message(None, NOW);
+    let other_digest = MemberMessage { digest: !ordinary.digest, ..MemberMessage::default() };
+    let full = controller.message(Some(&other_digest), NOW);
+    (ordinary, full)
+}
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -3,6 +3,7 @@
 //! Each experiment runs a baseline beside the candidate, alternately and with
 //! the same seeds, so that results are ratios measured on one machine in one run.
 
+mod capacity;
 mod deployment;
 mod fleet;
 mod load;
@@ -13,6 +14,7 @@
 
 use std::sync::Arc;
 
+pub use capacity::{CapacityReport, LineFit, SlopePoint, SlopeRow, SlopeSubject, measure_capacity};
 pub use deployment::{CO_OPERATIVE, Deployment, POTECA, ServiceShape};
 pub use load::{LatencyOrigin, LoadPhase, LoadPlan, OpenLoad};
 pub use overhead::OverheadTrial;
--- a/src/commands/bench.rs
+++ b/src/commands/bench.rs
@@ -8,8 +8,8 @@
 
 use super::output::OutputFormat;
 use crate::bench::{
-    BenchReport, BenchScenario, BenchTrial, CO_OPERATIVE, Deployment, OverheadTrial, POTECA,
-    RunResult, load_transport,
+    BenchReport, BenchScenario, BenchTrial, CO_OPERATIVE, CapacityReport, Deployment,
+    OverheadTrial, POTECA, RunResult, load_transport, measure_capacity,
 };
 
 /// Arguments of `zinniaport bench`.
@@ -32,6 +32,8 @@
     Routing(RoutingArguments),
     /// Compares calls through an entry with calls straight to a target.
     Overhead(OverheadArguments),
+    /// Measures how memory, processor time and bytes grow with the system.
+    Capacity,
 }
 
 #[derive(Debug, Args)]
@@ -87,14 +89,11 @@
 impl BenchArguments {
     /// Runs the experiment and prints its report.
     pub async fn run(self) -> ExitCode {
-        let report = match &self.experiment {
-            Experiment::Routing(arguments) => arguments.run().await,
-            Experiment::Overhead(arguments) => {
-                let trial = OverheadTrial { rate: arguments.rate, runs: arguments.runs };
-                trial.run(load_transport()).await
-            }
+        let printed = match &self.experiment {
+            Experiment::Capacity => measure_capacity().await.and_then(|r| self.print_slopes(&r)),
+            _ => self.compare().await.and_then(|report| self.print(&report)),
         };
-        match report.and_then(|report| self.print(&report)) {
+        match printed {
             Ok(()) => ExitCode::SUCCESS,
             Err(error) => {
                 eprintln!(
@@ -105,6 +104,28 @@
         }
     }
 
+    async fn compare(&self) -> Result<BenchReport, Box<dyn std::error::Error>> {
+        match &self.experiment {
+            Experiment::Routing(arguments) => arguments.run().await,
+            Experiment::Overhead(arguments) => {
+                let trial = OverheadTrial { rate: arguments.rate, runs: arguments.runs };
+                trial.run(load_transport()).await
+            }
+            Experiment::Capacity => Err("this experiment compares nothing".into()),
+        }
+    }
+
+    fn print_slopes(&self, report: &CapacityReport) -> Result<(), Box<dyn std::error::Error>> {
+        if self.plot.is_some() {
+            return Err("slopes have no plot, run without --plot".into());
+        }
+        match self.output {
+            OutputFormat::Text => print!("{}", report.table()),
+            OutputFormat::Json => println!("{}", serde_json::to_string_pretty(report)?),
+        }
+        Ok(())
+    }
+
     fn print(&self, report: &BenchReport) -> Result<(), Box<dyn std::error::Error>> {
         match self.output {
             OutputFormat::Text => print!("{}", report.table()),
