Refuse a plot of slopes before they are measured

It now exits 2 at once and names the remedy. The other experiments keep their dispatch in one match.

--- a/src/commands/bench.rs
+++ b/src/commands/bench.rs
@@ -90,8 +90,21 @@
     /// Runs the experiment and prints its report.
     pub async fn run(self) -> ExitCode {
         let printed = match &self.experiment {
-            Experiment::Capacity => measure_capacity().await.and_then(|r| self.print_slopes(&r)),
-            _ => self.compare().await.and_then(|report| self.print(&report)),
+            Experiment::Routing(arguments) => {
+                arguments.run().await.and_then(|report| self.print(&report))
+            }
+            Experiment::Overhead(arguments) => {
+                let trial = OverheadTrial { rate: arguments.rate, runs: arguments.runs };
+                let report = trial.run(load_transport()).await;
+                report.and_then(|report| self.print(&report))
+            }
+            Experiment::Capacity if self.plot.is_some() => {
+                eprintln!("capacity has no plot; leave out --plot or use --output json");
+                return ExitCode::from(2);
+            }
+            Experiment::Capacity => {
+                measure_capacity().await.and_then(|report| self.print_slopes(&report))
+            }
         };
         match printed {
             Ok(()) => ExitCode::SUCCESS,
@@ -104,21 +117,7 @@
         }
     }
 
-    async fn compare(&self) -> Result<BenchReport, Box<dyn std::error::Error>> {
-        match &self.experiment {
-            Experiment::Routing(arguments) => arguments.run().await,
-            Experiment::Overhead(arguments) => {
-                let trial = OverheadTrial { rate: arguments.rate, runs: arguments.runs };
-                trial.run(load_transport()).await
-            }
-            Experiment::Capacity => Err("this experiment compares nothing".into()),
-        }
-    }
-
     fn print_slopes(&self, report: &CapacityReport) -> Result<(), Box<dyn std::error::Error>> {
-        if self.plot.is_some() {
-            return Err("slopes have no plot, run without --plot".into());
-        }
         match self.output {
             OutputFormat::Text => print!("{}", report.table()),
             OutputFormat::Json => println!("{}", serde_json::to_string_pretty(report)?),
