Fill the list of applied plans to its bound in the test of eviction

The test wrote 257 plans, one more than the former bound of 256. With 64 it still passed but dropped 193 plans in place of one, so a fault at the boundary could hide. It now takes the count from MAX_APPLIED_PLANS and drops exactly one.

The four tests of core/tests/plans.rs pass.

--- a/core/tests/plans.rs
+++ b/core/tests/plans.rs
@@ -12,8 +12,8 @@
 use zinniaport_core::fleet::FleetSnapshot;
 use zinniaport_core::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
 use zinniaport_core::plan::{
-    ChangeAction, ChangePlan, IntentStatement, PlanBasis, PlanError, PlanRisk, PlanStamp,
-    StoredIntent,
+    ChangeAction, ChangePlan, IntentStatement, MAX_APPLIED_PLANS, PlanBasis, PlanError, PlanRisk,
+    PlanStamp, StoredIntent,
 };
 use zinniaport_testing::{check_property, test_cases};
 
@@ -311,7 +311,7 @@
 
     evicted_plans_are_not_denied: "an old plan reported as not applied because its identity was dropped" => {
         let mut world = World::default();
-        for mark in 0..=256_u32 {
+        for mark in 0..=MAX_APPLIED_PLANS as u32 {
             let plan = plan_on(world.history.last(), 1000 + mark);
             world.plans.push(plan.clone());
             world.tell(0, PlansMessage::Confirm(Box::new(plan)));
