Close a target whose drain sign comes with a refusal

Cause: the forward filter turns a refused response into a refusal and dropped its headers, so a target that drains and refuses all work was never seen to drain. Change: the refusal keeps the sign, and the attempt passes it to the targets controller.

--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -27,6 +27,11 @@
 /// Time for which a target is taken to shed load that names none itself.
 const SHEDDING_TIME: Duration = Duration::from_millis(100);
 
+/// Tells whether a response, an answer or a refusal, announces a drain.
+pub(super) fn announces_drain(response: &CallResponse) -> bool {
+    response.headers().get(DRAIN_HEADER).is_some_and(|value| value == "1")
+}
+
 /// Records the outcome of an attempt in the counters of its target.
 pub struct AttemptRecord {
     clock: Arc<dyn ClockSource>,
@@ -79,7 +84,7 @@
 
     fn record_response(&self, response: &CallResponse, now: Timestamp) {
         let latency = now.since(self.started);
-        if response.headers().contains_key(DRAIN_HEADER) {
+        if announces_drain(response) {
             self.targets.notify(TargetsMessage::Drained(self.target));
         }
         if response.status().is_server_error() {
@@ -94,6 +99,9 @@
     }
 
     fn record_refusal(&self, refusal: &Refusal, now: Timestamp) {
+        if refusal.target_drains {
+            self.targets.notify(TargetsMessage::Drained(self.target));
+        }
         match refusal.reason {
             ReasonCode::TargetLost | ReasonCode::TargetUnreachable => self.record_failure(),
             ReasonCode::TargetRefused => {
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -15,6 +15,7 @@
 use zinniaport_core::call::ReasonCode;
 use zinniaport_core::fleet::TargetCounters;
 
+use super::attempt::announces_drain;
 use super::{DEADLINE_HEADER, FilterNext, FilterResult, RequestFilter};
 use crate::exchange::{BodyError, BodyFault, CallBody, CallResponse, Exchange, empty_body};
 use crate::front::{OUTCOME_HEADER, REQUEST_ID_HEADER, strip_hop_headers};
@@ -145,7 +146,8 @@
 /// Says what the target's own refusal means for the caller.
 fn target_refusal(response: &CallResponse) -> Refusal {
     let detail = "the target refused the request before running it";
-    let refusal = Refusal::not_run(ReasonCode::TargetRefused, detail);
+    let mut refusal = Refusal::not_run(ReasonCode::TargetRefused, detail);
+    refusal.target_drains = announces_drain(response);
     let seconds = response.headers().get(header::RETRY_AFTER);
     match seconds.and_then(|value| value.to_str().ok()?.parse().ok()) {
         Some(seconds) => refusal.retry_after(Duration::from_secs(seconds)),
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -18,17 +18,23 @@
     pub detail: String,
     /// When another try is worthwhile.
     pub retry_after: Option<Duration>,
+    /// Whether the target that refused also announced its drain.
+    pub target_drains: bool,
 }
 
 impl Refusal {
+    fn new(reason: ReasonCode, outcome: CallOutcome, detail: String) -> Self {
+        Self { reason, outcome, detail, retry_after: None, target_drains: false }
+    }
+
     /// Creates a refusal of a request that certainly did not run.
     pub fn not_run(reason: ReasonCode, detail: impl Into<String>) -> Self {
-        Self { reason, outcome: CallOutcome::NotRun, detail: detail.into(), retry_after: None }
+        Self::new(reason, CallOutcome::NotRun, detail.into())
     }
 
     /// Creates a refusal of a request that may have run.
     pub fn unknown(reason: ReasonCode, detail: impl Into<String>) -> Self {
-        Self { reason, outcome: CallOutcome::Unknown, detail: detail.into(), retry_after: None }
+        Self::new(reason, CallOutcome::Unknown, detail.into())
     }
 
     /// Sets when another try is worthwhile.
