--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -10,6 +10,7 @@
 mod replies;
 mod settings;
 mod targets;
+mod vms;
 
 pub use burn::{BurnController, BurnEffect, BurnMessage};
 pub use claims::{
@@ -28,6 +29,7 @@
     StoreBatch, VersionedIntent, WATCHERS_PER_REGION, choose_watchers,
 };
 pub use targets::{TargetsController, TargetsEffect, TargetsMessage};
+pub use vms::{LEAVING_HOLD, LeavingVms, VmNote};
 
 use crate::clock::Timestamp;
 
--- /dev/null
+++ b/core/tests/vms.rs
@@ -0,0 +1,50 @@
+//! Leaving VMs from lists of several entries.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::controllers::{LEAVING_HOLD, LeavingVms, VmNote};
+use zinniaport_testing::test_cases;
+
+const START: Timestamp = Timestamp(1_000_000_000);
+
+fn vm(last: u8) -> IpAddr {
+    [10, 0, 0, last].into()
+}
+
+fn list(leaving: &[u8]) -> VmNote {
+    let leaving = leaving.iter().map(|last| (vm(*last), Duration::ZERO)).collect();
+    VmNote { list_age: Some(Duration::ZERO), leaving }
+}
+
+test_cases! {
+    stale_lists_reopen_nothing: "a leaving target that takes requests again after a lagging list or an outage" => {
+        let mut vms = LeavingVms::default();
+        assert!(vms.merge(&list(&[1]), START));
+        assert!(!vms.merge(&list(&[]), START - Duration::from_secs(5)), "an older list");
+        assert!(!vms.merge(&list(&[]), START + LEAVING_HOLD), "a list that may still lag");
+        let outage = START + Duration::from_secs(3600);
+        let stale = vms.note(outage);
+        assert!(!vms.merge(&stale, outage), "its own echo during an outage");
+        assert_eq!(vms.addresses().collect::<Vec<_>>(), [vm(1)]);
+    }
+
+    newer_lists_release: "a VM whose address is used again and whose target never returns" => {
+        let mut vms = LeavingVms::default();
+        vms.merge(&list(&[1, 2]), START);
+        let later = START + LEAVING_HOLD + Duration::from_secs(1);
+        assert!(vms.merge(&list(&[2]), later));
+        assert_eq!(vms.addresses().collect::<Vec<_>>(), [vm(2)]);
+    }
+
+    notes_carry_ages: "an entry that reads no list and keeps sending work to a leaving VM" => {
+        let (mut reader, mut other) = (LeavingVms::default(), LeavingVms::default());
+        reader.merge(&list(&[1]), START);
+        // The clocks of the two entries differ by an hour.
+        let hour = Duration::from_secs(3600);
+        let told = reader.note(START + Duration::from_secs(2));
+        assert!(other.merge(&told, START + hour + Duration::from_secs(2)));
+        assert_eq!(other.note(START + hour + Duration::from_secs(3)).leaving, [(vm(1), Duration::from_secs(3))]);
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -19,8 +19,9 @@
 use crate::runtime::{StartError, listen};
 use crate::settings::{EntrySettings, PeerSettings, PlatformSettings};
 use crate::state::SharedState;
-use crate::store::{ObjectStore, StoreCaller};
+use crate::store::{ObjectStore, StoreCaller, VmDirectory};
 use crate::targets::TargetsHandle;
+use crate::vms::{VmBoard, VmReader};
 
 /// What the shared state of an entry is built from.
 pub struct ControlParts {
@@ -34,6 +35,8 @@
     pub targets: TargetsHandle,
     /// Fingerprints of requests that crash targets.
     pub quarantine: Arc<QuarantineGate>,
+    /// The platform's list of VMs, if the entry reads one.
+    pub vms: Option<Arc<dyn VmDirectory>>,
 }
 
 /// What an entry shares with the others through the store and by messages.
@@ -57,7 +60,12 @@
         parts: ControlParts,
         stop: CancellationToken,
     ) -> Result<Self, StartError> {
-        let ControlParts { platform, store, state, targets, quarantine } = parts;
+        let ControlParts { platform, store, state, targets, quarantine, vms } = parts;
+        let board = Arc::new(VmBoard::new(state.clock.clone(), targets.clone()));
+        let reader = |place: EntryPlace, peers: Option<Arc<PeerGroup>>| {
+            let board = board.clone();
+            vms.map(|directory| VmReader { directory, board, place, peers })
+        };
         let store = StoreCaller::new(store, Duration::from_millis(platform.call_ms));
         let hold = Duration::from_millis(platform.watch_ms);
         let teams = TeamDirectory::new(&platform.teams);
@@ -72,8 +80,9 @@
             announcer,
         };
         let Some(peers) = &settings.peers else {
-            let propagation = follow_store(parts(place(""), Arc::new(NoPeers)), stop);
+            let propagation = follow_store(parts(place(""), Arc::new(NoPeers)), stop.clone());
             propagation.tell(SettingsMessage::Members(vec![place("")])).await;
+            spawn_reader(reader(place(""), None), stop);
             return Ok(Self { store, state, propagation, peers: None, call_address: None, teams });
         };
         let (listener, address) = listen(peers.listen).await?;
@@ -90,7 +99,9 @@
             clock: state.clock.clone(),
             targets: targets.clone(),
             quarantine,
+            vms: board.clone(),
         });
+        spawn_reader(reader(place(&peers.region), Some(group.clone())), stop.clone());
         let parts = parts(place(&peers.region), group.clone());
         let propagation = follow_store(parts, stop.clone());
         group.attach(propagation.clone());
@@ -136,6 +147,12 @@
     }
 }
 
+fn spawn_reader(reader: Option<VmReader>, stop: CancellationToken) {
+    if let Some(reader) = reader {
+        tokio::spawn(reader.run(stop));
+    }
+}
+
 fn own_note(
     settings: &EntrySettings,
     peers: &PeerSettings,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod store;
 pub mod targets;
 pub mod telemetry;
+pub mod vms;
--- a/src/peers/codec.rs
+++ b/src/peers/codec.rs
@@ -5,7 +5,7 @@
 
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::{
-    ConfigMessage, ConfigSummary, Heartbeat, MemberMessage, MemberNote, VersionedIntent,
+    ConfigMessage, ConfigSummary, Heartbeat, MemberMessage, MemberNote, VersionedIntent, VmNote,
 };
 
 use super::GossipMessage;
@@ -29,6 +29,14 @@
         encode_member(note, notes.reborrow().get(position));
     }
     encode_config(&message.config, builder.reborrow().init_config());
+    // 0 stands for never, so that the default of the field means unknown.
+    builder.set_vm_list_age_us(message.vms.list_age.map_or(0, |age| age.as_micros() as u64 + 1));
+    let mut leaving = builder.reborrow().init_leaving_vms(message.vms.leaving.len() as u32);
+    for (position, (address, age)) in (0..).zip(&message.vms.leaving) {
+        let mut entry = leaving.reborrow().get(position);
+        entry.set_address(address.to_string());
+        entry.set_age_us(age.as_micros() as u64);
+    }
     let mut quarantined = builder.init_quarantined(message.quarantined.len() as u32);
     for (position, fingerprint) in (0..).zip(&message.quarantined) {
         quarantined.set(position, fingerprint);
@@ -90,7 +98,19 @@
     let quarantined: capnp::Result<Vec<_>> =
         reader.get_quarantined()?.iter().map(|data| data.map(<[u8]>::to_vec)).collect();
     let config = decode_config(reader.get_config()?)?;
-    Ok(GossipMessage { members, config, quarantined: quarantined? })
+    let vms = decode_vms(reader)?;
+    Ok(GossipMessage { members, config, quarantined: quarantined?, vms })
+}
+
+fn decode_vms(reader: gossip_message::Reader<'_>) -> capnp::Result<VmNote> {
+    let list_age = reader.get_vm_list_age_us().checked_sub(1).map(Duration::from_micros);
+    let mut leaving = Vec::new();
+    for entry in reader.get_leaving_vms()? {
+        if let Ok(address) = entry.get_address()?.to_str()?.parse() {
+            leaving.push((address, Duration::from_micros(entry.get_age_us())));
+        }
+    }
+    Ok(VmNote { list_age, leaving })
 }
 
 fn decode_member(reader: member::Reader<'_>) -> capnp::Result<Option<MemberNote>> {
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -23,8 +23,8 @@
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
 pub use gossip::GossipNetwork;
-pub use rounds::{GroupAnswerer, PeerGroup, PeerParts, QuarantineExchange};
-use zinniaport_core::controllers::{ConfigMessage, MemberMessage};
+pub use rounds::{GroupAnswerer, PeerGroup, PeerParts, QuarantineExchange, VmExchange};
+use zinniaport_core::controllers::{ConfigMessage, MemberMessage, VmNote};
 
 /// One message between entries, free of its encoding.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -35,6 +35,8 @@
     pub config: ConfigMessage,
     /// Fingerprints of quarantined requests.
     pub quarantined: Vec<Vec<u8>>,
+    /// VMs that the platform takes away.
+    pub vms: VmNote,
 }
 
 /// Why a call to a peer failed.
--- a/src/peers/peer.capnp
+++ b/src/peers/peer.capnp
@@ -11,6 +11,17 @@
   members @3 :List(Member);
   config @4 :ConfigState;
   quarantined @5 :List(Data);
+  # Time since the newest known list of VMs was read, plus one; 0 for never.
+  vmListAgeUs @6 :UInt64;
+  leavingVms @7 :List(LeavingVm);
+}
+
+# A VM that the platform takes away.
+struct LeavingVm {
+  # IP address.
+  address @0 :Text;
+  # Time since a list last named it.
+  ageUs @1 :UInt64;
 }
 
 struct Member {
--- a/src/peers/peer_capnp.rs
+++ b/src/peers/peer_capnp.rs
@@ -173,6 +173,25 @@
         pub fn has_quarantined(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_vm_list_age_us(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_leaving_vms(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::peers::peer_capnp::leaving_vm::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(5),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_leaving_vms(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -180,7 +199,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 1, pointers: 5 };
+            ::capnp::private::layout::StructSize { data: 2, pointers: 6 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -414,6 +433,51 @@
         pub fn has_quarantined(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_vm_list_age_us(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_vm_list_age_us(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_leaving_vms(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::peers::peer_capnp::leaving_vm::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(5),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_leaving_vms(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::peers::peer_capnp::leaving_vm::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(5),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_leaving_vms(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::peers::peer_capnp::leaving_vm::Owned>
+        {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(5),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_leaving_vms(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
     }
 
     pub struct Pipeline {
@@ -433,17 +497,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 123] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 159] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(38, 28, 250, 201, 84, 217, 197, 157),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(17, 74, 110, 92, 15, 13, 107, 207),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
@@ -451,49 +515,63 @@
             ::capnp::word(112, 77, 101, 115, 115, 97, 103, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 108, 102, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(190, 192, 188, 183, 236, 80, 248, 172),
@@ -557,6 +635,28 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 109, 76, 105, 115, 116, 65, 103),
+            ::capnp::word(101, 85, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 86),
+            ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 131, 169, 45, 125, 114, 134, 154),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -566,6 +666,8 @@
                 3 => <::capnp::struct_list::Owned<crate::peers::peer_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::peers::peer_capnp::config_state::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::peers::peer_capnp::leaving_vm::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -584,13 +686,331 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 2, 1, 3, 5, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 2, 7, 1, 3, 5, 0, 6];
         pub(crate) const TYPE_ID: u64 = 0x9dc5_d954_c9fa_1c26;
     }
 }
 
+pub mod leaving_vm {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_age_us(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_address(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_address(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_age_us(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_age_us(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(141, 131, 169, 45, 125, 114, 134, 154),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(17, 74, 110, 92, 15, 13, 107, 207),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 76, 101, 97, 118, 105),
+            ::capnp::word(110, 103, 86, 109, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 85, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+        pub(crate) const TYPE_ID: u64 = 0x9a86_727d_2da9_838d;
+    }
+}
+
 pub mod member {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/src/peers/rounds.rs
+++ b/src/peers/rounds.rs
@@ -9,11 +9,11 @@
 use rand::seq::IndexedRandom;
 use tokio::sync::{Semaphore, mpsc};
 use tokio_util::sync::CancellationToken;
-use zinniaport_core::clock::ClockSource;
+use zinniaport_core::clock::{ClockSource, Timestamp};
 use zinniaport_core::controllers::{
     ConfigMessage, MemberEntry, MemberNote, MemberState, MembershipController, MembershipEffect,
     MembershipMessage, SettingsMessage, StateController, TargetsMessage, VersionedIntent, VmHint,
-    choose_watchers,
+    VmNote, choose_watchers,
 };
 use zinniaport_core::policy::EntryView;
 
@@ -46,6 +46,15 @@
     fn learn(&self, fingerprints: Vec<Vec<u8>>);
 }
 
+/// Leaving VMs, shared by all entries.
+pub trait VmExchange: Send + Sync {
+    /// Describes the leaving VMs that this entry knows.
+    fn held(&self) -> VmNote;
+
+    /// Takes what a peer told, as made at the time `made` of this entry's clock.
+    fn learn(&self, note: &VmNote, made: Timestamp);
+}
+
 /// What a group of peers needs.
 pub struct PeerParts {
     /// This entry.
@@ -58,6 +67,8 @@
     pub targets: TargetsHandle,
     /// Quarantined fingerprints.
     pub quarantine: Arc<dyn QuarantineExchange>,
+    /// Leaving VMs.
+    pub vms: Arc<dyn VmExchange>,
 }
 
 /// The other entries, kept up to date by messages.
@@ -67,6 +78,7 @@
     clock: Arc<dyn ClockSource>,
     targets: TargetsHandle,
     quarantine: Arc<dyn QuarantineExchange>,
+    vms: Arc<dyn VmExchange>,
     // Held for one step of the controller, never across an await point and never
     // on the path of a request, which reads `members`.
     controller: Mutex<MembershipController>,
@@ -87,6 +99,7 @@
             clock: parts.clock,
             targets: parts.targets,
             quarantine: parts.quarantine,
+            vms: parts.vms,
             members: ArcSwap::default(),
             contacts: Mutex::default(),
             propagation: std::sync::OnceLock::new(),
@@ -178,6 +191,7 @@
             let message = reply.members.clone();
             self.tell(MembershipMessage::Received { message, answer: true }).await;
             self.quarantine.learn(reply.quarantined);
+            self.vms.learn(&reply.vms, sent);
             let Some(peer) = peer.filter(|peer| *peer != self.own.name) else { return };
             let reply = PeerReply { peer, sent, request: config, reply: reply.config };
             match propagation.continue_exchange(reply).await {
@@ -190,7 +204,8 @@
     fn message(&self, answered: Option<&GossipMessage>, config: ConfigMessage) -> GossipMessage {
         let answered = answered.map(|message| &message.members);
         let members = self.lock().message(answered, self.clock.now());
-        GossipMessage { members, config, quarantined: self.quarantine.held() }
+        let (quarantined, vms) = (self.quarantine.held(), self.vms.held());
+        GossipMessage { members, config, quarantined, vms }
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, MembershipController> {
@@ -280,6 +295,7 @@
             let received = message.members.clone();
             group.tell(MembershipMessage::Received { message: received, answer: false }).await;
             group.quarantine.learn(message.quarantined.clone());
+            group.vms.learn(&message.vms, group.clock.now());
             let propagation = group.propagation.get()?;
             let config = propagation.answer(message.config.clone()).await?;
             Some(group.message(Some(&message), config))
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -30,7 +30,7 @@
 use crate::pool::{HttpTransport, UnobservedSilence};
 use crate::settings::{EntrySettings, PlatformSettings};
 use crate::state::SharedState;
-use crate::store::{HttpStore, ObjectStore};
+use crate::store::{HttpStore, ObjectStore, VmDirectory};
 use crate::targets::TargetsDriver;
 use crate::telemetry::drive_burn;
 
@@ -64,8 +64,10 @@
     ///
     /// Returns an error when an address cannot be listened on.
     pub async fn start(settings: EntrySettings) -> Result<Self, StartError> {
-        let store = settings.platform.as_ref().map(platform_store);
-        Self::start_with(settings, store).await
+        let platform = settings.platform.as_ref().map(platform_store);
+        let store = platform.clone().map(|platform| platform as Arc<dyn ObjectStore>);
+        let vms = platform.map(|platform| platform as Arc<dyn VmDirectory>);
+        Self::start_from(settings, store, vms).await
     }
 
     /// Starts an entry that keeps shared state in `store`.
@@ -74,8 +76,16 @@
     ///
     /// Returns an error when an address cannot be listened on.
     pub async fn start_with(
+        settings: EntrySettings,
+        store: Option<Arc<dyn ObjectStore>>,
+    ) -> Result<Self, StartError> {
+        Self::start_from(settings, store, None).await
+    }
+
+    async fn start_from(
         mut settings: EntrySettings,
         store: Option<Arc<dyn ObjectStore>>,
+        vms: Option<Arc<dyn VmDirectory>>,
     ) -> Result<Self, StartError> {
         let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
         let state =
@@ -96,6 +106,7 @@
                     state: state.clone(),
                     targets: targets.clone(),
                     quarantine: quarantine.clone(),
+                    vms,
                 };
                 Some(ControlPlane::start(&settings, parts, stop.clone()).await?)
             }
@@ -201,12 +212,9 @@
     }
 }
 
-fn platform_store(platform: &PlatformSettings) -> Arc<dyn ObjectStore> {
-    let store = HttpStore::builder()
-        .address(platform.address)
-        .call_limit(Duration::from_millis(platform.call_ms))
-        .build();
-    Arc::new(store)
+fn platform_store(platform: &PlatformSettings) -> Arc<HttpStore> {
+    let limit = Duration::from_millis(platform.call_ms);
+    Arc::new(HttpStore::builder().address(platform.address).call_limit(limit).build())
 }
 
 fn handlers(
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -15,7 +15,9 @@
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
-use super::{ObjectStore, StoreError, StoredObject, WatchBatch, WriteCondition};
+use super::{
+    ListedVm, ObjectStore, StoreError, StoredObject, VmDirectory, WatchBatch, WriteCondition,
+};
 
 /// Header with the version of an object.
 const VERSION_HEADER: &str = "x-version";
@@ -204,6 +206,20 @@
     }
 }
 
+impl VmDirectory for HttpStore {
+    fn list_vms(&self) -> BoxFuture<'_, Result<Vec<ListedVm>, StoreError>> {
+        Box::pin(async {
+            let request = request_to(Request::get("/vms"), Bytes::new())?;
+            let response = self.call(request, self.call_limit).await?;
+            match response.status() {
+                StatusCode::OK => serde_json::from_slice(response.body())
+                    .map_err(|error| no_answer(format!("the list is not valid: {error}"))),
+                _ => Err(failure(&response)),
+            }
+        })
+    }
+}
+
 fn object_request(
     request: http::request::Builder,
     name: &str,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod http;
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -72,6 +73,28 @@
     TooOld,
 }
 
+/// A VM in the platform's list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct ListedVm {
+    /// IP address.
+    pub address: IpAddr,
+    /// What the platform does with it, such as `live` or `leaving`.
+    pub state: String,
+}
+
+impl ListedVm {
+    /// Tells whether the platform takes the VM away.
+    pub fn leaves(&self) -> bool {
+        self.state == "leaving"
+    }
+}
+
+/// The platform's list of VMs, which lags.
+pub trait VmDirectory: Send + Sync {
+    /// Lists the live and the leaving VMs.
+    fn list_vms(&self) -> BoxFuture<'_, Result<Vec<ListedVm>, StoreError>>;
+}
+
 /// The platform's object store.
 pub trait ObjectStore: Send + Sync {
     /// Reads an object.
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -85,6 +85,8 @@
     message.config.versions = vec![("calendar".to_owned(), 3)];
     message.config.wanted = vec!["calendar".to_owned()];
     message.quarantined = vec![vec![1, 2, 3]];
+    message.vms.list_age = Some(Duration::ZERO);
+    message.vms.leaving = vec![([10, 0, 0, 9].into(), Duration::from_secs(3))];
     message
 }
 
--- a/tests/schema/newer_peer.capnp
+++ b/tests/schema/newer_peer.capnp
@@ -10,8 +10,15 @@
   members @3 :List(Member);
   config @4 :ConfigState;
   quarantined @5 :List(Data);
-  loadHints @6 :List(UInt32);
-  note @7 :Text = "later";
+  vmListAgeUs @6 :UInt64;
+  leavingVms @7 :List(LeavingVm);
+  loadHints @8 :List(UInt32);
+  note @9 :Text = "later";
+}
+
+struct LeavingVm {
+  address @0 :Text;
+  ageUs @1 :UInt64;
 }
 
 struct Member {
--- a/tests/schema/newer_peer_capnp.rs
+++ b/tests/schema/newer_peer_capnp.rs
@@ -173,26 +173,45 @@
             !self.reader.get_pointer_field(4).is_null()
         }
         #[inline]
-        pub fn get_load_hints(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u32>> {
+        pub fn get_vm_list_age_us(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_leaving_vms(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::newer_peer_capnp::leaving_vm::Owned>,
+        > {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(5),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_load_hints(&self) -> bool {
+        pub fn has_leaving_vms(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
         #[inline]
-        pub fn get_note(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_load_hints(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u32>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_load_hints(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
+        #[inline]
+        pub fn get_note(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(7),
                 ::core::option::Option::Some(&_private::DEFAULT_NOTE[..]),
             )
         }
         #[inline]
         pub fn has_note(&self) -> bool {
-            !self.reader.get_pointer_field(6).is_null()
+            !self.reader.get_pointer_field(7).is_null()
         }
     }
 
@@ -201,7 +220,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 1, pointers: 7 };
+            ::capnp::private::layout::StructSize { data: 2, pointers: 8 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -436,19 +455,63 @@
             !self.builder.is_pointer_field_null(4)
         }
         #[inline]
-        pub fn get_load_hints(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u32>> {
+        pub fn get_vm_list_age_us(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_vm_list_age_us(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_leaving_vms(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::newer_peer_capnp::leaving_vm::Owned>,
+        > {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(5),
                 ::core::option::Option::None,
             )
         }
         #[inline]
+        pub fn set_leaving_vms(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::newer_peer_capnp::leaving_vm::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(5),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_leaving_vms(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::newer_peer_capnp::leaving_vm::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(5),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_leaving_vms(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
+        pub fn get_load_hints(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u32>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
         pub fn set_load_hints(
             &mut self,
             value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u32>>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(5),
+                self.builder.reborrow().get_pointer_field(6),
                 value,
                 false,
             )
@@ -456,25 +519,25 @@
         #[inline]
         pub fn init_load_hints(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u32> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(5),
+                self.builder.get_pointer_field(6),
                 size,
             )
         }
         #[inline]
         pub fn has_load_hints(&self) -> bool {
-            !self.builder.is_pointer_field_null(5)
+            !self.builder.is_pointer_field_null(6)
         }
         #[inline]
         pub fn get_note(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(6),
+                self.builder.get_pointer_field(7),
                 ::core::option::Option::Some(&_private::DEFAULT_NOTE[..]),
             )
         }
         #[inline]
         pub fn set_note(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
             ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(6),
+                self.builder.reborrow().get_pointer_field(7),
                 value,
                 false,
             )
@@ -482,11 +545,11 @@
         }
         #[inline]
         pub fn init_note(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(6).init_text(size)
+            self.builder.get_pointer_field(7).init_text(size)
         }
         #[inline]
         pub fn has_note(&self) -> bool {
-            !self.builder.is_pointer_field_null(6)
+            !self.builder.is_pointer_field_null(7)
         }
     }
 
@@ -507,17 +570,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 159] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 195] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(38, 28, 250, 201, 84, 217, 197, 157),
-            ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(17, 74, 110, 92, 15, 13, 107, 207),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(110, 101, 119, 101, 114, 95, 112, 101),
@@ -525,63 +588,77 @@
             ::capnp::word(58, 71, 111, 115, 115, 105, 112, 77),
             ::capnp::word(101, 115, 115, 97, 103, 101, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 108, 102, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(190, 192, 188, 183, 236, 80, 248, 172),
@@ -645,6 +722,28 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 109, 76, 105, 115, 116, 65, 103),
+            ::capnp::word(101, 85, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 86),
+            ::capnp::word(109, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 131, 169, 45, 125, 114, 134, 154),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 111, 97, 100, 72, 105, 110, 116),
             ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -676,8 +775,10 @@
                 3 => <::capnp::struct_list::Owned<crate::newer_peer_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <crate::newer_peer_capnp::config_state::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
-                7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::newer_peer_capnp::leaving_vm::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::primitive_list::Owned<u32> as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -696,9 +797,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 2, 6, 1, 3, 7, 5, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 2, 7, 8, 1, 3, 9, 5, 0, 6];
         pub(crate) static DEFAULT_NOTE: [::capnp::Word; 2] = [
             ::capnp::word(1, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(108, 97, 116, 101, 114, 0, 0, 0),
@@ -707,6 +808,325 @@
     }
 }
 
+pub mod leaving_vm {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_age_us(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_address(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_address(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_age_us(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_age_us(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(141, 131, 169, 45, 125, 114, 134, 154),
+            ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(17, 74, 110, 92, 15, 13, 107, 207),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 119, 101, 114, 95, 112, 101),
+            ::capnp::word(101, 114, 46, 99, 97, 112, 110, 112),
+            ::capnp::word(58, 76, 101, 97, 118, 105, 110, 103),
+            ::capnp::word(86, 109, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 85, 115, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+        pub(crate) const TYPE_ID: u64 = 0x9a86_727d_2da9_838d;
+    }
+}
+
 pub mod member {
     #[derive(Copy, Clone)]
     pub struct Owned(());
