Split the claims controller and test that withdrawn claims are withdrawn

It is now claims/mod.rs (the controller), claims/batch.rs (one segment's batch) and claims/messages.rs; no behaviour changes.

The property now also checks, after all calls and delayed writes, that a key which never ran is free again, and a new case checks that a claim withdrawn in time costs no write.

--- a/core/src/controllers/claims.rs
+++ b/core/src/controllers/claims/mod.rs
@@ -1,21 +1,20 @@
 //! Claims of this entry: batched by segment, written by one conditional update and
 //! recognised by nonce when its answer is lost.
 
+mod batch;
+mod messages;
+
 use std::collections::HashMap;
 use std::time::Duration;
 
+pub use batch::CLAIM_BATCH;
+use batch::{BatchPhase, MARK_BATCH, PendingClaim, SegmentBatch};
+pub use messages::{ClaimAnswer, ClaimsEffect, ClaimsMessage, SegmentName};
+
 use super::{ReadReply, StateController, WriteReply};
-use crate::claims::{
-    ClaimOwner, ClaimSegment, ClaimState, ClaimVerdict, IdempotencyKey, KeyDigest,
-};
+use crate::claims::{ClaimOwner, ClaimSegment, ClaimState, IdempotencyKey};
 use crate::clock::Timestamp;
 
-/// Time for which claims are gathered before a write.
-pub const CLAIM_BATCH: Duration = Duration::from_millis(2);
-
-/// Time for which marks alone are gathered; nobody waits for them.
-const MARK_BATCH: Duration = Duration::from_millis(50);
-
 /// Time after which marks are tried again when the store failed.
 const AFTER_FAILURE: Duration = Duration::from_secs(1);
 
@@ -30,123 +29,6 @@
 /// kept costs one more read.
 const MAX_KEPT_CLAIMS: usize = 100_000;
 
-/// Marks that wait for a segment; further ones are lost, which only makes a
-/// repeated key answer "running".
-const MAX_WAITING_MARKS: usize = 1000;
-
-/// A segment of a service.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub struct SegmentName {
-    /// The service.
-    pub service: String,
-    /// The segment.
-    pub segment: u16,
-}
-
-/// What the claims controller is told.
-#[derive(Clone, Debug)]
-pub enum ClaimsMessage {
-    /// A request needs its key claimed.
-    Claim {
-        /// The service.
-        service: String,
-        /// The key.
-        key: IdempotencyKey,
-        /// Random number of this claim.
-        nonce: u64,
-    },
-    /// What became of a request whose key was claimed. [`ClaimState::NotRun`] also
-    /// withdraws a claim that is still under way.
-    Settle {
-        /// The service.
-        service: String,
-        /// The key.
-        key: IdempotencyKey,
-        /// Random number of the claim.
-        nonce: u64,
-        /// What is known.
-        state: ClaimState,
-    },
-    /// A read of a segment ended.
-    Read(SegmentName, ReadReply<ClaimSegment>),
-    /// A write of a segment ended.
-    Wrote(SegmentName, WriteReply),
-    /// The time of a [`ClaimsEffect::Wake`] came.
-    Wake(SegmentName),
-}
-
-/// What the claims controller asks for.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ClaimsEffect {
-    /// Send [`ClaimsMessage::Wake`] after a delay.
-    Wake(SegmentName, Duration),
-    /// Read a segment after a delay.
-    Read(SegmentName, Duration),
-    /// Write a segment if it is at this version, 0 for absent.
-    Write(SegmentName, ClaimSegment, u64),
-    /// Answer the claim with this nonce.
-    Answer(u64, ClaimAnswer),
-}
-
-/// Answer to a claim. All but `Granted` mean that the request must not run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ClaimAnswer {
-    /// The request may run, once.
-    Granted,
-    /// The key was used before.
-    Repeated(ClaimState),
-    /// The key is too old.
-    Expired,
-    /// Only `UUIDv7` keys can still be claimed.
-    FullOfPermanent,
-    /// The claim could not be made.
-    Unavailable,
-}
-
-#[derive(Debug)]
-struct PendingClaim {
-    key: IdempotencyKey,
-    nonce: u64,
-}
-
-#[derive(Debug)]
-struct PendingMark {
-    key: KeyDigest,
-    nonce: u64,
-    state: ClaimState,
-}
-
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-enum BatchPhase {
-    #[default]
-    Idle,
-    Gathering,
-    Reading,
-    Writing,
-}
-
-/// One segment with the claims and marks on their way into it.
-#[derive(Debug, Default)]
-struct SegmentBatch {
-    phase: BatchPhase,
-    /// Whether claims, and not marks alone, are being gathered.
-    urgent: bool,
-    calls: u32,
-    answer_lost: bool,
-    content: ClaimSegment,
-    /// Version of `content`; none if it is not known.
-    version: Option<u64>,
-    /// Whether `content` was read or written during this batch.
-    fresh: bool,
-    /// Lowest version that a read may show; lower ones are stale.
-    lowest_version: u64,
-    claims: Vec<PendingClaim>,
-    marks: Vec<PendingMark>,
-    /// Claims and marks that the write under way holds.
-    written_claims: usize,
-    written_marks: usize,
-}
-
 /// Batches the claims of one entry. Safety rests on the condition of each write:
 /// a key is granted only when a segment with its claim is known to be stored.
 #[derive(Debug)]
@@ -180,7 +62,7 @@
         let name = SegmentName { service, segment: key.segment() };
         let batch = self.segments.entry(name.clone()).or_default();
         batch.claims.push(PendingClaim { key, nonce });
-        gather(batch, name, true, CLAIM_BATCH)
+        batch.gather(name, true)
     }
 
     fn settle(
@@ -192,18 +74,11 @@
     ) -> Vec<ClaimsEffect> {
         let name = SegmentName { service, segment: key.segment() };
         let batch = self.segments.entry(name.clone()).or_default();
-        let position = batch.claims.iter().position(|claim| claim.nonce == nonce);
-        if let Some(position) = position.filter(|position| *position >= batch.written_claims)
-            && !batch.answer_lost
-        {
-            // No write has held the claim yet.
-            batch.claims.remove(position);
+        if batch.withdraw(nonce) {
             return Vec::new();
         }
-        if batch.marks.len() < MAX_WAITING_MARKS {
-            batch.marks.push(PendingMark { key: key.digest, nonce, state });
-        }
-        gather(batch, name, false, MARK_BATCH)
+        batch.add_mark(key.digest, nonce, state);
+        batch.gather(name, false)
     }
 
     fn take_read(
@@ -237,46 +112,14 @@
         let Some(version) = batch.version else { return self.read_again(name) };
         let mut content = batch.content.clone();
         content.drop_expired(window, now);
-        let mut effects = Vec::new();
-        let mut added = Vec::new();
-        let mut changed = false;
-        for claim in batch.claims.drain(..) {
-            let owner = ClaimOwner { nonce: claim.nonce, ..owner.clone() };
-            let answer = match content.claim(claim.key, &owner) {
-                ClaimVerdict::Added => {
-                    changed = true;
-                    added.push(claim);
-                    continue;
-                }
-                // A write whose answer was lost took effect.
-                ClaimVerdict::Held => ClaimAnswer::Granted,
-                _ if !batch.fresh => {
-                    added.push(claim);
-                    continue;
-                }
-                ClaimVerdict::Repeated(state) => ClaimAnswer::Repeated(state),
-                ClaimVerdict::Expired => ClaimAnswer::Expired,
-                ClaimVerdict::FullOfPermanent => ClaimAnswer::FullOfPermanent,
-                ClaimVerdict::Full => ClaimAnswer::Unavailable,
-            };
-            effects.push(ClaimsEffect::Answer(claim.nonce, answer));
-        }
-        batch.claims = added;
-        let refused = batch.claims.iter().any(|claim| {
-            let record = content.claims.get(&claim.key.digest);
-            record.is_none_or(|record| record.owner.nonce != claim.nonce)
-        });
-        if refused && !batch.fresh {
+        let applied = batch.apply_claims(&mut content, &owner);
+        let mut effects = applied.answers;
+        if applied.doubtful {
             effects.extend(self.read_again(name));
             return effects;
         }
-        for mark in &batch.marks {
-            let owner = ClaimOwner { nonce: mark.nonce, ..owner.clone() };
-            changed |= content.mark(mark.key, &owner, mark.state);
-            // The write also keeps a delayed write of the claim from taking effect.
-            changed |= mark.state == ClaimState::NotRun;
-        }
-        if !changed {
+        let marked = batch.apply_marks(&mut content, &owner);
+        if !(applied.changed || marked) {
             batch.marks.clear();
             effects.extend(self.finish(name, MARK_BATCH));
             return effects;
@@ -333,12 +176,9 @@
         let Some(batch) = self.segments.get_mut(name) else { return Vec::new() };
         let claims = std::mem::take(&mut batch.claims);
         if batch.answer_lost {
-            let room = MAX_WAITING_MARKS.saturating_sub(batch.marks.len());
-            batch.marks.extend(claims.iter().take(room).map(|claim| PendingMark {
-                key: claim.key.digest,
-                nonce: claim.nonce,
-                state: ClaimState::NotRun,
-            }));
+            for claim in &claims {
+                batch.add_mark(claim.key.digest, claim.nonce, ClaimState::NotRun);
+            }
         }
         let mut effects: Vec<_> = claims
             .iter()
@@ -351,16 +191,8 @@
     /// Ends a batch and starts the next one if claims or marks wait.
     fn finish(&mut self, name: &SegmentName, mark_delay: Duration) -> Vec<ClaimsEffect> {
         let Some(batch) = self.segments.get_mut(name) else { return Vec::new() };
-        batch.phase = BatchPhase::Idle;
-        batch.calls = 0;
-        batch.answer_lost = false;
-        batch.fresh = false;
-        batch.written_claims = 0;
-        batch.written_marks = 0;
-        let waits = !batch.claims.is_empty() || !batch.marks.is_empty();
-        let urgent = !batch.claims.is_empty();
-        let delay = if urgent { CLAIM_BATCH } else { mark_delay };
-        let effects = if waits { gather(batch, name.clone(), urgent, delay) } else { Vec::new() };
+        batch.end();
+        let effects = batch.gather_waiting(name.clone(), mark_delay);
         self.forget_content();
         effects
     }
@@ -374,22 +206,6 @@
     }
 }
 
-/// Starts to gather a batch, or hurries one that gathers marks alone.
-fn gather(
-    batch: &mut SegmentBatch,
-    name: SegmentName,
-    urgent: bool,
-    delay: Duration,
-) -> Vec<ClaimsEffect> {
-    let hurry = batch.phase == BatchPhase::Gathering && urgent && !batch.urgent;
-    if batch.phase != BatchPhase::Idle && !hurry {
-        return Vec::new();
-    }
-    batch.phase = BatchPhase::Gathering;
-    batch.urgent = urgent;
-    vec![ClaimsEffect::Wake(name, delay)]
-}
-
 impl StateController for ClaimsController {
     type Message = ClaimsMessage;
     type Effect = ClaimsEffect;
--- a/core/tests/claims.rs
+++ b/core/tests/claims.rs
@@ -1,7 +1,7 @@
 //! At most once, over histories of several entries with crashes, pauses, races,
 //! lost, delayed and refused store calls, stale reads and wrong clocks.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use proptest::prelude::*;
@@ -97,6 +97,8 @@
     store: Vec<(ClaimSegment, u64)>,
     tickets: Vec<Ticket>,
     runs: HashMap<u8, usize>,
+    /// Keys of crashed entries, whose claims nobody withdraws.
+    abandoned: HashSet<u8>,
 }
 
 fn controller(entry: usize, incarnation: u64) -> ClaimsController {
@@ -115,6 +117,7 @@
             store: Vec::new(),
             tickets: Vec::new(),
             runs: HashMap::new(),
+            abandoned: HashSet::new(),
         }
     }
 
@@ -238,13 +241,44 @@
                 self.skews[*entry] = *skew;
                 self.calls.retain(|(owner, _)| owner != entry);
                 let tickets = self.tickets.iter_mut().filter(|ticket| ticket.entry == *entry);
-                tickets.for_each(|ticket| ticket.ended = true);
+                for ticket in tickets {
+                    ticket.ended = true;
+                    self.abandoned.insert(ticket.key);
+                }
             }
             Step::Advance(seconds) => self.now = self.now + Duration::from_secs(*seconds),
             _ => {}
         }
     }
 
+    /// Lets all calls end and all delayed writes arrive, without further faults.
+    fn settle_down(&mut self) {
+        let mut delivered = 0;
+        while !self.calls.is_empty() {
+            self.deliver(0, Fault::None);
+            delivered += 1;
+            assert!(delivered < 10_000, "store calls without end");
+        }
+        for call in std::mem::take(&mut self.delayed) {
+            if let ClaimsEffect::Write(_, content, base_version) = call {
+                self.write(&content, base_version);
+            }
+        }
+    }
+
+    /// Checks that a key whose requests were all told not-run can be used again.
+    /// Keys that carry their time are left out, since they may have expired.
+    fn check_free(&self) -> Result<(), TestCaseError> {
+        let Some((segment, _)) = self.store.last() else { return Ok(()) };
+        for number in 0..2 {
+            let record = segment.claims.get(&key(number).digest);
+            let held = record.is_some_and(|record| record.state != ClaimState::NotRun);
+            let may_be_held = self.runs.contains_key(&number) || self.abandoned.contains(&number);
+            prop_assert!(!held || may_be_held, "key {number} never ran and stays claimed");
+        }
+        Ok(())
+    }
+
     fn check(&self) -> Result<(), TestCaseError> {
         for (key, runs) in &self.runs {
             prop_assert!(*runs <= 1, "key {key} ran {runs} times");
@@ -267,16 +301,14 @@
                 world.run(step);
                 world.check()?;
             }
-            while !world.calls.is_empty() {
-                world.deliver(0, Fault::None);
-            }
+            world.settle_down();
             for ticket in world.open_tickets(true) {
                 *world.runs.entry(world.tickets[ticket].key).or_default() += 1;
             }
             world.check()?;
             let open = world.open_tickets(false);
             prop_assert!(open.is_empty(), "tickets {:?} were never answered", open);
-            Ok(())
+            world.check_free()
         });
     }
 
@@ -290,22 +322,24 @@
             world.deliver(0, Fault::RequestLost);
         }
         assert_eq!(world.tickets[0].answer, Some(ClaimAnswer::Unavailable));
-        while !world.calls.is_empty() {
-            world.deliver(0, Fault::None);
-        }
+        world.settle_down();
         world.run(&Step::Request(1, 0));
-        while !world.calls.is_empty() {
-            world.deliver(0, Fault::None);
-        }
+        world.settle_down();
         assert_eq!(world.tickets[1].answer, Some(ClaimAnswer::Granted));
     }
 
+    withdrawn_claims_are_not_written: "a store write for a request that had already left" => {
+        let mut world = World::new();
+        world.run(&Step::Request(0, 0));
+        world.settle(0, ClaimState::NotRun);
+        world.settle_down();
+        assert_eq!((world.store.len(), world.tickets[0].answer), (0, None));
+    }
+
     claims_in_one_batch_share_a_write: "a store call for each claim" => {
         let mut world = World::new();
         (0..4).for_each(|number| world.run(&Step::Request(0, number)));
-        while !world.calls.is_empty() {
-            world.deliver(0, Fault::None);
-        }
+        world.settle_down();
         assert!(world.tickets.iter().all(|t| t.answer == Some(ClaimAnswer::Granted)));
         assert_eq!(world.store.len(), 1);
     }
