Claim idempotency keys before dispatch

The claim filter passed every request on, so a non-idempotent request sent again through another entry ran again.

src/claims.rs owns the claims controller, carries out its effects against `claims/SERVICE/SEGMENT` in the store and answers waiting requests through oneshot channels. The filter sees it as `KeyClaims`; an entry without a platform has `NoKeyClaims`, whose refusals name the missing setting.

The outcome of a refused key is that of the work behind it: `ran` or `unknown` for a used key, `unknown` for an expired one. Told `not-run`, a caller would send the same work again under a new key. `X-Zinniaport-Key-State` says `ran; status=N`, `running` or `unknown`. A request with two keys is malformed, since it could be claimed under either. A refusal that states `ran` does not count as served within the deadline, and its explanation does not call it an answer.

--- a/core/src/decision/explain.rs
+++ b/core/src/decision/explain.rs
@@ -4,7 +4,7 @@
 
 use super::words::{in_ms, outcome_words, reason_words};
 use super::{AdmissionTrace, NamedRecord};
-use crate::call::{CallOutcome, ReasonCode};
+use crate::call::ReasonCode;
 use crate::clock::Timestamp;
 
 /// One sentence and a table.
@@ -86,7 +86,7 @@
 
 fn end_words(record: &NamedRecord) -> String {
     let taken = in_ms(record.taken());
-    if record.outcome == CallOutcome::Ran {
+    if record.reason == ReasonCode::Answered {
         let in_time = if record.answered <= record.deadline { "within" } else { "after" };
         return format!(
             "the answer {} was ready after {taken}, {in_time} its deadline",
--- a/core/src/decision/record.rs
+++ b/core/src/decision/record.rs
@@ -81,6 +81,7 @@
     /// Tells whether a target served the request within its deadline.
     pub fn is_served_in_time(&self) -> bool {
         self.end.outcome == CallOutcome::Ran
+            && self.end.reason == ReasonCode::Answered
             && self.end.status < 500
             && self.end.answered <= self.facts.deadline
     }
--- a/src/bench/capacity/messages.rs
+++ b/src/bench/capacity/messages.rs
@@ -33,13 +33,13 @@
 /// Makes the message of an ordinary round among `members` entries.
 pub fn ordinary(members: usize) -> GossipMessage {
     let (members, _) = member_messages(members);
-    GossipMessage { members, config: quiet_config(), quarantined: Vec::new(), vms: Vec::new() }
+    GossipMessage { members, config: quiet_config(), quarantined: Vec::new(), vms: VmNote::default() }
 }
 
 /// Makes a message with the full list of `members` entries.
 pub fn full_list(members: usize) -> GossipMessage {
     let (_, members) = member_messages(members);
-    GossipMessage { members, config: quiet_config(), quarantined: Vec::new(), vms: Vec::new() }
+    GossipMessage { members, config: quiet_config(), quarantined: Vec::new(), vms: VmNote::default() }
 }
 
 /// Makes a message that announces `changes` intents to one of 200 entries.
--- a/src/filters/claim.rs
+++ b/src/filters/claim.rs
@@ -1,13 +1,110 @@
 //! Claims the idempotency key of a non-idempotent request before it is dispatched.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use futures::future::BoxFuture;
+use http::HeaderMap;
+use tokio::time::timeout;
+use zinniaport_core::call::{CallOutcome, ReasonCode};
+use zinniaport_core::claims::{ClaimState, IdempotencyKey, KeyError};
+use zinniaport_core::controllers::ClaimAnswer;
 
 use super::{FilterNext, FilterResult, RequestFilter};
+use crate::claims::{KeyClaim, KeyClaims};
 use crate::exchange::Exchange;
+use crate::refusal::Refusal;
+use crate::state::SharedState;
+
+/// Header that identifies repetitions of the same work.
+pub(super) const KEY_HEADER: &str = "idempotency-key";
+
+/// Time after which a request whose key could not be claimed may come again. A
+/// claim gives up about 150 ms after the store went down.
+const CLAIM_RETRY: Duration = Duration::from_secs(1);
+
+/// Claims the idempotency key of a non-idempotent request before it is
+/// dispatched, and stores what became of it.
+pub struct ClaimFilter {
+    state: Arc<SharedState>,
+    claims: Arc<dyn KeyClaims>,
+}
+
+impl ClaimFilter {
+    /// Creates the filter.
+    pub fn new(state: Arc<SharedState>, claims: Arc<dyn KeyClaims>) -> Self {
+        Self { state, claims }
+    }
 
-/// Claims the idempotency key of a non-idempotent request before it is dispatched.
-#[derive(Debug, Default)]
-pub struct ClaimFilter;
+    /// Reads the key of a request that must run at most once; none for other
+    /// requests.
+    fn key_of(exchange: &Exchange) -> Result<Option<KeyClaim>, Refusal> {
+        if exchange.facts.idempotent {
+            return Ok(None);
+        }
+        let Some(service) = exchange.fleet.services.get(exchange.facts.service) else {
+            return Err(Refusal::not_run(ReasonCode::UnknownService, "the service was removed"));
+        };
+        let intent = &service.intent;
+        let required = intent.kinds.get(exchange.facts.kind).is_some_and(|kind| kind.require_key);
+        match read_key(&intent.service, &exchange.head.headers) {
+            Ok(None) if required => {
+                let detail = format!("{} takes this request with a key only", intent.service);
+                Err(Refusal::not_run(ReasonCode::KeyRequired, detail))
+            }
+            Ok(None) => Ok(None),
+            Ok(Some(key)) => {
+                let service = intent.service.clone();
+                Ok(Some(KeyClaim { service, key, nonce: rand::random() }))
+            }
+            Err(error) => Err(Refusal::not_run(ReasonCode::BadKey, error.to_string())),
+        }
+    }
+
+    async fn run(&self, exchange: &mut Exchange, next: FilterNext<'_>) -> FilterResult {
+        let Some(claim) = Self::key_of(exchange)? else { return next.run(exchange).await };
+        let left = exchange.facts.time_left(self.state.clock.now());
+        let claims = &*self.claims;
+        let mut open = OpenClaim { claims, exchange, claim: Some(claim.clone()) };
+        let Ok(answer) = timeout(left, claims.claim(claim)).await else {
+            let detail = "the key was not claimed within the deadline";
+            return Err(unavailable(detail).retry_after(CLAIM_RETRY));
+        };
+        if let Some(refusal) = self.refusal_of(answer) {
+            // The controller answered, so it holds nothing to withdraw.
+            open.claim = None;
+            return Err(refusal);
+        }
+        let result = next.run(&mut *open.exchange).await;
+        open.settle(match &result {
+            Ok(response) => ClaimState::Done(response.status().as_u16()),
+            Err(refusal) if refusal.outcome == CallOutcome::NotRun => ClaimState::NotRun,
+            Err(_) => ClaimState::Unknown,
+        });
+        result
+    }
+
+    /// Says what an answer means for the caller; none if the request may run. The
+    /// outcome of a used or expired key is that of the work behind the key: told
+    /// not-run, a caller would send the same work again under another key.
+    fn refusal_of(&self, answer: ClaimAnswer) -> Option<Refusal> {
+        let refusal = match answer {
+            ClaimAnswer::Granted => return None,
+            ClaimAnswer::Repeated(state) => used(state),
+            ClaimAnswer::Expired => Refusal::unknown(
+                ReasonCode::KeyExpired,
+                "this request was not run; whether an earlier one with this key ran is no longer known",
+            ),
+            ClaimAnswer::FullOfPermanent => unavailable(
+                "no more keys without a time can be kept; send a UUIDv7, whose claims expire",
+            ),
+            ClaimAnswer::Unavailable => {
+                unavailable(self.claims.outage_cause()).retry_after(CLAIM_RETRY)
+            }
+        };
+        Some(refusal)
+    }
+}
 
 impl RequestFilter for ClaimFilter {
     fn name(&self) -> &'static str {
@@ -19,6 +116,55 @@
         exchange: &'a mut Exchange,
         next: FilterNext<'a>,
     ) -> BoxFuture<'a, FilterResult> {
-        next.run(exchange)
+        Box::pin(self.run(exchange, next))
+    }
+}
+
+/// A claim that is settled when dropped, so that a request whose caller leaves,
+/// which drops the whole chain, settles its claim too.
+struct OpenClaim<'a> {
+    claims: &'a dyn KeyClaims,
+    exchange: &'a mut Exchange,
+    /// The claim until it is settled.
+    claim: Option<KeyClaim>,
+}
+
+impl OpenClaim<'_> {
+    fn settle(&mut self, state: ClaimState) {
+        if let Some(claim) = self.claim.take() {
+            self.claims.settle(claim, state);
+        }
+    }
+}
+
+impl Drop for OpenClaim<'_> {
+    fn drop(&mut self) {
+        let dispatched = self.exchange.trace.dispatches[0].is_some();
+        self.settle(if dispatched { ClaimState::Unknown } else { ClaimState::NotRun });
     }
 }
+
+/// Reads the key of a request, if it has one. A request with two keys could be
+/// claimed under either, so it is malformed.
+fn read_key(service: &str, headers: &HeaderMap) -> Result<Option<IdempotencyKey>, KeyError> {
+    let mut keys = headers.get_all(KEY_HEADER).iter();
+    match (keys.next(), keys.next()) {
+        (None, _) => Ok(None),
+        (Some(key), None) => IdempotencyKey::parse(service, key.as_bytes()).map(Some),
+        (Some(_), Some(_)) => Err(KeyError),
+    }
+}
+
+fn unavailable(detail: &str) -> Refusal {
+    Refusal::not_run(ReasonCode::ClaimUnavailable, detail)
+}
+
+fn used(state: ClaimState) -> Refusal {
+    let known = match state {
+        ClaimState::Done(status) => format!("ran and was answered {status}"),
+        ClaimState::Running => "is running, or its entry ended while it ran".to_owned(),
+        ClaimState::Unknown | ClaimState::NotRun => "may have run".to_owned(),
+    };
+    let detail = format!("this request was not run; the first one with this key {known}");
+    Refusal::key_used(state, detail)
+}
--- a/src/filters/quarantine.rs
+++ b/src/filters/quarantine.rs
@@ -8,6 +8,7 @@
 use sha2::{Digest, Sha256};
 use zinniaport_core::call::{CallFingerprint, ReasonCode};
 
+use super::claim::KEY_HEADER;
 use super::{FilterNext, FilterResult, RequestFilter};
 use crate::exchange::{BodyError, Exchange, full_body};
 use crate::gate::{BufferedBody, PermitHandle, QuarantineGate, SuspectCall};
@@ -18,9 +19,6 @@
 /// visit records fit; photos do not.
 const MAX_BUFFERED_BYTES: u64 = 16 << 10;
 
-/// Header that identifies repetitions of the same work.
-const KEY_HEADER: &str = "idempotency-key";
-
 /// Refuses a request that has crashed as many targets as the intent allows, and
 /// lets copies of a suspect one run one at a time.
 pub struct QuarantineFilter {
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -18,7 +18,7 @@
 use http::{HeaderValue, Request, Version, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-pub use problem::OUTCOME_HEADER;
+pub use problem::{KEY_STATE_HEADER, OUTCOME_HEADER};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
--- a/src/front/problem.rs
+++ b/src/front/problem.rs
@@ -3,6 +3,7 @@
 use http::{HeaderValue, Response, header};
 use serde::Serialize;
 use zinniaport_core::call::CallOutcome;
+use zinniaport_core::claims::ClaimState;
 
 use crate::exchange::{CallResponse, full_body};
 use crate::refusal::Refusal;
@@ -10,6 +11,10 @@
 /// Header that says whether the request ran.
 pub const OUTCOME_HEADER: &str = "x-zinniaport-outcome";
 
+/// Header that says what is known of the work behind a used idempotency key:
+/// `ran; status=` with the status of its answer, `running` or `unknown`.
+pub const KEY_STATE_HEADER: &str = "x-zinniaport-key-state";
+
 /// Body of a problem answer.
 #[derive(Serialize)]
 struct ProblemBody<'a> {
@@ -40,9 +45,21 @@
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
     headers.insert(OUTCOME_HEADER, HeaderValue::from_static(refusal.outcome.into()));
+    if let Some(state) = refusal.key_state {
+        headers.insert(KEY_STATE_HEADER, key_state_value(state));
+    }
     if let Some(delay) = refusal.retry_after {
         let seconds = delay.as_millis().div_ceil(1000).max(1) as u64;
         headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
     }
     response
 }
+
+fn key_state_value(state: ClaimState) -> HeaderValue {
+    match state {
+        ClaimState::Done(status) => HeaderValue::try_from(format!("ran; status={status}"))
+            .unwrap_or(HeaderValue::from_static("ran")),
+        ClaimState::Running => HeaderValue::from_static("running"),
+        ClaimState::Unknown | ClaimState::NotRun => HeaderValue::from_static("unknown"),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 
 pub mod admin;
 pub mod bench;
+pub mod claims;
 pub mod commands;
 pub mod control;
 pub mod exchange;
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -5,6 +5,7 @@
 use derive_more::{Display, Error};
 use http::StatusCode;
 use zinniaport_core::call::{CallOutcome, ReasonCode};
+use zinniaport_core::claims::ClaimState;
 
 /// Why a request got no answer from a target, and what the caller can do.
 #[derive(Debug, Display, Error)]
@@ -20,13 +21,11 @@
     pub retry_after: Option<Duration>,
     /// Whether the target that refused also announced its drain.
     pub target_drains: bool,
+    /// What is known of the work behind a used idempotency key.
+    pub key_state: Option<ClaimState>,
 }
 
 impl Refusal {
-    fn new(reason: ReasonCode, outcome: CallOutcome, detail: String) -> Self {
-        Self { reason, outcome, detail, retry_after: None, target_drains: false }
-    }
-
     /// Creates a refusal of a request that certainly did not run.
     pub fn not_run(reason: ReasonCode, detail: impl Into<String>) -> Self {
         Self::new(reason, CallOutcome::NotRun, detail.into())
@@ -37,6 +36,21 @@
         Self::new(reason, CallOutcome::Unknown, detail.into())
     }
 
+    /// Creates a refusal of a request whose key was used before. Its outcome is
+    /// that of the work behind the key.
+    pub fn key_used(state: ClaimState, detail: impl Into<String>) -> Self {
+        let outcome = match state {
+            ClaimState::Done(_) => CallOutcome::Ran,
+            _ => CallOutcome::Unknown,
+        };
+        let key_state = Some(state);
+        Self { key_state, ..Self::new(ReasonCode::KeyUsed, outcome, detail.into()) }
+    }
+
+    fn new(reason: ReasonCode, outcome: CallOutcome, detail: String) -> Self {
+        Self { reason, outcome, detail, retry_after: None, target_drains: false, key_state: None }
+    }
+
     /// Sets when another try is worthwhile.
     #[must_use]
     pub fn retry_after(mut self, delay: Duration) -> Self {
@@ -80,6 +94,9 @@
             ReasonCode::KeyRequired => "send an Idempotency-Key header, a UUIDv7 if possible",
             ReasonCode::BadKey => "send an Idempotency-Key of 1 to 128 visible ASCII characters",
             ReasonCode::KeyExpired => "look up whether the work was done, then use a new key",
+            ReasonCode::ClaimUnavailable if self.retry_after.is_none() => {
+                "send a UUIDv7 as Idempotency-Key"
+            }
             ReasonCode::KeyUsed => "look up the result of the first request with this key",
             ReasonCode::Quarantined => {
                 "do not send this request again; tell the owner of the service"
--- a/src/runtime/chain.rs
+++ b/src/runtime/chain.rs
@@ -4,6 +4,7 @@
 
 use zinniaport_core::policy::RoutingPolicy;
 
+use crate::claims::KeyClaims;
 use crate::filters::{
     AdmitFilter, ClaimFilter, ClassifyFilter, FilterChain, ForwardFilter, IdentifyFilter,
     QuarantineFilter, RecordFilter, RouteFilter,
@@ -20,18 +21,19 @@
     pub(super) policy: Arc<dyn RoutingPolicy>,
     pub(super) transport: Arc<dyn TargetTransport>,
     pub(super) quarantine: Arc<QuarantineGate>,
+    pub(super) claims: Arc<dyn KeyClaims>,
 }
 
 impl ChainParts {
     /// Builds the chain, outermost filter first.
     pub(super) fn build(self) -> FilterChain {
-        let Self { state, targets, policy, transport, quarantine } = self;
+        let Self { state, targets, policy, transport, quarantine, claims } = self;
         FilterChain::new(vec![
             Arc::new(RecordFilter::new(state.clone())),
             Arc::new(IdentifyFilter::new(state.clone())),
             Arc::new(ClassifyFilter::new(state.clone())),
             Arc::new(QuarantineFilter::new(state.clone(), quarantine)),
-            Arc::new(ClaimFilter),
+            Arc::new(ClaimFilter::new(state.clone(), claims)),
             Arc::new(AdmitFilter::new(state.clone())),
             Arc::new(RouteFilter::new(state.clone(), policy, targets)),
             Arc::new(ForwardFilter::new(state, transport)),
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -24,6 +24,7 @@
     AdminHandler, AdminRouter, BurnHandler, ExplainHandler, LivenessHandler, LocalRecords,
     MetricsHandler, ReadinessHandler, RecordsHandler, StatusHandler,
 };
+use crate::claims::{KeyClaims, NoKeyClaims, StoreKeyClaims};
 use crate::control::{ControlParts, ControlPlane};
 use crate::front::HttpFront;
 use crate::gate::QuarantineGate;
@@ -55,6 +56,7 @@
     front: AbortOnDropHandle<()>,
     drain: DrainController,
     control: Option<ControlPlane>,
+    claims: Arc<dyn KeyClaims>,
 }
 
 impl EntryRuntime {
@@ -112,6 +114,10 @@
             }
             _ => None,
         };
+        let claims: Arc<dyn KeyClaims> = match &control {
+            Some(plane) => Arc::new(StoreKeyClaims::start(plane.store().clone(), state.clone())),
+            None => Arc::new(NoKeyClaims),
+        };
         let ready = Arc::new(AtomicBool::new(true));
         let router = AdminRouter::new(handlers(&state, &ready, control.as_ref()));
         tokio::spawn(router.serve(admin_listener, stop.clone()));
@@ -119,14 +125,32 @@
         let EntrySettings { limits, pool, stop: stop_settings, routing, .. } = settings;
         let transport = Arc::new(HttpTransport::new(pool, Arc::new(UnobservedSilence)));
         let policy = routing.policy();
-        let parts = ChainParts { state: state.clone(), targets, policy, transport, quarantine };
+        let parts = ChainParts {
+            state: state.clone(),
+            targets,
+            policy,
+            transport,
+            quarantine,
+            claims: claims.clone(),
+        };
         let front = HttpFront::new(state, parts.build(), limits);
         let close = CancellationToken::new();
         let linger = stop_settings.idle_linger();
         let front = tokio::spawn(front.serve(listener, close.clone(), linger));
         let front = AbortOnDropHandle::new(front);
         let drain = DrainController::new(stop_settings.drain_limits());
-        Ok(Self { caller_address, admin_address, clock, ready, close, stop, front, drain, control })
+        Ok(Self {
+            caller_address,
+            admin_address,
+            clock,
+            ready,
+            close,
+            stop,
+            front,
+            drain,
+            control,
+            claims,
+        })
     }
 
     /// Gives the address for callers.
@@ -155,6 +179,7 @@
             let Some(timer) = self.carry_out(effects) else { break };
             message = self.next_message(timer).await;
         }
+        self.claims.finish().await;
         self.stop.cancel();
     }
 
