--- a/src/bench/capacity/messages.rs
+++ b/src/bench/capacity/messages.rs
@@ -5,7 +5,7 @@
 use capnp::message::Builder;
 use zinniaport_core::controllers::{
     ConfigMessage, ConfigSummary, MembershipMessage, SettingsController, SettingsMessage,
-    StateController,
+    StateController, VmNote,
 };
 
 use super::fixtures::{NOW, member_messages, membership, service_name, versioned};
@@ -33,13 +33,23 @@
 /// Makes the message of an ordinary round among `members` entries.
 pub fn ordinary(members: usize) -> GossipMessage {
     let (members, _) = member_messages(members);
-    GossipMessage { members, config: quiet_config(), quarantined: Vec::new(), vms: VmNote::default() }
+    GossipMessage {
+        members,
+        config: quiet_config(),
+        quarantined: Vec::new(),
+        vms: VmNote::default(),
+    }
 }
 
 /// Makes a message with the full list of `members` entries.
 pub fn full_list(members: usize) -> GossipMessage {
     let (_, members) = member_messages(members);
-    GossipMessage { members, config: quiet_config(), quarantined: Vec::new(), vms: VmNote::default() }
+    GossipMessage {
+        members,
+        config: quiet_config(),
+        quarantined: Vec::new(),
+        vms: VmNote::default(),
+    }
 }
 
 /// Makes a message that announces `changes` intents to one of 200 entries.
