Send probes within the budget of the intents in force

The measuring controller existed but nothing told it intents or sent its probes. The driver reads the fleet and the time of the last confirmation every 100 ms, sends GET /probe for each charge and gives up a probe that does not arrive within its grant. Answers count as load reports and fill the probe pool. Policies that do not use probes have a target probed only after 10 s without a report. Metrics, burn and status show spent slot time next to this entry's share.

With the check at the charge removed, probes_stay_within_budget (1806 ms of 1800 ms in 60 s), no_budget_sends_no_probe and stale_grants_send_no_probe fail; with it all tests of the package pass.

--- a/core/src/controllers/burn.rs
+++ b/core/src/controllers/burn.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use slotmap::SecondaryMap;
 
 use super::StateController;
 use crate::burn::{BURN_WINDOWS, BurnReport, BurnVerdict, KindBurn, WindowBurn, WindowCounter};
@@ -10,6 +11,7 @@
 use crate::decision::RingBatch;
 use crate::fleet::FleetSnapshot;
 use crate::keys::ServiceKey;
+use crate::probe::MeasuringAccount;
 
 /// What the burn controller is told.
 pub enum BurnMessage {
@@ -20,6 +22,8 @@
         /// Names and objectives.
         fleet: Arc<FleetSnapshot>,
     },
+    /// What measuring cost so far; shown from the next report on.
+    Measured(Arc<SecondaryMap<ServiceKey, MeasuringAccount>>),
 }
 
 /// What the burn controller asks for.
@@ -35,6 +39,7 @@
 #[derive(Default)]
 pub struct BurnController {
     kinds: IndexMap<ServiceKey, IndexMap<String, KindWindows>>,
+    measured: Arc<SecondaryMap<ServiceKey, MeasuringAccount>>,
     lost: u64,
 }
 
@@ -62,6 +67,7 @@
         let mut report = BurnReport { taken: now, lost: self.lost, kinds: Vec::new() };
         for (key, service) in &fleet.services {
             let intent = &service.intent;
+            let spent = self.measured.get(key).map(MeasuringAccount::spent_percent);
             for kind in &intent.kinds {
                 let windows = self.kinds.get(&key).and_then(|kinds| kinds.get(&kind.name));
                 let windows = BURN_WINDOWS.iter().enumerate().map(|(position, span)| {
@@ -73,8 +79,7 @@
                     kind: kind.name.clone(),
                     objective_percent: kind.objective_percent,
                     measuring_allowed_percent: intent.measuring.budget_percent,
-                    // No controller spends on measuring yet.
-                    measuring_spent_percent: 0.0,
+                    measuring_spent_percent: spent.unwrap_or_default(),
                     windows: windows.collect(),
                 });
             }
@@ -88,7 +93,13 @@
     type Effect = BurnEffect;
 
     fn handle(&mut self, message: Self::Message, now: Timestamp) -> Vec<Self::Effect> {
-        let BurnMessage::Finished { batch, fleet } = message;
+        let (batch, fleet) = match message {
+            BurnMessage::Finished { batch, fleet } => (batch, fleet),
+            BurnMessage::Measured(measured) => {
+                self.measured = measured;
+                return Vec::new();
+            }
+        };
         self.kinds.retain(|key, _| fleet.services.contains_key(*key));
         self.count(&batch, &fleet);
         vec![BurnEffect::Publish(Arc::new(self.report(&fleet, now)))]
--- a/core/src/controllers/measuring.rs
+++ b/core/src/controllers/measuring.rs
@@ -11,12 +11,26 @@
 use crate::clock::Timestamp;
 use crate::fleet::{FleetSnapshot, TargetEntry, TargetState};
 use crate::keys::{ServiceKey, TargetKey};
-use crate::probe::{ProbeBudget, ProbeGrant};
+use crate::probe::{MeasuringAccount, ProbeBudget, ProbeGrant, is_confirmed};
 
 /// Age of a report below which a target is not probed: reports on responses are
 /// free and newer than any probe's answer would be.
 const FRESH_REPORT: Duration = Duration::from_millis(500);
 
+/// Age of a report from which a target is probed although the routing policy
+/// does not use probes. An idle service then still shows the load of its targets.
+const LONG_SILENCE: Duration = Duration::from_secs(10);
+
+/// When targets are probed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ProbeNeed {
+    /// The routing policy in force uses probes.
+    #[default]
+    ForRouting,
+    /// Only a target without a report for long.
+    AfterSilence,
+}
+
 /// What the measuring controller is told.
 #[derive(Clone, Debug)]
 pub enum MeasuringMessage {
@@ -40,6 +54,8 @@
 pub enum MeasuringEffect {
     /// Send one probe. It is already charged.
     Probe {
+        /// The service.
+        service: ServiceKey,
         /// The target.
         target: TargetKey,
         /// Its address.
@@ -55,6 +71,9 @@
     fleet: Arc<FleetSnapshot>,
     budgets: SecondaryMap<TargetKey, ProbeBudget>,
     confirmed: SecondaryMap<ServiceKey, Timestamp>,
+    accounts: SecondaryMap<ServiceKey, MeasuringAccount>,
+    need: ProbeNeed,
+    ticked: Option<Timestamp>,
 }
 
 impl StateController for MeasuringController {
@@ -74,6 +93,16 @@
 }
 
 impl MeasuringController {
+    /// Creates a controller without intents.
+    pub fn new(need: ProbeNeed) -> Self {
+        Self { need, ..Self::default() }
+    }
+
+    /// Gives what was spent and allowed since the start, by service.
+    pub fn accounts(&self) -> &SecondaryMap<ServiceKey, MeasuringAccount> {
+        &self.accounts
+    }
+
     /// Takes over budgets; a snapshot with an older intent is ignored. An earlier
     /// confirmation stays valid: the newer intent was accepted after it.
     fn take_fleet(&mut self, fleet: Arc<FleetSnapshot>, now: Timestamp) {
@@ -104,26 +133,40 @@
     }
 
     fn probes(&mut self, now: Timestamp) -> Vec<MeasuringEffect> {
+        let passed = now.since(self.ticked.replace(now).unwrap_or(now));
+        self.accounts.retain(|service, _| self.fleet.services.contains_key(service));
         let mut effects = Vec::new();
-        for (key, service) in &self.fleet.services {
-            let confirmed = self.confirmed.get(key).copied();
-            for target in &service.targets {
+        for (service, held) in &self.fleet.services {
+            let confirmed = self.confirmed.get(service).copied();
+            let measuring = &held.intent.measuring;
+            let slots = held.targets.iter().map(|target| self.fleet.targets[*target].slots).sum();
+            let mut account = self.accounts.get(service).copied().unwrap_or_default();
+            account.pass(measuring, slots, passed, is_confirmed(confirmed, now));
+            for target in &held.targets {
                 let entry = &self.fleet.targets[*target];
-                if !needs_probe(entry, now) {
+                if !self.need.includes(entry, now) {
                     continue;
                 }
                 let budget = self.budgets.get_mut(*target);
                 if let Some(grant) = budget.and_then(|budget| budget.try_spend(confirmed, now)) {
+                    account.charge(measuring);
                     let (target, address) = (*target, entry.address);
-                    effects.push(MeasuringEffect::Probe { target, address, grant });
+                    effects.push(MeasuringEffect::Probe { service, target, address, grant });
                 }
             }
+            self.accounts.insert(service, account);
         }
         effects
     }
 }
 
-fn needs_probe(target: &TargetEntry, now: Timestamp) -> bool {
-    let reported = Timestamp(target.counters.reported_at.load(Ordering::Relaxed));
-    target.state != TargetState::Leaving && now.since(reported) >= FRESH_REPORT
+impl ProbeNeed {
+    fn includes(self, target: &TargetEntry, now: Timestamp) -> bool {
+        let reported = Timestamp(target.counters.reported_at.load(Ordering::Relaxed));
+        let due = match self {
+            Self::ForRouting => reported + FRESH_REPORT,
+            Self::AfterSilence => reported.max(target.since) + LONG_SILENCE,
+        };
+        target.state != TargetState::Leaving && now >= due
+    }
 }
--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -17,7 +17,7 @@
     CLAIM_BATCH, ClaimAnswer, ClaimsController, ClaimsEffect, ClaimsMessage, SegmentName,
 };
 pub use drain::{DrainController, DrainEffect, DrainLimits, DrainMessage, DrainState};
-pub use measuring::{MeasuringController, MeasuringEffect, MeasuringMessage};
+pub use measuring::{MeasuringController, MeasuringEffect, MeasuringMessage, ProbeNeed};
 pub use membership::{
     GONE_AFTER, Heartbeat, MemberEntry, MemberMessage, MemberNote, MemberState,
     MembershipController, MembershipEffect, MembershipMessage, SUSPECT_AFTER, VmHint,
--- a/core/src/probe.rs
+++ b/core/src/probe.rs
@@ -61,8 +61,7 @@
         now: Timestamp,
     ) -> Option<ProbeGrant> {
         let distance = self.distance?;
-        let confirmed = confirmed?;
-        if now.since(confirmed) >= CONFIRMED_TIME || now < self.earliest {
+        if !is_confirmed(confirmed, now) || now < self.earliest {
             return None;
         }
         self.earliest = now + distance;
@@ -70,6 +69,46 @@
     }
 }
 
+/// Slot time of one service's targets that this entry spent on measuring, and
+/// what its share of the budget allowed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct MeasuringAccount {
+    /// Slot time of the probes that were charged.
+    pub spent: Duration,
+    /// Share of this entry over the same time, while it could be spent.
+    pub allowed: Duration,
+    /// Slot time of all targets over the same time.
+    pub slot_time: Duration,
+}
+
+impl MeasuringAccount {
+    /// Counts a time in which the service had this number of slots.
+    pub fn pass(&mut self, intent: &MeasuringIntent, slots: u32, time: Duration, confirmed: bool) {
+        let slot_time = time * slots;
+        self.slot_time += slot_time;
+        if confirmed {
+            let share = intent.budget_percent.clamp(0.0, 100.0) / 100.0;
+            self.allowed += slot_time.mul_f64(share / f64::from(intent.max_entries.max(1)));
+        }
+    }
+
+    /// Counts a charged probe.
+    pub fn charge(&mut self, intent: &MeasuringIntent) {
+        self.spent += Duration::from_secs_f64(intent.probe_cost_ms.max(0.0) / 1_000.0);
+    }
+
+    /// Gives the share of the slot time that was spent, in percent.
+    pub fn spent_percent(&self) -> f64 {
+        let slot_time = self.slot_time.as_secs_f64();
+        if slot_time > 0.0 { self.spent.as_secs_f64() / slot_time * 100.0 } else { 0.0 }
+    }
+}
+
+/// Tells whether a grant that was confirmed at `confirmed` may still be spent.
+pub fn is_confirmed(confirmed: Option<Timestamp>, now: Timestamp) -> bool {
+    confirmed.is_some_and(|confirmed| now.since(confirmed) < CONFIRMED_TIME)
+}
+
 /// Gives the distance between the probes of one entry to one target, none if the
 /// budget does not allow one probe of each entry per window.
 ///
--- a/src/admin/observe.rs
+++ b/src/admin/observe.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::fleet::{FleetSnapshot, ServiceEntry, TargetEntry, TargetState};
+use zinniaport_core::probe::MeasuringAccount;
 
 use super::{AdminHandler, AdminRequest, AdminResponse, json_response, text_response};
 use crate::state::SharedState;
@@ -82,6 +83,10 @@
     pub version: u64,
     /// Requests of this entry in flight.
     pub in_flight: u32,
+    /// Slot time that this entry spent on measuring since its start, in ms.
+    pub measuring_spent_ms: f64,
+    /// Slot time that its share of the budget allowed, in ms.
+    pub measuring_allowed_ms: f64,
     /// Targets in the order of the intent.
     pub targets: Vec<TargetStatus>,
 }
@@ -113,6 +118,8 @@
     /// Reads the present state.
     pub fn read(state: &SharedState) -> Self {
         let fleet = state.fleet.load();
+        let measuring = state.measuring.load();
+        let account = |key| measuring.get(key).copied().unwrap_or_default();
         Self {
             entry: state.entry_name.to_string(),
             data_centre: state.data_centre.to_string(),
@@ -121,15 +128,15 @@
             services: fleet
                 .names
                 .values()
-                .filter_map(|key| fleet.services.get(*key))
-                .map(|service| ServiceStatus::read(service, &fleet))
+                .filter_map(|key| Some((fleet.services.get(*key)?, account(*key))))
+                .map(|(service, account)| ServiceStatus::read(service, account, &fleet))
                 .collect(),
         }
     }
 }
 
 impl ServiceStatus {
-    fn read(service: &ServiceEntry, fleet: &FleetSnapshot) -> Self {
+    fn read(service: &ServiceEntry, account: MeasuringAccount, fleet: &FleetSnapshot) -> Self {
         let targets = service.targets.iter().filter_map(|key| fleet.targets.get(*key));
         let targets: Vec<_> = targets.map(TargetStatus::read).collect();
         Self {
@@ -137,6 +144,8 @@
             team: service.intent.team.clone(),
             version: service.version,
             in_flight: targets.iter().map(|target| target.in_flight).sum(),
+            measuring_spent_ms: account.spent.as_secs_f64() * 1_000.0,
+            measuring_allowed_ms: account.allowed.as_secs_f64() * 1_000.0,
             targets,
         }
     }
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -16,7 +16,7 @@
 pub use attempt::DRAIN_HEADER;
 pub use claim::ClaimFilter;
 pub use classify::{ClassifyFilter, DEADLINE_HEADER};
-pub use forward::ForwardFilter;
+pub use forward::{ForwardFilter, LOAD_HEADER};
 use futures::future::BoxFuture;
 pub use identify::{CALLER_HEADER, IdentifyFilter};
 pub use quarantine::QuarantineFilter;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod filters;
 pub mod front;
 pub mod gate;
+pub mod measuring;
 pub mod peers;
 pub mod pool;
 pub mod propagation;
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -28,6 +28,7 @@
 use crate::control::{ControlParts, ControlPlane};
 use crate::front::HttpFront;
 use crate::gate::QuarantineGate;
+use crate::measuring::{FileGrant, IntentGrant, MeasuringDriver, MeasuringParts, probe_need};
 use crate::pool::{HttpTransport, UnobservedSilence};
 use crate::settings::{EntrySettings, PlatformSettings};
 use crate::state::SharedState;
@@ -125,6 +126,17 @@
         let EntrySettings { limits, pool, stop: stop_settings, routing, .. } = settings;
         let transport = Arc::new(HttpTransport::new(pool, Arc::new(UnobservedSilence)));
         let policy = routing.policy();
+        let grant: Arc<dyn IntentGrant> = match &control {
+            Some(control) => control.status().clone(),
+            None => Arc::new(FileGrant),
+        };
+        let measuring = MeasuringParts {
+            state: state.clone(),
+            transport: transport.clone(),
+            grant,
+            need: probe_need(policy.as_ref()),
+        };
+        tokio::spawn(MeasuringDriver::new(measuring).run(stop.clone()));
         let parts = ChainParts {
             state: state.clone(),
             targets,
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,11 +3,14 @@
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
+use slotmap::SecondaryMap;
 use zinniaport_core::burn::BurnReport;
 use zinniaport_core::caller::CallerTable;
 use zinniaport_core::clock::ClockSource;
 use zinniaport_core::decision::DecisionRing;
 use zinniaport_core::fleet::FleetSnapshot;
+use zinniaport_core::keys::ServiceKey;
+use zinniaport_core::probe::MeasuringAccount;
 
 use crate::telemetry::EntryMetrics;
 
@@ -36,6 +39,8 @@
     pub decisions: DecisionRing,
     /// Service-level burn of this entry.
     pub burn: ArcSwap<BurnReport>,
+    /// Slot time that this entry spent on measuring.
+    pub measuring: ArcSwap<SecondaryMap<ServiceKey, MeasuringAccount>>,
     /// Metrics of this entry.
     pub metrics: EntryMetrics,
 }
@@ -51,6 +56,7 @@
             callers: Mutex::new(CallerTable::new(KNOWN_CALLERS)),
             decisions: DecisionRing::new(KEPT_RECORDS),
             burn: ArcSwap::default(),
+            measuring: ArcSwap::default(),
             metrics: EntryMetrics::new(),
         }
     }
--- a/src/telemetry/burn.rs
+++ b/src/telemetry/burn.rs
@@ -25,8 +25,10 @@
         let batch = state.decisions.read_after(last, KEPT_RECORDS);
         last = batch.last;
         state.metrics.drain();
+        let now = state.clock.now();
+        controller.handle(BurnMessage::Measured(state.measuring.load_full()), now);
         let message = BurnMessage::Finished { batch, fleet: state.fleet.load_full() };
-        for BurnEffect::Publish(report) in controller.handle(message, state.clock.now()) {
+        for BurnEffect::Publish(report) in controller.handle(message, now) {
             state.burn.store(report);
         }
     }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -12,6 +12,7 @@
 use zinniaport_core::decision::DecisionRecord;
 use zinniaport_core::fleet::{FleetSnapshot, ServiceEntry};
 use zinniaport_core::keys::ServiceKey;
+use zinniaport_core::probe::MeasuringAccount;
 
 const REQUESTS: &str = "zinniaport_requests_total";
 const REFUSALS: &str = "zinniaport_refusals_total";
@@ -19,9 +20,9 @@
 const HEDGES: &str = "zinniaport_hedges_total";
 const LATENCY: &str = "zinniaport_latency_seconds";
 const IN_FLIGHT: &str = "zinniaport_in_flight";
-/// Reserved for the controller of measuring, which does not spend yet.
+/// Seconds with fractions, which a counter of this library cannot hold, so that
+/// both are exported as gauges that only rise.
 const MEASURING_SPENT: &str = "zinniaport_measuring_spent_seconds_total";
-/// Reserved for the controller of measuring, which does not spend yet.
 const MEASURING_ALLOWED: &str = "zinniaport_measuring_allowed_seconds_total";
 
 /// Upper bounds of the latency histogram, in seconds.
@@ -69,11 +70,7 @@
             .set_buckets_for_metric(Matcher::Full(LATENCY.to_owned()), &LATENCY_BOUNDS)
             .expect("the histogram has bounds")
             .build_recorder();
-        let in_flight = with_local_recorder(&recorder, || {
-            counter!(MEASURING_SPENT).absolute(0);
-            counter!(MEASURING_ALLOWED).absolute(0);
-            gauge!(IN_FLIGHT)
-        });
+        let in_flight = with_local_recorder(&recorder, || gauge!(IN_FLIGHT));
         let unclassified = KindMetrics::new(&recorder, "unknown", "unknown");
         Self { recorder, in_flight, unclassified, services: ArcSwap::default() }
     }
@@ -97,6 +94,15 @@
         }
     }
 
+    /// Shows what measuring the targets of a service cost so far.
+    pub fn measured(&self, service: &str, account: &MeasuringAccount) {
+        with_local_recorder(&self.recorder, || {
+            let service = service.to_owned();
+            gauge!(MEASURING_SPENT, "service" => service.clone()).set(account.spent.as_secs_f64());
+            gauge!(MEASURING_ALLOWED, "service" => service).set(account.allowed.as_secs_f64());
+        });
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         self.recorder.handle().render()
