Sum burn over all entries

GET /v1/burn showed the requests of the entry that was asked. It now adds the counts of the members that answer within 3 s and names how many of how many entries are counted. Entries exchange all causes, so that the most frequent ones of the sum are exact; only the answer is shortened.

burn_covers_all_entries counts 6 of 6 requests at three entries, and 3 with 2 of 3 entries answered after one crashed.

--- a/core/src/burn.rs
+++ b/core/src/burn.rs
@@ -21,7 +21,7 @@
 /// has a finite burn rate.
 const MIN_ALLOWED_SHARE: f64 = 1e-6;
 
-/// Number of causes that a report names.
+/// Number of causes that a report for people names.
 const TOP_CAUSES: usize = 3;
 
 /// A window as a number of buckets.
@@ -89,6 +89,13 @@
 }
 
 impl WindowSum {
+    fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        for (reason, count) in &other.causes {
+            self.add_causes(*reason, *count);
+        }
+    }
+
     fn add_causes(&mut self, reason: ReasonCode, count: u64) {
         self.failed += count;
         match self.causes.iter_mut().find(|(known, _)| *known == reason) {
@@ -136,10 +143,7 @@
         let oldest = (newest + 1).saturating_sub(self.span.buckets as u64);
         let mut total = WindowSum::default();
         for (_, sum) in self.buckets.iter().filter(|(held, _)| (oldest..=newest).contains(held)) {
-            total.requests += sum.requests;
-            for (reason, count) in &sum.causes {
-                total.add_causes(*reason, *count);
-            }
+            total.add(sum);
         }
         total
     }
@@ -150,7 +154,7 @@
     }
 }
 
-/// Burn of all kinds at one entry.
+/// Burn of all kinds at one entry, or at several together.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct BurnReport {
     /// When the report was made.
@@ -158,6 +162,12 @@
     /// Requests that are missing from the report because their records were
     /// overwritten before they were counted.
     pub lost: u64,
+    /// Entries that were to be counted, this one included.
+    #[serde(default)]
+    pub entries: u32,
+    /// Entries whose counts the report contains.
+    #[serde(default)]
+    pub answered: u32,
     /// Burn by service and kind.
     pub kinds: Vec<KindBurn>,
 }
@@ -194,7 +204,7 @@
     /// Part of the allowed failures that is left, in percent; negative once the
     /// objective is missed.
     pub budget_left_percent: f64,
-    /// Most frequent reasons of failure, the most frequent first.
+    /// Reasons of failure, the most frequent first.
     pub causes: Vec<BurnCause>,
 }
 
@@ -214,7 +224,7 @@
         let failed_share = sum.failed as f64 / sum.requests.max(1) as f64;
         let burn_rate = failed_share / allowed;
         sum.causes.sort_by_key(|(reason, count)| (std::cmp::Reverse(*count), *reason));
-        let causes = sum.causes.into_iter().take(TOP_CAUSES);
+        let causes = sum.causes.into_iter();
         Self {
             window: span.name.to_owned(),
             requests: sum.requests,
@@ -225,3 +235,50 @@
         }
     }
 }
+
+impl BurnReport {
+    /// Adds the counts of another entry. Objectives and budgets stay those of the
+    /// intents in force at this entry, which may have a newer one.
+    pub fn add(&mut self, other: &Self) {
+        self.lost += other.lost;
+        self.answered += other.answered;
+        for theirs in &other.kinds {
+            let same =
+                |kind: &&mut KindBurn| kind.service == theirs.service && kind.kind == theirs.kind;
+            match self.kinds.iter_mut().find(same) {
+                Some(kind) => kind.add(theirs),
+                None => self.kinds.push(theirs.clone()),
+            }
+        }
+    }
+
+    /// Leaves out all but the most frequent causes.
+    pub fn shorten(&mut self) {
+        for window in self.kinds.iter_mut().flat_map(|kind| &mut kind.windows) {
+            window.causes.truncate(TOP_CAUSES);
+        }
+    }
+}
+
+impl KindBurn {
+    fn add(&mut self, other: &Self) {
+        // Each entry gives its own part of the slot time of the same targets.
+        self.measuring_spent_percent += other.measuring_spent_percent;
+        for window in &mut self.windows {
+            let theirs = other.windows.iter().find(|theirs| theirs.window == window.window);
+            let span = BURN_WINDOWS.into_iter().find(|span| span.name == window.window);
+            if let (Some(theirs), Some(span)) = (theirs, span) {
+                let mut sum = window.to_sum();
+                sum.add(&theirs.to_sum());
+                *window = WindowBurn::new(span, sum, self.objective_percent);
+            }
+        }
+    }
+}
+
+impl WindowBurn {
+    fn to_sum(&self) -> WindowSum {
+        let causes = self.causes.iter().map(|cause| (cause.reason, cause.failed)).collect();
+        WindowSum { requests: self.requests, failed: self.failed, causes }
+    }
+}
--- a/core/src/controllers/burn.rs
+++ b/core/src/controllers/burn.rs
@@ -64,7 +64,8 @@
 
     /// Reports every kind of every service in force, also those without requests.
     fn report(&self, fleet: &FleetSnapshot, now: Timestamp) -> BurnReport {
-        let mut report = BurnReport { taken: now, lost: self.lost, kinds: Vec::new() };
+        let mut report =
+            BurnReport { taken: now, lost: self.lost, entries: 1, answered: 1, kinds: Vec::new() };
         for (key, service) in &fleet.services {
             let intent = &service.intent;
             let spent = self.measured.get(key).map(MeasuringAccount::spent_percent);
--- a/src/admin/observe.rs
+++ b/src/admin/observe.rs
@@ -2,15 +2,19 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use futures::StreamExt;
 use futures::future::BoxFuture;
 use http::{HeaderValue, StatusCode, header};
 use serde::{Deserialize, Serialize};
+use zinniaport_core::burn::BurnReport;
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::fleet::{FleetSnapshot, ServiceEntry, TargetEntry, TargetState};
 use zinniaport_core::probe::MeasuringAccount;
 
 use super::{AdminHandler, AdminRequest, AdminResponse, json_response, text_response};
+use crate::peers::MemberCalls;
 use crate::state::SharedState;
 
 /// Renders metrics.
@@ -29,8 +33,40 @@
     }
 }
 
-/// Reports service-level burn.
-pub struct BurnHandler(pub Arc<SharedState>);
+/// Time that the other entries have to give their counts.
+const BURN_LIMIT: Duration = Duration::from_secs(3);
+
+/// Reports service-level burn of this entry and those that answer.
+pub struct BurnHandler {
+    state: Arc<SharedState>,
+    members: Option<MemberCalls>,
+}
+
+impl BurnHandler {
+    /// Creates a handler; without members it reports this entry alone.
+    pub fn new(state: Arc<SharedState>, members: Option<MemberCalls>) -> Self {
+        Self { state, members }
+    }
+
+    async fn report(&self) -> BurnReport {
+        let mut report = BurnReport::clone(&self.state.burn.load());
+        if let Some(members) = &self.members {
+            report.entries += members.len() as u32;
+            let answers = members.ask(|member| async move { member.burn().await });
+            let answers = answers.take_until(tokio::time::sleep(BURN_LIMIT));
+            let mut answers = std::pin::pin!(answers);
+            while let Some(answer) = answers.next().await {
+                match answer.map(|text| serde_json::from_str(&text)) {
+                    Ok(Ok(theirs)) => report.add(&theirs),
+                    Ok(Err(error)) => log::warn!("cannot read the burn of an entry: {error}"),
+                    Err(error) => log::warn!("burn without an entry: {error}"),
+                }
+            }
+        }
+        report.shorten();
+        report
+    }
+}
 
 impl AdminHandler for BurnHandler {
     fn path(&self) -> &'static str {
@@ -38,8 +74,7 @@
     }
 
     fn handle<'a>(&'a self, _request: &'a AdminRequest) -> BoxFuture<'a, AdminResponse> {
-        let response = json_response(StatusCode::OK, self.0.burn.load().as_ref());
-        Box::pin(std::future::ready(response))
+        Box::pin(async { json_response(StatusCode::OK, &self.report().await) })
     }
 }
 
--- a/src/commands/burn.rs
+++ b/src/commands/burn.rs
@@ -60,7 +60,11 @@
         0 => String::new(),
         lost => format!("{lost} requests are missing: their records were overwritten\n"),
     };
-    format!("{table}\n{measuring}{lost}")
+    let entries = match (report.answered, report.entries) {
+        (_, 0..=1) => String::new(),
+        (answered, entries) => format!("counted at {answered} of {entries} entries\n"),
+    };
+    format!("{table}\n{measuring}{entries}{lost}")
 }
 
 fn window_cells(kind: &KindBurn, window: &WindowBurn) -> Vec<String> {
--- a/src/control.rs
+++ b/src/control.rs
@@ -212,6 +212,11 @@
         serde_json::to_string(&record).ok()
     }
 
+    fn burn(&self) -> String {
+        let report = self.records.0.burn.load();
+        serde_json::to_string(report.as_ref()).unwrap_or_default()
+    }
+
     fn status(&self) -> String {
         let Some((group, status)) = self.group.get() else { return "{}".to_owned() };
         let status =
--- a/src/peers/ask.rs
+++ b/src/peers/ask.rs
@@ -1,6 +1,7 @@
 //! Asks all other members the same question.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use futures::{Stream, StreamExt, stream};
@@ -24,6 +25,22 @@
         Self { group, own }
     }
 
+    /// Counts the other members.
+    pub fn len(&self) -> usize {
+        self.addresses().len()
+    }
+
+    /// Tells whether there is no other member.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        let members = self.group.members();
+        let others = members.iter().filter(|member| *member.name != *self.own);
+        others.map(|member| member.call_address).collect()
+    }
+
     /// Asks every other member; answers come in the order in which they arrive.
     pub fn ask<T, F>(
         &self,
@@ -33,11 +50,8 @@
         T: Send,
         F: Future<Output = Result<T, PeerError>> + Send,
     {
-        let members = self.group.members();
-        let others = members.iter().filter(|member| *member.name != *self.own);
-        let addresses: Vec<_> = others.map(|member| member.call_address).collect();
         let ask = Arc::new(ask);
-        stream::iter(addresses)
+        stream::iter(self.addresses())
             .map(move |address| {
                 let ask = ask.clone();
                 async move { ask(CallClient::connect(address).await?).await }
--- a/src/peers/calls.rs
+++ b/src/peers/calls.rs
@@ -27,6 +27,9 @@
     /// Gives the state of this entry as JSON.
     fn status(&self) -> String;
 
+    /// Gives the burn of this entry as JSON.
+    fn burn(&self) -> String;
+
     /// Keeps copies of another entry's records; false if the batch does not
     /// continue what is held.
     fn take_records(&self, batch: CopyBatch) -> bool;
@@ -43,6 +46,9 @@
 
     /// Keeps copies of the caller's records.
     async fn copy_records(batch: CopyBatch) -> bool;
+
+    /// Gives the burn of the entry as JSON.
+    async fn burn() -> String;
 }
 
 #[derive(Clone)]
@@ -60,6 +66,10 @@
     async fn copy_records(self, _: context::Context, batch: CopyBatch) -> bool {
         self.0.take_records(batch)
     }
+
+    async fn burn(self, _: context::Context) -> String {
+        self.0.burn()
+    }
 }
 
 /// Listens for calls of other entries.
@@ -161,6 +171,15 @@
         self.client.status(context()).await.map_err(|error| self.failure(&error))
     }
 
+    /// Asks for the burn of the entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no answer comes in time.
+    pub async fn burn(&self) -> Result<String, PeerError> {
+        self.client.burn(context()).await.map_err(|error| self.failure(&error))
+    }
+
     /// Sends copies of records; false if the entry does not hold the names that
     /// they refer to.
     ///
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -262,7 +262,8 @@
 ) -> Vec<Arc<dyn AdminHandler>> {
     let propagation = control.map(|plane| plane.status().clone());
     let mut lookups: Vec<Arc<dyn RecordLookup>> = vec![Arc::new(LocalRecords(state.clone()))];
-    if let Some(members) = control.and_then(ControlPlane::member_calls) {
+    let members = control.and_then(ControlPlane::member_calls);
+    if let Some(members) = members.clone() {
         lookups.push(Arc::new(PeerRecords(members)));
     }
     let mut handlers: Vec<Arc<dyn AdminHandler>> = vec![
@@ -272,7 +273,7 @@
         Arc::new(ExplainHandler::new(lookups)),
         Arc::new(RecordsHandler(state.clone())),
         Arc::new(StatusHandler(state.clone())),
-        Arc::new(BurnHandler(state.clone())),
+        Arc::new(BurnHandler::new(state.clone(), members.clone())),
     ];
     handlers.extend(control.into_iter().flat_map(ControlPlane::handlers));
     handlers
--- a/tests/records.rs
+++ b/tests/records.rs
@@ -85,9 +85,11 @@
     }
 
     /// Ends an entry without a planned stop.
-    fn crash(&mut self, entry: usize) {
+    async fn crash(&mut self, entry: usize) {
         drop(self.entries.remove(entry));
-        self.runtimes.remove(entry).shutdown_background();
+        let runtime = self.runtimes.remove(entry);
+        let end = move || runtime.shutdown_timeout(Duration::from_secs(30));
+        tokio::task::spawn_blocking(end).await.unwrap();
     }
 
     async fn ask(&self, entry: usize, path: &str) -> Option<Value> {
@@ -208,7 +210,7 @@
         let neighbour = deployment.entries[1].control().unwrap().state().copies.find(&ids[0]);
         assert!(neighbour.is_some(), "the neighbour is in another data centre");
         let late = deployment.request(0).await;
-        deployment.crash(0);
+        deployment.crash(0).await;
         for id in &ids {
             let explained = deployment.ask(1, &format!("/v1/explain/{id}")).await;
             assert_eq!(entries_of(&explained.expect("the copy outlives the entry")), ["entry-1"]);
@@ -219,6 +221,27 @@
         }
     }
 
+    async burn_covers_all_entries: "a burn that shows the requests of one entry only, or hides which are missing" => {
+        let mut deployment = Deployment::start(&["a", "b", "c"]).await;
+        for entry in [0, 0, 1, 2, 2, 2] {
+            deployment.request(entry).await;
+        }
+        let mut burn = Value::Null;
+        for _ in 0..500 {
+            burn = deployment.ask(1, "/v1/burn").await.unwrap();
+            if burn["kinds"][0]["windows"][0]["requests"] == 6 {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(burn["kinds"][0]["windows"][0]["requests"], 6, "{burn}");
+        assert_eq!((&burn["entries"], &burn["answered"]), (&json!(3), &json!(3)));
+        deployment.crash(2).await;
+        let burn = deployment.ask(1, "/v1/burn").await.unwrap();
+        assert_eq!((&burn["entries"], &burn["answered"]), (&json!(3), &json!(2)), "{burn}");
+        assert_eq!(burn["kinds"][0]["windows"][0]["requests"], 3);
+    }
+
     copies_are_whole_and_short: "copies that differ from the record, or outgrow their share of traffic" => {
         let clock = Arc::new(SystemClock::new());
         let state = Arc::new(SharedState::new(clock, "entry-1", "a"));
