Build peer and platform settings with builders

Change: both sections have builders with the defaults of the file; a link to a private constant in the documentation is plain code.

--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -121,6 +121,7 @@
     let mut seeds = Vec::new();
     for position in 0..trial.deployment.entries {
         let data_centre = DATA_CENTRES[position % DATA_CENTRES.len()];
+        let peers = PeerSettings::builder().listen(any_port).seeds(seeds.clone()).build();
         let settings = EntrySettings::builder()
             .name(format!("entry-{position}"))
             .data_centre(data_centre)
@@ -128,18 +129,8 @@
             .admin_listen(any_port)
             .stop(immediate_stop())
             .routing(RoutingSettings { policy: trial.policy.clone() })
-            .platform(PlatformSettings {
-                address: platform,
-                call_ms: 1000,
-                watch_ms: 1500,
-                teams: Vec::new(),
-            })
-            .peers(PeerSettings {
-                listen: any_port,
-                call_listen: None,
-                region: "bench".to_owned(),
-                seeds: seeds.clone(),
-            })
+            .platform(PlatformSettings::builder().address(platform).build())
+            .peers(peers)
             .build();
         let entry = EntryRuntime::start(settings).await?;
         if seeds.is_empty() {
--- a/src/commands/try_out/demo.rs
+++ b/src/commands/try_out/demo.rs
@@ -93,7 +93,7 @@
     let digest = Sha256::digest(DEMO_TOKEN.as_bytes()).into();
     let token = TokenSettings { author: "demo".to_owned(), sha256: digest };
     let team = TeamSettings { name: "co-operative".to_owned(), tokens: vec![token] };
-    PlatformSettings { address, call_ms: 1000, watch_ms: 1500, teams: vec![team] }
+    PlatformSettings::builder().address(address).teams(vec![team]).build()
 }
 
 async fn wait_until_ready(entry: &EntryRuntime) -> Result<(), DemoError> {
--- a/src/records/copier.rs
+++ b/src/records/copier.rs
@@ -19,7 +19,7 @@
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
 /// Copies records until the entry stops. What a crash loses: records of the last
-/// [`BATCH_TIME`] and of a call under way, and those that were counted as not
+/// `BATCH_TIME` and of a call under way, and those that were counted as not
 /// copied because the allowance was spent.
 pub struct RecordCopier {
     state: Arc<SharedState>,
--- a/src/settings/peers.rs
+++ b/src/settings/peers.rs
@@ -7,7 +7,7 @@
 use super::fault::{CheckSettings, FaultList, field};
 
 /// How an entry reaches the others.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, bon::Builder)]
 #[serde(deny_unknown_fields)]
 pub struct PeerSettings {
     /// Address for messages, with the IP address that the others use.
@@ -17,13 +17,16 @@
     pub call_listen: Option<SocketAddr>,
     /// Region of the entry.
     #[serde(default)]
+    #[builder(default, into)]
     pub region: String,
     /// Addresses for messages of some entries to start with.
     #[serde(default)]
+    #[builder(default)]
     pub seeds: Vec<SocketAddr>,
     /// Bytes per second for copies of decision records to a neighbour; 0 copies
     /// none.
     #[serde(default = "default_copy_bytes")]
+    #[builder(default = default_copy_bytes())]
     pub copy_bytes_per_second: u64,
 }
 
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -7,19 +7,22 @@
 use super::fault::{CheckSettings, FaultList, check_each, element, field};
 
 /// Where the platform's store is, and who may change what.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, bon::Builder)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Address of the platform's API.
     pub address: SocketAddr,
     /// Time limit of a store call, in milliseconds.
     #[serde(default = "default_call_ms")]
+    #[builder(default = default_call_ms())]
     pub call_ms: u64,
     /// Longest time that the store holds a watch open, in milliseconds.
     #[serde(default = "default_watch_ms")]
+    #[builder(default = default_watch_ms())]
     pub watch_ms: u64,
     /// Teams and their tokens.
     #[serde(default)]
+    #[builder(default)]
     pub teams: Vec<TeamSettings>,
 }
 
