--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -9,7 +9,7 @@
     missing_docs,
     reason = "generated"
 )]
-#[path = "schema/newer_peer_capnp.rs"]
+#[path = "../testing/schema/newer_peer_capnp.rs"]
 mod newer_peer_capnp;
 
 use std::net::{Ipv4Addr, SocketAddr};
