Round up an entry's share of the free slots of a service

Cause: with 15 entries and 18 free of 45 slots an entry could take one more request, with fewer than 15 free none, so requests waited at entries while slots were idle. Ruled out: the machine (idle, load average 3) and the policies (both were slow). Change: the share is rounded up.

--- a/core/src/admission/window.rs
+++ b/core/src/admission/window.rs
@@ -10,8 +10,10 @@
 /// and at least one while a target is open.
 ///
 /// Every entry sees the same free slots, so each takes only its share of them
-/// before it looks again; home slots are its own and need no sharing. When no
-/// slot appears free, each entry gives up its share of what the targets queue.
+/// before it looks again; home slots are its own and need no sharing. The share
+/// is rounded up: rounded down, fewer free slots than entries stay idle while
+/// requests wait. When no slot appears free, each entry gives up its share of
+/// what the targets queue.
 pub fn concurrency_window(table: &RouteTable, own_in_flight: u32, now: Timestamp) -> u32 {
     if table.open.is_empty() {
         return 0;
@@ -33,7 +35,7 @@
     } else {
         // Requests on their way to a target will fill slots that still look free.
         let underway = own_in_flight.saturating_sub(dispatched);
-        own_in_flight + ((free / entries) as u32).saturating_sub(underway)
+        own_in_flight + ((free / entries).ceil() as u32).saturating_sub(underway)
     };
     window.max(table.home_slots).max(1)
 }
