Name and seed stored intents in one place

Cause: the prefix of stored intents stood in four files, and the demo and the bench each built an intent without plans by hand. Change: intent_name, INTENT_PREFIX and StoredIntent::without_plans beside the type; behaviour as before.

--- a/core/src/plan/mod.rs
+++ b/core/src/plan/mod.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use changes::{ChangeAction, PlannedChange, changes_between};
-pub use stored::{AppliedPlan, MAX_APPLIED_PLANS, StoredIntent};
+pub use stored::{AppliedPlan, INTENT_PREFIX, MAX_APPLIED_PLANS, StoredIntent, intent_name};
 
 use crate::clock::Timestamp;
 use crate::digest::ShortDigest;
--- a/core/src/plan/stored.rs
+++ b/core/src/plan/stored.rs
@@ -28,7 +28,20 @@
     pub applied: VecDeque<AppliedPlan>,
 }
 
+/// Prefix of the names of stored intents.
+pub const INTENT_PREFIX: &str = "intents/";
+
+/// Gives the name of the object that holds the intent of a service.
+pub fn intent_name(service: &str) -> String {
+    format!("{INTENT_PREFIX}{service}")
+}
+
 impl StoredIntent {
+    /// Creates an intent that no plan led to.
+    pub fn without_plans(intent: ServiceIntent, author: &str) -> Self {
+        Self { intent, author: author.to_owned(), applied: VecDeque::new() }
+    }
+
     /// Creates the successor of `present` that `plan` leads to.
     pub fn after(present: Option<&Self>, plan: &ChangePlan) -> Self {
         let mut applied = present.map(|present| present.applied.clone()).unwrap_or_default();
--- a/src/admin/plan_book.rs
+++ b/src/admin/plan_book.rs
@@ -11,6 +11,7 @@
 use zinniaport_core::intent::ServiceIntent;
 use zinniaport_core::plan::{
     ChangePlan, IntentStatement, PlanBasis, PlanError, PlanIdentity, PlanStamp, StoredIntent,
+    intent_name,
 };
 
 use super::access::TeamMember;
@@ -220,10 +221,6 @@
     }
 }
 
-fn intent_name(service: &str) -> String {
-    format!("intents/{service}")
-}
-
 fn plan_name(plan: PlanIdentity) -> String {
     format!("plans/{plan}")
 }
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -8,7 +8,7 @@
 use zinniaport_core::intent::{
     KindIntent, MeasuringIntent, ServiceIntent, TargetIntent, TargetWish,
 };
-use zinniaport_core::plan::StoredIntent;
+use zinniaport_core::plan::{StoredIntent, intent_name};
 use zinniaport_standin::platform::{PlatformSettings as StandinSettings, StandinPlatform};
 use zinniaport_standin::target::{StandinTarget, TargetSettings};
 
@@ -46,9 +46,8 @@
         let platform = StandinPlatform::start(&StandinSettings::builder().build())?;
         for service in &services {
             let intent = service.intent(&trial.deployment);
-            let name = format!("intents/{}", intent.service);
-            let stored =
-                StoredIntent { intent, author: "bench".to_owned(), applied: Default::default() };
+            let name = intent_name(&intent.service);
+            let stored = StoredIntent::without_plans(intent, "bench");
             platform.seed(&name, &serde_json::to_string(&stored)?);
         }
         let entries = start_entries(trial, platform.address()).await?;
--- a/src/commands/try_out/demo.rs
+++ b/src/commands/try_out/demo.rs
@@ -6,7 +6,7 @@
 
 use derive_more::{Display, Error, From};
 use sha2::{Digest, Sha256};
-use zinniaport_core::plan::StoredIntent;
+use zinniaport_core::plan::{StoredIntent, intent_name};
 use zinniaport_standin::platform::{PlatformSettings as StandinSettings, StandinPlatform};
 use zinniaport_standin::target::{RunCounts, StandinTarget};
 
@@ -71,9 +71,8 @@
         }
         let platform = StandinPlatform::start(&StandinSettings::builder().build())?;
         for intent in std::mem::take(&mut settings.services) {
-            let name = format!("intents/{}", intent.service);
-            let author = "demo".to_owned();
-            let stored = StoredIntent { intent, author, applied: Default::default() };
+            let name = intent_name(&intent.service);
+            let stored = StoredIntent::without_plans(intent, "demo");
             platform.seed(&name, &serde_json::to_string(&stored).unwrap_or_default());
         }
         settings.platform = Some(demo_platform(platform.address()));
--- a/src/propagation.rs
+++ b/src/propagation.rs
@@ -13,15 +13,12 @@
     ConfigMessage, EntryPlace, SettingsController, SettingsEffect, SettingsMessage,
     StateController, StoreBatch, TargetsMessage, VersionedIntent,
 };
-use zinniaport_core::plan::StoredIntent;
+use zinniaport_core::plan::{INTENT_PREFIX, StoredIntent};
 
 use crate::state::SharedState;
 use crate::store::{StoreCaller, WatchBatch};
 use crate::targets::TargetsHandle;
 
-/// Prefix of intents in the store.
-const INTENT_PREFIX: &str = "intents/";
-
 /// Time between checks of readiness and freshness.
 const TICK: Duration = Duration::from_millis(500);
 
