--- a/core/examples/decision_cost.rs
+++ b/core/examples/decision_cost.rs
@@ -103,6 +103,7 @@
         data_centre: format!("valle-{}", ["a", "b", "c"][index % 3]),
         slots: 3,
         state: TargetWish::Serving,
+        instance: None,
     };
     let intent = ServiceIntent {
         service: "pump-history".to_owned(),
@@ -126,7 +127,7 @@
     for (index, target) in service.table.open.iter().enumerate() {
         let now = Timestamp(1_990_000);
         // Most targets are full, so that home slots look beyond the first.
-        target.counters.record_report(2 + index as u32 % 4, now);
+        target.counters.record_report((2 + index as u32 % 4).into(), now);
         target.counters.record_success(Duration::from_millis(5));
         service.counters.probes.add(target.key, index as u32 % 4, Duration::from_millis(5), now);
     }
--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -34,6 +34,11 @@
     pub arrived: Timestamp,
     /// When the answer is of no more use.
     pub deadline: Timestamp,
+    /// Until when an answer has its full worth to the caller.
+    pub useful_until: Timestamp,
+    /// Greatest number of dispatches, those that certainly did not run included, if
+    /// the intent states one.
+    pub max_dispatches: Option<u8>,
     /// Fingerprint, known once the first part of the body has been read.
     pub fingerprint: Option<CallFingerprint>,
     /// Version of the intent under which the request was classified.
@@ -172,6 +177,14 @@
     Stopping,
     /// The caller left.
     CallerLeft,
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// The answer of the target was cut, damaged or meant for another request.
+    SpoiledAnswer,
+    /// Another process has the address of the target.
+    WrongInstance,
+    /// Shortest expected wait among all targets, from what the entries tell each other.
+    ShortestWait,
 }
 
 impl ReasonCode {
@@ -198,6 +211,7 @@
                 | Self::Retried
                 | Self::Hedged
                 | Self::TargetError
+                | Self::ShortestWait
         )
     }
 }
--- /dev/null
+++ b/core/src/controllers/directory.rs
@@ -0,0 +1,405 @@
+//! Directory: follows the targets and the configuration that the platform keeps.
+//!
+//! Each part is listed once and then watched. A lost watch resumes where it
+//! ended; a list replaces it only when the platform no longer keeps the changes
+//! in between. Objects and versions never go back, whatever a stale read returns.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use strum::IntoEnumIterator;
+
+use super::StateController;
+use crate::backoff::BackoffBounds;
+use crate::clock::Timestamp;
+use crate::directory::{
+    ConfigurationNote, DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, TargetNote,
+};
+use crate::fleet::{DirectedFleet, FleetSnapshot};
+use crate::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
+
+/// Time for which a target that was removed without having announced it stays in
+/// use. Such a removal may be a lapsed registration of a live target, which comes
+/// back; a target that left serves on for the drain time, at least 2 s.
+const REMOVAL_DELAY: Duration = Duration::from_millis(1_500);
+
+/// The same after the store was away: live targets register again within about 2 s.
+const RETURN_DELAY: Duration = Duration::from_millis(2_000);
+
+/// Time without an answer of the store after which registrations may have lapsed.
+const LAPSE_AFTER: Duration = Duration::from_secs(1);
+
+/// Delays between failed calls. All entries retry while the store is away, and it
+/// counts each call; 1 s still finds it again well within the time to apply changes.
+const RETRY_BOUNDS: BackoffBounds =
+    BackoffBounds { first: Duration::from_millis(200), longest: Duration::from_secs(1) };
+
+/// Requests that wait at one entry for one service.
+const MAX_QUEUE_LENGTH: u32 = 256;
+
+/// Greatest share of the targets of a service that ejection removes, in percent.
+const MAX_EJECTED_PERCENT: f64 = 50.0;
+
+/// Targets that a request may crash before it is quarantined, one less than the
+/// three after which the platform bounds its retries.
+const MAX_CRASHED_TARGETS: u8 = 2;
+
+/// What the directory controller is told.
+#[derive(Clone, Debug)]
+pub enum DirectoryMessage {
+    /// Everything that a part holds.
+    Listed(DirectoryPart, DirectoryBatch),
+    /// What changed in a part.
+    Watched(DirectoryPart, DirectoryBatch),
+    /// A call failed; what is known stays in force.
+    Failed(DirectoryPart),
+    /// The changes since the last batch are no longer kept.
+    HistoryGone(DirectoryPart),
+    /// Time has passed; due every 100 ms.
+    Tick,
+}
+
+/// What the directory controller asks for.
+#[derive(Clone, Debug)]
+pub enum DirectoryEffect {
+    /// List a part after a delay.
+    List(DirectoryPart, Duration),
+    /// Watch a part from a revision after a delay.
+    Watch(DirectoryPart, u64, Duration),
+    /// Publish these services and routes.
+    Publish(Arc<FleetSnapshot>),
+    /// The entry knows enough to serve callers.
+    Ready,
+    /// Answers of the store returned after this time without any.
+    Regained(DirectoryPart, Duration),
+    /// A target was added, changed or dropped.
+    TargetChanged(TargetChange),
+}
+
+/// A change of one target, for the log.
+#[derive(Clone, Debug)]
+pub struct TargetChange {
+    /// Identity of the target.
+    pub id: String,
+    /// Revision of the change.
+    pub revision: u64,
+    /// What is now held of it.
+    pub state: &'static str,
+}
+
+/// Progress of one part.
+#[derive(Debug, Default)]
+struct PartFollower {
+    revision: Option<u64>,
+    failures: u32,
+    lost_since: Option<Timestamp>,
+}
+
+/// A registered target.
+#[derive(Debug)]
+struct TargetRecord {
+    revision: u64,
+    /// None for an object that names no target to use.
+    note: Option<TargetNote>,
+    /// When it is dropped, after its removal.
+    drop_at: Option<Timestamp>,
+}
+
+/// Owns the targets and the configuration as the directory states them.
+#[derive(Debug)]
+pub struct DirectoryController {
+    targets: IndexMap<String, TargetRecord>,
+    /// Revisions of removals, so that a stale list does not bring a target back.
+    removed: IndexMap<String, u64>,
+    configuration: Option<ConfigurationNote>,
+    parts: [PartFollower; 2],
+    /// Until when removals are held back because the store was away.
+    returned_until: Timestamp,
+    fleet: FleetSnapshot,
+    first_draw: u32,
+    random: SmallRng,
+    ready: bool,
+}
+
+/// Removals that are remembered; the oldest makes room.
+const MAX_REMOVED: usize = 4096;
+
+impl DirectoryController {
+    /// Creates a controller. `seed` drives the jitter of its retries and where
+    /// split routes start.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            targets: IndexMap::new(),
+            removed: IndexMap::new(),
+            configuration: None,
+            parts: Default::default(),
+            random: SmallRng::seed_from_u64(seed),
+            returned_until: Timestamp::default(),
+            fleet: FleetSnapshot::default(),
+            first_draw: seed as u32,
+            ready: false,
+        }
+    }
+
+    /// Gives the calls to start with.
+    pub fn start(&self) -> Vec<DirectoryEffect> {
+        DirectoryPart::iter().map(|part| DirectoryEffect::List(part, Duration::ZERO)).collect()
+    }
+
+    fn part(&mut self, part: DirectoryPart) -> &mut PartFollower {
+        &mut self.parts[part as usize]
+    }
+
+    /// Notes an answer of the store and when it had been away.
+    fn note_answer(&mut self, part: DirectoryPart, now: Timestamp) -> Option<DirectoryEffect> {
+        let follower = self.part(part);
+        follower.failures = 0;
+        let away = now.since(follower.lost_since.take()?);
+        if away >= LAPSE_AFTER {
+            self.returned_until = now + RETURN_DELAY;
+            for record in self.targets.values_mut() {
+                record.drop_at = record.drop_at.map(|_| now + RETURN_DELAY);
+            }
+        }
+        Some(DirectoryEffect::Regained(part, away))
+    }
+
+    fn take_batch(
+        &mut self,
+        part: DirectoryPart,
+        batch: DirectoryBatch,
+        listed: bool,
+        now: Timestamp,
+    ) -> Vec<DirectoryEffect> {
+        let mut effects: Vec<_> = self.note_answer(part, now).into_iter().collect();
+        let mut changed = false;
+        if listed && part == DirectoryPart::Targets {
+            changed |= self.drop_unlisted(&batch, now, &mut effects);
+        }
+        for change in batch.changes {
+            changed |= self.take_change(change, now, &mut effects);
+        }
+        let follower = self.part(part);
+        let revision = batch.revision.max(follower.revision.unwrap_or(0));
+        follower.revision = Some(revision);
+        if changed {
+            effects.extend(self.publish(now));
+        }
+        effects.extend(self.readiness());
+        effects.push(DirectoryEffect::Watch(part, revision, Duration::ZERO));
+        effects
+    }
+
+    fn take_change(
+        &mut self,
+        change: DirectoryChange,
+        now: Timestamp,
+        effects: &mut Vec<DirectoryEffect>,
+    ) -> bool {
+        match change.item {
+            Some(DirectoryItem::Configuration(note)) => {
+                let held = self.configuration.as_ref().map_or(0, |held| held.version);
+                let newer = note.version > held;
+                if newer {
+                    self.configuration = Some(note);
+                }
+                newer
+            }
+            Some(DirectoryItem::Target(note)) => {
+                self.take_target(change.name, change.revision, Some(note), effects)
+            }
+            Some(DirectoryItem::Unusable) => {
+                self.take_target(change.name, change.revision, None, effects)
+            }
+            None => self.take_removal(&change.name, change.revision, now, effects),
+        }
+    }
+
+    fn take_target(
+        &mut self,
+        name: String,
+        revision: u64,
+        note: Option<TargetNote>,
+        effects: &mut Vec<DirectoryEffect>,
+    ) -> bool {
+        let known = self.targets.get(&name).map(|record| record.revision);
+        let removed = self.removed.get(&name).copied();
+        if known.max(removed).is_some_and(|held| held >= revision) {
+            return false;
+        }
+        let state = match &note {
+            None => "unusable",
+            Some(note) if note.leaving => "leaving",
+            Some(_) => "registered",
+        };
+        effects.push(changed(&name, revision, state));
+        self.removed.shift_remove(&name);
+        self.targets.insert(name, TargetRecord { revision, note, drop_at: None });
+        true
+    }
+
+    /// Removes a target that announced it or names nothing to use; any other one
+    /// is kept for a while.
+    fn take_removal(
+        &mut self,
+        name: &str,
+        revision: u64,
+        now: Timestamp,
+        effects: &mut Vec<DirectoryEffect>,
+    ) -> bool {
+        let Some(record) = self.targets.get_mut(name) else {
+            self.forget(name, revision);
+            return false;
+        };
+        if record.revision > revision {
+            return false;
+        }
+        let announced = record.note.as_ref().is_none_or(|note| note.leaving);
+        if !announced {
+            let due = (now + REMOVAL_DELAY).max(self.returned_until);
+            record.revision = revision;
+            record.drop_at.get_or_insert(due);
+            effects.push(changed(name, revision, "removed-unannounced"));
+            return false;
+        }
+        effects.push(changed(name, revision, "removed"));
+        self.forget(name, revision);
+        true
+    }
+
+    fn forget(&mut self, name: &str, revision: u64) {
+        self.targets.shift_remove(name);
+        let known = self.removed.entry(name.to_owned()).or_default();
+        *known = revision.max(*known);
+        if self.removed.len() > MAX_REMOVED {
+            self.removed.shift_remove_index(0);
+        }
+    }
+
+    /// Treats what a list does not hold any more as removed.
+    fn drop_unlisted(
+        &mut self,
+        batch: &DirectoryBatch,
+        now: Timestamp,
+        effects: &mut Vec<DirectoryEffect>,
+    ) -> bool {
+        let listed: std::collections::HashSet<&str> =
+            batch.changes.iter().map(|change| change.name.as_str()).collect();
+        let unlisted = self.targets.iter().filter(|(name, record)| {
+            !listed.contains(name.as_str()) && record.revision <= batch.revision
+        });
+        let unlisted: Vec<String> = unlisted.map(|(name, _)| name.clone()).collect();
+        let mut changed = false;
+        for name in unlisted {
+            changed |= self.take_removal(&name, batch.revision, now, effects);
+        }
+        changed
+    }
+
+    fn tick(&mut self, now: Timestamp) -> Vec<DirectoryEffect> {
+        let due =
+            self.targets.iter().filter(|(_, record)| record.drop_at.is_some_and(|at| at <= now));
+        let due: Vec<(String, u64)> =
+            due.map(|(name, record)| (name.clone(), record.revision)).collect();
+        if due.is_empty() {
+            return Vec::new();
+        }
+        let mut effects = Vec::new();
+        for (name, revision) in due {
+            effects.push(changed(&name, revision, "dropped"));
+            self.forget(&name, revision);
+        }
+        effects.extend(self.publish(now));
+        effects
+    }
+
+    fn readiness(&mut self) -> Option<DirectoryEffect> {
+        let complete = self.parts.iter().all(|part| part.revision.is_some());
+        if self.ready || !complete || self.configuration.is_none() {
+            return None;
+        }
+        self.ready = true;
+        Some(DirectoryEffect::Ready)
+    }
+
+    fn publish(&mut self, now: Timestamp) -> Option<DirectoryEffect> {
+        let configuration = self.configuration.as_ref()?;
+        let mut targets: IndexMap<&str, Vec<TargetIntent>> = IndexMap::new();
+        for note in self.targets.values().filter_map(|record| record.note.as_ref()) {
+            targets.entry(&note.service).or_default().push(target_intent(note));
+        }
+        let services = configuration.services.iter().map(|service| {
+            let routes = configuration.routes.iter();
+            let used =
+                routes.filter(|route| route.parts.iter().any(|part| part.service == service.name));
+            ServiceIntent {
+                service: service.name.clone(),
+                team: String::new(),
+                kinds: used.map(|route| route.kind.clone()).collect(),
+                targets: targets.swap_remove(service.name.as_str()).unwrap_or_default(),
+                measuring: MeasuringIntent::default(),
+                max_queue_length: MAX_QUEUE_LENGTH,
+                retry_percent: 0.0,
+                max_ejected_percent: MAX_EJECTED_PERCENT,
+                max_crashed_targets: MAX_CRASHED_TARGETS,
+            }
+        });
+        let directed = DirectedFleet {
+            version: configuration.version,
+            services: services.collect(),
+            routes: configuration.routes.clone(),
+            limits: configuration.limits,
+        };
+        self.fleet.direct(directed, self.first_draw, now);
+        Some(DirectoryEffect::Publish(Arc::new(self.fleet.clone())))
+    }
+}
+
+fn changed(id: &str, revision: u64, state: &'static str) -> DirectoryEffect {
+    DirectoryEffect::TargetChanged(TargetChange { id: id.to_owned(), revision, state })
+}
+
+fn target_intent(note: &TargetNote) -> TargetIntent {
+    let state = match (note.leaving, note.warm_up_left.is_zero()) {
+        (true, _) => TargetWish::Leaving,
+        (false, true) => TargetWish::Serving,
+        (false, false) => TargetWish::Joining,
+    };
+    TargetIntent {
+        address: note.address,
+        data_centre: note.data_centre.clone(),
+        slots: note.slots,
+        state,
+        instance: Some(note.instance.clone()),
+    }
+}
+
+impl StateController for DirectoryController {
+    type Message = DirectoryMessage;
+    type Effect = DirectoryEffect;
+
+    fn handle(&mut self, message: Self::Message, now: Timestamp) -> Vec<Self::Effect> {
+        match message {
+            DirectoryMessage::Listed(part, batch) => self.take_batch(part, batch, true, now),
+            DirectoryMessage::Watched(part, batch) => self.take_batch(part, batch, false, now),
+            DirectoryMessage::Failed(part) => {
+                let follower = self.part(part);
+                follower.lost_since.get_or_insert(now);
+                follower.failures += 1;
+                let (failures, revision) = (follower.failures, follower.revision);
+                let delay = RETRY_BOUNDS.delay(failures, &mut self.random);
+                vec![match revision {
+                    Some(revision) => DirectoryEffect::Watch(part, revision, delay),
+                    None => DirectoryEffect::List(part, delay),
+                }]
+            }
+            DirectoryMessage::HistoryGone(part) => {
+                vec![DirectoryEffect::List(part, Duration::ZERO)]
+            }
+            DirectoryMessage::Tick => self.tick(now),
+        }
+    }
+}
--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -3,6 +3,7 @@
 
 mod burn;
 mod claims;
+mod directory;
 mod drain;
 mod measuring;
 mod membership;
@@ -16,6 +17,7 @@
 pub use claims::{
     CLAIM_BATCH, ClaimAnswer, ClaimsController, ClaimsEffect, ClaimsMessage, SegmentName,
 };
+pub use directory::{DirectoryController, DirectoryEffect, DirectoryMessage, TargetChange};
 pub use drain::{DrainController, DrainEffect, DrainLimits, DrainMessage, DrainState};
 pub use measuring::{MeasuringController, MeasuringEffect, MeasuringMessage, ProbeNeed};
 pub use membership::{
--- a/core/src/decision/words.rs
+++ b/core/src/decision/words.rs
@@ -62,5 +62,9 @@
         ReasonCode::KeyUsed => "its idempotency key was used before",
         ReasonCode::Stopping => "the entry was stopping",
         ReasonCode::CallerLeft => "its caller left",
+        ReasonCode::NoConfiguration => "the entry knew no configuration yet",
+        ReasonCode::SpoiledAnswer => "the answer of the target was cut, damaged or not its own",
+        ReasonCode::WrongInstance => "another process had the address of the target",
+        ReasonCode::ShortestWait => "it had the shortest expected wait of all that could take it",
     }
 }
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -12,10 +12,11 @@
 use strum::{Display, EnumString};
 
 use crate::clock::Timestamp;
-use crate::intent::{ServiceIntent, TargetIntent, TargetWish};
+use crate::intent::{ServiceIntent, TargetInstance, TargetIntent, TargetWish};
 use crate::keys::{ServiceKey, TargetKey};
 use crate::policy::{EntryView, ProbePool, RouteTable};
 use crate::retry::{LatencyQuantile, RetryBudget};
+use crate::routes::{RouteBook, RouteChoice, RouteIntent, RouteRule};
 
 /// State of a target as this entry sees it.
 #[derive(Clone, Copy, Debug, Display, EnumString, Eq, Hash, PartialEq, Serialize, Deserialize)]
@@ -45,6 +46,34 @@
 /// that still sheds says so again.
 pub const MAX_SHEDDING: Duration = Duration::from_secs(1);
 
+/// Time of work on a target that is not slowed by its neighbours, in percent of
+/// its usual time.
+pub const USUAL_PACE: u32 = 100;
+
+/// Load that a target reports of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoadReport {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait for a slot of it.
+    pub waiting: u32,
+    /// Time that work takes at this moment, in percent of its usual time.
+    pub pace_percent: u32,
+}
+
+impl Default for LoadReport {
+    fn default() -> Self {
+        Self { running: 0, waiting: 0, pace_percent: USUAL_PACE }
+    }
+}
+
+impl From<u32> for LoadReport {
+    /// Makes the report of a target that states only how many requests it holds.
+    fn from(requests: u32) -> Self {
+        Self { running: requests, ..Self::default() }
+    }
+}
+
 /// Counters of a target that the request path updates without a lock.
 #[derive(Debug, Default)]
 pub struct TargetCounters {
@@ -52,6 +81,9 @@
     pub in_flight: AtomicU32,
     /// Load that the target last reported: requests running and queued.
     pub reported_load: AtomicU32,
+    /// Time of work that the target last reported, in percent of its usual time; 0
+    /// before the first report.
+    pub reported_pace: AtomicU32,
     /// When that report arrived, in microseconds.
     pub reported_at: AtomicU64,
     /// Requests of this entry in flight when that report arrived.
@@ -68,10 +100,11 @@
 
 impl TargetCounters {
     /// Records a load report that arrived at `now`.
-    pub fn record_report(&self, load: u32, now: Timestamp) {
+    pub fn record_report(&self, report: LoadReport, now: Timestamp) {
         let in_flight = self.in_flight.load(Ordering::Relaxed);
         self.in_flight_at_report.store(in_flight, Ordering::Relaxed);
-        self.reported_load.store(load, Ordering::Relaxed);
+        self.reported_load.store(report.running + report.waiting, Ordering::Relaxed);
+        self.reported_pace.store(report.pace_percent, Ordering::Relaxed);
         self.reported_at.store(now.0, Ordering::Relaxed);
     }
 
@@ -162,10 +195,25 @@
     pub state: TargetState,
     /// When that state began.
     pub since: Timestamp,
+    /// The process that is meant, if its address may pass to another one.
+    pub instance: Option<TargetInstance>,
     /// Counters, shared by all snapshots.
     pub counters: Arc<TargetCounters>,
 }
 
+/// What a directory states: the services with their targets, and the routes.
+#[derive(Clone, Debug, Default)]
+pub struct DirectedFleet {
+    /// Version of the configuration.
+    pub version: u64,
+    /// The services.
+    pub services: Vec<ServiceIntent>,
+    /// The routes, whose kinds are among those of their services.
+    pub routes: Vec<RouteIntent>,
+    /// Limits for callers.
+    pub limits: Option<crate::routes::CallerLimits>,
+}
+
 /// Services and targets as of one moment.
 #[derive(Clone, Debug, Default)]
 pub struct FleetSnapshot {
@@ -179,6 +227,9 @@
     pub targets: SlotMap<TargetKey, TargetEntry>,
     /// This entry and the other members.
     pub view: EntryView,
+    /// Routes by host and path; without them the first segment of a path names
+    /// the service.
+    pub routes: Option<Arc<RouteBook>>,
 }
 
 impl FleetSnapshot {
@@ -209,6 +260,19 @@
         {
             return false;
         }
+        self.replace(known, intent, version, now);
+        self.published = now;
+        true
+    }
+
+    /// Puts an intent in the place of a known service or adds a new one.
+    fn replace(
+        &mut self,
+        known: Option<ServiceKey>,
+        intent: ServiceIntent,
+        version: u64,
+        now: Timestamp,
+    ) {
         let old_targets = known
             .and_then(|key| self.services.get_mut(key))
             .map(|service| std::mem::take(&mut service.targets))
@@ -230,8 +294,44 @@
             }
         };
         self.update_table(key);
+    }
+
+    /// Puts all services and routes of a directory in force and removes the others.
+    /// `first_draw` is where the weighted choices of split routes start.
+    pub fn direct(&mut self, directed: DirectedFleet, first_draw: u32, now: Timestamp) {
+        let DirectedFleet { version, services, routes, limits } = directed;
+        let gone: Vec<_> = self
+            .names
+            .iter()
+            .filter(|(name, _)| services.iter().all(|intent| intent.service != **name))
+            .map(|(name, key)| (name.clone(), *key))
+            .collect();
+        for (name, key) in gone {
+            self.names.shift_remove(&name);
+            if let Some(service) = self.services.remove(key) {
+                service.targets.iter().for_each(|target| drop(self.targets.remove(*target)));
+            }
+        }
+        for intent in services {
+            match self.find(&intent.service).map(|(key, service)| (key, service.intent.clone())) {
+                Some((key, known)) if *known == intent => self.services[key].version = version,
+                Some((key, _)) => self.replace(Some(key), intent, version, now),
+                None => self.replace(None, intent, version, now),
+            }
+        }
+        let mut book = RouteBook::new(version, limits);
+        for route in routes {
+            let parts = route.parts.iter().filter_map(|part| {
+                let (service, entry) = self.find(&part.service)?;
+                let kinds = &entry.intent.kinds;
+                let kind = kinds.iter().position(|kind| kind.name == route.kind.name)?;
+                Some((RouteChoice { service, kind }, part.weight))
+            });
+            let parts = parts.collect();
+            book.add(&route.host, RouteRule::new(route.path_prefix, parts, first_draw));
+        }
+        self.routes = Some(Arc::new(book));
         self.published = now;
-        true
     }
 
     /// Replaces what is known of this entry and the other members.
@@ -251,26 +351,33 @@
         self.services[key].table = table;
     }
 
-    /// Keeps the keys and counters of targets whose address stays.
+    /// Keeps the keys and counters of targets whose address and instance stay.
     fn merge_targets(
         &mut self,
         old_targets: Vec<TargetKey>,
         intents: &[TargetIntent],
         now: Timestamp,
     ) -> Vec<TargetKey> {
-        let mut by_address: IndexMap<SocketAddr, TargetKey> =
-            old_targets.into_iter().map(|key| (self.targets[key].address, key)).collect();
-        let merged = intents
-            .iter()
-            .map(|intent| match by_address.swap_remove(&intent.address) {
+        let mut by_address: IndexMap<SocketAddr, Vec<TargetKey>> = IndexMap::new();
+        for key in old_targets {
+            by_address.entry(self.targets[key].address).or_default().push(key);
+        }
+        let mut merged = Vec::with_capacity(intents.len());
+        for intent in intents {
+            let known = by_address.get_mut(&intent.address).and_then(|keys| {
+                let same = |key: &TargetKey| self.targets[*key].instance == intent.instance;
+                let place = keys.iter().position(same)?;
+                Some(keys.swap_remove(place))
+            });
+            merged.push(match known {
                 Some(key) => {
                     update_target(&mut self.targets[key], intent, now);
                     key
                 }
                 None => self.targets.insert(new_target(intent, now)),
-            })
-            .collect();
-        for key in by_address.into_values() {
+            });
+        }
+        for key in by_address.into_values().flatten() {
             self.targets.remove(key);
         }
         merged
@@ -292,6 +399,7 @@
         slots: intent.slots,
         state: wished_state(intent.state),
         since: now,
+        instance: intent.instance.clone(),
         counters: Arc::default(),
     }
 }
--- a/core/src/intent.rs
+++ b/core/src/intent.rs
@@ -1,6 +1,7 @@
 //! Intents: what operators state about their services, as plain data.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -78,6 +79,14 @@
     /// Share of requests to serve within the deadline, in percent.
     #[serde(default = "default_objective")]
     pub objective_percent: f64,
+    /// Time in milliseconds after which an answer is worth less to its caller,
+    /// though it still counts until the deadline; none if only the deadline counts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target_latency_ms: Option<u64>,
+    /// Greatest number of targets that one request is sent to, those that refuse
+    /// it included; none for the bound of all kinds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub max_dispatches: Option<u8>,
 }
 
 fn default_max_runs() -> u8 {
@@ -94,6 +103,11 @@
         Duration::from_millis(self.deadline_ms)
     }
 
+    /// Gives the time within which an answer has its full worth.
+    pub fn target_latency(&self) -> Duration {
+        Duration::from_millis(self.target_latency_ms.unwrap_or(self.deadline_ms))
+    }
+
     /// Tells whether a request with this method and path belongs to the kind.
     pub fn matches(&self, method: &str, path: &str) -> bool {
         let method_matches = self.methods.is_empty() || self.methods.iter().any(|m| m == method);
@@ -114,6 +128,20 @@
     /// What the operator wants of the target.
     #[serde(default)]
     pub state: TargetWish,
+    /// The process that is meant, where an address may pass to another one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub instance: Option<TargetInstance>,
+}
+
+/// Tells a process from others that had or will have its address.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct TargetInstance {
+    /// Identity that the target checks requests against.
+    pub id: Arc<str>,
+    /// Start of the process, in milliseconds since the Unix epoch; 0 if unknown.
+    /// A process that starts again may keep its identity.
+    #[serde(default)]
+    pub started_ms: u64,
 }
 
 /// What the operator wants of a target.
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -12,9 +12,9 @@
 /// Retries that may be saved up, which bounds a burst after a quiet period.
 pub const MAX_SAVED_RETRIES: u64 = 10;
 
-/// Greatest number of dispatches of a request, those that certainly did not run
-/// included.
-pub const MAX_DISPATCHES: usize = 4;
+/// Greatest number of dispatches of a request whose intent states none, those that
+/// certainly did not run included.
+const MAX_DISPATCHES: usize = 4;
 
 /// Samples before a latency quantile is used.
 const MIN_SAMPLES: u32 = 32;
@@ -137,5 +137,6 @@
 /// A request that is not idempotent has one run whatever its intent says.
 fn may_dispatch_again(facts: &CallFacts, count: DispatchCount, now: Timestamp) -> bool {
     let max_runs = if facts.idempotent { facts.max_runs } else { 1 };
-    count.runs < max_runs && count.dispatches < MAX_DISPATCHES && now < facts.deadline
+    let max_dispatches = facts.max_dispatches.map_or(MAX_DISPATCHES, usize::from);
+    count.runs < max_runs && count.dispatches < max_dispatches && now < facts.deadline
 }
--- a/core/tests/plans.rs
+++ b/core/tests/plans.rs
@@ -25,6 +25,7 @@
         data_centre: data_centre.to_owned(),
         slots: 3,
         state: TargetWish::Serving,
+        instance: None,
     }
 }
 
@@ -246,7 +247,7 @@
     let mut fleet = FleetSnapshot::default();
     fleet.apply(base.clone(), 7, Timestamp(1));
     for (_, target) in &fleet.targets {
-        target.counters.record_report(load, Timestamp(2));
+        target.counters.record_report(load.into(), Timestamp(2));
     }
     (fleet, base)
 }
--- a/core/tests/policies.rs
+++ b/core/tests/policies.rs
@@ -78,7 +78,7 @@
                 } else {
                     // A steady load of one request on each healthy target.
                     counters.in_flight.store(1, Ordering::Relaxed);
-                    counters.record_report(1 + call % 2, now);
+                    counters.record_report((1 + call % 2).into(), now);
                     counters.record_success(Duration::from_millis(5));
                     probes.add(choice.target, 1 + call % 2, Duration::from_millis(5), now);
                 }
@@ -90,7 +90,7 @@
     old_reports_lose_weight: "a report that is believed long after the load changed" => {
         let fleet = fleet(1, view(0, 1));
         let counters = &fleet.find(SERVICE).unwrap().1.table.open[0].counters;
-        counters.record_report(12, Timestamp(1_000));
+        counters.record_report(12.into(), Timestamp(1_000));
         counters.in_flight.store(2, Ordering::Relaxed);
         let load = |age_ms: u64| LoadPrior::default().load_of(counters, Timestamp(1_000 + age_ms * 1_000));
         assert!((load(0) - 14.0).abs() < 0.01, "the report and the two requests since");
--- a/core/tests/support/mod.rs
+++ b/core/tests/support/mod.rs
@@ -19,6 +19,7 @@
             data_centre: format!("valle-{}", ["a", "b", "c"][index % 3]),
             slots: 3,
             state: TargetWish::Serving,
+            instance: None,
         })
         .collect()
 }
--- a/core/tests/window.rs
+++ b/core/tests/window.rs
@@ -22,7 +22,7 @@
             let mut own = 0;
             for (target, (load, in_flight)) in table.open.iter().zip(&loads) {
                 target.counters.in_flight.store(*in_flight, Ordering::Relaxed);
-                target.counters.record_report((*load).max(*in_flight), NOW);
+                target.counters.record_report((*load).max(*in_flight).into(), NOW);
                 own += in_flight;
             }
             let window = concurrency_window(table, own, NOW);
--- a/src/admin/health.rs
+++ b/src/admin/health.rs
@@ -22,17 +22,31 @@
     }
 }
 
-/// Answers whether the platform's balancer should send callers here.
-pub struct ReadinessHandler {
-    ready: Arc<AtomicBool>,
-    propagation: Option<Arc<PropagationStatus>>,
+/// Something that an entry needs before it may serve callers.
+pub trait ReadinessCheck: Send + Sync {
+    /// Tells whether it is there.
+    fn ready(&self) -> bool;
 }
 
+impl ReadinessCheck for PropagationStatus {
+    fn ready(&self) -> bool {
+        Self::ready(self)
+    }
+}
+
+impl ReadinessCheck for AtomicBool {
+    fn ready(&self) -> bool {
+        self.load(Ordering::Acquire)
+    }
+}
+
+/// Answers whether the platform's balancer should send callers here.
+pub struct ReadinessHandler(Vec<Arc<dyn ReadinessCheck>>);
+
 impl ReadinessHandler {
-    /// Creates a handler. `ready` turns false with a planned stop; an entry that
-    /// follows a store is ready only while its intents are.
-    pub fn new(ready: Arc<AtomicBool>, propagation: Option<Arc<PropagationStatus>>) -> Self {
-        Self { ready, propagation }
+    /// Creates a handler that answers ready while all of `checks` are.
+    pub fn new(checks: Vec<Arc<dyn ReadinessCheck>>) -> Self {
+        Self(checks)
     }
 }
 
@@ -43,8 +57,7 @@
 
     fn handle<'a>(&'a self, _request: &'a AdminRequest) -> BoxFuture<'a, AdminResponse> {
         Box::pin(async {
-            let settled = self.propagation.as_ref().is_none_or(|status| status.ready());
-            if settled && self.ready.load(Ordering::Acquire) {
+            if self.0.iter().all(|check| check.ready()) {
                 text_response(StatusCode::OK, "ready")
             } else {
                 text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready")
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -19,7 +19,7 @@
     fault_response,
 };
 use futures::future::BoxFuture;
-pub use health::{LivenessHandler, ReadinessHandler};
+pub use health::{LivenessHandler, ReadinessCheck, ReadinessHandler};
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
--- a/src/bench/capacity/fixtures.rs
+++ b/src/bench/capacity/fixtures.rs
@@ -39,6 +39,8 @@
         deadline_ms: 1_000,
         require_key: false,
         objective_percent: 99.0,
+        target_latency_ms: None,
+        max_dispatches: None,
     };
     let target = |position: usize| {
         let index = first + position;
@@ -49,6 +51,7 @@
             data_centre: format!("region-{}-{}", index % 6, index % DATA_CENTRES / 6),
             slots: 3,
             state: TargetWish::Serving,
+            instance: None,
         }
     };
     ServiceIntent {
@@ -89,7 +92,7 @@
         fleet.apply(intent(number, share, first), 1_000_000 + number as u64, NOW);
     }
     for (position, target) in fleet.targets.values().enumerate() {
-        target.counters.record_report(2 + position as u32 % 4, NOW);
+        target.counters.record_report((2 + position as u32 % 4).into(), NOW);
         target.counters.record_success(Duration::from_millis(5));
     }
     fleet
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -162,6 +162,7 @@
             data_centre: DATA_CENTRES[position % DATA_CENTRES.len()].to_owned(),
             slots: deployment.slots,
             state: TargetWish::Serving,
+            instance: None,
         });
         ServiceIntent {
             service: shape.name.to_owned(),
@@ -176,6 +177,8 @@
                 deadline_ms: DEADLINE.as_millis() as u64,
                 require_key: false,
                 objective_percent: 99.0,
+                target_latency_ms: None,
+                max_dispatches: None,
             }],
             targets: targets.collect(),
             measuring: MeasuringIntent {
--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -6,7 +6,7 @@
 use clap::Parser;
 
 use super::wait_for_stop;
-use crate::runtime::EntryRuntime;
+use crate::runtime::{EntryBorders, EntryRuntime};
 use crate::settings::EntrySettings;
 use crate::telemetry::start_logs;
 
@@ -33,18 +33,24 @@
                 return ExitCode::from(2);
             }
         };
-        start_logs(settings.log.level, &settings.name);
-        let entry = match EntryRuntime::start(settings).await {
-            Ok(entry) => entry,
-            Err(error) => {
-                eprintln!("{error}");
-                return ExitCode::FAILURE;
-            }
-        };
-        println!("callers: {}", entry.caller_address());
-        println!("admin: {}", entry.admin_address());
-        wait_for_stop().await;
-        entry.stop().await;
-        ExitCode::SUCCESS
+        let borders = EntryBorders::of_platform(settings.platform.as_ref());
+        run_entry(settings, borders).await
     }
 }
+
+/// Runs an entry on these borders until SIGTERM or Ctrl-C.
+pub async fn run_entry(settings: EntrySettings, borders: EntryBorders) -> ExitCode {
+    start_logs(settings.log.level, &settings.name);
+    let entry = match EntryRuntime::start_on(settings, borders).await {
+        Ok(entry) => entry,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    println!("callers: {}", entry.caller_address());
+    println!("admin: {}", entry.admin_address());
+    wait_for_stop().await;
+    entry.stop().await;
+    ExitCode::SUCCESS
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -18,7 +18,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-pub use entry::EntryArguments;
+pub use entry::{EntryArguments, run_entry};
 pub use standin::{PlatformArguments, TargetArguments};
 
 /// Drives and tries out zinniaport.
--- a/src/commands/try_out/load.rs
+++ b/src/commands/try_out/load.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 use uuid::Uuid;
 
-use crate::front::REQUEST_ID_HEADER;
+use crate::dialect::REQUEST_ID_HEADER;
 
 /// Connections that send requests at the same time. The demo has 105 slots.
 const SENDERS: u64 = 32;
@@ -138,7 +138,7 @@
             .method(&load.method)
             .uri(&path)
             .header(header::HOST, self.address.to_string())
-            .header(REQUEST_ID_HEADER, &request_id)
+            .header(&REQUEST_ID_HEADER, &request_id)
             .body(Full::from(vec![b'x'; load.body_bytes]));
         let started = Instant::now();
         let result = match request {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -102,6 +102,8 @@
     pub body: Option<CallBody>,
     /// What becomes of that body.
     pub body_watch: BodyWatch,
+    /// Position of the request's kind in its service, if a route decided it.
+    pub routed_kind: Option<usize>,
     /// Targets that the request was dispatched to, the present one last.
     pub targets: Vec<TargetKey>,
     /// The decisions taken so far.
@@ -123,6 +125,7 @@
             head,
             body: Some(body),
             body_watch: BodyWatch::default(),
+            routed_kind: None,
             targets: Vec::new(),
             trace: DecisionTrace::default(),
         }
--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -7,7 +7,7 @@
 
 use futures::future::{Either, select};
 use zinniaport_core::call::ReasonCode;
-use zinniaport_core::clock::{ClockSource, Timestamp};
+use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::TargetsMessage;
 use zinniaport_core::fleet::{ServiceCounters, TargetCounters};
 use zinniaport_core::keys::TargetKey;
@@ -19,22 +19,15 @@
 use crate::exchange::{CallResponse, Exchange, empty_body};
 use crate::gate::PermitHandle;
 use crate::refusal::Refusal;
+use crate::state::SharedState;
 use crate::targets::TargetsHandle;
 
-/// Response header by which a target announces its drain.
-pub const DRAIN_HEADER: &str = "x-drain";
-
 /// Time for which a target is taken to shed load that names none itself.
 const SHEDDING_TIME: Duration = Duration::from_millis(100);
 
-/// Tells whether a response, an answer or a refusal, announces a drain.
-pub(super) fn announces_drain(response: &CallResponse) -> bool {
-    response.headers().get(DRAIN_HEADER).is_some_and(|value| value == "1")
-}
-
 /// Records the outcome of an attempt in the counters of its target.
 pub struct AttemptRecord {
-    clock: Arc<dyn ClockSource>,
+    state: Arc<SharedState>,
     targets: TargetsHandle,
     target: TargetKey,
     counters: Arc<TargetCounters>,
@@ -51,7 +44,7 @@
         let target = *exchange.targets.last()?;
         let entry = exchange.fleet.targets.get(target)?;
         Some(Self {
-            clock: filter.state.clock.clone(),
+            state: filter.state.clone(),
             targets: filter.targets.clone(),
             target,
             counters: entry.counters.clone(),
@@ -66,7 +59,7 @@
     /// Ends the record with the response or refusal.
     pub fn finish(mut self, result: &FilterResult) {
         self.finished = true;
-        let now = self.clock.now();
+        let now = self.state.clock.now();
         if let Some(permit) = &self.permit {
             match result {
                 Ok(_) => permit.end(RunEnd::Answered),
@@ -84,7 +77,7 @@
 
     fn record_response(&self, response: &CallResponse, now: Timestamp) {
         let latency = now.since(self.started);
-        if announces_drain(response) {
+        if self.state.dialect.announces_drain(response.headers()) {
             self.targets.notify(TargetsMessage::Drained(self.target));
         }
         if response.status().is_server_error() {
@@ -103,7 +96,11 @@
             self.targets.notify(TargetsMessage::Drained(self.target));
         }
         match refusal.reason {
-            ReasonCode::TargetLost | ReasonCode::TargetUnreachable => self.record_failure(),
+            ReasonCode::TargetLost | ReasonCode::TargetUnreachable | ReasonCode::SpoiledAnswer => {
+                self.record_failure();
+            }
+            // The directory lags; until it catches up the address is someone else's.
+            ReasonCode::WrongInstance => self.targets.notify(TargetsMessage::Drained(self.target)),
             ReasonCode::TargetRefused => {
                 let period = refusal.retry_after.unwrap_or(SHEDDING_TIME);
                 self.counters.record_shedding(period, now);
@@ -124,7 +121,7 @@
     /// the time until now; without it a slow target would never look slow.
     fn drop(&mut self) {
         if !self.finished {
-            self.counters.record_latency(self.clock.now().since(self.started));
+            self.counters.record_latency(self.state.clock.now().since(self.started));
         }
     }
 }
--- a/src/filters/classify.rs
+++ b/src/filters/classify.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
-use http::HeaderMap;
+use http::{HeaderMap, HeaderName};
 use zinniaport_core::call::ReasonCode;
 
 use super::{FilterNext, FilterResult, RequestFilter};
@@ -12,9 +12,6 @@
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 
-/// Header with the time that the caller still gives the request, in milliseconds.
-pub const DEADLINE_HEADER: &str = "x-deadline-ms";
-
 /// Longest deadline that a caller may ask for, in milliseconds.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
 
@@ -33,23 +30,29 @@
         let service = &exchange.fleet.services[exchange.facts.service];
         let path = path_in_service(exchange.head.uri.path());
         let method = exchange.head.method.as_str();
-        let Some((position, kind)) =
-            service.intent.kinds.iter().enumerate().find(|(_, kind)| kind.matches(method, path))
-        else {
+        let mut kinds = service.intent.kinds.iter().enumerate();
+        let found = match exchange.routed_kind {
+            Some(position) => kinds.nth(position),
+            None => kinds.find(|(_, kind)| kind.matches(method, path)),
+        };
+        let Some((position, kind)) = found else {
             let detail =
                 format!("{method} {path} belongs to no kind of {}", service.intent.service);
             return Err(Refusal::not_run(ReasonCode::UnknownKind, detail));
         };
         let now = self.state.clock.now();
         let limit = kind.deadline();
-        let limit = caller_limit(&exchange.head.headers)?.map_or(limit, |given| given.min(limit));
+        let given = caller_limit(&exchange.head.headers, self.state.dialect.deadline())?;
+        let limit = given.map_or(limit, |given| given.min(limit));
         let facts = &mut exchange.facts;
         facts.kind = position;
         facts.rank = kind.rank;
         facts.idempotent = kind.idempotent;
         facts.max_runs = if kind.idempotent { kind.max_runs.max(1) } else { 1 };
+        facts.max_dispatches = kind.max_dispatches;
         facts.arrived = now;
         facts.deadline = now + limit;
+        facts.useful_until = now + kind.target_latency().min(limit);
         Ok(())
     }
 }
@@ -78,13 +81,13 @@
 }
 
 /// Reads the time limit that the caller gives.
-fn caller_limit(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
-    let Some(value) = headers.get(DEADLINE_HEADER) else { return Ok(None) };
+fn caller_limit(headers: &HeaderMap, name: &HeaderName) -> Result<Option<Duration>, Refusal> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
     let limit_ms = value.to_str().ok().and_then(|text| text.parse().ok());
     match limit_ms {
         Some(limit_ms @ 1..=MAX_DEADLINE_MS) => Ok(Some(Duration::from_millis(limit_ms))),
         _ => {
-            let detail = format!("cannot read {DEADLINE_HEADER}: {value:?}");
+            let detail = format!("cannot read {name}: {value:?}");
             Err(Refusal::not_run(ReasonCode::BadDeadline, detail))
         }
     }
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -8,28 +8,26 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use http::{HeaderMap, HeaderValue, Uri, header};
+use futures::stream::{self, StreamExt};
+use http::{HeaderValue, Uri, header};
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, BodyStream, Limited, StreamBody};
 use tokio::time::{Instant, timeout};
 use zinniaport_core::call::ReasonCode;
 use zinniaport_core::fleet::TargetCounters;
+use zinniaport_core::intent::TargetInstance;
 
-use super::attempt::announces_drain;
-use super::{DEADLINE_HEADER, FilterNext, FilterResult, RequestFilter};
-use crate::exchange::{BodyError, BodyFault, CallBody, CallResponse, Exchange, empty_body};
-use crate::front::{OUTCOME_HEADER, REQUEST_ID_HEADER, strip_hop_headers};
+use super::{FilterNext, FilterResult, RequestFilter};
+use crate::dialect::{AnswerVerdict, CallDialect};
+use crate::exchange::{
+    BodyError, BodyFault, CallBody, CallResponse, Exchange, empty_body, full_body,
+};
+use crate::front::{OUTCOME_HEADER, strip_hop_headers};
 use crate::pool::{TargetCall, TargetTransport, TransportError};
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 
-/// Response header in which a target reports its running and queued requests.
-pub const LOAD_HEADER: &str = "x-load";
-
-/// Response header by which a target tells that it refused a request before
-/// running it.
-pub const REFUSED_HEADER: &str = "x-zinniaport-refused";
-
 /// Longest body of such a refusal that is read to keep the connection, in bytes.
 const MAX_REFUSAL_BYTES: usize = 16 << 10;
 
@@ -40,12 +38,18 @@
 pub struct ForwardFilter {
     state: Arc<SharedState>,
     transport: Arc<dyn TargetTransport>,
+    max_whole_answer: usize,
 }
 
 impl ForwardFilter {
-    /// Creates the filter.
-    pub fn new(state: Arc<SharedState>, transport: Arc<dyn TargetTransport>) -> Self {
-        Self { state, transport }
+    /// Creates the filter. Answers of up to `max_whole_answer` bytes are read to
+    /// their end before they are passed on; 0 passes all on as they arrive.
+    pub fn new(
+        state: Arc<SharedState>,
+        transport: Arc<dyn TargetTransport>,
+        max_whole_answer: usize,
+    ) -> Self {
+        Self { state, transport, max_whole_answer }
     }
 
     async fn forward(&self, exchange: &mut Exchange) -> FilterResult {
@@ -61,7 +65,12 @@
         }
         let call = TargetCall {
             address: target.address,
-            request: target_request(exchange, left),
+            request: target_request(
+                exchange,
+                left,
+                target.instance.as_ref(),
+                self.state.dialect.as_ref(),
+            ),
             deadline: Instant::now() + left,
         };
         let guard = InFlightGuard::new(target.counters.clone());
@@ -69,24 +78,60 @@
             Ok(response) => response,
             Err(error) => return Err(refusal_of(&error, exchange.body_watch.fault())),
         };
-        self.read_report(&target.counters, response.headers());
-        if response.headers().contains_key(REFUSED_HEADER) {
-            let refusal = target_refusal(&response);
-            tokio::spawn(drop_whole(response));
-            return Err(refusal);
+        let dialect = &self.state.dialect;
+        if let Some(report) = dialect.load(response.headers()) {
+            target.counters.record_report(report, self.state.clock.now());
+        }
+        let given_id = exchange.head.headers.get(dialect.request_id());
+        match dialect.judge(given_id.and_then(|id| id.to_str().ok()), &response) {
+            AnswerVerdict::Answer => {}
+            AnswerVerdict::Spoiled(cause) => {
+                return Err(Refusal::unknown(ReasonCode::SpoiledAnswer, cause));
+            }
+            verdict => {
+                let refusal = target_refusal(verdict, &response, dialect.as_ref());
+                tokio::spawn(drop_whole(response));
+                return Err(refusal);
+            }
         }
         strip_hop_headers(response.headers_mut());
         // Only the entry states the outcome.
         response.headers_mut().remove(OUTCOME_HEADER);
-        Ok(response.map(|inner| CountedBody { inner, _guard: guard }.boxed()))
+        let response = response.map(|inner| CountedBody { inner, _guard: guard }.boxed());
+        read_whole(response, self.max_whole_answer).await
     }
+}
 
-    fn read_report(&self, counters: &TargetCounters, headers: &HeaderMap) {
-        let load = headers.get(LOAD_HEADER).and_then(|value| value.to_str().ok()?.parse().ok());
-        if let Some(load) = load {
-            counters.record_report(load, self.state.clock.now());
+/// Reads an answer to its end if it is short, so that one that is cut short or
+/// damaged can be replaced by another target's.
+async fn read_whole(mut response: CallResponse, max_bytes: usize) -> FilterResult {
+    if max_bytes == 0 || response.body().is_end_stream() {
+        return Ok(response);
+    }
+    let mut parts = Vec::new();
+    let mut length = 0;
+    while length <= max_bytes {
+        match response.body_mut().frame().await {
+            None => {
+                let whole = full_body(parts.concat());
+                return Ok(response.map(|_| whole));
+            }
+            Some(Ok(frame)) => {
+                let Ok(data) = frame.into_data() else { continue };
+                length += data.len();
+                parts.push(data);
+            }
+            Some(Err(BodyError::DeadlinePassed)) => {
+                let detail = "the deadline passed within the answer";
+                return Err(Refusal::unknown(ReasonCode::DeadlinePassed, detail));
+            }
+            Some(Err(error)) => {
+                return Err(Refusal::unknown(ReasonCode::SpoiledAnswer, error.to_string()));
+            }
         }
     }
+    let first = stream::iter(parts).map(|part| Ok(Frame::data(part)));
+    Ok(response.map(|rest| BoxBody::new(StreamBody::new(first.chain(BodyStream::new(rest))))))
 }
 
 impl RequestFilter for ForwardFilter {
@@ -104,7 +149,12 @@
 }
 
 /// Builds the request that the target receives, with the time that is left.
-fn target_request(exchange: &mut Exchange, left: Duration) -> http::Request<CallBody> {
+fn target_request(
+    exchange: &mut Exchange,
+    left: Duration,
+    instance: Option<&TargetInstance>,
+    dialect: &dyn CallDialect,
+) -> http::Request<CallBody> {
     let body = exchange.body.take().unwrap_or_else(empty_body);
     let mut request = http::Request::new(body);
     *request.method_mut() = exchange.head.method.clone();
@@ -120,9 +170,14 @@
     if let Some(host) = host {
         headers.insert(header::HOST, host);
     }
-    headers.insert(DEADLINE_HEADER, HeaderValue::from(left.as_millis().max(1) as u64));
-    if let Ok(request_id) = HeaderValue::from_str(&exchange.request_id) {
-        headers.insert(REQUEST_ID_HEADER, request_id);
+    headers.insert(dialect.deadline(), HeaderValue::from(left.as_millis().max(1) as u64));
+    if dialect.adds_request_id()
+        && let Ok(request_id) = HeaderValue::from_str(&exchange.request_id)
+    {
+        headers.insert(dialect.request_id(), request_id);
+    }
+    if let Some(instance) = instance {
+        dialect.name_instance(headers, instance);
     }
     request
 }
@@ -144,10 +199,22 @@
 }
 
 /// Says what the target's own refusal means for the caller.
-fn target_refusal(response: &CallResponse) -> Refusal {
-    let detail = "the target refused the request before running it";
-    let mut refusal = Refusal::not_run(ReasonCode::TargetRefused, detail);
-    refusal.target_drains = announces_drain(response);
+fn target_refusal(
+    verdict: AnswerVerdict,
+    response: &CallResponse,
+    dialect: &dyn CallDialect,
+) -> Refusal {
+    let mut refusal = match verdict {
+        AnswerVerdict::WrongInstance => {
+            let detail = "another process has the address of the target";
+            Refusal::not_run(ReasonCode::WrongInstance, detail)
+        }
+        _ => {
+            let detail = "the target refused the request before running it";
+            Refusal::not_run(ReasonCode::TargetRefused, detail)
+        }
+    };
+    refusal.target_drains = dialect.announces_drain(response.headers());
     let seconds = response.headers().get(header::RETRY_AFTER);
     match seconds.and_then(|value| value.to_str().ok()?.parse().ok()) {
         Some(seconds) => refusal.retry_after(Duration::from_secs(seconds)),
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -13,10 +13,9 @@
 use std::sync::Arc;
 
 pub use admit::AdmitFilter;
-pub use attempt::DRAIN_HEADER;
 pub use claim::ClaimFilter;
-pub use classify::{ClassifyFilter, DEADLINE_HEADER};
-pub use forward::{ForwardFilter, LOAD_HEADER};
+pub use classify::ClassifyFilter;
+pub use forward::ForwardFilter;
 use futures::future::BoxFuture;
 pub use identify::{CALLER_HEADER, IdentifyFilter};
 pub use quarantine::QuarantineFilter;
--- a/src/filters/quarantine.rs
+++ b/src/filters/quarantine.rs
@@ -15,21 +15,18 @@
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 
-/// Longest body that is read as a whole before dispatch, in bytes. Sign-ups and
-/// visit records fit; photos do not.
-const MAX_BUFFERED_BYTES: u64 = 16 << 10;
-
 /// Refuses a request that has crashed as many targets as the intent allows, and
 /// lets copies of a suspect one run one at a time.
 pub struct QuarantineFilter {
     state: Arc<SharedState>,
     gate: Arc<QuarantineGate>,
+    max_buffered: u64,
 }
 
 impl QuarantineFilter {
-    /// Creates the filter.
-    pub fn new(state: Arc<SharedState>, gate: Arc<QuarantineGate>) -> Self {
-        Self { state, gate }
+    /// Creates the filter. Bodies of up to `max_buffered` bytes are read whole.
+    pub fn new(state: Arc<SharedState>, gate: Arc<QuarantineGate>, max_buffered: u64) -> Self {
+        Self { state, gate, max_buffered }
     }
 
     async fn enter(&self, exchange: &mut Exchange) -> Result<(), Refusal> {
@@ -49,7 +46,7 @@
     /// Reads a short body of known length, so that it can be sent again.
     async fn buffer_body(&self, exchange: &mut Exchange) -> Result<(), Refusal> {
         let length = exchange.body.as_ref().and_then(|body| body.size_hint().exact());
-        if !length.is_some_and(|length| (1..=MAX_BUFFERED_BYTES).contains(&length)) {
+        if !length.is_some_and(|length| (1..=self.max_buffered).contains(&length)) {
             return Ok(());
         }
         let Some(body) = exchange.body.take() else { return Ok(()) };
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -18,6 +18,7 @@
 use http::{HeaderValue, Request, Version, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use problem::problem_response;
 pub use problem::{KEY_STATE_HEADER, OUTCOME_HEADER};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -33,9 +34,6 @@
 use crate::settings::LimitSettings;
 use crate::state::SharedState;
 
-/// Header that carries the identity of a request.
-pub const REQUEST_ID_HEADER: &str = "x-request-id";
-
 /// Longest request id that is taken from a caller, in characters.
 const MAX_REQUEST_ID_LENGTH: usize = 64;
 
@@ -128,12 +126,14 @@
 
     /// Serves one request.
     async fn answer(&self, request: Request<Incoming>, verdict: &HeadVerdict) -> CallResponse {
-        let request_id = request_id(&request);
+        let dialect = self.state.dialect.clone();
+        let given_id = request.headers().get(dialect.request_id()).cloned();
+        let request_id = request_id(given_id.as_ref());
         let version = request.version();
         let (head, body) = request.into_parts();
         let watch = BodyWatch::default();
         let mut response = match self.check_head(&head, verdict) {
-            Err(refusal) => problem::problem_response(&refusal, &request_id),
+            Err(refusal) => problem_response(&refusal, &request_id, dialect.as_ref()),
             Ok(()) => {
                 let body = GuardedBody::new(body, watch.clone(), &self.limits).boxed();
                 let request = Request::from_parts(head, body);
@@ -143,8 +143,11 @@
                 self.run(&mut exchange).await
             }
         };
-        if let Ok(value) = HeaderValue::from_str(&request_id) {
-            response.headers_mut().insert(REQUEST_ID_HEADER, value);
+        let echoed = given_id.or_else(|| {
+            dialect.adds_request_id().then(|| HeaderValue::from_str(&request_id).ok())?
+        });
+        if let Some(value) = echoed {
+            response.headers_mut().insert(dialect.request_id(), value);
         }
         let ends = self.closing.load(Ordering::Acquire) || verdict.is_ambiguous();
         if ends && version < Version::HTTP_2 {
@@ -160,7 +163,9 @@
                 response.headers_mut().entry(OUTCOME_HEADER).or_insert(outcome);
                 response
             }
-            Err(refusal) => problem::problem_response(&refusal, &exchange.request_id),
+            Err(refusal) => {
+                problem_response(&refusal, &exchange.request_id, self.state.dialect.as_ref())
+            }
         }
     }
 
@@ -169,6 +174,10 @@
             let detail = "the length of the body is ambiguous, or a line does not end in CRLF";
             return Err(Refusal::not_run(ReasonCode::BadRequest, detail));
         }
+        if head.headers.get_all(header::HOST).iter().nth(1).is_some() {
+            let detail = "the request names two hosts";
+            return Err(Refusal::not_run(ReasonCode::BadRequest, detail));
+        }
         let count = head.headers.len();
         if count > self.limits.max_header_count {
             let limit = self.limits.max_header_count;
@@ -201,10 +210,8 @@
 }
 
 /// Takes the caller's request id if it is usable, else makes one.
-fn request_id(request: &Request<Incoming>) -> String {
-    request
-        .headers()
-        .get(REQUEST_ID_HEADER)
+fn request_id(given: Option<&HeaderValue>) -> String {
+    given
         .and_then(|value| value.to_str().ok())
         .filter(|id| (1..=MAX_REQUEST_ID_LENGTH).contains(&id.len()))
         .map_or_else(|| Uuid::now_v7().to_string(), ToOwned::to_owned)
--- a/src/front/problem.rs
+++ b/src/front/problem.rs
@@ -5,6 +5,7 @@
 use zinniaport_core::call::CallOutcome;
 use zinniaport_core::claims::ClaimState;
 
+use crate::dialect::CallDialect;
 use crate::exchange::{CallResponse, full_body};
 use crate::refusal::Refusal;
 
@@ -28,7 +29,11 @@
 }
 
 /// Makes the answer for a refusal.
-pub fn problem_response(refusal: &Refusal, request_id: &str) -> CallResponse {
+pub fn problem_response(
+    refusal: &Refusal,
+    request_id: &str,
+    dialect: &dyn CallDialect,
+) -> CallResponse {
     let reason: &str = refusal.reason.into();
     let problem = ProblemBody {
         r#type: format!("urn:zinniaport:{reason}"),
@@ -49,8 +54,7 @@
         headers.insert(KEY_STATE_HEADER, key_state_value(state));
     }
     if let Some(delay) = refusal.retry_after {
-        let seconds = delay.as_millis().div_ceil(1000).max(1) as u64;
-        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+        headers.insert(header::RETRY_AFTER, dialect.retry_after(delay));
     }
     response
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,8 @@
 pub mod claims;
 pub mod commands;
 pub mod control;
+pub mod dialect;
+pub mod directory;
 pub mod exchange;
 pub mod filters;
 pub mod front;
--- a/src/measuring.rs
+++ b/src/measuring.rs
@@ -16,7 +16,6 @@
 use zinniaport_core::policy::{ProbePolicy, RoutingPolicy};
 
 use crate::exchange::empty_body;
-use crate::filters::LOAD_HEADER;
 use crate::pool::{TargetCall, TargetTransport};
 use crate::propagation::PropagationStatus;
 use crate::state::SharedState;
@@ -139,10 +138,10 @@
             else {
                 return;
             };
-            let load = response.headers().get(LOAD_HEADER);
-            if let Some(load) = load.and_then(|value| value.to_str().ok()?.parse().ok()) {
+            if let Some(report) = state.dialect.load(response.headers()) {
                 let now = state.clock.now();
-                counters.record_report(load, now);
+                counters.record_report(report, now);
+                let load = report.running + report.waiting;
                 // The pool compares targets by the latency of requests; a probe is
                 // shorter and stands in only until the first request has ended.
                 let latency = match counters.latency_us.load(Ordering::Relaxed) {
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -72,7 +72,7 @@
             ReasonCode::KeyUsed => StatusCode::CONFLICT,
             ReasonCode::KeyExpired => StatusCode::UNPROCESSABLE_ENTITY,
             ReasonCode::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
-            ReasonCode::TargetLost => StatusCode::BAD_GATEWAY,
+            ReasonCode::TargetLost | ReasonCode::SpoiledAnswer => StatusCode::BAD_GATEWAY,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -101,7 +101,10 @@
             ReasonCode::Quarantined => {
                 "do not send this request again; tell the owner of the service"
             }
-            ReasonCode::TargetLost | ReasonCode::DeadlinePassed | ReasonCode::CallerLeft => {
+            ReasonCode::TargetLost
+            | ReasonCode::SpoiledAnswer
+            | ReasonCode::DeadlinePassed
+            | ReasonCode::CallerLeft => {
                 "send it again if it is idempotent; otherwise look up whether it was done"
             }
             _ => "send it again after the time in Retry-After",
--- a/src/runtime/chain.rs
+++ b/src/runtime/chain.rs
@@ -22,21 +22,27 @@
     pub(super) transport: Arc<dyn TargetTransport>,
     pub(super) quarantine: Arc<QuarantineGate>,
     pub(super) claims: Arc<dyn KeyClaims>,
+    /// Size up to which a request body is read whole, in bytes.
+    pub(super) buffered_body_bytes: u64,
+    /// Size up to which an answer is read whole, in bytes.
+    pub(super) whole_answer_bytes: usize,
 }
 
 impl ChainParts {
     /// Builds the chain, outermost filter first.
     pub(super) fn build(self) -> FilterChain {
-        let Self { state, targets, policy, transport, quarantine, claims } = self;
+        let (buffered_body_bytes, whole_answer_bytes) =
+            (self.buffered_body_bytes, self.whole_answer_bytes);
+        let Self { state, targets, policy, transport, quarantine, claims, .. } = self;
         FilterChain::new(vec![
             Arc::new(RecordFilter::new(state.clone())),
             Arc::new(IdentifyFilter::new(state.clone())),
             Arc::new(ClassifyFilter::new(state.clone())),
-            Arc::new(QuarantineFilter::new(state.clone(), quarantine)),
+            Arc::new(QuarantineFilter::new(state.clone(), quarantine, buffered_body_bytes)),
             Arc::new(ClaimFilter::new(state.clone(), claims)),
             Arc::new(AdmitFilter::new(state.clone())),
             Arc::new(RouteFilter::new(state.clone(), policy, targets)),
-            Arc::new(ForwardFilter::new(state, transport)),
+            Arc::new(ForwardFilter::new(state, transport, whole_answer_bytes)),
         ])
     }
 }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -22,10 +22,12 @@
 
 use crate::admin::{
     AdminHandler, AdminRouter, BurnHandler, ExplainHandler, LivenessHandler, LocalRecords,
-    MetricsHandler, ReadinessHandler, RecordLookup, RecordsHandler, StatusHandler,
+    MetricsHandler, ReadinessCheck, ReadinessHandler, RecordLookup, RecordsHandler, StatusHandler,
 };
 use crate::claims::{KeyClaims, NoKeyClaims, StoreKeyClaims};
 use crate::control::{ControlParts, ControlPlane};
+use crate::dialect::{CallDialect, OwnDialect};
+use crate::directory::{DirectoryDriver, DirectorySource};
 use crate::front::HttpFront;
 use crate::gate::QuarantineGate;
 use crate::measuring::{FileGrant, IntentGrant, MeasuringDriver, MeasuringParts, probe_need};
@@ -47,6 +49,30 @@
     pub source: std::io::Error,
 }
 
+/// What an entry is connected to besides callers and targets.
+#[derive(bon::Builder)]
+pub struct EntryBorders {
+    /// The object store that intents, plans and claims live in.
+    store: Option<Arc<dyn ObjectStore>>,
+    /// The platform's list of VMs.
+    vms: Option<Arc<dyn VmDirectory>>,
+    /// A directory of targets and configuration, in place of intents.
+    directory: Option<Arc<dyn DirectorySource>>,
+    /// Headers that callers and targets use.
+    #[builder(default = Arc::new(OwnDialect))]
+    dialect: Arc<dyn CallDialect>,
+}
+
+impl EntryBorders {
+    /// Connects an entry to the platform of its settings, if there is one.
+    pub fn of_platform(settings: Option<&PlatformSettings>) -> Self {
+        let platform = settings.map(platform_store);
+        let store = platform.clone().map(|platform| platform as Arc<dyn ObjectStore>);
+        let vms = platform.map(|platform| platform as Arc<dyn VmDirectory>);
+        Self::builder().maybe_store(store).maybe_vms(vms).build()
+    }
+}
+
 /// A running entry.
 pub struct EntryRuntime {
     caller_address: SocketAddr,
@@ -68,10 +94,8 @@
     ///
     /// Returns an error when an address cannot be listened on.
     pub async fn start(settings: EntrySettings) -> Result<Self, StartError> {
-        let platform = settings.platform.as_ref().map(platform_store);
-        let store = platform.clone().map(|platform| platform as Arc<dyn ObjectStore>);
-        let vms = platform.map(|platform| platform as Arc<dyn VmDirectory>);
-        Self::start_from(settings, store, vms).await
+        let borders = EntryBorders::of_platform(settings.platform.as_ref());
+        Self::start_on(settings, borders).await
     }
 
     /// Starts an entry that keeps shared state in `store`.
@@ -83,23 +107,35 @@
         settings: EntrySettings,
         store: Option<Arc<dyn ObjectStore>>,
     ) -> Result<Self, StartError> {
-        Self::start_from(settings, store, None).await
+        Self::start_on(settings, EntryBorders::builder().maybe_store(store).build()).await
     }
 
-    async fn start_from(
+    /// Starts an entry on these borders.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address cannot be listened on.
+    pub async fn start_on(
         mut settings: EntrySettings,
-        store: Option<Arc<dyn ObjectStore>>,
-        vms: Option<Arc<dyn VmDirectory>>,
+        borders: EntryBorders,
     ) -> Result<Self, StartError> {
+        let EntryBorders { store, vms, directory, dialect } = borders;
         let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
-        let state =
-            Arc::new(SharedState::new(clock.clone(), &settings.name, &settings.data_centre));
+        let state = SharedState::new(clock.clone(), &settings.name, &settings.data_centre);
+        let state = Arc::new(state.with_dialect(dialect));
         let (listener, caller_address) = listen(settings.listen).await?;
         let (admin_listener, admin_address) = listen(settings.admin_listen).await?;
         let stop = CancellationToken::new();
         let (mut driver, targets) = TargetsDriver::new(state.clone());
         apply_intents(&state, &mut driver, std::mem::take(&mut settings.services));
-        // Runs on during a planned stop, until the last request has ended.
+        let mut checks: Vec<Arc<dyn ReadinessCheck>> = Vec::new();
+        if let Some(source) = directory {
+            let learnt = Arc::new(AtomicBool::new(false));
+            checks.push(learnt.clone());
+            let follower = DirectoryDriver::new(state.clone(), source, targets.clone(), learnt);
+            tokio::spawn(follower.run(CancellationToken::new()));
+        }
+        // Both run on during a planned stop, until the last request has ended.
         tokio::spawn(driver.run(CancellationToken::new()));
         let quarantine = Arc::new(QuarantineGate::new(clock.clone()));
         let control = match (settings.platform.take(), store) {
@@ -121,11 +157,12 @@
             None => Arc::new(NoKeyClaims),
         };
         let ready = Arc::new(AtomicBool::new(true));
-        let router = AdminRouter::new(handlers(&state, &ready, control.as_ref()));
+        checks.push(ready.clone());
+        let router = AdminRouter::new(handlers(&state, checks, control.as_ref()));
         tokio::spawn(router.serve(admin_listener, stop.clone()));
         tokio::spawn(drive_burn(state.clone(), stop.clone()));
         let EntrySettings { limits, pool, stop: stop_settings, routing, .. } = settings;
-        let transport = Arc::new(HttpTransport::new(pool, Arc::new(UnobservedSilence)));
+        let transport = Arc::new(HttpTransport::new(pool.clone(), Arc::new(UnobservedSilence)));
         let policy = routing.policy();
         let grant: Arc<dyn IntentGrant> = match &control {
             Some(control) => control.status().clone(),
@@ -145,6 +182,8 @@
             transport,
             quarantine,
             claims: claims.clone(),
+            buffered_body_bytes: limits.buffered_body_bytes,
+            whole_answer_bytes: pool.whole_answer_bytes,
         };
         let front = HttpFront::new(state, parts.build(), limits);
         let close = CancellationToken::new();
@@ -257,10 +296,12 @@
 
 fn handlers(
     state: &Arc<SharedState>,
-    ready: &Arc<AtomicBool>,
+    mut checks: Vec<Arc<dyn ReadinessCheck>>,
     control: Option<&ControlPlane>,
 ) -> Vec<Arc<dyn AdminHandler>> {
-    let propagation = control.map(|plane| plane.status().clone());
+    if let Some(plane) = control {
+        checks.push(plane.status().clone());
+    }
     let mut lookups: Vec<Arc<dyn RecordLookup>> = vec![Arc::new(LocalRecords(state.clone()))];
     let members = control.and_then(ControlPlane::member_calls);
     if let Some(members) = members.clone() {
@@ -268,7 +309,7 @@
     }
     let mut handlers: Vec<Arc<dyn AdminHandler>> = vec![
         Arc::new(LivenessHandler),
-        Arc::new(ReadinessHandler::new(ready.clone(), propagation)),
+        Arc::new(ReadinessHandler::new(checks)),
         Arc::new(MetricsHandler(state.clone())),
         Arc::new(ExplainHandler::new(lookups)),
         Arc::new(RecordsHandler(state.clone())),
--- a/src/settings/intent.rs
+++ b/src/settings/intent.rs
@@ -65,6 +65,23 @@
         }
         let deadline = field(path, "deadline_ms");
         faults.check_range(deadline, self.deadline_ms, 1..=3_600_000, "give it in milliseconds");
+        if let Some(latency) = self.target_latency_ms {
+            let remedy = "give a time within the deadline";
+            faults.check_range(
+                field(path, "target_latency_ms"),
+                latency,
+                1..=self.deadline_ms,
+                remedy,
+            );
+        }
+        if let Some(dispatches) = self.max_dispatches {
+            faults.check_range(
+                field(path, "max_dispatches"),
+                dispatches,
+                1..=4,
+                "1 means no retry",
+            );
+        }
         let objective = field(path, "objective_percent");
         faults.check_range(objective, self.objective_percent, 0.0..=100.0, PERCENT_REMEDY);
     }
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -26,6 +26,9 @@
     pub max_caller_connections: usize,
     /// Greatest number of open streams of one HTTP/2 connection.
     pub max_http2_streams: u32,
+    /// Size in bytes up to which a request body of known length is read whole
+    /// before it is sent on, so that it can be sent again.
+    pub buffered_body_bytes: u64,
 }
 
 impl Default for LimitSettings {
@@ -38,6 +41,7 @@
             body_progress_timeout_ms: 10_000,
             max_caller_connections: 10_000,
             max_http2_streams: 100,
+            buffered_body_bytes: 16 << 10,
         }
     }
 }
@@ -69,6 +73,8 @@
         faults.check_range(at("body_progress_timeout_ms"), timeout, 100..=600_000, time);
         let connections = self.max_caller_connections;
         faults.check_range(at("max_caller_connections"), connections, 1..=1_000_000, count);
+        let buffered = self.buffered_body_bytes;
+        faults.check_range(at("buffered_body_bytes"), buffered, 0..=64 << 20, bytes);
         faults.check_range(at("max_http2_streams"), self.max_http2_streams, 1..=10_000, count);
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -22,6 +22,7 @@
 pub use pool::{MAX_CONNECTIONS_PER_TARGET, PoolSettings};
 pub use routing::RoutingSettings;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 pub use stop::StopSettings;
 use zinniaport_core::intent::ServiceIntent;
 
@@ -141,20 +142,7 @@
     /// Returns an error when the file cannot be read or is not valid; it names
     /// all values that break a rule.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
-        let unreadable =
-            |cause: &str| SettingsError::Unreadable { path: path.into(), cause: cause.to_owned() };
-        if path.is_dir() {
-            return Err(unreadable("is a directory, not a file"));
-        }
-        let bytes = std::fs::read(path).map_err(|error| unreadable(&read_fault(&error)))?;
-        let text = String::from_utf8(bytes).map_err(|error| {
-            let position = error.utf8_error().valid_up_to();
-            unreadable(&format!("byte {position} is not UTF-8"))
-        })?;
-        if text.trim().is_empty() {
-            return Err(unreadable("the file is empty"));
-        }
-        Self::parse(path, &text)
+        load_settings(path)
     }
 
     /// Reads settings from text and checks them; `path` appears in errors.
@@ -164,14 +152,50 @@
     /// Returns an error when the text is not valid; it names all values that
     /// break a rule.
     pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
-        let settings: Self = serde_norway::from_str(text)
-            .map_err(|source| SettingsError::Invalid { path: path.into(), source })?;
-        let mut faults = FaultList::default();
-        settings.check("", &mut faults);
-        match faults.into_faults() {
-            faults if faults.is_empty() => Ok(settings),
-            faults => Err(SettingsError::Faulty { faults }),
-        }
+        parse_settings(path, text)
+    }
+}
+
+/// Reads settings of any kind from a YAML file and checks them.
+///
+/// # Errors
+///
+/// Returns an error when the file cannot be read or is not valid; it names all
+/// values that break a rule.
+pub fn load_settings<T: DeserializeOwned + CheckSettings>(path: &Path) -> Result<T, SettingsError> {
+    let unreadable =
+        |cause: &str| SettingsError::Unreadable { path: path.into(), cause: cause.to_owned() };
+    if path.is_dir() {
+        return Err(unreadable("is a directory, not a file"));
+    }
+    let bytes = std::fs::read(path).map_err(|error| unreadable(&read_fault(&error)))?;
+    let text = String::from_utf8(bytes).map_err(|error| {
+        let position = error.utf8_error().valid_up_to();
+        unreadable(&format!("byte {position} is not UTF-8"))
+    })?;
+    if text.trim().is_empty() {
+        return Err(unreadable("the file is empty"));
+    }
+    parse_settings(path, &text)
+}
+
+/// Reads settings of any kind from YAML and checks them; `path` appears in errors.
+///
+/// # Errors
+///
+/// Returns an error when the text is not valid; it names all values that break a
+/// rule.
+pub fn parse_settings<T: DeserializeOwned + CheckSettings>(
+    path: &Path,
+    text: &str,
+) -> Result<T, SettingsError> {
+    let settings: T = serde_norway::from_str(text)
+        .map_err(|source| SettingsError::Invalid { path: path.into(), source })?;
+    let mut faults = FaultList::default();
+    settings.check("", &mut faults);
+    match faults.into_faults() {
+        faults if faults.is_empty() => Ok(settings),
+        faults => Err(SettingsError::Faulty { faults }),
     }
 }
 
--- a/src/settings/pool.rs
+++ b/src/settings/pool.rs
@@ -24,6 +24,9 @@
     pub head_silence_ms: u64,
     /// Longest time without progress within the response body, in milliseconds.
     pub body_silence_ms: u64,
+    /// Size in bytes up to which an answer is read whole before it is passed on, so
+    /// that a broken one can be replaced; 0 passes all answers on as they arrive.
+    pub whole_answer_bytes: usize,
 }
 
 /// Upper bound of `max_connections_per_target`: the slots of a target's
@@ -38,6 +41,7 @@
             connect_timeout_ms: 1000,
             head_silence_ms: 5000,
             body_silence_ms: 5000,
+            whole_answer_bytes: 0,
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,6 +12,7 @@
 use zinniaport_core::keys::ServiceKey;
 use zinniaport_core::probe::MeasuringAccount;
 
+use crate::dialect::{CallDialect, OwnDialect};
 use crate::records::RecordCopies;
 use crate::telemetry::EntryMetrics;
 
@@ -29,6 +30,8 @@
     pub fleet: ArcSwap<FleetSnapshot>,
     /// Clock of this entry.
     pub clock: Arc<dyn ClockSource>,
+    /// Headers that callers and targets use.
+    pub dialect: Arc<dyn CallDialect>,
     /// Name of this entry.
     pub entry_name: Arc<str>,
     /// Data centre of this entry.
@@ -54,6 +57,7 @@
         Self {
             fleet: ArcSwap::default(),
             clock,
+            dialect: Arc::new(OwnDialect),
             entry_name: entry_name.into(),
             data_centre: data_centre.into(),
             callers: Mutex::new(CallerTable::new(KNOWN_CALLERS)),
@@ -64,4 +68,11 @@
             metrics: EntryMetrics::new(),
         }
     }
+
+    /// Replaces the headers that callers and targets use.
+    #[must_use]
+    pub fn with_dialect(mut self, dialect: Arc<dyn CallDialect>) -> Self {
+        self.dialect = dialect;
+        self
+    }
 }
--- /dev/null
+++ b/src/store/connection.rs
@@ -0,0 +1,122 @@
+//! Connections to an HTTP API, kept open between calls.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::task::AbortOnDropHandle;
+
+use super::StoreError;
+
+/// Largest answer that is read, in bytes: a list of 64 objects of 1 MiB.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// Idle connections that are kept. An entry has a watch for each of two parts under
+/// way and makes single calls beside them.
+const MAX_IDLE: usize = 4;
+
+/// Makes calls to one address. Calls reuse connections that work; calls made at the
+/// same time open others. Nothing is sent twice.
+#[derive(Debug)]
+pub struct ApiCaller {
+    address: SocketAddr,
+    idle: Mutex<Vec<ApiConnection>>,
+}
+
+/// An open connection, closed when dropped.
+#[derive(Debug)]
+struct ApiConnection {
+    sender: SendRequest<Full<Bytes>>,
+    _driver: AbortOnDropHandle<hyper::Result<()>>,
+}
+
+impl ApiConnection {
+    async fn open(address: SocketAddr) -> Result<Self, String> {
+        let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
+        stream.set_nodelay(true).map_err(|error| error.to_string())?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
+        Ok(Self { sender, _driver: AbortOnDropHandle::new(tokio::spawn(connection)) })
+    }
+
+    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, String> {
+        let response = self.sender.send_request(request).await;
+        let (head, body) = response.map_err(|error| error.to_string())?.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        Ok(Response::from_parts(head, body))
+    }
+}
+
+impl ApiCaller {
+    /// Creates a caller without connections.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, idle: Mutex::default() }
+    }
+
+    /// Sends a request and reads the whole answer within `limit`. A connection
+    /// without an answer in time is closed, since it may be silent for good.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no connection or no whole answer in time.
+    pub async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, StoreError> {
+        let Ok(answer) = timeout(limit, self.exchange(request)).await else {
+            return Err(no_answer(format!("{} ms passed", limit.as_millis())));
+        };
+        answer
+    }
+
+    async fn exchange(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, StoreError> {
+        let mut connection = match self.working_connection().await {
+            Some(connection) => connection,
+            None => ApiConnection::open(self.address)
+                .await
+                .map_err(|cause| refused(format!("cannot connect: {cause}")))?,
+        };
+        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        let response = connection.exchange(request).await.map_err(no_answer)?;
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
+        Ok(response)
+    }
+
+    /// Takes an idle connection that the other side has not closed.
+    async fn working_connection(&self) -> Option<ApiConnection> {
+        loop {
+            let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
+            let mut connection = idle?;
+            if connection.sender.ready().await.is_ok() {
+                return Some(connection);
+            }
+        }
+    }
+}
+
+/// Makes the error of a call that certainly changed nothing.
+pub fn refused(cause: impl Into<String>) -> StoreError {
+    StoreError::Refused { cause: cause.into() }
+}
+
+/// Makes the error of a call that may have taken effect.
+pub fn no_answer(cause: impl Into<String>) -> StoreError {
+    StoreError::NoAnswer { cause: cause.into() }
+}
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -1,20 +1,15 @@
 //! Client of the platform's object API over HTTP/1.1.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use bon::Builder;
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use http::{HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
-use tokio_util::task::AbortOnDropHandle;
+use http::{Method, Request, Response, StatusCode, header};
+use http_body_util::Full;
 
+use super::connection::{ApiCaller, no_answer, refused};
 use super::{
     ListedVm, ObjectStore, StoreError, StoredObject, VmDirectory, WatchBatch, WriteCondition,
 };
@@ -22,88 +17,21 @@
 /// Header with the version of an object.
 const VERSION_HEADER: &str = "x-version";
 
-/// Largest answer that is read, in bytes: a list of 64 objects of 1 MiB.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
-
 /// Largest content that the platform takes, in bytes.
 const MAX_CONTENT_BYTES: usize = 1 << 20;
 
-/// The platform's object store over HTTP. Calls reuse one connection while it
-/// works; calls made at the same time open others. Nothing is sent twice.
+/// The platform's object store over HTTP.
 #[derive(Debug, Builder)]
 pub struct HttpStore {
     /// Address of the platform.
-    address: SocketAddr,
+    #[builder(name = address, with = |address: SocketAddr| ApiCaller::new(address))]
+    api: ApiCaller,
     /// Time limit of each call but watches, which name their own.
     #[builder(default = Duration::from_secs(2))]
     call_limit: Duration,
-    #[builder(skip)]
-    idle: Mutex<Option<StoreConnection>>,
-}
-
-/// An open connection, closed when dropped.
-#[derive(Debug)]
-struct StoreConnection {
-    sender: SendRequest<Full<Bytes>>,
-    _driver: AbortOnDropHandle<hyper::Result<()>>,
-}
-
-impl StoreConnection {
-    async fn open(address: SocketAddr) -> Result<Self, String> {
-        let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
-        stream.set_nodelay(true).map_err(|error| error.to_string())?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|error| error.to_string())?;
-        Ok(Self { sender, _driver: AbortOnDropHandle::new(tokio::spawn(connection)) })
-    }
-
-    async fn exchange(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, String> {
-        let response = self.sender.send_request(request).await;
-        let (head, body) = response.map_err(|error| error.to_string())?.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|error| error.to_string())?.to_bytes();
-        Ok(Response::from_parts(head, body))
-    }
 }
 
 impl HttpStore {
-    async fn call(
-        &self,
-        request: Request<Full<Bytes>>,
-        limit: Duration,
-    ) -> Result<Response<Bytes>, StoreError> {
-        let Ok(answer) = timeout(limit, self.exchange(request)).await else {
-            return Err(no_answer(format!("{} ms passed", limit.as_millis())));
-        };
-        answer
-    }
-
-    async fn exchange(
-        &self,
-        mut request: Request<Full<Bytes>>,
-    ) -> Result<Response<Bytes>, StoreError> {
-        let mut connection = match self.working_connection().await {
-            Some(connection) => connection,
-            None => StoreConnection::open(self.address)
-                .await
-                .map_err(|cause| refused(format!("cannot connect: {cause}")))?,
-        };
-        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
-            request.headers_mut().insert(header::HOST, host);
-        }
-        let response = connection.exchange(request).await.map_err(no_answer)?;
-        *self.idle.lock().unwrap_or_else(PoisonError::into_inner) = Some(connection);
-        Ok(response)
-    }
-
-    /// Takes the idle connection if the platform has not closed it.
-    async fn working_connection(&self) -> Option<StoreConnection> {
-        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner).take();
-        let mut connection = idle?;
-        connection.sender.ready().await.ok()?;
-        Some(connection)
-    }
-
     async fn change(
         &self,
         name: &str,
@@ -111,7 +39,7 @@
         content: Bytes,
     ) -> Result<u64, StoreError> {
         let request = object_request(request, name, content)?;
-        let response = self.call(request, self.call_limit).await?;
+        let response = self.api.call(request, self.call_limit).await?;
         match response.status() {
             StatusCode::OK => {
                 version(&response).ok_or_else(|| no_answer("the answer has no X-Version"))
@@ -126,7 +54,7 @@
 
     async fn batch(&self, target: String, limit: Duration) -> Result<WatchBatch, StoreError> {
         let request = request_to(Request::get(target), Bytes::new())?;
-        let response = self.call(request, limit).await?;
+        let response = self.api.call(request, limit).await?;
         match response.status() {
             StatusCode::OK => serde_json::from_slice(response.body())
                 .map_err(|error| no_answer(format!("the answer is not valid: {error}"))),
@@ -143,7 +71,7 @@
     ) -> BoxFuture<'a, Result<Option<StoredObject>, StoreError>> {
         Box::pin(async move {
             let request = object_request(Request::get("/"), name, Bytes::new())?;
-            let response = self.call(request, self.call_limit).await?;
+            let response = self.api.call(request, self.call_limit).await?;
             match response.status() {
                 StatusCode::OK => decode_object(name, &response).map(Some),
                 StatusCode::NOT_FOUND => Ok(None),
@@ -210,7 +138,7 @@
     fn list_vms(&self) -> BoxFuture<'_, Result<Vec<ListedVm>, StoreError>> {
         Box::pin(async {
             let request = request_to(Request::get("/vms"), Bytes::new())?;
-            let response = self.call(request, self.call_limit).await?;
+            let response = self.api.call(request, self.call_limit).await?;
             match response.status() {
                 StatusCode::OK => serde_json::from_slice(response.body())
                     .map_err(|error| no_answer(format!("the list is not valid: {error}"))),
@@ -264,11 +192,3 @@
     let cause = format!("{status} {text}");
     if status.is_client_error() { refused(cause) } else { no_answer(cause) }
 }
-
-fn refused(cause: impl Into<String>) -> StoreError {
-    StoreError::Refused { cause: cause.into() }
-}
-
-fn no_answer(cause: impl Into<String>) -> StoreError {
-    StoreError::NoAnswer { cause: cause.into() }
-}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's object store, as the entry sees it.
 
 mod calls;
+mod connection;
 mod http;
 
 use std::net::IpAddr;
@@ -8,6 +9,7 @@
 
 use bytes::Bytes;
 pub use calls::StoreCaller;
+pub use connection::{ApiCaller, no_answer, refused};
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
 pub use http::HttpStore;
--- a/tests/admission_gate.rs
+++ b/tests/admission_gate.rs
@@ -22,6 +22,7 @@
             data_centre: "valle-a".to_owned(),
             slots,
             state: TargetWish::Serving,
+            instance: None,
         }],
         measuring: MeasuringIntent::default(),
         max_queue_length: 1_000,
--- a/tests/route_filter.rs
+++ b/tests/route_filter.rs
@@ -8,10 +8,9 @@
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use tokio_util::sync::CancellationToken;
+use zinniaport::dialect::DRAIN_HEADER;
 use zinniaport::exchange::{CallBody, Exchange, empty_body, full_body};
-use zinniaport::filters::{
-    DRAIN_HEADER, FilterChain, FilterNext, FilterResult, RequestFilter, RouteFilter,
-};
+use zinniaport::filters::{FilterChain, FilterNext, FilterResult, RequestFilter, RouteFilter};
 use zinniaport::refusal::Refusal;
 use zinniaport::state::SharedState;
 use zinniaport::targets::{TargetsDriver, TargetsHandle};
@@ -81,6 +80,7 @@
         data_centre: "valle-a".to_owned(),
         slots: 3,
         state: TargetWish::Serving,
+        instance: None,
     };
     ServiceIntent {
         service: "pump-history".to_owned(),
