Read the settings again at SIGHUP instead of ending

Change: SIGHUP reads and checks the settings and logs whether they differ; a file that cannot be used leaves the old settings in force. Conclusion: addresses still apply at the next start only, as the log line says.

--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -7,7 +7,7 @@
 
 use super::wait_for_stop;
 use crate::runtime::{EntryBorders, EntryRuntime};
-use crate::settings::EntrySettings;
+use crate::settings::{EntrySettings, SettingsError};
 use crate::telemetry::start_logs;
 
 /// Runs an entry.
@@ -34,12 +34,18 @@
             }
         };
         let borders = EntryBorders::of_platform(settings.platform.as_ref());
-        run_entry(settings, borders).await
+        run_entry(settings, borders, || EntrySettings::load(&self.settings)).await
     }
 }
 
-/// Runs an entry on these borders until SIGTERM or Ctrl-C.
-pub async fn run_entry(settings: EntrySettings, borders: EntryBorders) -> ExitCode {
+/// Runs an entry on these borders until SIGTERM or Ctrl-C. At each SIGHUP `load`
+/// reads the settings again; what differs takes effect at the next start.
+pub async fn run_entry(
+    settings: EntrySettings,
+    borders: EntryBorders,
+    load: impl Fn() -> Result<EntrySettings, SettingsError>,
+) -> ExitCode {
+    let running = settings.clone();
     start_logs(settings.log.level, &settings.name);
     let entry = match EntryRuntime::start_on(settings, borders).await {
         Ok(entry) => entry,
@@ -50,7 +56,16 @@
     };
     println!("callers: {}", entry.caller_address());
     println!("admin: {}", entry.admin_address());
-    wait_for_stop().await;
+    wait_for_stop(|| match load() {
+        Ok(settings) => {
+            let changed = settings != running;
+            log::info!(changed = changed; "settings read again; changes apply at the next start");
+        }
+        Err(error) => log::error!("the settings cannot be used, the old ones stay: {error}"),
+    })
+    .await;
+    log::info!("stop requested");
     entry.stop().await;
+    log::info!("stopped");
     ExitCode::SUCCESS
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -71,12 +71,21 @@
     }
 }
 
-/// Waits for SIGTERM or Ctrl-C.
-async fn wait_for_stop() {
+/// Waits for SIGTERM or Ctrl-C. Calls `reload` at each SIGHUP, which would end the
+/// process if nothing waited for it.
+async fn wait_for_stop(mut reload: impl FnMut()) {
     use tokio::signal::unix::{SignalKind, signal};
-    let Ok(mut terminate) = signal(SignalKind::terminate()) else { return };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = tokio::signal::ctrl_c() => {}
+    let (Ok(mut terminate), Ok(mut hangup)) =
+        (signal(SignalKind::terminate()), signal(SignalKind::hangup()))
+    else {
+        log::error!("cannot wait for signals; stop the process with SIGKILL");
+        return std::future::pending().await;
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = tokio::signal::ctrl_c() => return,
+            _ = hangup.recv() => reload(),
+        }
     }
 }
--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -64,7 +64,7 @@
         };
         println!("listening: {}", target.address());
         tokio::select! {
-            () = wait_for_stop() => ExitCode::SUCCESS,
+            () = wait_for_stop(|| {}) => ExitCode::SUCCESS,
             () = target.stopped(), if self.restart_after_ms.is_none() => {
                 eprintln!("a request with x-crash crashed the target; start it again");
                 ExitCode::FAILURE
@@ -111,7 +111,7 @@
         };
         platform.set_faults(self.faults.unwrap_or_default());
         println!("listening: {}", platform.address());
-        wait_for_stop().await;
+        wait_for_stop(|| {}).await;
         ExitCode::SUCCESS
     }
 }
--- a/src/commands/try_out/mod.rs
+++ b/src/commands/try_out/mod.rs
@@ -130,7 +130,7 @@
     let terminal = std::io::stdout().is_terminal();
     let period = Duration::from_secs(if terminal { 1 } else { 5 });
     let mut interval = tokio::time::interval(period);
-    let stop = wait_for_stop();
+    let stop = wait_for_stop(|| {});
     tokio::pin!(stop);
     println!("Ctrl-C ends it\n");
     loop {
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -7,7 +7,7 @@
 use super::fault::{CheckSettings, FaultList, field};
 
 /// Limits of the front end.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LimitSettings {
     /// Largest request head, in bytes.
--- a/src/settings/log.rs
+++ b/src/settings/log.rs
@@ -4,7 +4,7 @@
 use strum::{Display, EnumString};
 
 /// Settings of logs, which are JSON lines on standard error.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LogSettings {
     /// Least severe level that is written.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -29,7 +29,7 @@
 use self::fault::{check_each, element, field};
 
 /// Settings of one entry.
-#[derive(Clone, Debug, Deserialize, bon::Builder)]
+#[derive(Clone, Debug, PartialEq, Deserialize, bon::Builder)]
 #[builder(on(String, into))]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
--- a/src/settings/peers.rs
+++ b/src/settings/peers.rs
@@ -7,7 +7,7 @@
 use super::fault::{CheckSettings, FaultList, field};
 
 /// How an entry reaches the others.
-#[derive(Clone, Debug, Deserialize, bon::Builder)]
+#[derive(Clone, Debug, PartialEq, Deserialize, bon::Builder)]
 #[serde(deny_unknown_fields)]
 pub struct PeerSettings {
     /// Address for messages, with the IP address that the others use.
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -7,7 +7,7 @@
 use super::fault::{CheckSettings, FaultList, check_each, element, field};
 
 /// Where the platform's store is, and who may change what.
-#[derive(Clone, Debug, Deserialize, bon::Builder)]
+#[derive(Clone, Debug, PartialEq, Deserialize, bon::Builder)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Address of the platform's API.
@@ -27,7 +27,7 @@
 }
 
 /// A team that owns services.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TeamSettings {
     /// Name, as in the intents of its services.
@@ -37,7 +37,7 @@
 }
 
 /// A bearer token, kept as its digest.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TokenSettings {
     /// Author recorded with each change made with the token.
--- a/src/settings/pool.rs
+++ b/src/settings/pool.rs
@@ -7,7 +7,7 @@
 use super::fault::{CheckSettings, FaultList, field};
 
 /// Limits on the connections to targets.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PoolSettings {
     /// Greatest number of connections to one target, at most
--- a/src/settings/routing.rs
+++ b/src/settings/routing.rs
@@ -8,7 +8,7 @@
 use super::fault::{CheckSettings, FaultList, field};
 
 /// How targets are picked.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RoutingSettings {
     /// Name of the routing policy.
--- a/src/settings/stop.rs
+++ b/src/settings/stop.rs
@@ -8,7 +8,7 @@
 use super::fault::{CheckSettings, FaultList, field};
 
 /// Time limits of a planned stop.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct StopSettings {
     /// Time from readiness turning false until the platform's balancer sends no
