--- a/core/examples/decision_cost.rs
+++ b/core/examples/decision_cost.rs
@@ -93,7 +93,7 @@
     (0..waiting).for_each(|_| assert!(join(&mut queue)));
     time(|| {
         assert!(join(&mut queue));
-        black_box(queue.take_next(Timestamp(2)));
+        black_box(queue.take_next(Timestamp(2), Duration::ZERO));
     })
 }
 
@@ -120,6 +120,7 @@
         name: "entry-0".into(),
         data_centre: "valle-a".into(),
         members: (0..ENTRIES).map(|entry| format!("entry-{entry}").into()).collect(),
+        shares_load: false,
     };
     let mut fleet = FleetSnapshot { view, ..FleetSnapshot::default() };
     fleet.apply(intent, 1, Timestamp(1));
@@ -141,6 +142,7 @@
         data_centre: &fleet.view.data_centre,
         members: &fleet.view.members,
         excluded: &[],
+        remote_cost: 0.0,
         now: Timestamp(2_000_000),
     }
 }
--- a/core/src/admission/queue.rs
+++ b/core/src/admission/queue.rs
@@ -74,6 +74,7 @@
     waiter: W,
     rank: u8,
     caller: CallerKey,
+    useful_until: Timestamp,
     deadline: Timestamp,
     order: u64,
     queued: Timestamp,
@@ -82,7 +83,13 @@
 }
 
 impl<W> WaitingCall<W> {
+    /// Gives its place among those of its caller that can still be useful.
     fn place(&self) -> (Timestamp, u64) {
+        (self.useful_until, self.order)
+    }
+
+    /// Gives its place among all by deadline.
+    fn deadline_place(&self) -> (Timestamp, u64) {
         (self.deadline, self.order)
     }
 }
@@ -93,6 +100,8 @@
 struct RankQueue {
     turns: VecDeque<CallerKey>,
     callers: HashMap<CallerKey, BTreeMap<(Timestamp, u64), WaitKey>>,
+    /// Requests whose answers come too late to have their full worth, by deadline.
+    late: BTreeMap<(Timestamp, u64), WaitKey>,
     waiting: usize,
     overtaken: u32,
 }
@@ -118,6 +127,19 @@
         }
     }
 
+    /// Moves a request to those that come too late.
+    fn demote<W>(&mut self, key: WaitKey, call: &WaitingCall<W>) {
+        self.remove(call.caller, call.place());
+        self.late.insert(call.deadline_place(), key);
+        self.waiting += 1;
+    }
+
+    /// Gives the request whose turn it is among those that can still be useful.
+    fn next_useful(&self) -> Option<WaitKey> {
+        let calls = self.callers.get(self.turns.front()?)?;
+        calls.first_key_value().map(|(_, key)| *key)
+    }
+
     fn waiting_of(&self, caller: CallerKey) -> usize {
         self.callers.get(&caller).map_or(0, BTreeMap::len)
     }
@@ -200,15 +222,16 @@
             waiter,
             rank: facts.rank,
             caller: facts.caller,
+            useful_until: facts.useful_until(),
             deadline: facts.deadline,
             order: self.joined,
             queued: now,
             queue_length: self.calls.len() as u32,
             overtaken: 0,
         };
-        let place = call.place();
+        let (place, deadline_place) = (call.place(), call.deadline_place());
         let key = self.calls.insert(call);
-        self.deadlines.insert(place, key);
+        self.deadlines.insert(deadline_place, key);
         self.ranks.entry(facts.rank).or_default().add(facts.caller, place, key);
         Ok(JoinedCall { key, displaced })
     }
@@ -220,17 +243,20 @@
         Some(call.waiter)
     }
 
-    /// Takes out the next request: one whose deadline has passed, if any, else
-    /// the one that is admitted next.
-    pub fn take_next(&mut self, now: Timestamp) -> Option<QueueDeparture<W>> {
+    /// Takes out the next request: one whose deadline cannot be met any more, if
+    /// any, else the one that is admitted next. A request that takes `service_time`
+    /// and would end after its answer has lost its worth gives way to all that can
+    /// still be useful, whatever their rank.
+    pub fn take_next(
+        &mut self,
+        now: Timestamp,
+        service_time: Duration,
+    ) -> Option<QueueDeparture<W>> {
         if let Some(waiter) = self.take_expired(now) {
             return Some(QueueDeparture::Expired(waiter));
         }
-        let (rank, forced) = self.next_rank()?;
-        let queue = self.ranks.get(&rank)?;
-        let caller = *queue.turns.front()?;
-        let key = *queue.callers.get(&caller)?.first_key_value()?.1;
-        let rule = self.rule_for(rank, forced, caller);
+        self.demote_late(now + service_time);
+        let (key, rule) = self.next_useful().or_else(|| self.next_late())?;
         let call = self.calls.remove(key)?;
         self.forget(&call);
         self.count_overtakes(&call);
@@ -245,6 +271,36 @@
         Some(QueueDeparture::Admitted(trace, call.waiter))
     }
 
+    /// Sets aside the requests that would end after `end` of their usefulness.
+    fn demote_late(&mut self, end: Timestamp) {
+        for queue in self.ranks.values_mut() {
+            let late: Vec<WaitKey> = queue
+                .callers
+                .values()
+                .flat_map(|calls| calls.range(..(end, 0)).map(|(_, key)| *key))
+                .collect();
+            for key in late {
+                if let Some(call) = self.calls.get(key) {
+                    queue.demote(key, call);
+                }
+            }
+        }
+    }
+
+    fn next_useful(&self) -> Option<(WaitKey, ReasonCode)> {
+        let (rank, forced) = self.next_rank()?;
+        let queue = self.ranks.get(&rank)?;
+        let key = queue.next_useful()?;
+        Some((key, self.rule_for(rank, forced, *queue.turns.front()?)))
+    }
+
+    /// Gives the request of the best rank with the nearest deadline among those
+    /// that come too late.
+    fn next_late(&self) -> Option<(WaitKey, ReasonCode)> {
+        let late = self.ranks.values().find_map(|queue| queue.late.first_key_value());
+        late.map(|(_, key)| (*key, ReasonCode::DeadlineFirst))
+    }
+
     fn take_expired(&mut self, now: Timestamp) -> Option<W> {
         let (place, key) = self.deadlines.first_key_value()?;
         if place.0 > now {
@@ -258,11 +314,10 @@
     /// overtake the worst once more than allowed.
     fn next_rank(&self) -> Option<(u8, bool)> {
         let limit = self.limits.max_overtakes;
-        let forced = self.ranks.iter().rev().find(|(_, queue)| queue.overtaken >= limit);
-        match forced {
-            Some((rank, _)) if self.ranks.len() > 1 => Some((*rank, true)),
-            _ => self.ranks.first_key_value().map(|(rank, _)| (*rank, false)),
-        }
+        let mut useful = self.ranks.iter().filter(|(_, queue)| !queue.callers.is_empty());
+        let first = useful.clone().next().map(|(rank, _)| (*rank, false))?;
+        let forced = useful.rfind(|(_, queue)| queue.overtaken >= limit);
+        forced.map(|(rank, _)| (*rank, true)).or(Some(first))
     }
 
     fn rule_for(&self, rank: u8, forced: bool, caller: CallerKey) -> ReasonCode {
@@ -300,9 +355,13 @@
     }
 
     fn forget(&mut self, call: &WaitingCall<W>) {
-        self.deadlines.remove(&call.place());
+        self.deadlines.remove(&call.deadline_place());
         if let Some(queue) = self.ranks.get_mut(&call.rank) {
-            queue.remove(call.caller, call.place());
+            if queue.late.remove(&call.deadline_place()).is_some() {
+                queue.waiting -= 1;
+            } else {
+                queue.remove(call.caller, call.place());
+            }
             if queue.waiting == 0 {
                 self.ranks.remove(&call.rank);
             }
@@ -321,6 +380,9 @@
     /// Gives the last request of the caller with the most requests in the worst rank.
     fn victim_for(&self, facts: &CallFacts) -> Option<WaitKey> {
         let (rank, queue) = self.ranks.last_key_value()?;
+        if let Some((_, late)) = queue.late.last_key_value() {
+            return Some(*late);
+        }
         let calls = queue.callers.values().max_by_key(|calls| calls.len())?;
         let own = queue.waiting_of(facts.caller);
         let gives_way = *rank > facts.rank || (*rank == facts.rank && calls.len() > own + 1);
--- a/core/src/admission/window.rs
+++ b/core/src/admission/window.rs
@@ -1,9 +1,12 @@
 //! How many requests of a service may be in flight from this entry.
+//!
+//! [`concurrency_window`] estimates it from reports; [`shared_room`] knows the
+//! requests in flight from all entries where these tell each other.
 
 use std::sync::atomic::Ordering;
 
 use crate::clock::Timestamp;
-use crate::policy::{LoadPrior, RouteTable};
+use crate::policy::{LoadPrior, RouteTable, usable_slots};
 
 /// Computes the concurrency window of a service: the requests in flight plus
 /// this entry's share of the slots that appear free, at least its home slots,
@@ -39,3 +42,36 @@
     };
     window.max(table.home_slots).max(1)
 }
+
+/// Room of a service for further requests, as all entries see it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SharedRoom {
+    /// Requests that the targets can take now without a queue.
+    pub free: u32,
+    /// Requests that the targets should run together.
+    pub usable: u32,
+}
+
+/// Computes the room of a service from the requests in flight from all entries.
+/// `own_in_flight` counts those that this entry has admitted, also those that are
+/// on their way to a target.
+pub fn shared_room(table: &RouteTable, own_in_flight: u32, now: Timestamp) -> SharedRoom {
+    let (mut room, mut dispatched) = (SharedRoom::default(), 0);
+    for target in &table.open {
+        dispatched += target.counters.in_flight.load(Ordering::Relaxed);
+        let usable = usable_slots(target.slots);
+        room.usable += usable;
+        if !target.counters.sheds(now) {
+            room.free += usable.saturating_sub(target.counters.shared_in_flight());
+        }
+    }
+    room.free = room.free.saturating_sub(own_in_flight.saturating_sub(dispatched));
+    room
+}
+
+/// Gives the chance with which an entry should claim room for the first of its
+/// waiting requests, so that all entries together claim about as much as there is.
+pub fn claim_chance(room: SharedRoom, own_waiting: u32, others_waiting: u32) -> f32 {
+    let own = own_waiting.max(1) as f32;
+    (room.free as f32 * own / (own + others_waiting as f32)).min(1.0)
+}
--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -34,8 +34,9 @@
     pub arrived: Timestamp,
     /// When the answer is of no more use.
     pub deadline: Timestamp,
-    /// Until when an answer has its full worth to the caller.
-    pub useful_until: Timestamp,
+    /// Until when an answer has its full worth to the caller, if that is before the
+    /// deadline.
+    pub useful_until: Option<Timestamp>,
     /// Greatest number of dispatches, those that certainly did not run included, if
     /// the intent states one.
     pub max_dispatches: Option<u8>,
@@ -46,6 +47,11 @@
 }
 
 impl CallFacts {
+    /// Gives the time until which an answer has its full worth.
+    pub fn useful_until(&self) -> Timestamp {
+        self.useful_until.unwrap_or(self.deadline)
+    }
+
     /// Gives the time left until the deadline.
     pub fn time_left(&self, now: Timestamp) -> Duration {
         self.deadline.since(now)
--- a/core/src/controllers/directory.rs
+++ b/core/src/controllers/directory.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use serde::Deserialize;
 use strum::IntoEnumIterator;
 
 use super::StateController;
@@ -108,6 +109,20 @@
     drop_at: Option<Timestamp>,
 }
 
+/// How a directory is used, as the operator of the entries sets it.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct DirectoryTerms {
+    /// Retries and hedges allowed, as a share of the first attempts.
+    pub retry_ratio: f64,
+}
+
+impl Default for DirectoryTerms {
+    fn default() -> Self {
+        Self { retry_ratio: 0.1 }
+    }
+}
+
 /// Owns the targets and the configuration as the directory states them.
 #[derive(Debug)]
 pub struct DirectoryController {
@@ -119,6 +134,7 @@
     /// Until when removals are held back because the store was away.
     returned_until: Timestamp,
     fleet: FleetSnapshot,
+    terms: DirectoryTerms,
     first_draw: u32,
     random: SmallRng,
     ready: bool,
@@ -130,7 +146,7 @@
 impl DirectoryController {
     /// Creates a controller. `seed` drives the jitter of its retries and where
     /// split routes start.
-    pub fn new(seed: u64) -> Self {
+    pub fn new(terms: DirectoryTerms, seed: u64) -> Self {
         Self {
             targets: IndexMap::new(),
             removed: IndexMap::new(),
@@ -139,6 +155,7 @@
             random: SmallRng::seed_from_u64(seed),
             returned_until: Timestamp::default(),
             fleet: FleetSnapshot::default(),
+            terms,
             first_draw: seed as u32,
             ready: false,
         }
@@ -342,7 +359,7 @@
                 targets: targets.swap_remove(service.name.as_str()).unwrap_or_default(),
                 measuring: MeasuringIntent::default(),
                 max_queue_length: MAX_QUEUE_LENGTH,
-                retry_percent: 0.0,
+                retry_percent: self.terms.retry_ratio * 100.0,
                 max_ejected_percent: MAX_EJECTED_PERCENT,
                 max_crashed_targets: MAX_CRASHED_TARGETS,
             }
--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -10,6 +10,7 @@
 mod plans;
 mod replies;
 mod settings;
+mod signals;
 mod targets;
 mod vms;
 
@@ -17,7 +18,9 @@
 pub use claims::{
     CLAIM_BATCH, ClaimAnswer, ClaimsController, ClaimsEffect, ClaimsMessage, SegmentName,
 };
-pub use directory::{DirectoryController, DirectoryEffect, DirectoryMessage, TargetChange};
+pub use directory::{
+    DirectoryController, DirectoryEffect, DirectoryMessage, DirectoryTerms, TargetChange,
+};
 pub use drain::{DrainController, DrainEffect, DrainLimits, DrainMessage, DrainState};
 pub use measuring::{MeasuringController, MeasuringEffect, MeasuringMessage, ProbeNeed};
 pub use membership::{
@@ -30,6 +33,7 @@
     ConfigMessage, ConfigSummary, EntryPlace, SettingsController, SettingsEffect, SettingsMessage,
     StoreBatch, VersionedIntent, WATCHERS_PER_REGION, choose_watchers,
 };
+pub use signals::{SignalsController, SignalsEffect, SignalsMessage};
 pub use targets::{TargetsController, TargetsEffect, TargetsMessage};
 pub use vms::{LEAVING_HOLD, LeavingVms, VmNote};
 
--- a/core/src/controllers/targets.rs
+++ b/core/src/controllers/targets.rs
@@ -235,6 +235,7 @@
                 fade_failures(&target.counters);
             }
         }
+        self.fleet.services.values().for_each(|service| service.table.update_median());
         let outliers: Vec<_> =
             self.fleet.services.keys().flat_map(|key| self.outliers(key)).collect();
         for (service, target) in outliers {
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -88,6 +88,14 @@
     pub reported_at: AtomicU64,
     /// Requests of this entry in flight when that report arrived.
     pub in_flight_at_report: AtomicU32,
+    /// Requests that the other entries say they have in flight.
+    pub others_in_flight: AtomicU32,
+    /// Whether the count in flight or the report changed since the other entries
+    /// were told.
+    pub untold: AtomicBool,
+    /// Time to the last answer that the other entries were not told, in
+    /// microseconds; 0 for none.
+    pub untold_latency_us: AtomicU64,
     /// Moving average of the time to the response head, in microseconds.
     pub latency_us: AtomicU64,
     /// Failures since the last success.
@@ -108,12 +116,28 @@
         self.reported_at.store(now.0, Ordering::Relaxed);
     }
 
+    /// Gives the requests in flight from all entries that tell each other.
+    pub fn shared_in_flight(&self) -> u32 {
+        let others = self.others_in_flight.load(Ordering::Relaxed);
+        self.in_flight.load(Ordering::Relaxed) + others
+    }
+
+    /// Takes over the time of work that another entry was told `age` ago.
+    pub fn record_pace(&self, pace_percent: u32, age: Duration, now: Timestamp) {
+        let reported = (now - age).0;
+        if self.reported_at.load(Ordering::Relaxed) < reported {
+            self.reported_at.store(reported, Ordering::Relaxed);
+            self.reported_pace.store(pace_percent, Ordering::Relaxed);
+        }
+    }
+
     /// Records a response whose head arrived after `latency`. Concurrent updates
     /// may lose one another, which moves the averages by one sample at most.
     pub fn record_success(&self, latency: Duration) {
         self.failures_in_row.store(0, Ordering::Relaxed);
         let share = self.failure_share.load(Ordering::Relaxed);
         self.failure_share.store(share - share.div_ceil(8), Ordering::Relaxed);
+        self.untold_latency_us.store(latency.as_micros() as u64, Ordering::Relaxed);
         self.record_latency(latency);
     }
 
@@ -157,6 +181,10 @@
 pub struct ServiceCounters {
     /// Requests of this entry in flight.
     pub in_flight: AtomicU32,
+    /// Requests of this entry that wait for a slot.
+    pub waiting: AtomicU32,
+    /// Requests that wait for a slot at the other entries, as they say.
+    pub others_waiting: AtomicU32,
     /// Next position for round robin.
     pub cursor: AtomicU32,
     /// Recent load reports for the probe policy.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod quarantine;
 pub mod retry;
 pub mod routes;
+pub mod signals;
--- a/core/src/policy/mod.rs
+++ b/core/src/policy/mod.rs
@@ -6,6 +6,7 @@
 mod probe_pool;
 mod random;
 mod round_robin;
+mod shortest_wait;
 mod table;
 mod two_choices;
 
@@ -20,6 +21,7 @@
 use rand::RngCore;
 pub use random::RandomPolicy;
 pub use round_robin::RoundRobin;
+pub use shortest_wait::{ShortestWait, usable_slots};
 pub use table::{EntryView, OpenTarget, RAMP_TIME, RouteTable, ramp_share};
 pub use two_choices::TwoChoices;
 
@@ -42,6 +44,9 @@
     pub members: &'a [Arc<str>],
     /// Targets that the request has already been sent to.
     pub excluded: &'a [TargetKey],
+    /// What sending the request to another data centre costs, as a share of the
+    /// time of work that avoiding it is worth.
+    pub remote_cost: f32,
     /// Clock reading of the decision.
     pub now: Timestamp,
 }
@@ -81,13 +86,14 @@
 
 /// Gives every policy by the name used in settings.
 pub fn policies() -> IndexMap<&'static str, Arc<dyn RoutingPolicy>> {
-    let policies: [Arc<dyn RoutingPolicy>; 6] = [
+    let policies: [Arc<dyn RoutingPolicy>; 7] = [
         Arc::new(RandomPolicy),
         Arc::new(RoundRobin),
         Arc::new(TwoChoices),
         Arc::new(AgedReports),
         Arc::new(ProbePolicy::default()),
         Arc::new(HomeSlots::default()),
+        Arc::new(ShortestWait),
     ];
     policies.into_iter().map(|policy| (policy.name(), policy)).collect()
 }
--- /dev/null
+++ b/core/src/policy/shortest_wait.rs
@@ -0,0 +1,140 @@
+//! The shortest expected time to an answer over all targets, from what the entries
+//! tell each other.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use rand::{Rng, RngCore};
+
+use super::{OpenTarget, RouteChoice, RouteQuery, RoutingPolicy, TwoChoices, failure_penalty};
+use crate::call::ReasonCode;
+use crate::clock::Timestamp;
+use crate::fleet::USUAL_PACE;
+
+/// Time for which a target that is slowed by its neighbours is expected to stay so
+/// after a fresh report. Neighbours change within some 150 ms; half of that is left
+/// on average.
+const SLOW_PHASE_LEFT_US: f32 = 75_000.0;
+
+/// Age at which a report of slow work says nothing any more.
+const MAX_PACE_AGE: Duration = Duration::from_millis(150);
+
+/// Utilisation above which many targets slow down.
+pub const KNEE_SHARE: f32 = 0.8;
+
+/// Factor on the time of work above that utilisation.
+const KNEE_FACTOR: f32 = 1.7;
+
+/// Factor on the time of work of a target that has just started.
+const COLD_FACTOR: f32 = 2.0;
+
+/// Time of work assumed before the first answers, in microseconds.
+const FIRST_WORK_US: f32 = 100_000.0;
+
+/// Latency of a target, as a multiple of the service's median, from which on it
+/// counts as slow by itself. Neighbours move the average less than that.
+const SLOW_FACTOR: f32 = 1.8;
+
+/// Share by which expected times may differ and still count as equal, so that
+/// entries with the same view do not all pick the same target.
+const TIE_SHARE: f32 = 0.05;
+
+/// Gives the requests that a target should run at the same time: as many as keep it
+/// below the utilisation at which it slows down, and one at least.
+pub fn usable_slots(slots: u32) -> u32 {
+    ((slots as f32 * KNEE_SHARE) as u32).max(1)
+}
+
+/// Picks the target with the shortest expected time among all open ones.
+///
+/// It needs the requests in flight from all entries and falls back to two choices
+/// without them. A pick walks the targets of one service, about 20 at the design
+/// size.
+#[derive(Debug, Default)]
+pub struct ShortestWait;
+
+/// What is known of a service when its targets are compared.
+struct WaitBasis {
+    now: Timestamp,
+    work_us: f32,
+    remote_cost: f32,
+}
+
+impl WaitBasis {
+    fn new(query: &RouteQuery<'_>) -> Self {
+        let median = query.service.table.median_latency_us.load(Ordering::Relaxed);
+        let work_us = if median == 0 { FIRST_WORK_US } else { median as f32 };
+        Self { now: query.now, work_us, remote_cost: query.remote_cost }
+    }
+
+    /// Estimates the time in microseconds until a request sent now is answered.
+    fn expect(&self, target: &OpenTarget) -> f32 {
+        let counters = &target.counters;
+        let slots = target.slots.max(1) as f32;
+        let load = counters.shared_in_flight() as f32 + failure_penalty(target);
+        let running = (load + 1.0).min(slots);
+        let mut work = self.work_us;
+        if running / slots > KNEE_SHARE {
+            work *= KNEE_FACTOR;
+        }
+        if target.ramp_start.is_some() {
+            work *= COLD_FACTOR;
+        }
+        let latency = counters.latency_us.load(Ordering::Relaxed) as f32;
+        work *= (latency / self.work_us / SLOW_FACTOR).max(1.0);
+        let queued = (load + 1.0 - slots).max(0.0);
+        let remote = if target.local { 0.0 } else { self.remote_cost };
+        (work + self.slow_phase(target, work)) * (1.0 + queued / slots + remote)
+    }
+
+    /// Estimates the time that a neighbour's load adds to a request.
+    fn slow_phase(&self, target: &OpenTarget, work: f32) -> f32 {
+        let counters = &target.counters;
+        let pace = counters.reported_pace.load(Ordering::Relaxed);
+        if pace <= USUAL_PACE {
+            return 0.0;
+        }
+        let age = self.now.since(Timestamp(counters.reported_at.load(Ordering::Relaxed)));
+        let fresh = 1.0 - age.as_secs_f32() / MAX_PACE_AGE.as_secs_f32();
+        let pace = pace as f32 / USUAL_PACE as f32;
+        let slow = (work * pace).min(SLOW_PHASE_LEFT_US);
+        slow * (1.0 - 1.0 / pace) * fresh.max(0.0)
+    }
+}
+
+impl RoutingPolicy for ShortestWait {
+    fn name(&self) -> &'static str {
+        "shortest-wait"
+    }
+
+    fn pick(&self, query: &RouteQuery<'_>, random: &mut dyn RngCore) -> Option<RouteChoice> {
+        let table = &query.service.table;
+        if !table.shares_load {
+            return TwoChoices.pick(query, random);
+        }
+        let basis = WaitBasis::new(query);
+        let usable = |target: &&OpenTarget| !query.excluded.contains(&target.key);
+        let mut best: Option<(&OpenTarget, f32)> = None;
+        let mut ties = 0;
+        for sheds in [false, true] {
+            let targets = table.open.iter().filter(usable);
+            for target in targets.filter(|target| target.counters.sheds(query.now) == sheds) {
+                let time = basis.expect(target);
+                match best {
+                    Some((_, least)) if time > least * (1.0 + TIE_SHARE) => {}
+                    Some((_, least)) if time >= least * (1.0 - TIE_SHARE) => {
+                        ties += 1;
+                        if random.random_range(0..=ties) == 0 {
+                            best = Some((target, time));
+                        }
+                    }
+                    _ => (best, ties) = (Some((target, time)), 0),
+                }
+            }
+            if best.is_some() {
+                break;
+            }
+        }
+        best.map(|(target, _)| query.choice(target, ReasonCode::ShortestWait))
+    }
+}
--- a/core/src/policy/table.rs
+++ b/core/src/policy/table.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use rand::{Rng, RngCore};
@@ -11,6 +11,7 @@
 use crate::clock::Timestamp;
 use crate::fleet::{TargetCounters, TargetEntry, TargetState};
 use crate::keys::TargetKey;
+use crate::outlier::median_latency;
 
 /// Time in which a cold or returning target reaches its full share.
 pub const RAMP_TIME: Duration = Duration::from_secs(10);
@@ -31,6 +32,9 @@
     pub data_centre: Arc<str>,
     /// Names of the live entries; empty if this entry is alone.
     pub members: Arc<[Arc<str>]>,
+    /// Whether the entries tell each other what they have in flight, so that the
+    /// sum over all entries is known for each target.
+    pub shares_load: bool,
 }
 
 impl EntryView {
@@ -89,6 +93,10 @@
     pub home_slots: u32,
     /// Live entries, this one included.
     pub entries: usize,
+    /// Whether the requests in flight from all entries are known.
+    pub shares_load: bool,
+    /// Median of the latencies of the open targets, in microseconds; 0 if unknown.
+    pub median_latency_us: AtomicU64,
     /// Where the next search for a free home slot starts.
     pub cursor: AtomicU32,
 }
@@ -99,11 +107,13 @@
         targets: impl Iterator<Item = (TargetKey, &'a TargetEntry)>,
         view: &EntryView,
     ) -> Self {
-        let mut table = Self { entries: view.entries(), ..Self::default() };
+        let (entries, shares_load) = (view.entries(), view.shares_load);
+        let mut table = Self { entries, shares_load, ..Self::default() };
         let homes = HomeMap::new(view);
         for (key, target) in targets.filter(|(_, target)| target.state.takes_requests()) {
             table.add(key, target, &homes, &view.data_centre);
         }
+        table.update_median();
         table
     }
 
@@ -129,6 +139,12 @@
         });
     }
 
+    /// Computes the median of the latencies of the open targets anew.
+    pub fn update_median(&self) {
+        let median = median_latency(self.open.iter().map(|target| &*target.counters));
+        self.median_latency_us.store(median.unwrap_or(0), Ordering::Relaxed);
+    }
+
     /// Draws an open target that is not excluded, preferring those that accept
     /// more work. Falls back to a scan so that a request finds the last one.
     pub fn sample(
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -28,10 +28,10 @@
 }
 
 impl RetryBudget {
-    /// Adds `percent` of one retry for a first attempt.
-    pub fn record_first_attempt(&self, percent: f64) {
+    /// Adds `percent` of one retry for a first attempt, up to `max_saved` retries.
+    pub fn record_first_attempt(&self, percent: f64, max_saved: u64) {
         let earned = (percent.clamp(0.0, 100.0) / 100.0 * TOKEN as f64) as u64;
-        let add = |tokens: u64| Some((tokens + earned).min(MAX_SAVED_RETRIES * TOKEN));
+        let add = |tokens: u64| Some((tokens + earned).min(max_saved * TOKEN));
         let _ = self.tokens.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
     }
 
--- /dev/null
+++ b/core/src/signals.rs
@@ -0,0 +1,82 @@
+//! What the entries tell each other within milliseconds: requests in flight and
+//! waiting. Other state ages in seconds and goes by gossip or through the store.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::digest::ShortDigest;
+use crate::fleet::TargetEntry;
+
+/// Identifies a target between entries, whose keys differ.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct TargetTag(pub u64);
+
+impl TargetTag {
+    /// Derives the tag of a target from its instance and address.
+    pub fn of(target: &TargetEntry) -> Self {
+        let (id, started) = match &target.instance {
+            Some(instance) => (&*instance.id, instance.started_ms),
+            None => ("", 0),
+        };
+        let address = target.address.to_string();
+        let parts = [id.as_bytes(), &started.to_be_bytes(), address.as_bytes()];
+        Self(ShortDigest::of(&parts).high_bits())
+    }
+}
+
+/// Identifies a service between entries.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct ServiceTag(pub u64);
+
+impl ServiceTag {
+    /// Derives the tag of a service from its name.
+    pub fn of(name: &str) -> Self {
+        Self(ShortDigest::of(&[name.as_bytes()]).high_bits())
+    }
+}
+
+/// Requests of one entry in flight at one target, and what it last learnt of it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct LoadSignal {
+    /// The target.
+    pub target: TargetTag,
+    /// Requests of the sender in flight there.
+    pub in_flight: u16,
+    /// Time of work that the target reported, in percent of the usual; 0 for none.
+    pub pace_percent: u16,
+    /// Age of that report, in milliseconds.
+    pub pace_age_ms: u16,
+    /// Time to the last answer, in microseconds; 0 for none since the last signal.
+    pub latency_us: u32,
+}
+
+/// Requests of one entry that wait for a service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct WaitSignal {
+    /// The service.
+    pub service: ServiceTag,
+    /// Requests that wait at the sender.
+    pub waiting: u16,
+}
+
+/// One message of an entry to the others.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SignalMessage {
+    /// Start of the sender, in microseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Number of the message, which tells older ones that arrive late.
+    pub sequence: u64,
+    /// Changed requests in flight.
+    pub loads: Vec<LoadSignal>,
+    /// Changed requests that wait.
+    pub waits: Vec<WaitSignal>,
+    /// Whether `loads` and `waits` hold all that is not zero.
+    pub whole: bool,
+    /// Entries that the sender hears; only in some messages.
+    pub members: Vec<SocketAddr>,
+}
--- a/core/tests/admission.rs
+++ b/core/tests/admission.rs
@@ -54,7 +54,9 @@
             };
             queue.join(&facts, seen.len(), FAST, Timestamp(0)).unwrap();
             seen.push(SeenCall { rank, caller, deadline, joined: step, departed: None });
-        } else if let Some(QueueDeparture::Admitted(_, call)) = queue.take_next(Timestamp(1)) {
+        } else if let Some(QueueDeparture::Admitted(_, call)) =
+            queue.take_next(Timestamp(1), Duration::ZERO)
+        {
             seen[call].departed = Some(step);
         }
     }
@@ -132,7 +134,7 @@
             let facts = CallFacts { rank, caller: keys[0], deadline: Timestamp(9_000), ..CallFacts::default() };
             queue.join(&facts, call, FAST, Timestamp(0)).unwrap();
         }
-        let order: Vec<_> = std::iter::from_fn(|| match queue.take_next(Timestamp(1))? {
+        let order: Vec<_> = std::iter::from_fn(|| match queue.take_next(Timestamp(1), Duration::ZERO)? {
             QueueDeparture::Admitted(trace, call) => Some((call, trace.rule, trace.overtaken)),
             QueueDeparture::Expired(_) => None,
         }).collect();
@@ -151,7 +153,7 @@
         assert_eq!(refusal.reason, ReasonCode::DeadlineUnreachable);
         assert_eq!(refusal.retry_after, Duration::from_millis(55));
         assert!(queue.join(&facts(66_000), 11, rate, Timestamp(0)).is_ok());
-        assert!(matches!(queue.take_next(Timestamp(66_000)), Some(QueueDeparture::Expired(11))));
+        assert!(matches!(queue.take_next(Timestamp(66_000), Duration::ZERO), Some(QueueDeparture::Expired(11))));
     }
 
     full_queue_keeps_room_for_others: "one caller's uploads that fill the queue for everyone" => {
--- a/core/tests/directory.rs
+++ b/core/tests/directory.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::{
-    DirectoryController, DirectoryEffect, DirectoryMessage, StateController,
+    DirectoryController, DirectoryEffect, DirectoryMessage, DirectoryTerms, StateController,
 };
 use zinniaport_core::directory::{
     ConfigurationNote, DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, ServiceNote,
@@ -58,8 +58,10 @@
 
 impl Followed {
     fn new(targets: Vec<DirectoryChange>) -> Self {
-        let mut followed =
-            Self { controller: DirectoryController::new(1), fleet: FleetSnapshot::default() };
+        let mut followed = Self {
+            controller: DirectoryController::new(DirectoryTerms::default(), 1),
+            fleet: FleetSnapshot::default(),
+        };
         let part = DirectoryPart::Configuration;
         followed.tell(DirectoryMessage::Listed(part, batch(20, vec![configuration(3, 2)])), 0);
         followed.tell(DirectoryMessage::Listed(DirectoryPart::Targets, batch(20, targets)), 0);
--- a/core/tests/retry.rs
+++ b/core/tests/retry.rs
@@ -27,7 +27,7 @@
             let mut sent = Vec::new();
             for (entry, retry) in history {
                 if !retry {
-                    budgets[entry].record_first_attempt(percent);
+                    budgets[entry].record_first_attempt(percent, MAX_SAVED_RETRIES);
                     sent.push(false);
                 } else if budgets[entry].try_spend() {
                     sent.push(true);
@@ -47,7 +47,7 @@
     quiet_hours_save_few_retries: "a burst of retries saved up over hours of healthy traffic" => {
         let budget = RetryBudget::default();
         for _ in 0..100_000 {
-            budget.record_first_attempt(10.0);
+            budget.record_first_attempt(10.0, MAX_SAVED_RETRIES);
         }
         let retries = (0..1_000).filter(|_| budget.try_spend()).count();
         assert!(retries <= 10, "{retries} retries at once");
@@ -58,7 +58,7 @@
         check_property(1024, &input, |(idempotent, max_runs, steps)| {
             let budget = RetryBudget::default();
             for _ in 0..1_000 {
-                budget.record_first_attempt(100.0);
+                budget.record_first_attempt(100.0, MAX_SAVED_RETRIES);
             }
             let facts = CallFacts { idempotent, max_runs, deadline: Timestamp(100), ..CallFacts::default() };
             let (mut runs, mut now) = (0, 0);
@@ -88,7 +88,7 @@
 
     taken_bodies_are_not_sent_again: "a retry with an empty body in place of the caller's" => {
         let budget = RetryBudget::default();
-        (0..100).for_each(|_| budget.record_first_attempt(100.0));
+        (0..100).for_each(|_| budget.record_first_attempt(100.0, MAX_SAVED_RETRIES));
         let facts = CallFacts { idempotent: true, max_runs: 3, deadline: Timestamp(9), ..CallFacts::default() };
         assert!(may_retry(&facts, DispatchCount::default(), OUTCOMES[0], true, (&budget, Timestamp(1))));
         assert!(!may_retry(&facts, DispatchCount::default(), OUTCOMES[0], false, (&budget, Timestamp(1))));
--- a/core/tests/support/mod.rs
+++ b/core/tests/support/mod.rs
@@ -45,6 +45,7 @@
         name: format!("entry-{position}").into(),
         data_centre: "valle-a".into(),
         members: (0..count).map(|member| format!("entry-{member}").into()).collect(),
+        shares_load: false,
     }
 }
 
@@ -63,6 +64,7 @@
         data_centre: &fleet.view.data_centre,
         members: &fleet.view.members,
         excluded: &[],
+        remote_cost: 0.0,
         now,
     }
 }
--- a/src/bench/capacity/decisions.rs
+++ b/src/bench/capacity/decisions.rs
@@ -72,6 +72,7 @@
         data_centre: &fleet.view.data_centre,
         members: &fleet.view.members,
         excluded: &[],
+        remote_cost: 0.0,
         now: NOW,
     })
 }
--- a/src/bench/capacity/fixtures.rs
+++ b/src/bench/capacity/fixtures.rs
@@ -79,6 +79,7 @@
         name: "entry-0000".into(),
         data_centre: "region-0-0".into(),
         members: (0..entries).map(|entry| format!("entry-{entry:04}").into()).collect(),
+        shares_load: false,
     }
 }
 
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -9,9 +9,11 @@
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 use zinniaport_core::controllers::{
-    DirectoryController, DirectoryEffect, DirectoryMessage, StateController, TargetsMessage,
+    DirectoryController, DirectoryEffect, DirectoryMessage, DirectoryTerms, StateController,
+    TargetsMessage,
 };
 use zinniaport_core::directory::{DirectoryBatch, DirectoryPart};
+use zinniaport_core::fleet::FleetSnapshot;
 use zinniaport_core::routes::RouteBook;
 
 use crate::state::SharedState;
@@ -35,6 +37,13 @@
     ) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>>;
 }
 
+/// Gives the snapshot of an entry that has not learnt its configuration, in which
+/// requests are refused rather than not found.
+pub fn unknown_fleet() -> Arc<FleetSnapshot> {
+    let routes = Some(Arc::new(RouteBook::default()));
+    Arc::new(FleetSnapshot { routes, ..FleetSnapshot::default() })
+}
+
 /// Owns the directory controller and its calls.
 pub struct DirectoryDriver {
     state: Arc<SharedState>,
@@ -46,18 +55,15 @@
 }
 
 impl DirectoryDriver {
-    /// Creates a driver. `ready` turns true once enough is known to serve callers;
-    /// until then requests find a route book without a configuration.
+    /// Creates a driver. `ready` turns true once enough is known to serve callers.
     pub fn new(
         state: Arc<SharedState>,
         source: Arc<dyn DirectorySource>,
         targets: TargetsHandle,
         ready: Arc<AtomicBool>,
+        terms: DirectoryTerms,
     ) -> Self {
-        let mut fleet = state.fleet.load().as_ref().clone();
-        fleet.routes = Some(Arc::new(RouteBook::default()));
-        state.fleet.store(Arc::new(fleet));
-        let controller = DirectoryController::new(rand::random());
+        let controller = DirectoryController::new(terms, rand::random());
         Self { state, source, targets, ready, controller, calls: FuturesUnordered::new() }
     }
 
--- a/src/filters/admit.rs
+++ b/src/filters/admit.rs
@@ -1,49 +1,27 @@
 //! Lets requests wait for their turn.
 
-use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 
-use arc_swap::ArcSwap;
 use futures::future::BoxFuture;
 use http_body_util::BodyExt;
 use zinniaport_core::call::ReasonCode;
-use zinniaport_core::fleet::ServiceEntry;
-use zinniaport_core::keys::ServiceKey;
 
 use super::{FilterNext, FilterResult, RequestFilter};
 use crate::exchange::{CallResponse, Exchange};
-use crate::gate::{AdmissionGate, GateRefusal, SlotGuard};
+use crate::gate::{AdmissionGates, GateRefusal, SlotGuard};
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 
 /// Lets requests wait for their turn, each service in a queue of its own.
 pub struct AdmitFilter {
     state: Arc<SharedState>,
-    admissions: Arc<AtomicU64>,
-    gates: ArcSwap<HashMap<ServiceKey, Arc<AdmissionGate>>>,
+    gates: Arc<AdmissionGates>,
 }
 
 impl AdmitFilter {
     /// Creates the filter.
-    pub fn new(state: Arc<SharedState>) -> Self {
-        Self { state, admissions: Arc::default(), gates: ArcSwap::default() }
-    }
-
-    /// Finds the gate of a service; the first request for a service adds it.
-    fn gate(&self, key: ServiceKey, service: &ServiceEntry) -> Arc<AdmissionGate> {
-        if let Some(gate) = self.gates.load().get(&key) {
-            return gate.clone();
-        }
-        let clock = self.state.clock.clone();
-        let created = AdmissionGate::new(clock, service.counters.clone(), self.admissions.clone());
-        let created = Arc::new(created);
-        self.gates.rcu(|gates| {
-            let mut gates = HashMap::clone(gates);
-            gates.entry(key).or_insert_with(|| created.clone());
-            gates
-        });
-        self.gates.load().get(&key).cloned().unwrap_or(created)
+    pub fn new(state: Arc<SharedState>, gates: Arc<AdmissionGates>) -> Self {
+        Self { state, gates }
     }
 
     async fn admit(&self, exchange: &mut Exchange) -> Result<SlotGuard, Refusal> {
@@ -52,7 +30,9 @@
         let Some(service) = fleet.services.get(key) else {
             return Err(Refusal::not_run(ReasonCode::UnknownService, "the service was removed"));
         };
-        let admitted = self.gate(key, service).admit(&fleet, service, &exchange.facts).await;
+        // A request that has to wait is told to the other entries.
+        self.state.load_changed.notify_one();
+        let admitted = self.gates.of(key, service).admit(&fleet, service, &exchange.facts).await;
         let (trace, slot) = admitted.map_err(|refusal| refusal_of(&refusal))?;
         exchange.trace.admission = Some(trace);
         Ok(slot)
--- a/src/filters/classify.rs
+++ b/src/filters/classify.rs
@@ -52,7 +52,7 @@
         facts.max_dispatches = kind.max_dispatches;
         facts.arrived = now;
         facts.deadline = now + limit;
-        facts.useful_until = now + kind.target_latency().min(limit);
+        facts.useful_until = Some(now + kind.target_latency().min(limit));
         Ok(())
     }
 }
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -73,7 +73,7 @@
             ),
             deadline: Instant::now() + left,
         };
-        let guard = InFlightGuard::new(target.counters.clone());
+        let guard = InFlightGuard::new(self.state.clone(), target.counters.clone());
         let mut response = match self.transport.send(call).await {
             Ok(response) => response,
             Err(error) => return Err(refusal_of(&error, exchange.body_watch.fault())),
@@ -229,18 +229,30 @@
 }
 
 /// Counts a request as in flight until it is dropped.
-struct InFlightGuard(Arc<TargetCounters>);
+struct InFlightGuard {
+    state: Arc<SharedState>,
+    counters: Arc<TargetCounters>,
+}
 
 impl InFlightGuard {
-    fn new(counters: Arc<TargetCounters>) -> Self {
+    fn new(state: Arc<SharedState>, counters: Arc<TargetCounters>) -> Self {
         counters.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self(counters)
+        let guard = Self { state, counters };
+        guard.tell();
+        guard
+    }
+
+    /// Lets the other entries know.
+    fn tell(&self) {
+        self.counters.untold.store(true, Ordering::Release);
+        self.state.load_changed.notify_one();
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.counters.in_flight.fetch_sub(1, Ordering::Relaxed);
+        self.tell();
     }
 }
 
--- a/src/filters/route.rs
+++ b/src/filters/route.rs
@@ -75,7 +75,9 @@
             return Err(Refusal::not_run(ReasonCode::UnknownService, "the service was removed"));
         };
         if exchange.targets.is_empty() {
-            service.counters.retries.record_first_attempt(service.intent.retry_percent);
+            let max_saved = self.state.saved_retries.load(Ordering::Relaxed);
+            let percent = service.intent.retry_percent;
+            service.counters.retries.record_first_attempt(percent, max_saved);
         }
         let query = RouteQuery {
             fleet: &exchange.fleet,
@@ -83,6 +85,7 @@
             data_centre: &self.state.data_centre,
             members: &exchange.fleet.view.members,
             excluded: &exchange.targets,
+            remote_cost: remote_cost(exchange),
             now: self.state.clock.now(),
         };
         let Some(choice) = self.policy.pick(&query, &mut rand::rng()) else {
@@ -164,6 +167,22 @@
     }
 }
 
+/// Body size at which sending a request to another data centre is worth avoiding as
+/// much as [`REMOTE_COST`] of its time of work, in bytes. Traffic between data
+/// centres is paid for by the byte.
+const REMOTE_BYTES: f32 = 65_536.0;
+
+/// Share of the time of work that avoiding another data centre is worth.
+const REMOTE_COST: f32 = 0.3;
+
+/// Longest detour in time that a large body justifies, as a share of its work.
+const MAX_REMOTE_COST: f32 = 0.6;
+
+fn remote_cost(exchange: &Exchange) -> f32 {
+    let body = exchange.head.extensions.get::<BufferedBody>().map_or(0, |body| body.0.len());
+    (body as f32 / REMOTE_BYTES * REMOTE_COST).min(MAX_REMOTE_COST)
+}
+
 /// Combines the refusals of two attempts. A request of which one attempt may
 /// have run must not be reported as not run.
 pub(super) fn worst_of(earlier: Option<Refusal>, later: Refusal) -> Refusal {
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -1,11 +1,13 @@
 //! The admission queue of one service, shared by all requests for it.
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use tokio::sync::oneshot;
-use zinniaport_core::admission::window::concurrency_window;
+use zinniaport_core::admission::window::{claim_chance, concurrency_window, shared_room};
 use zinniaport_core::admission::{
     AdmissionLimits, AdmissionQueue, EarlyRefusal, QueueDeparture, ServiceRate, WaitKey,
 };
@@ -13,6 +15,8 @@
 use zinniaport_core::clock::{ClockSource, Timestamp};
 use zinniaport_core::decision::AdmissionTrace;
 use zinniaport_core::fleet::{FleetSnapshot, ServiceCounters, ServiceEntry};
+use zinniaport_core::keys::ServiceKey;
+use zinniaport_core::policy::RouteTable;
 
 /// Requests of better ranks that go ahead of a rank before it goes next. At 8, a
 /// backlog of lookups leaves one slot in nine to uploads.
@@ -49,6 +53,8 @@
     waiting: AtomicU32,
     service_time_us: AtomicU64,
     queue: Mutex<GateQueue>,
+    /// The targets as of the last look.
+    table: ArcSwap<RouteTable>,
 }
 
 impl AdmissionGate {
@@ -68,6 +74,7 @@
             waiting: AtomicU32::new(0),
             service_time_us: AtomicU64::new(FIRST_SERVICE_TIME_US),
             queue: Mutex::new(AdmissionQueue::new(limits)),
+            table: ArcSwap::default(),
         }
     }
 
@@ -83,6 +90,9 @@
         facts: &CallFacts,
     ) -> Result<(AdmissionTrace, SlotGuard), GateRefusal> {
         let now = self.clock.now();
+        if !Arc::ptr_eq(&self.table.load(), &service.table) {
+            self.table.store(service.table.clone());
+        }
         let period = WINDOW_PERIOD_PER_TARGET * fleet.targets.len() as u32;
         self.update_window(service, period.max(MIN_WINDOW_PERIOD), now);
         if self.waiting.load(Ordering::SeqCst) == 0 && self.take_slot() {
@@ -93,28 +103,48 @@
         place.wait(facts.time_left(now)).await
     }
 
-    /// Gives the rate at which slots become free.
+    /// Gives the rate at which slots become free for this entry.
     pub fn rate(&self) -> ServiceRate {
-        ServiceRate {
-            window: self.window.load(Ordering::Relaxed),
-            service_time: Duration::from_micros(self.service_time_us.load(Ordering::Relaxed)),
+        let window = self.window.load(Ordering::Relaxed);
+        ServiceRate { window, service_time: self.service_time() }
+    }
+
+    /// Looks again for room for the requests that wait.
+    pub fn refresh(self: &Arc<Self>) {
+        if self.waiting.load(Ordering::SeqCst) > 0 {
+            self.serve_queue();
         }
     }
 
+    fn service_time(&self) -> Duration {
+        Duration::from_micros(self.service_time_us.load(Ordering::Relaxed))
+    }
+
+    /// Gives the rate at which slots become free for all entries together, as this
+    /// one's share of those that wait sees it.
+    fn shared_rate(&self, table: &RouteTable) -> ServiceRate {
+        let room = shared_room(table, 0, self.clock.now());
+        let own = self.waiting.load(Ordering::Relaxed) + 1;
+        let others = self.counters.others_waiting.load(Ordering::Relaxed);
+        let window = (room.usable * own).div_ceil(own + others);
+        ServiceRate { window, service_time: self.service_time() }
+    }
+
     fn join(
         self: &Arc<Self>,
         service: &ServiceEntry,
         facts: &CallFacts,
         now: Timestamp,
     ) -> Result<WaitPlace, GateRefusal> {
-        let rate = self.rate();
+        let table = &service.table;
+        let rate = if table.shares_load { self.shared_rate(table) } else { self.rate() };
         let (sender, verdict) = oneshot::channel();
         let max_waiting = service.intent.max_queue_length as usize;
         let joined = {
             let mut queue = self.lock();
             queue.set_limits(AdmissionLimits { max_waiting, max_overtakes: MAX_OVERTAKES });
             let joined = queue.join(facts, sender, rate, now)?;
-            self.waiting.store(queue.len() as u32, Ordering::SeqCst);
+            self.note_waiting(queue.len());
             joined
         };
         if let Some(displaced) = joined.displaced {
@@ -132,8 +162,8 @@
             let guard = SlotGuard::new(self.clone(), now);
             let departure = {
                 let mut queue = self.lock();
-                let departure = queue.take_next(now);
-                self.waiting.store(queue.len() as u32, Ordering::SeqCst);
+                let departure = queue.take_next(now, self.service_time());
+                self.note_waiting(queue.len());
                 departure
             };
             match departure {
@@ -173,13 +203,36 @@
         self.admissions.fetch_add(1, Ordering::Relaxed) + 1
     }
 
+    /// Notes how many requests wait, also for the other entries.
+    fn note_waiting(&self, waiting: usize) {
+        self.waiting.store(waiting as u32, Ordering::SeqCst);
+        self.counters.waiting.store(waiting as u32, Ordering::Relaxed);
+    }
+
     fn take_slot(&self) -> bool {
+        let table = self.table.load();
+        if table.shares_load && !table.open.is_empty() {
+            return self.claim_room(&table);
+        }
         let window = self.window.load(Ordering::SeqCst);
         let take = |in_flight: u32| (in_flight < window).then_some(in_flight + 1);
         let taken = self.counters.in_flight.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take);
         taken.is_ok()
     }
 
+    /// Claims room that all entries see, with a chance that leaves the others theirs.
+    fn claim_room(&self, table: &RouteTable) -> bool {
+        let own_in_flight = self.counters.in_flight.load(Ordering::SeqCst);
+        let room = shared_room(table, own_in_flight, self.clock.now());
+        let waiting = self.waiting.load(Ordering::SeqCst);
+        let others = self.counters.others_waiting.load(Ordering::Relaxed);
+        let claims = rand::random::<f32>() < claim_chance(room, waiting, others);
+        if claims {
+            self.counters.in_flight.fetch_add(1, Ordering::SeqCst);
+        }
+        claims
+    }
+
     fn update_window(self: &Arc<Self>, service: &ServiceEntry, period: Duration, now: Timestamp) {
         let last = self.window_at.load(Ordering::Relaxed);
         if last != 0 && now.since(Timestamp(last)) < period {
@@ -202,6 +255,43 @@
     }
 }
 
+/// The gates of all services.
+pub struct AdmissionGates {
+    clock: Arc<dyn ClockSource>,
+    admissions: Arc<AtomicU64>,
+    gates: ArcSwap<HashMap<ServiceKey, Arc<AdmissionGate>>>,
+}
+
+impl AdmissionGates {
+    /// Creates gates on demand.
+    pub fn new(clock: Arc<dyn ClockSource>) -> Self {
+        Self { clock, admissions: Arc::default(), gates: ArcSwap::default() }
+    }
+
+    /// Finds the gate of a service; the first request for a service adds it.
+    pub fn of(&self, key: ServiceKey, service: &ServiceEntry) -> Arc<AdmissionGate> {
+        if let Some(gate) = self.gates.load().get(&key) {
+            return gate.clone();
+        }
+        let (clock, counters) = (self.clock.clone(), service.counters.clone());
+        let created = Arc::new(AdmissionGate::new(clock, counters, self.admissions.clone()));
+        self.gates.rcu(|gates| {
+            let mut gates = HashMap::clone(gates);
+            gates.entry(key).or_insert_with(|| created.clone());
+            gates
+        });
+        self.gates.load().get(&key).cloned().unwrap_or(created)
+    }
+
+    /// Looks again for room for all requests that wait, after other entries told
+    /// what they have in flight.
+    pub fn refresh(&self) {
+        for gate in self.gates.load().values() {
+            gate.refresh();
+        }
+    }
+}
+
 /// A place in the queue, given up when the request stops waiting.
 struct WaitPlace {
     gate: Arc<AdmissionGate>,
@@ -222,7 +312,7 @@
     fn drop(&mut self) {
         let mut queue = self.gate.lock();
         let removed = queue.remove(self.key);
-        self.gate.waiting.store(queue.len() as u32, Ordering::SeqCst);
+        self.gate.note_waiting(queue.len());
         drop(queue);
         drop(removed);
     }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -4,7 +4,7 @@
 mod admission;
 mod quarantine;
 
-pub use admission::{AdmissionGate, GateRefusal, SlotGuard};
+pub use admission::{AdmissionGate, AdmissionGates, GateRefusal, SlotGuard};
 pub use quarantine::{PermitHandle, QuarantineGate, RunPermit, SuspectCall};
 
 /// Body of a request that was read as a whole before dispatch, so that it can
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod refusal;
 pub mod runtime;
 pub mod settings;
+pub mod signals;
 pub mod state;
 pub mod store;
 pub mod targets;
--- a/src/runtime/chain.rs
+++ b/src/runtime/chain.rs
@@ -9,7 +9,7 @@
     AdmitFilter, ClaimFilter, ClassifyFilter, FilterChain, ForwardFilter, IdentifyFilter,
     QuarantineFilter, RecordFilter, RouteFilter,
 };
-use crate::gate::QuarantineGate;
+use crate::gate::{AdmissionGates, QuarantineGate};
 use crate::pool::TargetTransport;
 use crate::state::SharedState;
 use crate::targets::TargetsHandle;
@@ -21,6 +21,7 @@
     pub(super) policy: Arc<dyn RoutingPolicy>,
     pub(super) transport: Arc<dyn TargetTransport>,
     pub(super) quarantine: Arc<QuarantineGate>,
+    pub(super) gates: Arc<AdmissionGates>,
     pub(super) claims: Arc<dyn KeyClaims>,
     /// Size up to which a request body is read whole, in bytes.
     pub(super) buffered_body_bytes: u64,
@@ -33,14 +34,14 @@
     pub(super) fn build(self) -> FilterChain {
         let (buffered_body_bytes, whole_answer_bytes) =
             (self.buffered_body_bytes, self.whole_answer_bytes);
-        let Self { state, targets, policy, transport, quarantine, claims, .. } = self;
+        let Self { state, targets, policy, transport, quarantine, gates, claims, .. } = self;
         FilterChain::new(vec![
             Arc::new(RecordFilter::new(state.clone())),
             Arc::new(IdentifyFilter::new(state.clone())),
             Arc::new(ClassifyFilter::new(state.clone())),
             Arc::new(QuarantineFilter::new(state.clone(), quarantine, buffered_body_bytes)),
             Arc::new(ClaimFilter::new(state.clone(), claims)),
-            Arc::new(AdmitFilter::new(state.clone())),
+            Arc::new(AdmitFilter::new(state.clone(), gates)),
             Arc::new(RouteFilter::new(state.clone(), policy, targets)),
             Arc::new(ForwardFilter::new(state, transport, whole_answer_bytes)),
         ])
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -27,13 +27,14 @@
 use crate::claims::{KeyClaims, NoKeyClaims, StoreKeyClaims};
 use crate::control::{ControlParts, ControlPlane};
 use crate::dialect::{CallDialect, OwnDialect};
-use crate::directory::{DirectoryDriver, DirectorySource};
+use crate::directory::{DirectoryDriver, DirectorySource, unknown_fleet};
 use crate::front::HttpFront;
-use crate::gate::QuarantineGate;
+use crate::gate::{AdmissionGates, QuarantineGate};
 use crate::measuring::{FileGrant, IntentGrant, MeasuringDriver, MeasuringParts, probe_need};
 use crate::pool::{HttpTransport, UnobservedSilence};
 use crate::records::PeerRecords;
 use crate::settings::{EntrySettings, PlatformSettings};
+use crate::signals::SignalsDriver;
 use crate::state::SharedState;
 use crate::store::{HttpStore, ObjectStore, VmDirectory};
 use crate::targets::TargetsDriver;
@@ -128,16 +129,26 @@
         let stop = CancellationToken::new();
         let (mut driver, targets) = TargetsDriver::new(state.clone());
         apply_intents(&state, &mut driver, std::mem::take(&mut settings.services));
+        if directory.is_some() {
+            driver.deliver(TargetsMessage::Intents(unknown_fleet()));
+        }
         let mut checks: Vec<Arc<dyn ReadinessCheck>> = Vec::new();
         if let Some(source) = directory {
             let learnt = Arc::new(AtomicBool::new(false));
             checks.push(learnt.clone());
-            let follower = DirectoryDriver::new(state.clone(), source, targets.clone(), learnt);
+            let (state, targets, terms) = (state.clone(), targets.clone(), settings.directory);
+            let follower = DirectoryDriver::new(state, source, targets, learnt, terms);
             tokio::spawn(follower.run(CancellationToken::new()));
         }
         // Both run on during a planned stop, until the last request has ended.
         tokio::spawn(driver.run(CancellationToken::new()));
         let quarantine = Arc::new(QuarantineGate::new(clock.clone()));
+        let gates = Arc::new(AdmissionGates::new(clock.clone()));
+        if let Some(signals) = settings.signals.take() {
+            let (state, targets, gates) = (state.clone(), targets.clone(), gates.clone());
+            let signals = SignalsDriver::open(state, targets, gates, signals).await?;
+            tokio::spawn(signals.run(CancellationToken::new()));
+        }
         let control = match (settings.platform.take(), store) {
             (Some(platform), Some(store)) => {
                 let parts = ControlParts {
@@ -181,6 +192,7 @@
             policy,
             transport,
             quarantine,
+            gates: gates.clone(),
             claims: claims.clone(),
             buffered_body_bytes: limits.buffered_body_bytes,
             whole_answer_bytes: pool.whole_answer_bytes,
@@ -277,7 +289,7 @@
 
 fn apply_intents(state: &SharedState, driver: &mut TargetsDriver, services: Vec<ServiceIntent>) {
     let (name, data_centre) = (state.entry_name.clone(), state.data_centre.clone());
-    driver.deliver(TargetsMessage::View(EntryView { name, data_centre, members: Arc::default() }));
+    driver.deliver(TargetsMessage::View(EntryView { name, data_centre, ..EntryView::default() }));
     let mut controller = SettingsController::default();
     for intent in services {
         let message = SettingsMessage::Accepted { intent, version: 1 };
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -8,6 +8,7 @@
 mod platform;
 mod pool;
 mod routing;
+mod signals;
 mod stop;
 
 use std::net::SocketAddr;
@@ -23,7 +24,9 @@
 pub use routing::RoutingSettings;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+pub use signals::SignalSettings;
 pub use stop::StopSettings;
+use zinniaport_core::controllers::DirectoryTerms;
 use zinniaport_core::intent::ServiceIntent;
 
 use self::fault::{check_each, element, field};
@@ -71,6 +74,14 @@
     /// Messages between entries; without it the entry runs alone.
     #[serde(default)]
     pub peers: Option<PeerSettings>,
+    /// Datagrams between entries about requests in flight; without it each entry
+    /// estimates the load of the others.
+    #[serde(default)]
+    pub signals: Option<SignalSettings>,
+    /// How a directory of targets and configuration is used.
+    #[serde(default)]
+    #[builder(default)]
+    pub directory: DirectoryTerms,
 }
 
 impl CheckSettings for EntrySettings {
@@ -92,6 +103,9 @@
         if let Some(peers) = &self.peers {
             peers.check(&field(path, "peers"), faults);
         }
+        if let Some(signals) = &self.signals {
+            signals.check(&field(path, "signals"), faults);
+        }
         check_each(path, "services", &self.services, faults);
         let names = self.services.iter().map(|intent| intent.service.as_str());
         intent::check_unique(names, faults, "state each service once", |position| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,11 @@
 //! State that filters and controllers share: snapshots behind read-copy-update.
 
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
 use slotmap::SecondaryMap;
+use tokio::sync::Notify;
 use zinniaport_core::burn::BurnReport;
 use zinniaport_core::caller::CallerTable;
 use zinniaport_core::clock::ClockSource;
@@ -11,6 +13,7 @@
 use zinniaport_core::fleet::FleetSnapshot;
 use zinniaport_core::keys::ServiceKey;
 use zinniaport_core::probe::MeasuringAccount;
+use zinniaport_core::retry::MAX_SAVED_RETRIES;
 
 use crate::dialect::{CallDialect, OwnDialect};
 use crate::records::RecordCopies;
@@ -49,6 +52,10 @@
     pub measuring: ArcSwap<SecondaryMap<ServiceKey, MeasuringAccount>>,
     /// Metrics of this entry.
     pub metrics: EntryMetrics,
+    /// Notified when requests in flight or waiting change.
+    pub load_changed: Notify,
+    /// Retries and hedges that this entry may save up for one service.
+    pub saved_retries: AtomicU64,
 }
 
 impl SharedState {
@@ -66,6 +73,8 @@
             burn: ArcSwap::default(),
             measuring: ArcSwap::default(),
             metrics: EntryMetrics::new(),
+            load_changed: Notify::new(),
+            saved_retries: AtomicU64::new(MAX_SAVED_RETRIES),
         }
     }
 
--- /dev/null
+++ b/tests/directory.rs
@@ -0,0 +1,168 @@
+//! An entry that follows a directory of targets and configuration.
+
+mod support;
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use support::{echo_heads, send_raw};
+use tokio::net::UdpSocket;
+use zinniaport::directory::DirectorySource;
+use zinniaport::runtime::{EntryBorders, EntryRuntime};
+use zinniaport::settings::EntrySettings;
+use zinniaport::store::StoreError;
+use zinniaport_core::directory::{
+    ConfigurationNote, DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, ServiceNote,
+    TargetNote,
+};
+use zinniaport_core::intent::{KindIntent, TargetInstance};
+use zinniaport_core::routes::{RouteIntent, RoutePart};
+use zinniaport_core::signals::SignalMessage;
+use zinniaport_testing::client::get;
+use zinniaport_testing::test_cases;
+
+use crate::support::FakeTarget;
+
+/// A directory that lists what it holds and reports each later batch once.
+#[derive(Default)]
+struct FakeDirectory {
+    listed: Mutex<[Option<DirectoryBatch>; 2]>,
+    later: Mutex<VecDeque<(DirectoryPart, DirectoryBatch)>>,
+}
+
+impl DirectorySource for FakeDirectory {
+    fn list(&self, part: DirectoryPart) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
+        let listed = self.listed.lock().unwrap()[part as usize].clone();
+        let cause = "it is away".to_owned();
+        Box::pin(async move { listed.ok_or(StoreError::NoAnswer { cause }) })
+    }
+
+    fn watch(
+        &self,
+        part: DirectoryPart,
+        revision: u64,
+    ) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
+        Box::pin(async move {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            let mut later = self.later.lock().unwrap();
+            match later.front() {
+                Some((next, _)) if *next == part => Ok(later.pop_front().unwrap().1),
+                _ => Ok(DirectoryBatch { revision, changes: Vec::new() }),
+            }
+        })
+    }
+}
+
+fn configuration() -> DirectoryBatch {
+    let kind = KindIntent {
+        name: "lookup".to_owned(),
+        methods: Vec::new(),
+        path_prefix: String::new(),
+        rank: 0,
+        idempotent: true,
+        max_runs: 2,
+        deadline_ms: 20_000,
+        require_key: false,
+        objective_percent: 99.0,
+        target_latency_ms: None,
+        max_dispatches: Some(2),
+    };
+    let parts = vec![RoutePart { service: "history".to_owned(), weight: 1 }];
+    let note = ConfigurationNote {
+        version: 3,
+        routes: vec![RouteIntent {
+            host: "pump.example".to_owned(),
+            path_prefix: "/h/".to_owned(),
+            kind,
+            parts,
+        }],
+        services: vec![ServiceNote {
+            name: "history".to_owned(),
+            health_path: "/health".to_owned(),
+            max_connections: 200,
+        }],
+        limits: None,
+    };
+    let item = Some(DirectoryItem::Configuration(note));
+    let change = DirectoryChange { name: "main".to_owned(), revision: 1, item };
+    DirectoryBatch { revision: 1, changes: vec![change] }
+}
+
+fn targets(target: &FakeTarget) -> DirectoryBatch {
+    let note = TargetNote {
+        instance: TargetInstance { id: "i-1".into(), started_ms: 1 },
+        service: "history".to_owned(),
+        address: target.address,
+        data_centre: "valle-a".to_owned(),
+        slots: 3,
+        leaving: false,
+        warm_up_left: Duration::ZERO,
+    };
+    let item = Some(DirectoryItem::Target(note));
+    let change = DirectoryChange { name: "i-1".to_owned(), revision: 2, item };
+    DirectoryBatch { revision: 2, changes: vec![change] }
+}
+
+async fn start(directory: Arc<FakeDirectory>, extra: &str) -> EntryRuntime {
+    let text = format!(
+        "name: entry-1\ndata_centre: valle-a\nlisten: 127.0.0.1:0\nadmin_listen: 127.0.0.1:0\n{extra}\n"
+    );
+    let settings: EntrySettings = serde_norway::from_str(&text).unwrap();
+    let borders = EntryBorders::builder().directory(directory).build();
+    EntryRuntime::start_on(settings, borders).await.unwrap()
+}
+
+async fn ask(entry: &EntryRuntime, path: &str) -> String {
+    let request = format!("GET {path} HTTP/1.1\r\nhost: pump.example\r\nconnection: close\r\n\r\n");
+    send_raw(entry.caller_address(), request.as_bytes()).await
+}
+
+/// Waits until the entry reports that it is ready.
+async fn wait_until_ready(entry: &EntryRuntime) {
+    while get(entry.admin_address(), "/readyz").await.unwrap().status() != 200 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+test_cases! {
+    async unknown_configuration_refuses: "a proper request that is not found because its entry has just started and already hears others" => {
+        let other = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let signals = UdpSocket::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let entry = start(Arc::default(), &format!("signals: {{ listen: \"{signals}\" }}")).await;
+        let message = SignalMessage { incarnation: 1, sequence: 1, ..SignalMessage::default() };
+        other.send_to(&bincode::serialize(&message).unwrap(), signals).await.unwrap();
+        // The entry answers a signal once it counts its sender among those it hears.
+        other.recv_from(&mut [0; 2048]).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let answer = ask(&entry, "/h/1").await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("no-configuration") && answer.contains("not-run"), "{answer}");
+        assert_eq!(get(entry.admin_address(), "/readyz").await.unwrap().status(), 503);
+    }
+
+    async directory_is_served: "a request that does not find its way by host, path and instance" => {
+        let target = FakeTarget::start(|stream, _| echo_heads(stream)).await;
+        let directory = Arc::new(FakeDirectory::default());
+        *directory.listed.lock().unwrap() = [Some(targets(&target)), Some(configuration())];
+        let entry = start(directory.clone(), "").await;
+        wait_until_ready(&entry).await;
+        let answer = ask(&entry, "/h/1").await;
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(answer.contains("x-instance: i-1"), "{answer}");
+        assert!(ask(&entry, "/other").await.starts_with("HTTP/1.1 404"));
+        let gone = DirectoryChange { name: "i-1".to_owned(), revision: 9, item: None };
+        let gone = DirectoryBatch { revision: 9, changes: vec![gone] };
+        directory.later.lock().unwrap().push_back((DirectoryPart::Targets, gone));
+        let mut answer = String::new();
+        for _ in 0..1000 {
+            answer = ask(&entry, "/h/1").await;
+            if answer.starts_with("HTTP/1.1 503") {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert!(answer.contains("no-target"), "{answer}");
+    }
+}
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -14,9 +14,10 @@
 use zinniaport::runtime::EntryRuntime;
 use zinniaport::settings::{
     EntrySettings, LimitSettings, LogSettings, PeerSettings, PlatformSettings, PoolSettings,
-    RoutingSettings, StopSettings, TeamSettings, TokenSettings,
+    RoutingSettings, SignalSettings, StopSettings, TeamSettings, TokenSettings,
 };
 use zinniaport_core::call::ReasonCode;
+use zinniaport_core::controllers::DirectoryTerms;
 use zinniaport_core::intent::{KindIntent, MeasuringIntent, ServiceIntent, TargetIntent};
 use zinniaport_testing::client::get;
 use zinniaport_testing::process::{ChildProcess, ChildSignal};
@@ -185,6 +186,8 @@
             fields_of::<PeerSettings>(),
             fields_of::<RoutingSettings>(),
             fields_of::<StopSettings>(),
+            fields_of::<SignalSettings>(),
+            fields_of::<DirectoryTerms>(),
             fields_of::<ServiceIntent>(),
             fields_of::<KindIntent>(),
             fields_of::<TargetIntent>(),
--- a/tests/route_filter.rs
+++ b/tests/route_filter.rs
@@ -21,6 +21,7 @@
 use zinniaport_core::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
 use zinniaport_core::keys::TargetKey;
 use zinniaport_core::policy::TwoChoices;
+use zinniaport_core::retry::MAX_SAVED_RETRIES;
 use zinniaport_testing::test_cases;
 
 /// What the scripted transport does with one dispatch.
@@ -111,7 +112,7 @@
     let (service, entry) = fleet.find("pump-history").unwrap();
     for _ in 0..100 {
         entry.counters.latency.record(Duration::from_millis(1));
-        entry.counters.retries.record_first_attempt(100.0);
+        entry.counters.retries.record_first_attempt(100.0, MAX_SAVED_RETRIES);
     }
     let mut exchange =
         Exchange::new("request-1".to_owned(), fleet.clone(), http::Request::new(body));
