Watch the store with lag at most entries and learn of changes from two leaders

Change: entries tell the newest revision they know; all but two watch lagging reads and read without lag only what others have known for 100 ms; an untried target gets one request; the reported pace counts in full while it is fresh.

--- a/core/src/controllers/directory.rs
+++ b/core/src/controllers/directory.rs
@@ -38,6 +38,10 @@
 const RETRY_BOUNDS: BackoffBounds =
     BackoffBounds { first: Duration::from_millis(200), longest: Duration::from_secs(1) };
 
+/// Time that the watch of an entry has to deliver a change that another entry knows
+/// already, before the change is read by itself.
+const CATCH_UP_DELAY: Duration = Duration::from_millis(100);
+
 /// Requests that wait at one entry for one service.
 const MAX_QUEUE_LENGTH: u32 = 256;
 
@@ -59,6 +63,10 @@
     Failed(DirectoryPart),
     /// The changes since the last batch are no longer kept.
     HistoryGone(DirectoryPart),
+    /// Another entry knows a change of this revision.
+    Heard(DirectoryPart, u64),
+    /// The answer to a call that caught up with other entries; none if it failed.
+    CaughtUp(DirectoryPart, Option<DirectoryBatch>),
     /// Time has passed; due every 100 ms.
     Tick,
 }
@@ -70,6 +78,11 @@
     List(DirectoryPart, Duration),
     /// Watch a part from a revision after a delay.
     Watch(DirectoryPart, u64, Duration),
+    /// Read what changed in a part since a revision, or all of it, without the lag
+    /// that a watch may have.
+    CatchUp(DirectoryPart, Option<u64>),
+    /// The newest change of a part that is known has this revision.
+    Revision(DirectoryPart, u64),
     /// Publish these services and routes.
     Publish(Arc<FleetSnapshot>),
     /// The entry knows enough to serve callers.
@@ -95,6 +108,14 @@
 #[derive(Debug, Default)]
 struct PartFollower {
     revision: Option<u64>,
+    /// Revision of the newest change that is known.
+    newest_change: u64,
+    /// The newest change that another entry knows, and since when.
+    heard: Option<(u64, Timestamp)>,
+    /// Whether a call that catches up is under way.
+    catching_up: bool,
+    /// Whether that call has to list, because the history is gone.
+    must_list: bool,
     failures: u32,
     lost_since: Option<Timestamp>,
 }
@@ -184,7 +205,8 @@
         Some(DirectoryEffect::Regained(part, away))
     }
 
-    fn take_batch(
+    /// Applies a batch and goes on to watch.
+    fn follow(
         &mut self,
         part: DirectoryPart,
         batch: DirectoryBatch,
@@ -192,6 +214,21 @@
         now: Timestamp,
     ) -> Vec<DirectoryEffect> {
         let mut effects: Vec<_> = self.note_answer(part, now).into_iter().collect();
+        effects.extend(self.take_batch(part, batch, listed, now));
+        let revision = self.part(part).revision.unwrap_or(0);
+        effects.push(DirectoryEffect::Watch(part, revision, Duration::ZERO));
+        effects
+    }
+
+    fn take_batch(
+        &mut self,
+        part: DirectoryPart,
+        batch: DirectoryBatch,
+        listed: bool,
+        now: Timestamp,
+    ) -> Vec<DirectoryEffect> {
+        let mut effects = Vec::new();
+        let newest = batch.changes.iter().map(|change| change.revision).max().unwrap_or(0);
         let mut changed = false;
         if listed && part == DirectoryPart::Targets {
             changed |= self.drop_unlisted(&batch, now, &mut effects);
@@ -202,11 +239,17 @@
         let follower = self.part(part);
         let revision = batch.revision.max(follower.revision.unwrap_or(0));
         follower.revision = Some(revision);
+        if newest > follower.newest_change {
+            follower.newest_change = newest;
+            effects.push(DirectoryEffect::Revision(part, newest));
+        }
+        // A list holds all that changed up to its revision, removals included.
+        let covered = if listed { revision } else { follower.newest_change };
+        follower.heard = follower.heard.filter(|(heard, _)| *heard > covered);
         if changed {
             effects.extend(self.publish(now));
         }
         effects.extend(self.readiness());
-        effects.push(DirectoryEffect::Watch(part, revision, Duration::ZERO));
         effects
     }
 
@@ -316,7 +359,44 @@
         changed
     }
 
-    fn tick(&mut self, now: Timestamp) -> Vec<DirectoryEffect> {
+    /// Asks for changes that other entries have known for a while.
+    fn catch_up(&mut self, now: Timestamp) -> Vec<DirectoryEffect> {
+        let mut effects = Vec::new();
+        for part in DirectoryPart::iter() {
+            let follower = self.part(part);
+            let Some((_, since)) = follower.heard else { continue };
+            let due = now.since(since) >= CATCH_UP_DELAY && follower.revision.is_some();
+            if due && !follower.catching_up {
+                follower.catching_up = true;
+                let from = follower.revision.filter(|_| !follower.must_list);
+                effects.push(DirectoryEffect::CatchUp(part, from));
+            }
+        }
+        effects
+    }
+
+    fn take_caught_up(
+        &mut self,
+        part: DirectoryPart,
+        batch: Option<DirectoryBatch>,
+        now: Timestamp,
+    ) -> Vec<DirectoryEffect> {
+        let follower = self.part(part);
+        follower.catching_up = false;
+        let listed = std::mem::take(&mut follower.must_list);
+        let Some(batch) = batch else {
+            // A call that failed is tried again after the same delay, by a list.
+            follower.must_list = !listed;
+            follower.heard = follower.heard.map(|(heard, _)| (heard, now));
+            return Vec::new();
+        };
+        let effects = self.take_batch(part, batch, listed, now);
+        // What the store does not show now was no change of this part.
+        self.part(part).heard = None;
+        effects
+    }
+
+    fn drop_due(&mut self, now: Timestamp) -> Vec<DirectoryEffect> {
         let due =
             self.targets.iter().filter(|(_, record)| record.drop_at.is_some_and(|at| at <= now));
         let due: Vec<(String, u64)> =
@@ -400,8 +480,8 @@
 
     fn handle(&mut self, message: Self::Message, now: Timestamp) -> Vec<Self::Effect> {
         match message {
-            DirectoryMessage::Listed(part, batch) => self.take_batch(part, batch, true, now),
-            DirectoryMessage::Watched(part, batch) => self.take_batch(part, batch, false, now),
+            DirectoryMessage::Listed(part, batch) => self.follow(part, batch, true, now),
+            DirectoryMessage::Watched(part, batch) => self.follow(part, batch, false, now),
             DirectoryMessage::Failed(part) => {
                 let follower = self.part(part);
                 follower.lost_since.get_or_insert(now);
@@ -416,7 +496,20 @@
             DirectoryMessage::HistoryGone(part) => {
                 vec![DirectoryEffect::List(part, Duration::ZERO)]
             }
-            DirectoryMessage::Tick => self.tick(now),
+            DirectoryMessage::Heard(part, revision) => {
+                let follower = self.part(part);
+                if revision > follower.newest_change {
+                    let since = follower.heard.map_or(now, |(_, since)| since);
+                    follower.heard = Some((revision, since));
+                }
+                Vec::new()
+            }
+            DirectoryMessage::CaughtUp(part, batch) => self.take_caught_up(part, batch, now),
+            DirectoryMessage::Tick => {
+                let mut effects = self.drop_due(now);
+                effects.extend(self.catch_up(now));
+                effects
+            }
         }
     }
 }
--- a/core/src/controllers/signals.rs
+++ b/core/src/controllers/signals.rs
@@ -44,6 +44,8 @@
     Waiting(ServiceTag, u32),
     /// Another entry learnt something of a target.
     Learnt(LoadSignal),
+    /// Another entry knows newer changes of targets or configuration.
+    Revisions([u64; 2]),
     /// Send a whole message to these entries.
     SendWhole(Vec<SocketAddr>),
     /// The entries that are heard changed; these are their addresses and how many
@@ -77,6 +79,7 @@
     loads: HashMap<TargetTag, u32>,
     waits: HashMap<ServiceTag, u32>,
     heard: Vec<SocketAddr>,
+    revisions: [u64; 2],
     last_whole: Timestamp,
 }
 
@@ -90,6 +93,7 @@
             loads: HashMap::new(),
             waits: HashMap::new(),
             heard: Vec::new(),
+            revisions: [0; 2],
             last_whole: Timestamp::default(),
         }
     }
@@ -149,6 +153,14 @@
         for wait in &message.waits {
             self.take_wait(from, wait.service, wait.waiting, &mut effects);
         }
+        let mut revisions = self.revisions;
+        for (known, told) in revisions.iter_mut().zip(message.revisions) {
+            *known = told.max(*known);
+        }
+        if revisions != self.revisions {
+            self.revisions = revisions;
+            effects.push(SignalsEffect::Revisions(revisions));
+        }
         if newly_heard {
             effects.push(SignalsEffect::SendWhole(vec![from]));
             effects.extend(self.update_heard(now));
--- a/core/src/policy/shortest_wait.rs
+++ b/core/src/policy/shortest_wait.rs
@@ -11,14 +11,14 @@
 use crate::clock::Timestamp;
 use crate::fleet::USUAL_PACE;
 
-/// Time for which a target that is slowed by its neighbours is expected to stay so
-/// after a fresh report. Neighbours change within some 150 ms; half of that is left
-/// on average.
-const SLOW_PHASE_LEFT_US: f32 = 75_000.0;
-
-/// Age at which a report of slow work says nothing any more.
+/// Age at which a report of the pace of work says nothing any more. Neighbours that
+/// slow a target come and go within some 150 ms.
 const MAX_PACE_AGE: Duration = Duration::from_millis(150);
 
+/// Pace of a target without a usable report, as a factor on the usual time of work:
+/// the mean over targets a quarter of which is slowed five-fold.
+const UNKNOWN_PACE: f32 = 2.0;
+
 /// Utilisation above which many targets slow down.
 pub const KNEE_SHARE: f32 = 0.8;
 
@@ -77,28 +77,32 @@
         if running / slots > KNEE_SHARE {
             work *= KNEE_FACTOR;
         }
-        if target.ramp_start.is_some() {
+        // A target that nobody has an answer from yet gets one request, whatever it
+        // may cost: until then nothing is known of it.
+        let untried = counters.reported_pace.load(Ordering::Relaxed) == 0 && load < 1.0;
+        if target.ramp_start.is_some() && !untried {
             work *= COLD_FACTOR;
         }
         let latency = counters.latency_us.load(Ordering::Relaxed) as f32;
         work *= (latency / self.work_us / SLOW_FACTOR).max(1.0);
         let queued = (load + 1.0 - slots).max(0.0);
         let remote = if target.local { 0.0 } else { self.remote_cost };
-        (work + self.slow_phase(target, work)) * (1.0 + queued / slots + remote)
+        let pace = if untried { 1.0 } else { self.pace(target) };
+        work * pace * (1.0 + queued / slots + remote)
     }
 
-    /// Estimates the time that a neighbour's load adds to a request.
-    fn slow_phase(&self, target: &OpenTarget, work: f32) -> f32 {
+    /// Estimates the pace at which a target begins a request sent now. A report
+    /// loses its weight with its age.
+    fn pace(&self, target: &OpenTarget) -> f32 {
         let counters = &target.counters;
         let pace = counters.reported_pace.load(Ordering::Relaxed);
-        if pace <= USUAL_PACE {
-            return 0.0;
+        if pace == 0 {
+            return UNKNOWN_PACE;
         }
         let age = self.now.since(Timestamp(counters.reported_at.load(Ordering::Relaxed)));
-        let fresh = 1.0 - age.as_secs_f32() / MAX_PACE_AGE.as_secs_f32();
-        let pace = pace as f32 / USUAL_PACE as f32;
-        let slow = (work * pace).min(SLOW_PHASE_LEFT_US);
-        slow * (1.0 - 1.0 / pace) * fresh.max(0.0)
+        let fresh = (1.0 - age.as_secs_f32() / MAX_PACE_AGE.as_secs_f32()).max(0.0);
+        let reported = pace as f32 / USUAL_PACE as f32;
+        fresh * reported + (1.0 - fresh) * UNKNOWN_PACE
     }
 }
 
--- a/core/src/signals.rs
+++ b/core/src/signals.rs
@@ -77,6 +77,8 @@
     pub waits: Vec<WaitSignal>,
     /// Whether `loads` and `waits` hold all that is not zero.
     pub whole: bool,
+    /// Newest revisions of targets and configuration that the sender knows.
+    pub revisions: [u64; 2],
     /// Entries that the sender hears; only in some messages.
     pub members: Vec<SocketAddr>,
 }
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -1,11 +1,13 @@
 //! Follows a directory of targets and configuration that the platform keeps.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
+use strum::IntoEnumIterator;
+use tokio::sync::Notify;
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 use zinniaport_core::controllers::{
@@ -23,9 +25,18 @@
 /// Time between ticks, which drop targets whose removal is due.
 const TICK_PERIOD: Duration = Duration::from_millis(100);
 
+/// How old an answer of the directory may be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadAge {
+    /// It shows all changes that were made before the call.
+    Current,
+    /// It may lag by seconds, which costs the platform less.
+    Lagging,
+}
+
 /// A source of targets and configuration outside the entry.
 pub trait DirectorySource: Send + Sync {
-    /// Lists all objects of a part.
+    /// Lists all objects of a part, without lag.
     fn list(&self, part: DirectoryPart) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>>;
 
     /// Waits for changes of a part after `revision`. Returns an empty batch when
@@ -34,9 +45,45 @@
         &self,
         part: DirectoryPart,
         revision: u64,
+        age: ReadAge,
     ) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>>;
 }
 
+/// Newest changes of the directory that this entry and others know, by part, and
+/// whether this entry watches without lag.
+#[derive(Debug, Default)]
+pub struct RevisionBoard {
+    known: [AtomicU64; 2],
+    heard: [AtomicU64; 2],
+    news: Notify,
+    /// True while others may rely on this entry. An entry that hears no other leads.
+    follows: AtomicBool,
+}
+
+impl RevisionBoard {
+    /// Gives the newest changes that this entry knows.
+    pub fn known(&self) -> [u64; 2] {
+        [0, 1].map(|part: usize| self.known[part].load(Ordering::Acquire))
+    }
+
+    /// Notes the newest changes that others know.
+    pub fn hear(&self, revisions: [u64; 2]) {
+        for (heard, revision) in self.heard.iter().zip(revisions) {
+            heard.fetch_max(revision, Ordering::AcqRel);
+        }
+        self.news.notify_one();
+    }
+
+    /// Sets whether this entry watches without lag.
+    pub fn set_leads(&self, leads: bool) {
+        self.follows.store(!leads, Ordering::Release);
+    }
+
+    fn watch_age(&self) -> ReadAge {
+        if self.follows.load(Ordering::Acquire) { ReadAge::Lagging } else { ReadAge::Current }
+    }
+}
+
 /// Gives the snapshot of an entry that has not learnt its configuration, in which
 /// requests are refused rather than not found.
 pub fn unknown_fleet() -> Arc<FleetSnapshot> {
@@ -72,15 +119,24 @@
         let mut ticks = tokio::time::interval(TICK_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.carry_out(self.controller.start());
+        let state = self.state.clone();
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
                 _ = ticks.tick() => self.step(DirectoryMessage::Tick),
                 Some(message) = self.calls.next() => self.step(message),
+                () = state.revisions.news.notified() => self.hear(),
             }
         }
     }
 
+    fn hear(&mut self) {
+        for part in DirectoryPart::iter() {
+            let heard = self.state.revisions.heard[part as usize].load(Ordering::Acquire);
+            self.step(DirectoryMessage::Heard(part, heard));
+        }
+    }
+
     fn step(&mut self, message: DirectoryMessage) {
         let effects = self.controller.handle(message, self.state.clock.now());
         self.carry_out(effects);
@@ -93,6 +149,11 @@
                 DirectoryEffect::Watch(part, revision, delay) => {
                     self.call(part, Some(revision), delay);
                 }
+                DirectoryEffect::CatchUp(part, revision) => self.catch_up(part, revision),
+                DirectoryEffect::Revision(part, revision) => {
+                    self.state.revisions.known[part as usize].store(revision, Ordering::Release);
+                    self.state.load_changed.notify_one();
+                }
                 DirectoryEffect::Publish(fleet) => {
                     let version = fleet.routes.as_ref().map_or(0, |book| book.version);
                     log::info!(config_version = version, targets = fleet.targets.len(); "directory applied");
@@ -113,12 +174,30 @@
         }
     }
 
-    fn call(&self, part: DirectoryPart, revision: Option<u64>, delay: Duration) {
+    /// Reads changes that another entry knows already.
+    fn catch_up(&self, part: DirectoryPart, revision: Option<u64>) {
         let source = self.source.clone();
+        self.calls.push(Box::pin(async move {
+            let result = match revision {
+                Some(revision) => source.watch(part, revision, ReadAge::Current).await,
+                None => source.list(part).await,
+            };
+            if let Err(error) = &result {
+                log::warn!(part = <&str>::from(part), revision = revision.unwrap_or(0); "cannot catch up with other entries: {error}");
+            }
+            DirectoryMessage::CaughtUp(part, result.ok())
+        }));
+    }
+
+    fn call(&self, part: DirectoryPart, revision: Option<u64>, delay: Duration) {
+        let (source, state) = (self.source.clone(), self.state.clone());
         self.calls.push(Box::pin(async move {
             tokio::time::sleep(delay).await;
             let result = match revision {
-                Some(revision) => source.watch(part, revision).await,
+                Some(revision) => {
+                    let age = state.revisions.watch_age();
+                    source.watch(part, revision, age).await
+                }
                 None => source.list(part).await,
             };
             match (result, revision) {
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -43,6 +43,11 @@
 /// Age from which a report of a target is not passed on, in milliseconds.
 const MAX_REPORT_AGE_MS: u64 = 500;
 
+/// Entries, those with the lowest addresses that are heard, that watch the
+/// directory without lag and tell the others of changes. Two, so that the loss of
+/// one goes unnoticed.
+const LEADERS: usize = 2;
+
 /// Share of the retries that all entries may save up that is handed out; the rest
 /// covers entries that start and are not known yet.
 const SAVED_SHARE: f64 = 0.8;
@@ -80,6 +85,7 @@
     incarnation: u64,
     sequence: u64,
     told_waits: HashMap<ServiceTag, u16>,
+    told_revisions: [u64; 2],
 }
 
 impl SignalsDriver {
@@ -111,6 +117,7 @@
             incarnation,
             sequence: 0,
             told_waits: HashMap::new(),
+            told_revisions: [0; 2],
         })
     }
 
@@ -200,6 +207,7 @@
                 }
             }
             SignalsEffect::Learnt(load) => self.learn(load),
+            SignalsEffect::Revisions(revisions) => self.state.revisions.hear(revisions),
             SignalsEffect::SendWhole(addresses) => {
                 let message = self.whole_message();
                 self.send(&message, &addresses);
@@ -230,6 +238,9 @@
             shares_load: !addresses.is_empty(),
         };
         self.targets.tell(TargetsMessage::View(view));
+        let own = self.address();
+        let before = addresses.iter().filter(|address| **address < own).count();
+        self.state.revisions.set_leads(before < LEADERS);
         let saved = f64::from(self.settings.saved_retries) * SAVED_SHARE / entries as f64;
         self.state.saved_retries.store((saved as u64).max(1), Ordering::Relaxed);
     }
@@ -245,7 +256,9 @@
             }
         }
         let waits = self.changed_waits();
-        if !loads.is_empty() || !waits.is_empty() {
+        let revisions = self.state.revisions.known();
+        let newer = revisions != std::mem::replace(&mut self.told_revisions, revisions);
+        if newer || !loads.is_empty() || !waits.is_empty() {
             let message = self.message(loads, waits, false);
             let heard = self.controller.heard().to_vec();
             self.send(&message, &heard);
@@ -294,7 +307,8 @@
     ) -> SignalMessage {
         self.sequence += 1;
         let (incarnation, sequence) = (self.incarnation, self.sequence);
-        SignalMessage { incarnation, sequence, loads, waits, whole, members: Vec::new() }
+        let revisions = self.state.revisions.known();
+        SignalMessage { incarnation, sequence, loads, waits, whole, revisions, members: Vec::new() }
     }
 
     fn send(&self, message: &SignalMessage, addresses: &[SocketAddr]) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,6 +16,7 @@
 use zinniaport_core::retry::MAX_SAVED_RETRIES;
 
 use crate::dialect::{CallDialect, OwnDialect};
+use crate::directory::RevisionBoard;
 use crate::records::RecordCopies;
 use crate::telemetry::EntryMetrics;
 
@@ -54,6 +55,8 @@
     pub metrics: EntryMetrics,
     /// Notified when requests in flight or waiting change.
     pub load_changed: Notify,
+    /// Newest changes of the directory that this entry and others know.
+    pub revisions: RevisionBoard,
     /// Retries and hedges that this entry may save up for one service.
     pub saved_retries: AtomicU64,
 }
@@ -74,6 +77,7 @@
             measuring: ArcSwap::default(),
             metrics: EntryMetrics::new(),
             load_changed: Notify::new(),
+            revisions: RevisionBoard::default(),
             saved_retries: AtomicU64::new(MAX_SAVED_RETRIES),
         }
     }
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -9,7 +9,7 @@
 use futures::future::BoxFuture;
 use support::{echo_heads, send_raw};
 use tokio::net::UdpSocket;
-use zinniaport::directory::DirectorySource;
+use zinniaport::directory::{DirectorySource, ReadAge};
 use zinniaport::runtime::{EntryBorders, EntryRuntime};
 use zinniaport::settings::EntrySettings;
 use zinniaport::store::StoreError;
@@ -43,6 +43,7 @@
         &self,
         part: DirectoryPart,
         revision: u64,
+        _age: ReadAge,
     ) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
         Box::pin(async move {
             tokio::time::sleep(Duration::from_millis(5)).await;
