--- a/core/src/signals.rs
+++ b/core/src/signals.rs
@@ -7,6 +7,7 @@
 
 use crate::digest::ShortDigest;
 use crate::fleet::TargetEntry;
+use crate::quarantine::QuarantineEntry;
 
 /// Identifies a target between entries, whose keys differ. Among 4,100 targets two
 /// share a tag with a chance of 0.2%, and then look as busy as both together.
@@ -81,6 +82,8 @@
     /// Newest revisions of targets and configuration that the sender knows; zero if
     /// they were told before.
     pub revisions: [u64; 2],
+    /// Requests that crashed targets a moment ago.
+    pub crashes: Vec<QuarantineEntry>,
     /// Entries that the sender hears; only in some messages.
     pub members: Vec<SocketAddr>,
 }
--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -46,7 +46,7 @@
     load: impl Fn() -> Result<EntrySettings, SettingsError>,
 ) -> ExitCode {
     let running = settings.clone();
-    start_logs(settings.log.level, &settings.name);
+    start_logs(&settings.log, &settings.name);
     let entry = match EntryRuntime::start_on(settings, borders).await {
         Ok(entry) => entry,
         Err(error) => {
--- a/src/filters/record.rs
+++ b/src/filters/record.rs
@@ -1,5 +1,6 @@
 //! Outermost filter: leaves a record of what became of a request.
 
+use std::fmt::Write;
 use std::sync::Arc;
 
 use futures::future::BoxFuture;
@@ -33,6 +34,10 @@
         };
         self.state.decisions.write(record);
         self.state.metrics.end(&record, &exchange.fleet);
+        // Refusals have a line of their own, with what led to them.
+        if end.outcome == CallOutcome::Ran && self.lines.take(end.answered) {
+            log_answer(&record, exchange);
+        }
     }
 
     fn log_refusal(&self, exchange: &Exchange, refusal: &Refusal) {
@@ -42,6 +47,10 @@
                 request_id = exchange.request_id.as_str(),
                 config_version = exchange.facts.config_version,
                 reason = <&str>::from(refusal.reason),
+                outcome = <&str>::from(refusal.outcome),
+                status = refusal.status().as_u16(),
+                dispatches = dispatch_words(exchange).as_str(),
+                snapshot_age_ms = now.since(exchange.fleet.published).as_millis() as u64,
                 waited_us = now.since(exchange.facts.arrived).as_micros() as u64;
                 "request refused: {}", refusal.detail
             );
@@ -78,6 +87,45 @@
     }
 }
 
+/// Writes a line about a request that a target answered.
+fn log_answer(record: &DecisionRecord, exchange: &Exchange) {
+    let (facts, end) = (&record.facts, &record.end);
+    let service = exchange.fleet.services.get(facts.service);
+    let queued = record
+        .trace
+        .admission
+        .map_or(0, |admission| admission.admitted.since(admission.queued).as_micros() as u64);
+    log::info!(
+        request_id = exchange.request_id.as_str(),
+        config_version = facts.config_version,
+        service = service.map_or("unknown", |service| service.intent.service.as_str()),
+        status = end.status,
+        late = end.answered > facts.useful_until(),
+        queued_us = queued,
+        dispatches = dispatch_words(exchange).as_str(),
+        snapshot_age_ms = end.answered.since(exchange.fleet.published).as_millis() as u64,
+        took_us = end.answered.since(facts.arrived).as_micros() as u64;
+        "request answered"
+    );
+}
+
+/// Lists the dispatches of a request: target, rule, microseconds after its arrival
+/// and age of the load report in microseconds.
+fn dispatch_words(exchange: &Exchange) -> String {
+    let mut words = String::new();
+    for dispatch in exchange.trace.dispatches.iter().flatten() {
+        let address = exchange.fleet.targets.get(dispatch.target).map(|target| target.address);
+        let address = address.map_or("removed".to_owned(), |address| address.to_string());
+        let after = dispatch.dispatched.since(exchange.facts.arrived).as_micros();
+        let separator = if words.is_empty() { "" } else { ", " };
+        let _ = write!(words, "{separator}{address} {} after {after}", dispatch.rule);
+        if let Some(age) = dispatch.report_age_us {
+            let _ = write!(words, " report {age}");
+        }
+    }
+    words
+}
+
 /// Writes the record when dropped, so that a request whose caller leaves before
 /// the answer, which drops the whole chain, is recorded too.
 struct OpenRecord<'a> {
--- a/src/filters/route.rs
+++ b/src/filters/route.rs
@@ -153,7 +153,10 @@
 ) -> DispatchTrace {
     let uses_report = matches!(
         choice.reason,
-        ReasonCode::LowestReport | ReasonCode::ProbedCold | ReasonCode::HomeSlot
+        ReasonCode::LowestReport
+            | ReasonCode::ProbedCold
+            | ReasonCode::HomeSlot
+            | ReasonCode::ShortestWait
     );
     let reported_at =
         query.fleet.targets[choice.target].counters.reported_at.load(Ordering::Relaxed);
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -145,8 +145,9 @@
         let quarantine = Arc::new(QuarantineGate::new(clock.clone()));
         let gates = Arc::new(AdmissionGates::new(clock.clone()));
         if let Some(signals) = settings.signals.take() {
-            let (state, targets, gates) = (state.clone(), targets.clone(), gates.clone());
-            let signals = SignalsDriver::open(state, targets, gates, signals).await?;
+            let (state, targets) = (state.clone(), targets.clone());
+            let (gates, quarantine) = (gates.clone(), quarantine.clone());
+            let signals = SignalsDriver::open(state, targets, gates, quarantine, signals).await?;
             tokio::spawn(signals.run(CancellationToken::new()));
         }
         let control = match (settings.platform.take(), store) {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -17,7 +17,7 @@
 use derive_more::{Display, Error};
 pub use fault::{CheckSettings, FaultList, SettingsFault};
 pub use limits::LimitSettings;
-pub use log::{LogLevel, LogSettings};
+pub use log::{LogLevel, LogOutput, LogSettings};
 pub use peers::PeerSettings;
 pub use platform::{PlatformSettings, TeamSettings, TokenSettings};
 pub use pool::{MAX_CONNECTIONS_PER_TARGET, PoolSettings};
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -19,7 +19,7 @@
 use zinniaport_core::policy::EntryView;
 use zinniaport_core::signals::{LoadSignal, ServiceTag, SignalMessage, TargetTag, WaitSignal};
 
-use crate::gate::AdmissionGates;
+use crate::gate::{AdmissionGates, QuarantineGate};
 use crate::runtime::StartError;
 use crate::settings::SignalSettings;
 use crate::state::SharedState;
@@ -37,6 +37,12 @@
 /// Targets in one message; a whole message of more is sent in part.
 const MAX_LOADS: usize = 256;
 
+/// Time for which whole messages tell of a crash, which several of them repeat.
+const CRASH_NEWS_TIME: Duration = Duration::from_secs(2);
+
+/// Crashes in one whole message, of about 30 bytes each.
+const MAX_CRASHES: usize = 16;
+
 /// Age from which a report of a target is not passed on, in milliseconds.
 const MAX_REPORT_AGE_MS: u64 = 500;
 
@@ -75,6 +81,7 @@
     state: Arc<SharedState>,
     targets: TargetsHandle,
     gates: Arc<AdmissionGates>,
+    quarantine: Arc<QuarantineGate>,
     settings: SignalSettings,
     socket: UdpSocket,
     controller: SignalsController,
@@ -95,6 +102,7 @@
         state: Arc<SharedState>,
         targets: TargetsHandle,
         gates: Arc<AdmissionGates>,
+        quarantine: Arc<QuarantineGate>,
         settings: SignalSettings,
     ) -> Result<Self, StartError> {
         let address = settings.listen;
@@ -107,6 +115,7 @@
             state,
             targets,
             gates,
+            quarantine,
             settings,
             socket,
             controller,
@@ -157,6 +166,7 @@
     fn receive(&mut self, from: SocketAddr, bytes: &[u8]) {
         match decode_signal(bytes) {
             Ok(message) => {
+                self.quarantine.merge(&message.crashes);
                 self.step(SignalsMessage::Received(from, message));
                 self.gates.refresh();
             }
@@ -296,7 +306,10 @@
         let waits = waits.map(|(tag, waiting)| WaitSignal { service: *tag, waiting: *waiting });
         let waits = waits.collect();
         let members = self.controller.heard().to_vec();
-        SignalMessage { members, ..self.message(loads, waits, true) }
+        let mut crashes = self.quarantine.entries();
+        crashes.retain(|entry| now.since(entry.last_crash) < CRASH_NEWS_TIME);
+        crashes.truncate(MAX_CRASHES);
+        SignalMessage { members, crashes, ..self.message(loads, waits, true) }
     }
 
     fn message(
@@ -308,7 +321,15 @@
         self.sequence += 1;
         let (incarnation, sequence) = (self.incarnation, self.sequence);
         let revisions = if whole { self.state.revisions.known() } else { [0; 2] };
-        SignalMessage { incarnation, sequence, loads, waits, whole, revisions, members: Vec::new() }
+        SignalMessage {
+            incarnation,
+            sequence,
+            loads,
+            waits,
+            whole,
+            revisions,
+            ..SignalMessage::default()
+        }
     }
 
     fn send(&self, message: &SignalMessage, addresses: &[SocketAddr]) {
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -1,18 +1,18 @@
-//! JSON log lines on standard error.
+//! JSON log lines on standard error or standard output.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use logforth::append::Stderr;
+use logforth::append::{Stderr, Stdout};
 use logforth::diagnostic::StaticDiagnostic;
 use logforth::layout::JsonLayout;
 use logforth::record::{Level, LevelFilter};
 use zinniaport_core::clock::Timestamp;
 
-use crate::settings::LogLevel;
+use crate::settings::{LogLevel, LogOutput, LogSettings};
 
 /// Starts to write log lines. Does nothing if the process already logs.
-pub fn start_logs(level: LogLevel, entry_name: &str) {
-    let least = match level {
+pub fn start_logs(settings: &LogSettings, entry_name: &str) {
+    let least = match settings.level {
         LogLevel::Error => Level::Error,
         LogLevel::Warn => Level::Warn,
         LogLevel::Info => Level::Info,
@@ -20,12 +20,15 @@
     };
     let mut entry = StaticDiagnostic::default();
     entry.insert("entry", entry_name);
+    let output = settings.output;
     let started = logforth::starter_log::builder()
         .dispatch(|dispatch| {
-            dispatch
-                .filter(LevelFilter::MoreSevereEqual(least))
-                .diagnostic(entry)
-                .append(Stderr::default().with_layout(JsonLayout::default()))
+            let dispatch = dispatch.filter(LevelFilter::MoreSevereEqual(least)).diagnostic(entry);
+            let layout = JsonLayout::default();
+            match output {
+                LogOutput::Stderr => dispatch.append(Stderr::default().with_layout(layout)),
+                LogOutput::Stdout => dispatch.append(Stdout::default().with_layout(layout)),
+            }
         })
         .try_apply();
     if started.is_err() {
--- /dev/null
+++ b/tests/signals.rs
@@ -0,0 +1,76 @@
+//! Signals between entries over sockets.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+use zinniaport::gate::{AdmissionGates, QuarantineGate};
+use zinniaport::settings::SignalSettings;
+use zinniaport::signals::{SignalsDriver, decode_signal, encode_signal};
+use zinniaport::state::SharedState;
+use zinniaport::targets::TargetsDriver;
+use zinniaport_core::call::CallFingerprint;
+use zinniaport_core::clock::{ClockSource, SystemClock, Timestamp};
+use zinniaport_core::quarantine::QuarantineEntry;
+use zinniaport_core::signals::SignalMessage;
+use zinniaport_testing::test_cases;
+
+async fn start(clock: Arc<dyn ClockSource>) -> (SocketAddr, Arc<QuarantineGate>) {
+    let state = Arc::new(SharedState::new(clock.clone(), "entry-1", "valle-a"));
+    let (_, targets) = TargetsDriver::new(state.clone());
+    let gates = Arc::new(AdmissionGates::new(clock.clone()));
+    let quarantine = Arc::new(QuarantineGate::new(clock));
+    let settings: SignalSettings = serde_norway::from_str("listen: 127.0.0.1:0").unwrap();
+    let driver = SignalsDriver::open(state, targets, gates, quarantine.clone(), settings);
+    let driver = driver.await.unwrap();
+    let address = driver.address();
+    tokio::spawn(driver.run(CancellationToken::new()));
+    (address, quarantine)
+}
+
+fn crash(last_crash: Timestamp) -> QuarantineEntry {
+    let targets = BTreeSet::from([([10, 0, 0, 1], 80).into(), ([10, 0, 0, 2], 80).into()]);
+    QuarantineEntry { fingerprint: CallFingerprint(7), targets, last_crash }
+}
+
+test_cases! {
+    async crashes_reach_other_entries: "a request that crashes as many targets at each entry as it may crash at all" => {
+        let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
+        let (first, _) = start(clock.clone()).await;
+        let (second, quarantine) = start(clock.clone()).await;
+        // A third entry tells the first of a crash and that the second exists.
+        let third = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let message = SignalMessage {
+            incarnation: 1,
+            sequence: 1,
+            whole: true,
+            crashes: vec![crash(clock.now())],
+            members: vec![second],
+            ..SignalMessage::default()
+        };
+        third.send_to(&encode_signal(&message).unwrap(), first).await.unwrap();
+        for _ in 0..400 {
+            if !quarantine.entries().is_empty() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(quarantine.entries().len(), 1, "the second entry learns it from the first");
+    }
+
+    damaged_datagrams_are_dropped: "a datagram of another program that ends an entry or fills its memory" => {
+        let message = SignalMessage { incarnation: 1 << 50, sequence: 3, ..SignalMessage::default() };
+        let bytes = encode_signal(&message).unwrap();
+        assert_eq!(decode_signal(&bytes).unwrap(), message);
+        for place in 0..bytes.len() {
+            assert!(decode_signal(&bytes[..place]).is_err(), "cut at {place}");
+            let mut damaged = bytes.clone();
+            damaged[place] = 0xff;
+            let _ = decode_signal(&damaged);
+        }
+        assert!(decode_signal(&[0xff; 64]).is_err());
+    }
+}
