--- a/core/src/controllers/directory.rs
+++ b/core/src/controllers/directory.rs
@@ -25,7 +25,7 @@
 /// Time for which a target that was removed without having announced it stays in
 /// use. Such a removal may be a lapsed registration of a live target, which comes
 /// back; a target that left serves on for the drain time, at least 2 s.
-const REMOVAL_DELAY: Duration = Duration::from_millis(1_500);
+const REMOVAL_DELAY: Duration = Duration::from_secs(1);
 
 /// The same after the store was away: live targets register again within about 2 s.
 const RETURN_DELAY: Duration = Duration::from_millis(2_000);
@@ -40,7 +40,12 @@
 
 /// Time that the watch of an entry has to deliver a change that another entry knows
 /// already, before the change is read by itself.
-const CATCH_UP_DELAY: Duration = Duration::from_millis(100);
+const CATCH_UP_DELAY: Duration = Duration::from_millis(400);
+
+/// Time between an answer with changes and the next watch. Changes come in series,
+/// such as the registrations of a whole fleet, and each answer is a call that the
+/// platform counts.
+const WATCH_PAUSE: Duration = Duration::from_millis(100);
 
 /// Requests that wait at one entry for one service.
 const MAX_QUEUE_LENGTH: u32 = 256;
@@ -214,9 +219,10 @@
         now: Timestamp,
     ) -> Vec<DirectoryEffect> {
         let mut effects: Vec<_> = self.note_answer(part, now).into_iter().collect();
+        let pause = if batch.changes.is_empty() { Duration::ZERO } else { WATCH_PAUSE };
         effects.extend(self.take_batch(part, batch, listed, now));
         let revision = self.part(part).revision.unwrap_or(0);
-        effects.push(DirectoryEffect::Watch(part, revision, Duration::ZERO));
+        effects.push(DirectoryEffect::Watch(part, revision, pause));
         effects
     }
 
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -34,6 +34,10 @@
 /// Largest datagram that is received, in bytes.
 const MAX_DATAGRAM: usize = 16 << 10;
 
+/// Entries that one whole message names. At 139 entries all of them would be most
+/// of the bytes between data centres.
+const MAX_MEMBERS: usize = 8;
+
 /// Targets in one message; a whole message of more is sent in part.
 const MAX_LOADS: usize = 256;
 
@@ -305,13 +309,22 @@
         let waits = self.told_waits.iter();
         let waits = waits.map(|(tag, waiting)| WaitSignal { service: *tag, waiting: *waiting });
         let waits = waits.collect();
-        let members = self.controller.heard().to_vec();
+        let members = self.next_members();
         let mut crashes = self.quarantine.entries();
         crashes.retain(|entry| now.since(entry.last_crash) < CRASH_NEWS_TIME);
         crashes.truncate(MAX_CRASHES);
         SignalMessage { members, crashes, ..self.message(loads, waits, true) }
     }
 
+    /// Gives the next few entries that this one hears, all of them in turn.
+    fn next_members(&self) -> Vec<SocketAddr> {
+        let heard = self.controller.heard();
+        let start = self.sequence as usize * MAX_MEMBERS;
+        let turn =
+            (0..heard.len().min(MAX_MEMBERS)).map(|step| heard[(start + step) % heard.len()]);
+        turn.collect()
+    }
+
     fn message(
         &mut self,
         loads: Vec<LoadSignal>,
