--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -113,7 +113,11 @@
     let (budget, now) = budget;
     let at_target = matches!(
         reason,
-        ReasonCode::TargetRefused | ReasonCode::TargetUnreachable | ReasonCode::TargetLost
+        ReasonCode::TargetRefused
+            | ReasonCode::TargetUnreachable
+            | ReasonCode::TargetLost
+            | ReasonCode::SpoiledAnswer
+            | ReasonCode::WrongInstance
     );
     let harmless = outcome == CallOutcome::NotRun || facts.idempotent;
     at_target
--- a/core/tests/retry.rs
+++ b/core/tests/retry.rs
@@ -106,4 +106,25 @@
         }
         assert!((600..1_400).contains(&above), "{above} of 20000 samples were above the 95th percentile");
     }
+
+    broken_answers_are_replaced: "a damaged answer, or a refusal by the new owner of an address, passed to a caller while other targets are there" => {
+        let facts = |idempotent| CallFacts {
+            idempotent,
+            max_runs: 2,
+            max_dispatches: Some(2),
+            deadline: Timestamp(1_000),
+            ..CallFacts::default()
+        };
+        let retried = |idempotent, failure: (ReasonCode, CallOutcome)| {
+            let budget = RetryBudget::default();
+            budget.record_first_attempt(100.0, MAX_SAVED_RETRIES);
+            let mut count = DispatchCount::default();
+            count.begin();
+            count.end(failure.1);
+            may_retry(&facts(idempotent), count, failure, true, (&budget, Timestamp(1)))
+        };
+        assert!(retried(true, (ReasonCode::SpoiledAnswer, CallOutcome::Unknown)));
+        assert!(!retried(false, (ReasonCode::SpoiledAnswer, CallOutcome::Unknown)), "it may have run");
+        assert!(retried(false, (ReasonCode::WrongInstance, CallOutcome::NotRun)));
+    }
 }
