--- a/core/examples/decision_cost.rs
+++ b/core/examples/decision_cost.rs
@@ -17,7 +17,7 @@
 use zinniaport_core::fleet::FleetSnapshot;
 use zinniaport_core::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
 use zinniaport_core::keys::CallerKey;
-use zinniaport_core::policy::{EntryView, RouteQuery, policies};
+use zinniaport_core::policy::{EntryView, MEAN_PACE, RouteQuery, policies};
 
 /// Targets of the co-operative, ten times as many, and of the design scale.
 const TARGETS: [usize; 3] = [35, 350, 4_100];
@@ -141,6 +141,8 @@
         fleet,
         service: fleet.find("pump-history").expect("the service was applied").1,
         data_centre: &fleet.view.data_centre,
+        affinity: None,
+        assumed_pace: MEAN_PACE,
         members: &fleet.view.members,
         excluded: &[],
         remote_cost: 0.0,
--- a/core/src/admission/queue.rs
+++ b/core/src/admission/queue.rs
@@ -54,6 +54,16 @@
     pub retry_after: Duration,
 }
 
+/// Time after which another try is worthwhile where no queue says so.
+const USUAL_RETRY: Duration = Duration::from_millis(200);
+
+impl EarlyRefusal {
+    /// Creates a refusal that does not come from the state of a queue.
+    pub fn at_once(reason: ReasonCode) -> Self {
+        Self { reason, retry_after: USUAL_RETRY }
+    }
+}
+
 /// A request that joined the queue.
 #[derive(Debug)]
 pub struct JoinedCall<W> {
--- a/core/src/admission/window.rs
+++ b/core/src/admission/window.rs
@@ -1,7 +1,7 @@
 //! How many requests of a service may be in flight from this entry.
 //!
 //! [`concurrency_window`] estimates it from reports; [`shared_room`] knows the
-//! requests in flight from all entries where these tell each other.
+//! requests of all entries, at the entry that places them.
 
 use std::sync::atomic::Ordering;
 
@@ -43,7 +43,7 @@
     window.max(table.home_slots).max(1)
 }
 
-/// Room of a service for further requests, as all entries see it.
+/// Room of a service for further requests, as its coordinator sees it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct SharedRoom {
     /// Requests that the targets can take now without a queue.
@@ -52,26 +52,18 @@
     pub usable: u32,
 }
 
-/// Computes the room of a service from the requests in flight from all entries.
-/// `own_in_flight` counts those that this entry has admitted, also those that are
-/// on their way to a target.
-pub fn shared_room(table: &RouteTable, own_in_flight: u32, now: Timestamp) -> SharedRoom {
-    let (mut room, mut dispatched) = (SharedRoom::default(), 0);
+/// Computes the room of a service from the requests of all entries. `admitted` counts
+/// those that were admitted, also those that have no target yet.
+pub fn shared_room(table: &RouteTable, admitted: u32, now: Timestamp) -> SharedRoom {
+    let (mut room, mut placed) = (SharedRoom::default(), 0);
     for target in &table.open {
-        dispatched += target.counters.in_flight.load(Ordering::Relaxed);
+        placed += target.counters.placed.load(Ordering::Relaxed);
         let usable = usable_slots(target.slots);
         room.usable += usable;
         if !target.counters.sheds(now) {
-            room.free += usable.saturating_sub(target.counters.shared_in_flight());
+            room.free += usable.saturating_sub(target.counters.held_requests(now));
         }
     }
-    room.free = room.free.saturating_sub(own_in_flight.saturating_sub(dispatched));
+    room.free = room.free.saturating_sub(admitted.saturating_sub(placed));
     room
 }
-
-/// Gives the chance with which an entry should claim room for the first of its
-/// waiting requests, so that all entries together claim about as much as there is.
-pub fn claim_chance(room: SharedRoom, own_waiting: u32, others_waiting: u32) -> f32 {
-    let own = own_waiting.max(1) as f32;
-    (room.free as f32 * own / (own + others_waiting as f32)).min(1.0)
-}
--- a/core/src/controllers/directory.rs
+++ b/core/src/controllers/directory.rs
@@ -444,7 +444,10 @@
                 team: String::new(),
                 kinds: used.map(|route| route.kind.clone()).collect(),
                 targets: targets.swap_remove(service.name.as_str()).unwrap_or_default(),
-                measuring: MeasuringIntent::default(),
+                measuring: MeasuringIntent {
+                    probe_path: Some(service.health_path.clone()).filter(|path| !path.is_empty()),
+                    ..MeasuringIntent::default()
+                },
                 max_queue_length: MAX_QUEUE_LENGTH,
                 retry_percent: self.terms.retry_ratio * 100.0,
                 max_ejected_percent: MAX_EJECTED_PERCENT,
--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -1,10 +1,12 @@
 //! Controllers: each owns one piece of state, takes messages and clock readings,
 //! and returns effects for its driver to carry out.
 
+mod asks;
 mod burn;
 mod claims;
 mod directory;
 mod drain;
+mod grants;
 mod measuring;
 mod membership;
 mod plans;
@@ -14,6 +16,7 @@
 mod targets;
 mod vms;
 
+pub use asks::{AskVerdict, AsksController, AsksEffect, AsksMessage};
 pub use burn::{BurnController, BurnEffect, BurnMessage};
 pub use claims::{
     CLAIM_BATCH, ClaimAnswer, ClaimsController, ClaimsEffect, ClaimsMessage, SegmentName,
@@ -22,6 +25,7 @@
     DirectoryController, DirectoryEffect, DirectoryMessage, DirectoryTerms, TargetChange,
 };
 pub use drain::{DrainController, DrainEffect, DrainLimits, DrainMessage, DrainState};
+pub use grants::{GrantKey, GrantsController, GrantsEffect, GrantsMessage};
 pub use measuring::{MeasuringController, MeasuringEffect, MeasuringMessage, ProbeNeed};
 pub use membership::{
     GONE_AFTER, Heartbeat, MemberEntry, MemberMessage, MemberNote, MemberState,
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -50,6 +50,10 @@
 /// its usual time.
 pub const USUAL_PACE: u32 = 100;
 
+/// Age up to which the load that a target reported counts beside what was placed
+/// there, about the time of one request of the shortest kind.
+const TRUSTED_LOAD_AGE: Duration = Duration::from_millis(50);
+
 /// Load that a target reports of itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LoadReport {
@@ -84,18 +88,18 @@
     /// Time of work that the target last reported, in percent of its usual time; 0
     /// before the first report.
     pub reported_pace: AtomicU32,
-    /// When that report arrived, in microseconds.
+    /// When that report, or a newer one of the time of work alone, arrived, in
+    /// microseconds.
     pub reported_at: AtomicU64,
+    /// When the reported load arrived, in microseconds.
+    pub load_at: AtomicU64,
     /// Requests of this entry in flight when that report arrived.
     pub in_flight_at_report: AtomicU32,
-    /// Requests that the other entries say they have in flight.
-    pub others_in_flight: AtomicU32,
-    /// Whether the count in flight or the report changed since the other entries
-    /// were told.
-    pub untold: AtomicBool,
-    /// Time to the last answer that the other entries were not told, in
-    /// microseconds; 0 for none.
-    pub untold_latency_us: AtomicU64,
+    /// Requests of all entries that this one, as the coordinator of the service, has
+    /// placed there and that have not ended.
+    pub placed: AtomicU32,
+    /// When the last probe was sent, in microseconds.
+    pub probed_at: AtomicU64,
     /// Moving average of the time to the response head, in microseconds.
     pub latency_us: AtomicU64,
     /// Failures since the last success.
@@ -114,12 +118,30 @@
         self.reported_load.store(report.running + report.waiting, Ordering::Relaxed);
         self.reported_pace.store(report.pace_percent, Ordering::Relaxed);
         self.reported_at.store(now.0, Ordering::Relaxed);
+        self.load_at.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Gives the requests that the target is taken to hold: those placed there, or
+    /// more if it has just said so, as others may place requests too. A report may
+    /// count the request that it answers, so one more says nothing.
+    pub fn held_requests(&self, now: Timestamp) -> u32 {
+        let placed = self.placed.load(Ordering::Relaxed);
+        let is_new = now.since(Timestamp(self.load_at.load(Ordering::Relaxed))) <= TRUSTED_LOAD_AGE;
+        let reported = self.reported_load.load(Ordering::Relaxed);
+        let reported = if is_new && reported > placed + 1 { reported - 1 } else { 0 };
+        placed.max(reported)
+    }
+
+    /// Gives the time of work that the target last reported, in percent of the usual, and
+    /// the age of that report; 0 before the first.
+    pub fn pace_report(&self, now: Timestamp) -> (u32, Duration) {
+        let reported = Timestamp(self.reported_at.load(Ordering::Relaxed));
+        (self.reported_pace.load(Ordering::Relaxed), now.since(reported))
     }
 
-    /// Gives the requests in flight from all entries that tell each other.
-    pub fn shared_in_flight(&self) -> u32 {
-        let others = self.others_in_flight.load(Ordering::Relaxed);
-        self.in_flight.load(Ordering::Relaxed) + others
+    /// Tells whether the target has not reported since it was last probed.
+    pub fn awaits_probe(&self) -> bool {
+        self.probed_at.load(Ordering::Relaxed) > self.reported_at.load(Ordering::Relaxed)
     }
 
     /// Takes over the time of work that another entry was told `age` ago.
@@ -137,7 +159,6 @@
         self.failures_in_row.store(0, Ordering::Relaxed);
         let share = self.failure_share.load(Ordering::Relaxed);
         self.failure_share.store(share - share.div_ceil(8), Ordering::Relaxed);
-        self.untold_latency_us.store(latency.as_micros() as u64, Ordering::Relaxed);
         self.record_latency(latency);
     }
 
@@ -183,8 +204,8 @@
     pub in_flight: AtomicU32,
     /// Requests of this entry that wait for a slot.
     pub waiting: AtomicU32,
-    /// Requests that wait for a slot at the other entries, as they say.
-    pub others_waiting: AtomicU32,
+    /// Probes since a target of the service last reported its load.
+    pub unreported_probes: AtomicU32,
     /// Next position for round robin.
     pub cursor: AtomicU32,
     /// Recent load reports for the probe policy.
--- a/core/src/intent.rs
+++ b/core/src/intent.rs
@@ -170,10 +170,14 @@
     pub probe_cost_ms: f64,
     /// Greatest number of entries that run at the same time.
     pub max_entries: u32,
+    /// Path that answers at once with the load of a target; targets are then probed
+    /// just before they are used.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub probe_path: Option<String>,
 }
 
 impl Default for MeasuringIntent {
     fn default() -> Self {
-        Self { budget_percent: 0.0, probe_cost_ms: 6.0, max_entries: 19 }
+        Self { budget_percent: 0.0, probe_cost_ms: 6.0, max_entries: 19, probe_path: None }
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod intent;
 pub mod keys;
 pub mod outlier;
+pub mod placement;
 pub mod plan;
 pub mod policy;
 pub mod probe;
--- a/core/src/policy/mod.rs
+++ b/core/src/policy/mod.rs
@@ -21,8 +21,8 @@
 use rand::RngCore;
 pub use random::RandomPolicy;
 pub use round_robin::RoundRobin;
-pub use shortest_wait::{ShortestWait, usable_slots};
-pub use table::{EntryView, OpenTarget, RAMP_TIME, RouteTable, ramp_share};
+pub use shortest_wait::{MEAN_PACE, ShortestWait, usable_slots};
+pub use table::{EntryView, OpenTarget, RAMP_TIME, RouteTable, hash_bytes, ramp_share};
 pub use two_choices::TwoChoices;
 
 use crate::call::ReasonCode;
@@ -37,8 +37,14 @@
     pub fleet: &'a FleetSnapshot,
     /// The service that the request is for.
     pub service: &'a ServiceEntry,
-    /// Data centre of this entry.
+    /// Data centre of the entry that sends the request.
     pub data_centre: &'a str,
+    /// Draw of that entry, by which it keeps to few targets and so to few
+    /// connections; none if it does not matter which targets it uses.
+    pub affinity: Option<u64>,
+    /// Factor on the time of work that is assumed for a target without a usable
+    /// report.
+    pub assumed_pace: f32,
     /// Names of the live entries; empty if this entry is alone. The routing
     /// table of the service was computed from them.
     pub members: &'a [Arc<str>],
--- a/core/src/policy/shortest_wait.rs
+++ b/core/src/policy/shortest_wait.rs
@@ -1,5 +1,5 @@
-//! The shortest expected time to an answer over all targets, from what the entries
-//! tell each other.
+//! The shortest expected time to an answer over all targets, at the entry that places
+//! the requests of all.
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,9 +15,23 @@
 /// slow a target come and go within some 150 ms.
 const MAX_PACE_AGE: Duration = Duration::from_millis(150);
 
-/// Pace of a target without a usable report, as a factor on the usual time of work:
-/// the mean over targets a quarter of which is slowed five-fold.
-const UNKNOWN_PACE: f32 = 2.0;
+/// Mean pace of targets, as a factor on the usual time of work: a quarter of them is
+/// slowed five-fold at any time.
+pub const MEAN_PACE: f32 = 2.0;
+
+/// Targets of each data centre that an entry prefers. At a few requests a second a
+/// connection to each of four stays in use, and that all four are slowed is rare.
+const PREFERRED_TARGETS: f32 = 4.0;
+
+/// Factor on the expected time at a target that an entry does not prefer, which
+/// outweighs a new connection.
+const OTHER_TARGET_FACTOR: f32 = 1.2;
+
+/// Time in which targets answer probes.
+const PROBE_TIME: Duration = Duration::from_millis(10);
+
+/// Pace that is assumed for a target that has not answered a probe in that time.
+const UNANSWERED_PACE: f32 = 4.0;
 
 /// Utilisation above which many targets slow down.
 pub const KNEE_SHARE: f32 = 0.8;
@@ -47,8 +61,7 @@
 
 /// Picks the target with the shortest expected time among all open ones.
 ///
-/// It needs the requests in flight from all entries and falls back to two choices
-/// without them. A pick walks the targets of one service, about 20 at the design
+/// It needs the requests of all entries and falls back to two choices without them. A pick walks the targets of one service, about 20 at the design
 /// size.
 #[derive(Debug, Default)]
 pub struct ShortestWait;
@@ -58,20 +71,33 @@
     now: Timestamp,
     work_us: f32,
     remote_cost: f32,
+    assumed_pace: f32,
 }
 
 impl WaitBasis {
     fn new(query: &RouteQuery<'_>) -> Self {
         let median = query.service.table.median_latency_us.load(Ordering::Relaxed);
         let work_us = if median == 0 { FIRST_WORK_US } else { median as f32 };
-        Self { now: query.now, work_us, remote_cost: query.remote_cost }
+        let RouteQuery { now, remote_cost, assumed_pace, .. } = *query;
+        Self { now, work_us, remote_cost, assumed_pace }
+    }
+
+    /// Weighs a target for the entry that asks: the expected time, raised where the
+    /// way there costs more.
+    fn weigh(&self, target: &OpenTarget, query: &RouteQuery<'_>) -> f32 {
+        let local = *target.data_centre == *query.data_centre;
+        let preferred = query
+            .affinity
+            .is_none_or(|affinity| local && target.is_preferred(affinity, PREFERRED_TARGETS));
+        let remote = if local { 1.0 } else { 1.0 + self.remote_cost };
+        self.expect(target) * remote * if preferred { 1.0 } else { OTHER_TARGET_FACTOR }
     }
 
     /// Estimates the time in microseconds until a request sent now is answered.
     fn expect(&self, target: &OpenTarget) -> f32 {
         let counters = &target.counters;
         let slots = target.slots.max(1) as f32;
-        let load = counters.shared_in_flight() as f32 + failure_penalty(target);
+        let load = counters.held_requests(self.now) as f32 + failure_penalty(target);
         let running = (load + 1.0).min(slots);
         let mut work = self.work_us;
         if running / slots > KNEE_SHARE {
@@ -86,23 +112,26 @@
         let latency = counters.latency_us.load(Ordering::Relaxed) as f32;
         work *= (latency / self.work_us / SLOW_FACTOR).max(1.0);
         let queued = (load + 1.0 - slots).max(0.0);
-        let remote = if target.local { 0.0 } else { self.remote_cost };
         let pace = if untried { 1.0 } else { self.pace(target) };
-        work * pace * (1.0 + queued / slots + remote)
+        work * pace * (1.0 + queued / slots)
     }
 
     /// Estimates the pace at which a target begins a request sent now. A report
     /// loses its weight with its age.
     fn pace(&self, target: &OpenTarget) -> f32 {
         let counters = &target.counters;
+        let probed = Timestamp(counters.probed_at.load(Ordering::Relaxed));
+        if counters.awaits_probe() && self.now.since(probed) >= PROBE_TIME {
+            return UNANSWERED_PACE;
+        }
         let pace = counters.reported_pace.load(Ordering::Relaxed);
         if pace == 0 {
-            return UNKNOWN_PACE;
+            return self.assumed_pace;
         }
         let age = self.now.since(Timestamp(counters.reported_at.load(Ordering::Relaxed)));
         let fresh = (1.0 - age.as_secs_f32() / MAX_PACE_AGE.as_secs_f32()).max(0.0);
         let reported = pace as f32 / USUAL_PACE as f32;
-        fresh * reported + (1.0 - fresh) * UNKNOWN_PACE
+        fresh * reported + (1.0 - fresh) * self.assumed_pace
     }
 }
 
@@ -123,7 +152,7 @@
         for sheds in [false, true] {
             let targets = table.open.iter().filter(usable);
             for target in targets.filter(|target| target.counters.sheds(query.now) == sheds) {
-                let time = basis.expect(target);
+                let time = basis.weigh(target, query);
                 match best {
                     Some((_, least)) if time > least * (1.0 + TIE_SHARE) => {}
                     Some((_, least)) if time >= least * (1.0 - TIE_SHARE) => {
--- a/core/src/policy/table.rs
+++ b/core/src/policy/table.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use rand::{Rng, RngCore};
 
 use crate::clock::Timestamp;
@@ -32,8 +33,8 @@
     pub data_centre: Arc<str>,
     /// Names of the live entries; empty if this entry is alone.
     pub members: Arc<[Arc<str>]>,
-    /// Whether the entries tell each other what they have in flight, so that the
-    /// sum over all entries is known for each target.
+    /// Whether one entry places the requests of all for each service, so that it
+    /// knows the sum for each target.
     pub shares_load: bool,
 }
 
@@ -57,11 +58,24 @@
     pub home_slots: u32,
     /// Whether it is in this entry's data centre.
     pub local: bool,
+    /// Its data centre.
+    pub data_centre: Arc<str>,
+    /// Open targets of the service in that data centre, this one included.
+    pub neighbours: u32,
+    /// Hash of its address.
+    pub draw: u64,
     /// When it began to take a growing share; none if it takes its full share.
     pub ramp_start: Option<Timestamp>,
 }
 
 impl OpenTarget {
+    /// Tells whether the target is one of the few that an entry of the same data
+    /// centre with this draw prefers, about `count` in all.
+    pub fn is_preferred(&self, affinity: u64, count: f32) -> bool {
+        let share = mix(affinity ^ self.draw) as f32 / u64::MAX as f32;
+        share * (self.neighbours as f32) < count
+    }
+
     /// Tells whether a sample that hit the target should count: a cold target
     /// counts for its share only, one that sheds load not at all.
     fn accepts(&self, now: Timestamp, random: &mut dyn RngCore) -> bool {
@@ -93,7 +107,7 @@
     pub home_slots: u32,
     /// Live entries, this one included.
     pub entries: usize,
-    /// Whether the requests in flight from all entries are known.
+    /// Whether one entry places the requests of all.
     pub shares_load: bool,
     /// Median of the latencies of the open targets, in microseconds; 0 if unknown.
     pub median_latency_us: AtomicU64,
@@ -113,6 +127,7 @@
         for (key, target) in targets.filter(|(_, target)| target.state.takes_requests()) {
             table.add(key, target, &homes, &view.data_centre);
         }
+        table.count_neighbours();
         table.update_median();
         table
     }
@@ -135,10 +150,23 @@
             slots: target.slots,
             home_slots,
             local,
+            data_centre: target.data_centre.clone(),
+            neighbours: 1,
+            draw: hash_address(target.address),
             ramp_start: (target.state == TargetState::Starting).then_some(target.since),
         });
     }
 
+    fn count_neighbours(&mut self) {
+        let mut counts: IndexMap<Arc<str>, u32> = IndexMap::new();
+        for target in &self.open {
+            *counts.entry(target.data_centre.clone()).or_default() += 1;
+        }
+        for target in &mut self.open {
+            target.neighbours = counts[&target.data_centre];
+        }
+    }
+
     /// Computes the median of the latencies of the open targets anew.
     pub fn update_median(&self) {
         let median = median_latency(self.open.iter().map(|target| &*target.counters));
@@ -231,7 +259,7 @@
 }
 
 /// FNV-1a, which unlike the standard hasher gives the same value in every process.
-fn hash_bytes(bytes: &[u8]) -> u64 {
+pub fn hash_bytes(bytes: &[u8]) -> u64 {
     let hash = bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
         (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
     });
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -99,18 +99,17 @@
     }
 }
 
-/// Tells whether a request whose last dispatch failed may go to another target.
-/// Spends from the budget if so; `resendable` tells whether the body can be
-/// sent again.
-pub fn may_retry(
+/// Tells whether a request whose last dispatch failed may go to another target, if
+/// the budget has a retry left; `resendable` tells whether the body can be sent
+/// again.
+pub fn allows_retry(
     facts: &CallFacts,
     count: DispatchCount,
     failure: (ReasonCode, CallOutcome),
     resendable: bool,
-    budget: (&RetryBudget, Timestamp),
+    now: Timestamp,
 ) -> bool {
     let (reason, outcome) = failure;
-    let (budget, now) = budget;
     let at_target = matches!(
         reason,
         ReasonCode::TargetRefused
@@ -120,22 +119,13 @@
             | ReasonCode::WrongInstance
     );
     let harmless = outcome == CallOutcome::NotRun || facts.idempotent;
-    at_target
-        && harmless
-        && resendable
-        && may_dispatch_again(facts, count, now)
-        && budget.try_spend()
+    at_target && harmless && resendable && may_dispatch_again(facts, count, now)
 }
 
 /// Tells whether a request that has not been answered yet may also be sent to a
-/// second target. Spends from the budget if so.
-pub fn may_hedge(
-    facts: &CallFacts,
-    count: DispatchCount,
-    budget: &RetryBudget,
-    now: Timestamp,
-) -> bool {
-    facts.idempotent && may_dispatch_again(facts, count, now) && budget.try_spend()
+/// second target, if the budget has a retry left.
+pub fn allows_hedge(facts: &CallFacts, count: DispatchCount, now: Timestamp) -> bool {
+    facts.idempotent && may_dispatch_again(facts, count, now)
 }
 
 /// A request that is not idempotent has one run whatever its intent says.
--- a/core/src/signals.rs
+++ b/core/src/signals.rs
@@ -1,5 +1,5 @@
-//! What the entries tell each other within milliseconds: requests in flight and
-//! waiting. Other state ages in seconds and goes by gossip or through the store.
+//! What the entries tell each other in datagrams: that they live, what they can
+//! carry, which changes of the directory they know, and requests that crash targets.
 
 use std::net::SocketAddr;
 
@@ -42,30 +42,6 @@
     }
 }
 
-/// Requests of one entry in flight at one target, and what it last learnt of it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct LoadSignal {
-    /// The target.
-    pub target: TargetTag,
-    /// Requests of the sender in flight there.
-    pub in_flight: u16,
-    /// Time of work that the target reported, in percent of the usual; 0 for none.
-    pub pace_percent: u16,
-    /// Age of that report, in milliseconds.
-    pub pace_age_ms: u16,
-    /// Time to the last answer, in microseconds; 0 for none since the last signal.
-    pub latency_us: u32,
-}
-
-/// Requests of one entry that wait for a service.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct WaitSignal {
-    /// The service.
-    pub service: ServiceTag,
-    /// Requests that wait at the sender.
-    pub waiting: u16,
-}
-
 /// One message of an entry to the others.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SignalMessage {
@@ -73,12 +49,9 @@
     pub incarnation: u64,
     /// Number of the message, which tells older ones that arrive late.
     pub sequence: u64,
-    /// Changed requests in flight.
-    pub loads: Vec<LoadSignal>,
-    /// Changed requests that wait.
-    pub waits: Vec<WaitSignal>,
-    /// Whether `loads` and `waits` hold all that is not zero.
-    pub whole: bool,
+    /// Processor share that the sender can use, in percent of a core; 0 while it
+    /// starts or stops.
+    pub capacity: u16,
     /// Newest revisions of targets and configuration that the sender knows; zero if
     /// they were told before.
     pub revisions: [u64; 2],
--- a/core/tests/measuring.rs
+++ b/core/tests/measuring.rs
@@ -68,6 +68,7 @@
             budget_percent: self.budgets[version - 1].1,
             probe_cost_ms: COST_MS,
             max_entries: MAX_ENTRIES,
+            ..MeasuringIntent::default()
         };
         let mut fleet = FleetSnapshot::default();
         fleet.apply(
--- /dev/null
+++ b/core/tests/placement.rs
@@ -0,0 +1,222 @@
+//! Questions to coordinators and what these grant.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use proptest::prelude::*;
+use zinniaport_core::call::ReasonCode;
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::controllers::{
+    AskVerdict, AsksController, AsksEffect, AsksMessage, GrantKey, GrantsController, GrantsEffect,
+    GrantsMessage, StateController,
+};
+use zinniaport_core::placement::{
+    AskId, AttemptEnd, EndedAsk, FleetMember, GrantedTarget, PlacementAnswer, PlacementAsk,
+    PlacementMessage, rank_coordinators,
+};
+use zinniaport_core::signals::{ServiceTag, TargetTag};
+use zinniaport_testing::{check_property, test_cases};
+
+const MS: u64 = 1_000;
+
+fn address(entry: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, entry], 7000))
+}
+
+fn member(entry: u8, capacity: u16) -> FleetMember {
+    FleetMember { address: address(entry), capacity }
+}
+
+fn ask() -> PlacementAsk {
+    PlacementAsk {
+        service: ServiceTag(7),
+        data_centre: "valle-a".to_owned(),
+        again: false,
+        rank: 1,
+        useful_ms: 300,
+        deadline_ms: 1_000,
+        remote_cost_percent: 5,
+        excluded: Vec::new(),
+    }
+}
+
+fn granted(target: u32) -> PlacementAnswer {
+    PlacementAnswer::Granted(GrantedTarget {
+        target: TargetTag(target),
+        admission: ReasonCode::AdmittedAtOnce,
+        choice: ReasonCode::ShortestWait,
+        admission_number: 1,
+        queue_length: 0,
+        overtaken: 0,
+        candidates: 3,
+    })
+}
+
+fn ended(id: u64) -> EndedAsk {
+    EndedAsk { id: AskId(id), end: AttemptEnd::Unknown, pace_percent: 0, pace_age_ms: 0 }
+}
+
+/// An entry at address 0 that knows two larger ones, and the first of them for the
+/// service of [`ask`].
+fn asker() -> (AsksController, SocketAddr) {
+    let mut asks = AsksController::new(address(0));
+    let members = vec![member(0, 10), member(1, 50), member(2, 50)];
+    let first = rank_coordinators(ServiceTag(7), &members)[0];
+    asks.handle(AsksMessage::Members(members), Timestamp(MS));
+    (asks, first)
+}
+
+fn sent_to(effects: &[AsksEffect]) -> Vec<SocketAddr> {
+    let asks = effects.iter().filter_map(|effect| match effect {
+        AsksEffect::Send(to, message) if !message.asks.is_empty() => Some(*to),
+        _ => None,
+    });
+    asks.collect()
+}
+
+test_cases! {
+    entries_agree_on_coordinators: "two coordinators that place the requests of one service at the same time" => {
+        let members = proptest::collection::vec((0_u8..40, 0_u16..3), 1..30);
+        check_property(256, &(any::<u32>(), members, any::<u64>()), |(service, members, seed)| {
+            let members: BTreeMap<u8, u16> = members.into_iter().collect();
+            let members: Vec<_> = members.into_iter().map(|(entry, size)| member(entry, size * 10)).collect();
+            let ranked = rank_coordinators(ServiceTag(service), &members);
+            let mut shuffled = members.clone();
+            shuffled.rotate_left(seed as usize % members.len());
+            prop_assert_eq!(&ranked, &rank_coordinators(ServiceTag(service), &shuffled));
+            let able = members.iter().filter(|member| member.capacity > 0).count();
+            prop_assert_eq!(ranked.len(), able, "an entry that starts or stops coordinates");
+            let largest = members.iter().map(|member| member.capacity).max().unwrap();
+            let first = ranked.first().and_then(|first| members.iter().find(|member| member.address == *first));
+            prop_assert!(first.is_none_or(|first| first.capacity == largest));
+            Ok(())
+        });
+        // Services spread over entries of the same size.
+        let members: Vec<_> = (0..15).map(|entry| member(entry, 20)).collect();
+        let firsts: BTreeSet<_> = (0..200).map(|service| rank_coordinators(ServiceTag(service), &members)[0]).collect();
+        assert_eq!(firsts.len(), 15);
+    }
+
+    silent_coordinator_is_passed_over: "requests that wait for a coordinator that is gone, paused or cut off" => {
+        let (mut asks, first) = asker();
+        let mut to = sent_to(&asks.handle(AsksMessage::Asked(AskId(1), ask()), Timestamp(10 * MS)));
+        let mut placed_here = None;
+        for now in 11..200 {
+            let effects = asks.handle(AsksMessage::Tick, Timestamp(now * MS));
+            to.extend(sent_to(&effects));
+            if effects.contains(&AsksEffect::Resolve(AskId(1), AskVerdict::PlaceHere)) {
+                placed_here = Some(now);
+                break;
+            }
+        }
+        let second = if first == address(1) { address(2) } else { address(1) };
+        assert_eq!(to, [first, first, first, second, second, second]);
+        assert!(placed_here.is_some_and(|now| now <= 110), "{placed_here:?} ms");
+        // Further requests do not wait for them again.
+        let effects = asks.handle(AsksMessage::Asked(AskId(2), ask()), Timestamp(120 * MS));
+        assert_eq!(effects, [AsksEffect::Resolve(AskId(2), AskVerdict::PlaceHere)]);
+        let effects = asks.handle(AsksMessage::Asked(AskId(3), ask()), Timestamp(1_300 * MS));
+        assert_eq!(sent_to(&effects), [first], "it is asked again after a while");
+    }
+
+    queued_request_outlives_its_coordinator: "a request that waits in the queue of a coordinator that died" => {
+        let (mut asks, first) = asker();
+        asks.handle(AsksMessage::Asked(AskId(1), ask()), Timestamp(10 * MS));
+        asks.handle(AsksMessage::Received(first, vec![(AskId(1), PlacementAnswer::Waiting)]), Timestamp(30 * MS));
+        let mut to = Vec::new();
+        for now in 31..220 {
+            let effects = asks.handle(AsksMessage::Tick, Timestamp(now * MS));
+            to.extend(sent_to(&effects).into_iter().map(|to| (now, to)));
+        }
+        let moved = to.iter().find(|(_, to)| *to != first).map(|(now, _)| *now);
+        assert!(moved.is_some_and(|now| (180..=190).contains(&now)), "{to:?}");
+    }
+
+    unused_grants_are_given_back: "a slot that stays taken because its request left, or was placed elsewhere, before the answer" => {
+        let (mut asks, first) = asker();
+        asks.handle(AsksMessage::Asked(AskId(1), ask()), Timestamp(10 * MS));
+        let effects = asks.handle(AsksMessage::Ended(ended(1)), Timestamp(12 * MS));
+        assert!(matches!(&effects[..], [AsksEffect::Send(to, message)] if *to == first && message.ended == [ended(1)]), "{effects:?}");
+        let effects = asks.handle(AsksMessage::Received(first, vec![(AskId(1), granted(5))]), Timestamp(13 * MS));
+        assert!(matches!(&effects[..], [AsksEffect::Send(to, message)] if *to == first && message.ended == [ended(1)]), "{effects:?}");
+        assert!(!asks.is_open());
+    }
+
+    held_targets_are_listed: "a slot that stays taken because the word of its release was lost" => {
+        let (mut asks, first) = asker();
+        asks.handle(AsksMessage::Asked(AskId(1), ask()), Timestamp(10 * MS));
+        asks.handle(AsksMessage::Received(first, vec![(AskId(1), granted(5))]), Timestamp(13 * MS));
+        let effects = asks.handle(AsksMessage::Tick, Timestamp(400 * MS));
+        assert!(effects.iter().any(|effect| matches!(effect, AsksEffect::Send(to, message) if *to == first && message.held == Some(vec![AskId(1)]))), "{effects:?}");
+    }
+
+    grants_follow_the_last_word: "targets that look busy for good because datagrams are lost, repeated or reordered" => {
+        // Questions of two entries that are granted at once, words of their end that arrive up to twice or
+        // not at all, then the lists of both entries.
+        let steps = proptest::collection::vec((1_u8..3, 0_u64..20, any::<bool>(), 0_usize..3), 1..80);
+        check_property(256, &steps, |steps| {
+            let mut grants = GrantsController::default();
+            let mut used: BTreeMap<(u8, u64), bool> = BTreeMap::new();
+            let mut now = 0;
+            for (entry, id, asks, copies) in steps {
+                now += 1;
+                let over = used.get(&(entry, id)).is_some_and(|used| !used);
+                if asks && !over {
+                    used.insert((entry, id), true);
+                } else if !asks && used.contains_key(&(entry, id)) {
+                    used.insert((entry, id), false);
+                } else {
+                    continue;
+                }
+                for _ in 0..copies {
+                    let message = match asks {
+                        true => PlacementMessage { asks: vec![(AskId(id), ask())], ..PlacementMessage::default() },
+                        false => PlacementMessage { ended: vec![ended(id)], ..PlacementMessage::default() },
+                    };
+                    for effect in grants.handle(GrantsMessage::Received(address(entry), message), Timestamp(now * MS)) {
+                        if let GrantsEffect::Serve(key, _) = effect {
+                            grants.handle(GrantsMessage::Decided(key, granted(1)), Timestamp(now * MS));
+                        }
+                    }
+                }
+            }
+            for entry in 1..3 {
+                let held: Vec<_> = used.iter().filter(|((of, _), used)| *of == entry && **used).map(|((_, id), _)| AskId(*id)).collect();
+                let message = PlacementMessage { held: Some(held), ..PlacementMessage::default() };
+                grants.handle(GrantsMessage::Received(address(entry), message), Timestamp((now + 200) * MS));
+            }
+            let used = used.values().filter(|used| **used).count();
+            prop_assert!(grants.granted() <= used, "{} granted, {used} used", grants.granted());
+            Ok(())
+        });
+    }
+
+    silent_entries_hold_nothing: "slots that stay taken by an entry that is gone" => {
+        let mut grants = GrantsController::default();
+        let key = GrantKey { peer: address(1), id: AskId(1) };
+        let message = PlacementMessage { asks: vec![(AskId(1), ask())], ..PlacementMessage::default() };
+        let effects = grants.handle(GrantsMessage::Received(address(1), message.clone()), Timestamp(MS));
+        assert_eq!(effects, [GrantsEffect::Serve(key, ask())]);
+        let effects = grants.handle(GrantsMessage::Received(address(1), message.clone()), Timestamp(2 * MS));
+        assert!(matches!(&effects[..], [GrantsEffect::Send(_, message)] if message.answers == [(AskId(1), PlacementAnswer::Waiting)]), "{effects:?}");
+        grants.handle(GrantsMessage::Decided(key, granted(5)), Timestamp(3 * MS));
+        let effects = grants.handle(GrantsMessage::Received(address(1), message), Timestamp(4 * MS));
+        assert!(matches!(&effects[..], [GrantsEffect::Send(_, message)] if message.answers == [(AskId(1), granted(5))]), "the same target again: {effects:?}");
+        assert_eq!(grants.handle(GrantsMessage::Tick, Timestamp(900 * MS)), []);
+        assert_eq!(grants.handle(GrantsMessage::Tick, Timestamp(1_100 * MS)), [GrantsEffect::Release(key)]);
+        assert_eq!(grants.granted(), 0);
+    }
+
+    ended_questions_are_not_granted: "a target reserved for a request that left while its place was decided" => {
+        let mut grants = GrantsController::default();
+        let key = GrantKey { peer: address(1), id: AskId(1) };
+        let message = PlacementMessage { asks: vec![(AskId(1), ask())], ..PlacementMessage::default() };
+        grants.handle(GrantsMessage::Received(address(1), message), Timestamp(MS));
+        let message = PlacementMessage { ended: vec![ended(1)], ..PlacementMessage::default() };
+        let effects = grants.handle(GrantsMessage::Received(address(1), message), Timestamp(2 * MS));
+        assert!(effects.contains(&GrantsEffect::Release(key)), "{effects:?}");
+        let effects = grants.handle(GrantsMessage::Decided(key, granted(5)), Timestamp(3 * MS));
+        assert_eq!(effects, [GrantsEffect::Release(key)]);
+        assert_eq!(grants.granted(), 0);
+    }
+}
--- a/core/tests/retry.rs
+++ b/core/tests/retry.rs
@@ -6,7 +6,7 @@
 use zinniaport_core::call::{CallFacts, CallOutcome, ReasonCode};
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::retry::{
-    DispatchCount, LatencyQuantile, MAX_SAVED_RETRIES, RetryBudget, may_hedge, may_retry,
+    DispatchCount, LatencyQuantile, MAX_SAVED_RETRIES, RetryBudget, allows_hedge, allows_retry,
 };
 use zinniaport_testing::{check_property, test_cases};
 
@@ -18,6 +18,26 @@
     (ReasonCode::BodyTooLarge, CallOutcome::NotRun),
 ];
 
+/// Decides on a retry as the request path does: first the rules, then the budget.
+fn may_retry(
+    facts: &CallFacts,
+    count: DispatchCount,
+    failure: (ReasonCode, CallOutcome),
+    resendable: bool,
+    budget: (&RetryBudget, Timestamp),
+) -> bool {
+    allows_retry(facts, count, failure, resendable, budget.1) && budget.0.try_spend()
+}
+
+fn may_hedge(
+    facts: &CallFacts,
+    count: DispatchCount,
+    budget: &RetryBudget,
+    now: Timestamp,
+) -> bool {
+    allows_hedge(facts, count, now) && budget.try_spend()
+}
+
 test_cases! {
     retries_stay_within_their_share: "retries that multiply the load of a service in trouble" => {
         // First attempts (`false`) and wishes to retry (`true`) at three entries.
--- a/core/tests/support/mod.rs
+++ b/core/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::fleet::FleetSnapshot;
 use zinniaport_core::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
-use zinniaport_core::policy::{EntryView, RouteQuery};
+use zinniaport_core::policy::{EntryView, MEAN_PACE, RouteQuery};
 
 /// Name of the service of every test fleet.
 pub const SERVICE: &str = "pump-history";
@@ -62,6 +62,8 @@
         fleet,
         service: fleet.find(SERVICE).unwrap().1,
         data_centre: &fleet.view.data_centre,
+        affinity: None,
+        assumed_pace: MEAN_PACE,
         members: &fleet.view.members,
         excluded: &[],
         remote_cost: 0.0,
--- a/core/tests/window.rs
+++ b/core/tests/window.rs
@@ -6,7 +6,7 @@
 
 use proptest::prelude::*;
 use support::{SERVICE, fleet, view};
-use zinniaport_core::admission::window::concurrency_window;
+use zinniaport_core::admission::window::{concurrency_window, shared_room};
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::fleet::TargetState;
 use zinniaport_testing::{check_property, test_cases};
@@ -47,4 +47,26 @@
         fleet.update_table(key);
         assert_eq!(concurrency_window(&fleet.find(SERVICE).unwrap().1.table, 5, NOW), 0);
     }
+
+    shared_room_is_what_is_left: "more requests admitted together than the targets run without slowing down" => {
+        let loads = proptest::collection::vec((0_u32..5, 0_u32..8, any::<bool>()), 1..6);
+        check_property(512, &(loads, 0_u32..6), |(loads, underway)| {
+            let fleet = fleet(loads.len(), view(0, 1));
+            let table = &fleet.find(SERVICE).unwrap().1.table;
+            let (mut placed_on_all, mut room) = (0, 0);
+            for (target, (placed, reported, is_new)) in table.open.iter().zip(&loads) {
+                target.counters.placed.store(*placed, Ordering::Relaxed);
+                let age = if *is_new { 1_000 } else { 500_000 };
+                target.counters.record_report((*reported).into(), Timestamp(NOW.0 - age));
+                placed_on_all += placed;
+                // Two of three slots may be busy; a report may count the request that it answers.
+                let held = if *is_new { (*placed).max(reported.saturating_sub(1)) } else { *placed };
+                room += 2_u32.saturating_sub(held);
+            }
+            let found = shared_room(table, placed_on_all + underway, NOW);
+            prop_assert_eq!(found.free, room.saturating_sub(underway));
+            prop_assert_eq!(found.usable, 2 * loads.len() as u32);
+            Ok(())
+        });
+    }
 }
--- a/src/bench/capacity/decisions.rs
+++ b/src/bench/capacity/decisions.rs
@@ -9,7 +9,7 @@
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::decision::{CallEnd, DecisionRecord, DecisionRing, DecisionTrace, RequestId};
 use zinniaport_core::fleet::FleetSnapshot;
-use zinniaport_core::policy::{RouteQuery, policies};
+use zinniaport_core::policy::{MEAN_PACE, RouteQuery, policies};
 
 use super::fixtures::{NOW, fleet, service_name};
 use super::meter::{memory_bytes, processor_us};
@@ -70,6 +70,8 @@
         fleet,
         service: fleet.find(&service_name(0))?.1,
         data_centre: &fleet.view.data_centre,
+        affinity: None,
+        assumed_pace: MEAN_PACE,
         members: &fleet.view.members,
         excluded: &[],
         remote_cost: 0.0,
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -185,6 +185,7 @@
                 budget_percent: 1.0,
                 probe_cost_ms: deployment.probe_cost_ms as f64,
                 max_entries: deployment.entries as u32,
+                ..MeasuringIntent::default()
             },
             max_queue_length: 256,
             retry_percent: 10.0,
--- a/src/directory.rs
+++ b/src/directory/mod.rs
@@ -79,8 +79,13 @@
         self.follows.store(!leads, Ordering::Release);
     }
 
+    /// Tells whether this entry watches without lag.
+    pub fn leads(&self) -> bool {
+        !self.follows.load(Ordering::Acquire)
+    }
+
     fn watch_age(&self) -> ReadAge {
-        if self.follows.load(Ordering::Acquire) { ReadAge::Lagging } else { ReadAge::Current }
+        if self.leads() { ReadAge::Current } else { ReadAge::Lagging }
     }
 }
 
@@ -152,7 +157,7 @@
                 DirectoryEffect::CatchUp(part, revision) => self.catch_up(part, revision),
                 DirectoryEffect::Revision(part, revision) => {
                     self.state.revisions.known[part as usize].store(revision, Ordering::Release);
-                    self.state.load_changed.notify_one();
+                    self.state.signal_news.notify_one();
                 }
                 DirectoryEffect::Publish(fleet) => {
                     let version = fleet.routes.as_ref().map_or(0, |book| book.version);
@@ -161,6 +166,7 @@
                 }
                 DirectoryEffect::Ready => {
                     self.ready.store(true, Ordering::Release);
+                    self.state.set_coordinates(true);
                     log::info!("ready: configuration and targets are known");
                 }
                 DirectoryEffect::Regained(part, away) => {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -11,6 +11,9 @@
 use zinniaport_core::decision::DecisionTrace;
 use zinniaport_core::fleet::FleetSnapshot;
 use zinniaport_core::keys::TargetKey;
+use zinniaport_core::policy::RouteChoice;
+
+use crate::placement::{Placement, PlacementHold};
 
 /// Body of a request or response while it passes through.
 pub type CallBody = BoxBody<Bytes, BodyError>;
@@ -104,6 +107,11 @@
     pub body_watch: BodyWatch,
     /// Position of the request's kind in its service, if a route decided it.
     pub routed_kind: Option<usize>,
+    /// The target that was granted to the next dispatch, if the coordinator of the
+    /// service picks it.
+    pub placed: Option<RouteChoice>,
+    /// The use of that target.
+    pub hold: Option<Box<dyn PlacementHold>>,
     /// Targets that the request was dispatched to, the present one last.
     pub targets: Vec<TargetKey>,
     /// The decisions taken so far.
@@ -111,6 +119,15 @@
 }
 
 impl Exchange {
+    /// Takes over what a placement grants, all but the slot.
+    pub fn take_placement(&mut self, placement: Placement) {
+        if let Some(trace) = placement.trace {
+            self.trace.admission = Some(trace);
+        }
+        self.placed = placement.choice;
+        self.hold = placement.hold;
+    }
+
     /// Creates an exchange from the head and body of a request.
     pub fn new(
         request_id: String,
@@ -126,6 +143,8 @@
             body: Some(body),
             body_watch: BodyWatch::default(),
             routed_kind: None,
+            placed: None,
+            hold: None,
             targets: Vec::new(),
             trace: DecisionTrace::default(),
         }
--- a/src/filters/admit.rs
+++ b/src/filters/admit.rs
@@ -8,33 +8,31 @@
 
 use super::{FilterNext, FilterResult, RequestFilter};
 use crate::exchange::{CallResponse, Exchange};
-use crate::gate::{AdmissionGates, GateRefusal, SlotGuard};
+use crate::gate::{GateRefusal, SlotGuard};
+use crate::placement::CallPlacement;
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 
 /// Lets requests wait for their turn, each service in a queue of its own.
 pub struct AdmitFilter {
     state: Arc<SharedState>,
-    gates: Arc<AdmissionGates>,
+    placement: Arc<dyn CallPlacement>,
 }
 
 impl AdmitFilter {
     /// Creates the filter.
-    pub fn new(state: Arc<SharedState>, gates: Arc<AdmissionGates>) -> Self {
-        Self { state, gates }
+    pub fn new(state: Arc<SharedState>, placement: Arc<dyn CallPlacement>) -> Self {
+        Self { state, placement }
     }
 
-    async fn admit(&self, exchange: &mut Exchange) -> Result<SlotGuard, Refusal> {
-        let fleet = self.state.fleet.load_full();
-        let key = exchange.facts.service;
-        let Some(service) = fleet.services.get(key) else {
+    async fn admit(&self, exchange: &mut Exchange) -> Result<Option<SlotGuard>, Refusal> {
+        if !self.state.fleet.load().services.contains_key(exchange.facts.service) {
             return Err(Refusal::not_run(ReasonCode::UnknownService, "the service was removed"));
-        };
-        // A request that has to wait is told to the other entries.
-        self.state.load_changed.notify_one();
-        let admitted = self.gates.of(key, service).admit(&fleet, service, &exchange.facts).await;
-        let (trace, slot) = admitted.map_err(|refusal| refusal_of(&refusal))?;
-        exchange.trace.admission = Some(trace);
+        }
+        let placed = self.placement.place(exchange).await;
+        let mut placement = placed.map_err(|refusal| refusal_of(&refusal))?;
+        let slot = placement.slot.take();
+        exchange.take_placement(placement);
         Ok(slot)
     }
 }
@@ -51,7 +49,11 @@
     ) -> BoxFuture<'a, FilterResult> {
         Box::pin(async move {
             let slot = self.admit(exchange).await?;
-            Ok(hold_slot(slot, next.run(exchange).await?))
+            let response = next.run(exchange).await?;
+            Ok(match slot {
+                Some(slot) => hold_slot(slot, response),
+                None => response,
+            })
         })
     }
 }
@@ -70,6 +72,8 @@
 fn refusal_of(refusal: &GateRefusal) -> Refusal {
     let detail = match refusal.reason {
         ReasonCode::QueueFull => "the queue of the service is full",
+        ReasonCode::NoTarget => "no target of the service takes requests",
+        ReasonCode::UnknownService => "the service was removed",
         _ => "the request cannot be served within its deadline",
     };
     Refusal::not_run(refusal.reason, detail).retry_after(refusal.retry_after)
--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -12,7 +12,7 @@
 use zinniaport_core::fleet::{ServiceCounters, TargetCounters};
 use zinniaport_core::keys::TargetKey;
 use zinniaport_core::quarantine::RunEnd;
-use zinniaport_core::retry::{DispatchCount, may_hedge};
+use zinniaport_core::retry::{DispatchCount, allows_hedge};
 
 use super::route::worst_of;
 use super::{FilterNext, FilterResult, RouteFilter};
@@ -25,6 +25,11 @@
 /// Time for which a target is taken to shed load that names none itself.
 const SHEDDING_TIME: Duration = Duration::from_millis(100);
 
+/// Gives the time for which a target that refused a request is taken to shed load.
+pub(super) fn shedding_time(refusal: &Refusal) -> Duration {
+    refusal.retry_after.unwrap_or(SHEDDING_TIME)
+}
+
 /// Records the outcome of an attempt in the counters of its target.
 pub struct AttemptRecord {
     state: Arc<SharedState>,
@@ -102,8 +107,7 @@
             // The directory lags; until it catches up the address is someone else's.
             ReasonCode::WrongInstance => self.targets.notify(TargetsMessage::Drained(self.target)),
             ReasonCode::TargetRefused => {
-                let period = refusal.retry_after.unwrap_or(SHEDDING_TIME);
-                self.counters.record_shedding(period, now);
+                self.counters.record_shedding(shedding_time(refusal), now);
             }
             ReasonCode::DeadlinePassed => self.counters.record_latency(now.since(self.started)),
             _ => {}
@@ -142,7 +146,7 @@
             let mut first = pin!(self.attempt(&mut *exchange, next));
             match tokio::time::timeout(delay, first.as_mut()).await {
                 Ok(result) => return result,
-                Err(_) if !self.start_hedge(&mut copy, *count) => return first.await,
+                Err(_) if !self.start_hedge(&mut copy, *count).await => return first.await,
                 Err(_) => {}
             }
             count.begin();
@@ -164,20 +168,16 @@
         result
     }
 
-    fn start_hedge(&self, copy: &mut Exchange, count: DispatchCount) -> bool {
-        let started = fork_permit(copy) && self.may_hedge(copy, count);
+    async fn start_hedge(&self, copy: &mut Exchange, count: DispatchCount) -> bool {
+        let started = fork_permit(copy)
+            && allows_hedge(&copy.facts, count, self.state.clock.now())
+            && self.place_again(copy).await
+            && self.pick(copy, Some(ReasonCode::Hedged)).is_ok();
         if !started {
             copy.head.extensions.remove::<PermitHandle>();
         }
         started
     }
-
-    fn may_hedge(&self, copy: &mut Exchange, count: DispatchCount) -> bool {
-        let Some(service) = copy.fleet.services.get(copy.facts.service) else { return false };
-        let budget = &service.counters.retries;
-        may_hedge(&copy.facts, count, budget, self.state.clock.now())
-            && self.pick(copy, Some(ReasonCode::Hedged)).is_ok()
-    }
 }
 
 /// Gives the copy a permit of its own; a request that may crash targets is not
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -17,13 +17,16 @@
 use zinniaport_core::call::ReasonCode;
 use zinniaport_core::fleet::TargetCounters;
 use zinniaport_core::intent::TargetInstance;
+use zinniaport_core::placement::AttemptEnd;
 
+use super::attempt::shedding_time;
 use super::{FilterNext, FilterResult, RequestFilter};
 use crate::dialect::{AnswerVerdict, CallDialect};
 use crate::exchange::{
     BodyError, BodyFault, CallBody, CallResponse, Exchange, empty_body, full_body,
 };
 use crate::front::{OUTCOME_HEADER, strip_hop_headers};
+use crate::placement::PlacementHold;
 use crate::pool::{TargetCall, TargetTransport, TransportError};
 use crate::refusal::Refusal;
 use crate::state::SharedState;
@@ -73,10 +76,15 @@
             ),
             deadline: Instant::now() + left,
         };
-        let guard = InFlightGuard::new(self.state.clone(), target.counters.clone());
+        let started = self.state.clock.now();
+        let mut guard = InFlightGuard::new(target.counters.clone(), exchange.hold.take());
         let mut response = match self.transport.send(call).await {
             Ok(response) => response,
-            Err(error) => return Err(refusal_of(&error, exchange.body_watch.fault())),
+            Err(error) => {
+                let refusal = refusal_of(&error, exchange.body_watch.fault());
+                guard.end(end_of(refusal.reason));
+                return Err(refusal);
+            }
         };
         let dialect = &self.state.dialect;
         if let Some(report) = dialect.load(response.headers()) {
@@ -84,12 +92,23 @@
         }
         let given_id = exchange.head.headers.get(dialect.request_id());
         match dialect.judge(given_id.and_then(|id| id.to_str().ok()), &response) {
-            AnswerVerdict::Answer => {}
+            AnswerVerdict::Answer if response.status().is_server_error() => {
+                guard.end(AttemptEnd::Failed);
+            }
+            AnswerVerdict::Answer => {
+                let latency = self.state.clock.now().since(started).as_micros();
+                guard.end(AttemptEnd::Answered(u32::try_from(latency).unwrap_or(u32::MAX)));
+            }
             AnswerVerdict::Spoiled(cause) => {
+                guard.end(AttemptEnd::Failed);
                 return Err(Refusal::unknown(ReasonCode::SpoiledAnswer, cause));
             }
             verdict => {
                 let refusal = target_refusal(verdict, &response, dialect.as_ref());
+                guard.end(match refusal.reason {
+                    ReasonCode::WrongInstance => AttemptEnd::WrongInstance,
+                    _ => AttemptEnd::Shed(shedding_time(&refusal).as_millis() as u32),
+                });
                 tokio::spawn(drop_whole(response));
                 return Err(refusal);
             }
@@ -228,31 +247,37 @@
     let _ = timeout(REFUSAL_READ_LIMIT, body.collect()).await;
 }
 
-/// Counts a request as in flight until it is dropped.
+/// Says how the use of a target ended that gave no answer.
+fn end_of(reason: ReasonCode) -> AttemptEnd {
+    match reason {
+        ReasonCode::TargetLost | ReasonCode::TargetUnreachable => AttemptEnd::Failed,
+        _ => AttemptEnd::Unknown,
+    }
+}
+
+/// Counts a request as in flight, and keeps its place at the target, until it is
+/// dropped.
 struct InFlightGuard {
-    state: Arc<SharedState>,
     counters: Arc<TargetCounters>,
+    hold: Option<Box<dyn PlacementHold>>,
 }
 
 impl InFlightGuard {
-    fn new(state: Arc<SharedState>, counters: Arc<TargetCounters>) -> Self {
+    fn new(counters: Arc<TargetCounters>, hold: Option<Box<dyn PlacementHold>>) -> Self {
         counters.in_flight.fetch_add(1, Ordering::Relaxed);
-        let guard = Self { state, counters };
-        guard.tell();
-        guard
+        Self { counters, hold }
     }
 
-    /// Lets the other entries know.
-    fn tell(&self) {
-        self.counters.untold.store(true, Ordering::Release);
-        self.state.load_changed.notify_one();
+    fn end(&mut self, end: AttemptEnd) {
+        if let Some(hold) = &mut self.hold {
+            hold.end(end);
+        }
     }
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
         self.counters.in_flight.fetch_sub(1, Ordering::Relaxed);
-        self.tell();
     }
 }
 
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -20,7 +20,7 @@
 pub use identify::{CALLER_HEADER, IdentifyFilter};
 pub use quarantine::QuarantineFilter;
 pub use record::RecordFilter;
-pub use route::RouteFilter;
+pub use route::{RouteFilter, remote_cost};
 
 use crate::exchange::{CallResponse, Exchange};
 use crate::refusal::Refusal;
--- a/src/filters/route.rs
+++ b/src/filters/route.rs
@@ -6,14 +6,16 @@
 use futures::future::BoxFuture;
 use http_body::Body;
 use zinniaport_core::call::{CallOutcome, ReasonCode};
+use zinniaport_core::clock::Timestamp;
 use zinniaport_core::decision::DispatchTrace;
-use zinniaport_core::policy::{RouteChoice, RouteQuery, RoutingPolicy};
-use zinniaport_core::retry::{DispatchCount, may_retry};
+use zinniaport_core::policy::{MEAN_PACE, RouteChoice, RouteQuery, RoutingPolicy};
+use zinniaport_core::retry::{DispatchCount, allows_retry};
 
 use super::attempt::AttemptRecord;
 use super::{FilterNext, FilterResult, RequestFilter};
 use crate::exchange::{Exchange, empty_body, full_body};
 use crate::gate::{BufferedBody, PermitHandle};
+use crate::placement::CallPlacement;
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 use crate::targets::TargetsHandle;
@@ -24,6 +26,7 @@
     pub(super) state: Arc<SharedState>,
     pub(super) targets: TargetsHandle,
     policy: Arc<dyn RoutingPolicy>,
+    placement: Arc<dyn CallPlacement>,
 }
 
 impl RouteFilter {
@@ -32,8 +35,9 @@
         state: Arc<SharedState>,
         policy: Arc<dyn RoutingPolicy>,
         targets: TargetsHandle,
+        placement: Arc<dyn CallPlacement>,
     ) -> Self {
-        Self { state, targets, policy }
+        Self { state, targets, policy, placement }
     }
 
     async fn route(&self, exchange: &mut Exchange, next: FilterNext<'_>) -> FilterResult {
@@ -55,7 +59,9 @@
                 Err(refusal) => worst_of(failed.take(), refusal),
             };
             count.end(refusal.outcome);
-            if !self.may_retry(exchange, count, &refusal, &body) {
+            if !self.may_retry(exchange, count, &refusal, &body)
+                || !self.place_again(exchange).await
+            {
                 return Err(refusal);
             }
             body.restore(exchange);
@@ -74,6 +80,12 @@
         let Some(service) = exchange.fleet.services.get(exchange.facts.service) else {
             return Err(Refusal::not_run(ReasonCode::UnknownService, "the service was removed"));
         };
+        if let Some(choice) = exchange.placed.take() {
+            let dispatch = trace_of(exchange, choice, rule, self.state.clock.now());
+            exchange.trace.add_dispatch(dispatch);
+            exchange.targets.push(choice.target);
+            return Ok(());
+        }
         if exchange.targets.is_empty() {
             let max_saved = self.state.saved_retries.load(Ordering::Relaxed);
             let percent = service.intent.retry_percent;
@@ -83,6 +95,8 @@
             fleet: &exchange.fleet,
             service,
             data_centre: &self.state.data_centre,
+            affinity: None,
+            assumed_pace: MEAN_PACE,
             members: &exchange.fleet.view.members,
             excluded: &exchange.targets,
             remote_cost: remote_cost(exchange),
@@ -92,7 +106,8 @@
             let detail = format!("no target of {} takes requests", service.intent.service);
             return Err(Refusal::not_run(ReasonCode::NoTarget, detail));
         };
-        let dispatch = trace_of(&query, choice, rule);
+        let now = query.now;
+        let dispatch = trace_of(exchange, choice, rule, now);
         exchange.trace.add_dispatch(dispatch);
         exchange.targets.push(choice.target);
         Ok(())
@@ -119,16 +134,20 @@
         refusal: &Refusal,
         body: &ResendBody,
     ) -> bool {
-        let Some(service) = exchange.fleet.services.get(exchange.facts.service) else {
-            return false;
-        };
         let permit = exchange.head.extensions.get::<PermitHandle>();
         if permit.is_some_and(|permit| !permit.renew()) {
             return false;
         }
         let failure = (refusal.reason, refusal.outcome);
-        let budget = (&service.counters.retries, self.state.clock.now());
-        may_retry(&exchange.facts, count, failure, body.is_resendable(exchange), budget)
+        let now = self.state.clock.now();
+        allows_retry(&exchange.facts, count, failure, body.is_resendable(exchange), now)
+    }
+
+    /// Asks for another target, which is charged to the retry budget.
+    pub(super) async fn place_again(&self, exchange: &mut Exchange) -> bool {
+        let Some(placement) = self.placement.place_again(exchange).await else { return false };
+        exchange.take_placement(placement);
+        true
     }
 }
 
@@ -147,9 +166,10 @@
 }
 
 fn trace_of(
-    query: &RouteQuery<'_>,
+    exchange: &Exchange,
     choice: RouteChoice,
     rule: Option<ReasonCode>,
+    now: Timestamp,
 ) -> DispatchTrace {
     let uses_report = matches!(
         choice.reason,
@@ -158,32 +178,41 @@
             | ReasonCode::HomeSlot
             | ReasonCode::ShortestWait
     );
+    let target = exchange.fleet.targets.get(choice.target);
     let reported_at =
-        query.fleet.targets[choice.target].counters.reported_at.load(Ordering::Relaxed);
-    let age_us = u32::try_from(query.now.0.saturating_sub(reported_at)).unwrap_or(u32::MAX);
+        target.map_or(0, |target| target.counters.reported_at.load(Ordering::Relaxed));
+    let age_us = u32::try_from(now.0.saturating_sub(reported_at)).unwrap_or(u32::MAX);
     DispatchTrace {
         target: choice.target,
         rule: rule.unwrap_or(choice.reason),
         candidates: choice.candidates,
-        dispatched: query.now,
+        dispatched: now,
         report_age_us: (uses_report && reported_at > 0).then_some(age_us),
     }
 }
 
+/// Share of the time of work that keeping a request in its data centre is worth,
+/// whatever its size.
+const BASE_REMOTE_COST: f32 = 0.05;
+
 /// Body size at which sending a request to another data centre is worth avoiding as
-/// much as [`REMOTE_COST`] of its time of work, in bytes. Traffic between data
+/// much as [`BODY_REMOTE_COST`] of its time of work, in bytes. Traffic between data
 /// centres is paid for by the byte.
 const REMOTE_BYTES: f32 = 65_536.0;
 
-/// Share of the time of work that avoiding another data centre is worth.
-const REMOTE_COST: f32 = 0.3;
+/// Share of the time of work that keeping such a body in its data centre is worth: a
+/// target there that is nearly full goes before one elsewhere, one slowed five-fold
+/// does not.
+const BODY_REMOTE_COST: f32 = 1.5;
 
 /// Longest detour in time that a large body justifies, as a share of its work.
-const MAX_REMOTE_COST: f32 = 0.6;
+const MAX_REMOTE_COST: f32 = 2.0;
 
-fn remote_cost(exchange: &Exchange) -> f32 {
+/// Gives the share of the time of work that keeping a request in its data centre is
+/// worth.
+pub fn remote_cost(exchange: &Exchange) -> f32 {
     let body = exchange.head.extensions.get::<BufferedBody>().map_or(0, |body| body.0.len());
-    (body as f32 / REMOTE_BYTES * REMOTE_COST).min(MAX_REMOTE_COST)
+    (BASE_REMOTE_COST + body as f32 / REMOTE_BYTES * BODY_REMOTE_COST).min(MAX_REMOTE_COST)
 }
 
 /// Combines the refusals of two attempts. A request of which one attempt may
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 use tokio::sync::oneshot;
-use zinniaport_core::admission::window::{claim_chance, concurrency_window, shared_room};
+use zinniaport_core::admission::window::{concurrency_window, shared_room};
 use zinniaport_core::admission::{
     AdmissionLimits, AdmissionQueue, EarlyRefusal, QueueDeparture, ServiceRate, WaitKey,
 };
@@ -140,26 +140,21 @@
         }
     }
 
-    /// Tells whether more requests wait at all entries than the targets can begin
-    /// within a fraction of the time of one.
+    /// Tells whether more requests wait than the targets can begin within a fraction
+    /// of the time of one.
     fn is_overloaded(&self, table: &RouteTable) -> bool {
         let usable = shared_room(table, 0, self.clock.now()).usable;
         let waiting = self.waiting.load(Ordering::Relaxed);
-        let others = self.counters.others_waiting.load(Ordering::Relaxed);
-        (waiting + others) as f32 > usable as f32 * OVERLOAD_SHARE
+        waiting as f32 > usable as f32 * OVERLOAD_SHARE
     }
 
     fn service_time(&self) -> Duration {
         Duration::from_micros(self.service_time_us.load(Ordering::Relaxed))
     }
 
-    /// Gives the rate at which slots become free for all entries together, as this
-    /// one's share of those that wait sees it.
+    /// Gives the rate at which slots become free for the requests of all entries.
     fn shared_rate(&self, table: &RouteTable) -> ServiceRate {
-        let room = shared_room(table, 0, self.clock.now());
-        let own = self.waiting.load(Ordering::Relaxed) + 1;
-        let others = self.counters.others_waiting.load(Ordering::Relaxed);
-        let window = (room.usable * own).div_ceil(own + others);
+        let window = shared_room(table, 0, self.clock.now()).usable;
         let useful_only = self.is_overloaded(table);
         ServiceRate { window, service_time: self.service_time(), useful_only }
     }
@@ -240,7 +235,6 @@
         self.admissions.fetch_add(1, Ordering::Relaxed) + 1
     }
 
-    /// Notes how many requests wait, also for the other entries.
     fn note_waiting(&self, waiting: usize) {
         self.waiting.store(waiting as u32, Ordering::SeqCst);
         self.counters.waiting.store(waiting as u32, Ordering::Relaxed);
@@ -257,17 +251,18 @@
         taken.is_ok()
     }
 
-    /// Claims room that all entries see, with a chance that leaves the others theirs.
+    /// Takes room that the requests of all entries leave.
     fn claim_room(&self, table: &RouteTable) -> bool {
-        let own_in_flight = self.counters.in_flight.load(Ordering::SeqCst);
-        let room = shared_room(table, own_in_flight, self.clock.now());
-        let waiting = self.waiting.load(Ordering::SeqCst);
-        let others = self.counters.others_waiting.load(Ordering::Relaxed);
-        let claims = rand::random::<f32>() < claim_chance(room, waiting, others);
-        if claims {
-            self.counters.in_flight.fetch_add(1, Ordering::SeqCst);
-        }
-        claims
+        let now = self.clock.now();
+        let claim = |admitted| (shared_room(table, admitted, now).free > 0).then_some(admitted + 1);
+        self.counters.in_flight.fetch_update(Ordering::SeqCst, Ordering::SeqCst, claim).is_ok()
+    }
+
+    /// Takes a slot beyond the window, for a request that was admitted before and
+    /// needs another target.
+    pub fn take_extra(self: &Arc<Self>) -> SlotGuard {
+        self.counters.in_flight.fetch_add(1, Ordering::SeqCst);
+        SlotGuard::new(self.clone(), self.clock.now())
     }
 
     fn update_window(self: &Arc<Self>, service: &ServiceEntry, period: Duration, now: Timestamp) {
@@ -320,8 +315,8 @@
         self.gates.load().get(&key).cloned().unwrap_or(created)
     }
 
-    /// Looks again for room for all requests that wait, after other entries told
-    /// what they have in flight.
+    /// Looks again for room for all requests that wait, and refuses those that cannot
+    /// be served any more.
     pub fn refresh(&self) {
         for gate in self.gates.load().values() {
             gate.refresh();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod gate;
 pub mod measuring;
 pub mod peers;
+pub mod placement;
 pub mod pool;
 pub mod propagation;
 pub mod records;
--- /dev/null
+++ b/src/placement/coordinator.rs
@@ -0,0 +1,228 @@
+//! Decides for all entries: admits requests to a service and picks their targets.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::time::timeout;
+use zinniaport_core::call::{CallFacts, ReasonCode};
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::decision::AdmissionTrace;
+use zinniaport_core::fleet::{FleetSnapshot, ServiceEntry, TargetCounters};
+use zinniaport_core::keys::{ServiceKey, TargetKey};
+use zinniaport_core::policy::{MEAN_PACE, RouteChoice, RouteQuery, RoutingPolicy};
+
+use super::prober::TargetProber;
+use crate::gate::{AdmissionGates, GateRefusal, SlotGuard};
+use crate::state::SharedState;
+
+/// Targets that are probed at the same time for one request.
+const PROBED_TOGETHER: usize = 3;
+
+/// Longest time that a request waits for probes. Two rounds between data centres take
+/// some 6 ms; a wrong pick costs hundreds.
+const PROBING_LIMIT: Duration = Duration::from_millis(12);
+
+/// Share of the retries that all entries may save up which one coordinator saves; a
+/// second one may stand in for it.
+const COORDINATOR_SHARE: f64 = 0.4;
+
+/// Time after the last question of another entry for which this one saves up retries
+/// as a coordinator.
+const COORDINATES_FOR: Duration = Duration::from_secs(2);
+
+/// A request to place.
+#[derive(Clone, Debug)]
+pub struct PlacementCall {
+    /// The service.
+    pub service: ServiceKey,
+    /// What decisions know of the request.
+    pub facts: CallFacts,
+    /// Whether it was admitted before and needs a further target.
+    pub again: bool,
+    /// Targets that it was sent to before.
+    pub excluded: Vec<TargetKey>,
+    /// Data centre of the entry that sends it.
+    pub data_centre: String,
+    /// Draw of that entry, by which it keeps to few targets.
+    pub affinity: u64,
+    /// Share of the time of work that avoiding another data centre is worth.
+    pub remote_cost: f32,
+}
+
+/// A placed request.
+pub struct PlacedCall {
+    /// How it was admitted; none if it was admitted before.
+    pub trace: Option<AdmissionTrace>,
+    /// Its target.
+    pub choice: RouteChoice,
+    /// The use of that target, given back when dropped.
+    pub reservation: Reservation,
+}
+
+/// A place at a target that counts as taken until it is dropped.
+pub struct Reservation {
+    target: Arc<TargetCounters>,
+    _slot: SlotGuard,
+}
+
+impl Reservation {
+    fn new(target: Arc<TargetCounters>, slot: SlotGuard) -> Self {
+        target.placed.fetch_add(1, Ordering::SeqCst);
+        Self { target, _slot: slot }
+    }
+}
+
+impl Drop for Reservation {
+    /// The slot is given back after this, so that whoever takes it sees the room.
+    fn drop(&mut self) {
+        self.target.placed.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Places requests by what this entry knows.
+pub struct Coordinator {
+    state: Arc<SharedState>,
+    gates: Arc<AdmissionGates>,
+    policy: Arc<dyn RoutingPolicy>,
+    prober: TargetProber,
+    /// Retries that all entries together may save up.
+    saved_retries: u32,
+    /// When another entry last asked, in microseconds.
+    asked_at: AtomicU64,
+}
+
+impl Coordinator {
+    /// Creates a coordinator. All entries together may save up `saved_retries`.
+    pub fn new(
+        state: Arc<SharedState>,
+        gates: Arc<AdmissionGates>,
+        policy: Arc<dyn RoutingPolicy>,
+        prober: TargetProber,
+        saved_retries: u32,
+    ) -> Self {
+        Self { state, gates, policy, prober, saved_retries, asked_at: AtomicU64::new(0) }
+    }
+
+    /// Notes that another entry asks.
+    pub(super) fn note_asked(&self) {
+        self.asked_at.store(self.state.clock.now().0, Ordering::Relaxed);
+    }
+
+    /// Waits until a request may be sent to a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request was not admitted.
+    pub async fn place(&self, call: &PlacementCall) -> Result<PlacedCall, GateRefusal> {
+        let fleet = self.state.fleet.load_full();
+        let Some(service) = fleet.services.get(call.service) else {
+            return Err(GateRefusal::at_once(ReasonCode::UnknownService));
+        };
+        let gate = self.gates.of(call.service, service);
+        let (trace, slot) = if call.again {
+            if !service.counters.retries.try_spend() {
+                return Err(GateRefusal::at_once(ReasonCode::NoTarget));
+            }
+            (None, gate.take_extra())
+        } else {
+            let percent = service.intent.retry_percent;
+            service.counters.retries.record_first_attempt(percent, self.max_saved());
+            let (trace, slot) = gate.admit(&fleet, service, &call.facts).await?;
+            (Some(trace), slot)
+        };
+        let choice = self.choose(call).await;
+        let choice = choice.ok_or_else(|| GateRefusal::at_once(ReasonCode::NoTarget))?;
+        let fleet = self.state.fleet.load();
+        let Some(target) = fleet.targets.get(choice.target) else {
+            return Err(GateRefusal::at_once(ReasonCode::NoTarget));
+        };
+        let reservation = Reservation::new(target.counters.clone(), slot);
+        Ok(PlacedCall { trace, choice, reservation })
+    }
+
+    /// Gives the retries that this entry may save up for a service: as a coordinator a
+    /// fixed share, else its part of what all may.
+    fn max_saved(&self) -> u64 {
+        let asked = Timestamp(self.asked_at.load(Ordering::Relaxed));
+        if asked.0 > 0 && self.state.clock.now().since(asked) < COORDINATES_FOR {
+            return (f64::from(self.saved_retries) * COORDINATOR_SHARE) as u64;
+        }
+        self.state.saved_retries.load(Ordering::Relaxed)
+    }
+
+    /// Picks a target whose pace is known, probing the most promising ones for a moment
+    /// where it is not.
+    async fn choose(&self, call: &PlacementCall) -> Option<RouteChoice> {
+        let started = self.state.clock.now();
+        loop {
+            let fleet = self.state.fleet.load_full();
+            let service = fleet.services.get(call.service)?;
+            let now = self.state.clock.now();
+            let left = PROBING_LIMIT.saturating_sub(now.since(started));
+            if left.is_zero() || !self.prober.can_probe(service) {
+                break;
+            }
+            let choice = self.pick(call, &fleet, &call.excluded, 1.0)?;
+            if self.is_fresh(&fleet, choice.target, now) {
+                return Some(choice);
+            }
+            let news = self.prober.news.notified();
+            let mut news = std::pin::pin!(news);
+            news.as_mut().enable();
+            if !self.probe_some(call, &fleet, service) {
+                break;
+            }
+            let _ = timeout(left, news).await;
+        }
+        let fleet = self.state.fleet.load_full();
+        self.pick(call, &fleet, &call.excluded, MEAN_PACE)
+    }
+
+    fn is_fresh(&self, fleet: &FleetSnapshot, target: TargetKey, now: Timestamp) -> bool {
+        let Some(target) = fleet.targets.get(target) else { return false };
+        let reported = Timestamp(target.counters.reported_at.load(Ordering::Relaxed));
+        now.since(reported) <= self.prober.fresh_age()
+    }
+
+    /// Probes the targets that would be picked if they worked at their usual pace.
+    /// Returns whether an answer is on its way.
+    fn probe_some(
+        &self,
+        call: &PlacementCall,
+        fleet: &FleetSnapshot,
+        service: &ServiceEntry,
+    ) -> bool {
+        let mut excluded = call.excluded.clone();
+        let mut awaited = false;
+        for _ in 0..PROBED_TOGETHER {
+            let Some(choice) = self.pick(call, fleet, &excluded, 1.0) else { break };
+            excluded.push(choice.target);
+            if !self.is_fresh(fleet, choice.target, self.state.clock.now()) {
+                awaited |= self.prober.probe(fleet, service, choice.target);
+            }
+        }
+        awaited
+    }
+
+    fn pick(
+        &self,
+        call: &PlacementCall,
+        fleet: &FleetSnapshot,
+        excluded: &[TargetKey],
+        assumed_pace: f32,
+    ) -> Option<RouteChoice> {
+        let query = RouteQuery {
+            fleet,
+            service: fleet.services.get(call.service)?,
+            data_centre: &call.data_centre,
+            affinity: Some(call.affinity),
+            assumed_pace,
+            members: &fleet.view.members,
+            excluded,
+            remote_cost: call.remote_cost,
+            now: self.state.clock.now(),
+        };
+        self.policy.pick(&query, &mut rand::rng())
+    }
+}
--- /dev/null
+++ b/src/placement/driver.rs
@@ -0,0 +1,338 @@
+//! Carries questions and answers of placement between requests, controllers and the
+//! other entries.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+use zinniaport_core::call::{CallFacts, ReasonCode};
+use zinniaport_core::controllers::{
+    AskVerdict, AsksController, AsksEffect, AsksMessage, GrantKey, GrantsController, GrantsEffect,
+    GrantsMessage, StateController, TargetsMessage,
+};
+use zinniaport_core::keys::{CallerKey, TargetKey};
+use zinniaport_core::placement::{
+    AskId, AttemptEnd, EndedAsk, FleetMember, GrantedTarget, PlacementAnswer, PlacementAsk,
+    PlacementMessage,
+};
+use zinniaport_core::policy::hash_bytes;
+use zinniaport_core::signals::TargetTag;
+
+use super::coordinator::{Coordinator, PlacedCall, PlacementCall, Reservation};
+use super::shared::{OpenAsk, SharedPlacement};
+use super::tags::TagBoard;
+use crate::gate::{AdmissionGates, GateRefusal};
+use crate::signals::{SignalDatagram, SignalSender};
+use crate::state::SharedState;
+use crate::targets::TargetsHandle;
+
+/// Time between ticks, in which questions are repeated and room is looked for again.
+const TICK_PERIOD: Duration = Duration::from_millis(10);
+
+/// Ticks between two looks for entries that went silent.
+const TICKS_PER_SWEEP: u32 = 10;
+
+/// What the driver is told.
+enum PlacementNews {
+    Asked(AskId, PlacementAsk, oneshot::Sender<AskVerdict>),
+    Ended(EndedAsk),
+    Received(SocketAddr, PlacementMessage),
+    Members(Vec<FleetMember>),
+    Decided(GrantKey, Result<PlacedCall, GateRefusal>),
+}
+
+/// Gives the driver work.
+#[derive(Clone)]
+pub struct PlacementHandle {
+    state: Arc<SharedState>,
+    news: mpsc::UnboundedSender<PlacementNews>,
+    next_id: Arc<AtomicU64>,
+}
+
+impl PlacementHandle {
+    /// Asks a coordinator.
+    pub(super) fn ask(&self, ask: PlacementAsk) -> (OpenAsk, oneshot::Receiver<AskVerdict>) {
+        let id = AskId(self.next_id.fetch_add(1, Ordering::Relaxed));
+        let (sender, verdict) = oneshot::channel();
+        self.tell(PlacementNews::Asked(id, ask, sender));
+        let (handle, state) = (self.clone(), self.state.clone());
+        let open = OpenAsk { id, handle, state, counters: None, end: AttemptEnd::Unknown };
+        (open, verdict)
+    }
+
+    pub(super) fn end(&self, ended: EndedAsk) {
+        self.tell(PlacementNews::Ended(ended));
+    }
+
+    /// Takes a message of another entry.
+    pub fn receive(&self, from: SocketAddr, message: PlacementMessage) {
+        self.tell(PlacementNews::Received(from, message));
+    }
+
+    /// Replaces the entries that may coordinate, this one included.
+    pub fn set_members(&self, members: Vec<FleetMember>) {
+        self.tell(PlacementNews::Members(members));
+    }
+
+    /// The driver lives as long as the process; during its end nobody needs an answer.
+    fn tell(&self, news: PlacementNews) {
+        let _ = self.news.send(news);
+    }
+}
+
+/// A question of another entry that this one decides on or has granted.
+enum ServedAsk {
+    Deciding { _task: AbortOnDropHandle<()> },
+    Granted { target: TargetKey, _reservation: Reservation },
+}
+
+/// Owns the controllers of questions and grants.
+pub struct PlacementDriver {
+    state: Arc<SharedState>,
+    targets: TargetsHandle,
+    gates: Arc<AdmissionGates>,
+    coordinator: Arc<Coordinator>,
+    sender: SignalSender,
+    asks: AsksController,
+    grants: GrantsController,
+    handle: PlacementHandle,
+    news: mpsc::UnboundedReceiver<PlacementNews>,
+    verdicts: HashMap<AskId, oneshot::Sender<AskVerdict>>,
+    served: HashMap<GrantKey, ServedAsk>,
+    tags: Arc<TagBoard>,
+}
+
+impl PlacementDriver {
+    /// Creates a driver that sends through the socket of the signals.
+    pub fn new(
+        state: Arc<SharedState>,
+        targets: TargetsHandle,
+        gates: Arc<AdmissionGates>,
+        coordinator: Arc<Coordinator>,
+        sender: SignalSender,
+    ) -> Self {
+        let (news_sender, news) = mpsc::unbounded_channel();
+        let next_id = Arc::new(AtomicU64::new(u64::from(rand::random::<u32>()) << 32));
+        let handle = PlacementHandle { state: state.clone(), news: news_sender, next_id };
+        Self {
+            asks: AsksController::new(sender.address()),
+            state,
+            targets,
+            gates,
+            coordinator,
+            sender,
+            grants: GrantsController::default(),
+            handle,
+            news,
+            verdicts: HashMap::new(),
+            served: HashMap::new(),
+            tags: Arc::default(),
+        }
+    }
+
+    /// Gives the way to the driver.
+    pub fn handle(&self) -> PlacementHandle {
+        self.handle.clone()
+    }
+
+    /// Gives the placement of requests that asks through this driver.
+    pub fn placement(&self) -> SharedPlacement {
+        let (state, coordinator) = (self.state.clone(), self.coordinator.clone());
+        SharedPlacement::new(state, coordinator, self.handle.clone(), self.tags.clone())
+    }
+
+    /// Works until `stop` is cancelled.
+    pub async fn run(mut self, stop: CancellationToken) {
+        let mut ticks = interval(TICK_PERIOD);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ticked = 0_u32;
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                Some(news) = self.news.recv() => self.take(news),
+                _ = ticks.tick() => {
+                    ticked = ticked.wrapping_add(1);
+                    self.tick(ticked.is_multiple_of(TICKS_PER_SWEEP));
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, sweeps: bool) {
+        self.gates.refresh();
+        if self.asks.is_open() {
+            self.step_asks(AsksMessage::Tick);
+        }
+        if sweeps {
+            self.step_grants(GrantsMessage::Tick);
+        }
+    }
+
+    fn take(&mut self, news: PlacementNews) {
+        match news {
+            PlacementNews::Asked(id, ask, sender) => {
+                self.verdicts.insert(id, sender);
+                self.step_asks(AsksMessage::Asked(id, ask));
+            }
+            PlacementNews::Ended(ended) => {
+                self.verdicts.remove(&ended.id);
+                self.step_asks(AsksMessage::Ended(ended));
+            }
+            PlacementNews::Members(members) => self.step_asks(AsksMessage::Members(members)),
+            PlacementNews::Received(from, mut message) => {
+                let answers = std::mem::take(&mut message.answers);
+                if !answers.is_empty() {
+                    self.step_asks(AsksMessage::Received(from, answers));
+                }
+                if message != PlacementMessage::default() {
+                    self.step_grants(GrantsMessage::Received(from, message));
+                }
+            }
+            PlacementNews::Decided(key, decision) => self.decide(key, decision),
+        }
+    }
+
+    fn step_asks(&mut self, message: AsksMessage) {
+        for effect in self.asks.handle(message, self.state.clock.now()) {
+            match effect {
+                AsksEffect::Send(to, message) => {
+                    self.sender.send(&SignalDatagram::Placement(message), &[to]);
+                }
+                AsksEffect::Resolve(id, verdict) => {
+                    if let Some(sender) = self.verdicts.remove(&id) {
+                        // A request that is gone ends its question when it is dropped.
+                        let _ = sender.send(verdict);
+                    }
+                }
+                AsksEffect::Suspected(address) => {
+                    log::warn!(coordinator:% = address; "a coordinator does not answer; asking the next one");
+                }
+            }
+        }
+    }
+
+    fn step_grants(&mut self, message: GrantsMessage) {
+        for effect in self.grants.handle(message, self.state.clock.now()) {
+            match effect {
+                GrantsEffect::Serve(key, ask) => self.serve(key, ask),
+                GrantsEffect::Release(key) => drop(self.served.remove(&key)),
+                GrantsEffect::Learnt(key, ended) => self.learn(key, ended),
+                GrantsEffect::Send(to, message) => {
+                    self.sender.send(&SignalDatagram::Placement(message), &[to]);
+                }
+            }
+        }
+    }
+
+    /// Starts to decide on a question of another entry.
+    fn serve(&mut self, key: GrantKey, ask: PlacementAsk) {
+        self.coordinator.note_asked();
+        let fleet = self.state.fleet.load_full();
+        let table = self.tags.of(&fleet);
+        let Some(service) = table.service(ask.service) else {
+            return self.step_grants(GrantsMessage::Decided(key, PlacementAnswer::Unknown));
+        };
+        let now = self.state.clock.now();
+        let facts = CallFacts {
+            service,
+            caller: CallerKey::default(),
+            rank: ask.rank,
+            arrived: now,
+            deadline: now + Duration::from_millis(ask.deadline_ms.into()),
+            useful_until: Some(now + Duration::from_millis(ask.useful_ms.into())),
+            ..CallFacts::default()
+        };
+        let call = PlacementCall {
+            service,
+            facts,
+            again: ask.again,
+            excluded: ask.excluded.iter().filter_map(|tag| table.target(*tag)).collect(),
+            data_centre: ask.data_centre,
+            affinity: hash_bytes(key.peer.to_string().as_bytes()),
+            remote_cost: f32::from(ask.remote_cost_percent) / 100.0,
+        };
+        let (coordinator, handle) = (self.coordinator.clone(), self.handle.clone());
+        let task = tokio::spawn(async move {
+            let decision = coordinator.place(&call).await;
+            handle.tell(PlacementNews::Decided(key, decision));
+        });
+        let task = AbortOnDropHandle::new(task);
+        self.served.insert(key, ServedAsk::Deciding { _task: task });
+    }
+
+    fn decide(&mut self, key: GrantKey, decision: Result<PlacedCall, GateRefusal>) {
+        if !self.served.contains_key(&key) {
+            // The question ended meanwhile; dropping the decision gives the place back.
+            return;
+        }
+        let answer = match decision {
+            Ok(placed) => {
+                let fleet = self.state.fleet.load_full();
+                match self.tags.of(&fleet).tag_of(placed.choice.target) {
+                    Some(tag) => {
+                        let granted = granted_target(tag, &placed);
+                        let target = placed.choice.target;
+                        let reservation = placed.reservation;
+                        let served = ServedAsk::Granted { target, _reservation: reservation };
+                        self.served.insert(key, served);
+                        PlacementAnswer::Granted(granted)
+                    }
+                    None => PlacementAnswer::Unknown,
+                }
+            }
+            Err(GateRefusal { reason, retry_after }) => {
+                let retry_after_ms = u32::try_from(retry_after.as_millis()).unwrap_or(u32::MAX);
+                PlacementAnswer::Refused { reason, retry_after_ms }
+            }
+        };
+        if !matches!(answer, PlacementAnswer::Granted(_)) {
+            self.served.remove(&key);
+        }
+        self.step_grants(GrantsMessage::Decided(key, answer));
+    }
+
+    /// Takes over what another entry learnt of the target that it used.
+    fn learn(&self, key: GrantKey, ended: EndedAsk) {
+        let Some(ServedAsk::Granted { target, .. }) = self.served.get(&key) else { return };
+        let fleet = self.state.fleet.load();
+        let Some(entry) = fleet.targets.get(*target) else { return };
+        let (counters, now) = (&entry.counters, self.state.clock.now());
+        if ended.pace_percent > 0 {
+            let age = Duration::from_millis(ended.pace_age_ms.into());
+            counters.record_pace(ended.pace_percent.into(), age, now);
+        }
+        match ended.end {
+            AttemptEnd::Unknown => {}
+            AttemptEnd::Answered(latency_us) => {
+                counters.record_success(Duration::from_micros(latency_us.into()));
+            }
+            AttemptEnd::Failed => {
+                counters.record_failure();
+                self.targets.notify(TargetsMessage::Failed(*target));
+            }
+            AttemptEnd::Shed(period_ms) => {
+                counters.record_shedding(Duration::from_millis(period_ms.into()), now);
+            }
+            AttemptEnd::WrongInstance => self.targets.notify(TargetsMessage::Drained(*target)),
+        }
+    }
+}
+
+fn granted_target(target: TargetTag, placed: &PlacedCall) -> GrantedTarget {
+    let trace = placed.trace;
+    GrantedTarget {
+        target,
+        admission: trace.map_or(ReasonCode::Retried, |trace| trace.rule),
+        choice: placed.choice.reason,
+        admission_number: trace.map_or(0, |trace| trace.admission_number),
+        queue_length: trace.map_or(0, |trace| trace.queue_length),
+        overtaken: trace.map_or(0, |trace| trace.overtaken),
+        candidates: placed.choice.candidates,
+    }
+}
--- /dev/null
+++ b/src/placement/local.rs
@@ -0,0 +1,51 @@
+//! Placement by an entry that runs without coordinators.
+
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use zinniaport_core::call::ReasonCode;
+
+use super::{CallPlacement, Placement};
+use crate::exchange::Exchange;
+use crate::gate::{AdmissionGates, GateRefusal};
+use crate::state::SharedState;
+
+/// Admits requests to this entry's own window and leaves the pick to its policy.
+pub struct LocalPlacement {
+    state: Arc<SharedState>,
+    gates: Arc<AdmissionGates>,
+}
+
+impl LocalPlacement {
+    /// Creates a placement.
+    pub fn new(state: Arc<SharedState>, gates: Arc<AdmissionGates>) -> Self {
+        Self { state, gates }
+    }
+
+    async fn admit(&self, exchange: &Exchange) -> Result<Placement, GateRefusal> {
+        let fleet = self.state.fleet.load_full();
+        let key = exchange.facts.service;
+        let Some(service) = fleet.services.get(key) else {
+            return Err(GateRefusal::at_once(ReasonCode::UnknownService));
+        };
+        let gate = self.gates.of(key, service);
+        let (trace, slot) = gate.admit(&fleet, service, &exchange.facts).await?;
+        Ok(Placement { trace: Some(trace), slot: Some(slot), ..Placement::default() })
+    }
+}
+
+impl CallPlacement for LocalPlacement {
+    fn place<'a>(
+        &'a self,
+        exchange: &'a Exchange,
+    ) -> BoxFuture<'a, Result<Placement, GateRefusal>> {
+        Box::pin(self.admit(exchange))
+    }
+
+    fn place_again<'a>(&'a self, exchange: &'a Exchange) -> BoxFuture<'a, Option<Placement>> {
+        let fleet = self.state.fleet.load();
+        let service = fleet.services.get(exchange.facts.service);
+        let allowed = service.is_some_and(|service| service.counters.retries.try_spend());
+        Box::pin(std::future::ready(allowed.then(Placement::default)))
+    }
+}
--- /dev/null
+++ b/src/placement/shared.rs
@@ -0,0 +1,196 @@
+//! Placement by the coordinator of each service, or by this entry when none answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use tokio::time::timeout;
+use zinniaport_core::call::ReasonCode;
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::controllers::AskVerdict;
+use zinniaport_core::decision::AdmissionTrace;
+use zinniaport_core::fleet::{FleetSnapshot, TargetCounters, TargetState};
+use zinniaport_core::placement::{AskId, AttemptEnd, EndedAsk, GrantedTarget, PlacementAsk};
+use zinniaport_core::policy::{RouteChoice, hash_bytes};
+use zinniaport_core::signals::ServiceTag;
+
+use super::coordinator::{Coordinator, PlacementCall, Reservation};
+use super::driver::PlacementHandle;
+use super::tags::TagBoard;
+use super::{CallPlacement, Placement, PlacementHold};
+use crate::exchange::Exchange;
+use crate::filters::remote_cost;
+use crate::gate::GateRefusal;
+use crate::state::SharedState;
+
+/// Age from which a report of a target is not passed on, in milliseconds.
+const MAX_REPORT_AGE_MS: u64 = 500;
+
+/// Asks the coordinator of a service for each request.
+pub struct SharedPlacement {
+    state: Arc<SharedState>,
+    coordinator: Arc<Coordinator>,
+    handle: PlacementHandle,
+    tags: Arc<TagBoard>,
+}
+
+impl SharedPlacement {
+    pub(super) fn new(
+        state: Arc<SharedState>,
+        coordinator: Arc<Coordinator>,
+        handle: PlacementHandle,
+        tags: Arc<TagBoard>,
+    ) -> Self {
+        Self { state, coordinator, handle, tags }
+    }
+
+    async fn ask(&self, exchange: &Exchange, again: bool) -> Result<Placement, GateRefusal> {
+        let fleet = self.state.fleet.load_full();
+        let facts = &exchange.facts;
+        let Some(service) = fleet.services.get(facts.service) else {
+            return Err(GateRefusal::at_once(ReasonCode::UnknownService));
+        };
+        let now = self.state.clock.now();
+        let table = self.tags.of(&fleet);
+        let ask = PlacementAsk {
+            service: ServiceTag::of(&service.intent.service),
+            data_centre: self.state.data_centre.to_string(),
+            again,
+            rank: facts.rank,
+            useful_ms: millis(facts.useful_until().since(now)),
+            deadline_ms: millis(facts.time_left(now)),
+            remote_cost_percent: (remote_cost(exchange) * 100.0) as u16,
+            excluded: exchange.targets.iter().filter_map(|key| table.tag_of(*key)).collect(),
+        };
+        let (mut open, verdict) = self.handle.ask(ask);
+        let Ok(Ok(verdict)) = timeout(facts.time_left(now), verdict).await else {
+            return Err(GateRefusal::at_once(ReasonCode::DeadlineUnreachable));
+        };
+        match verdict {
+            AskVerdict::Refused { reason, retry_after } => Err(GateRefusal { reason, retry_after }),
+            AskVerdict::Granted(granted) => {
+                let fleet = self.state.fleet.load_full();
+                match self.usable(&fleet, granted, exchange) {
+                    Some((choice, counters)) => {
+                        open.counters = Some(counters);
+                        let trace = (!again).then(|| self.trace_of(granted, now));
+                        let hold: Box<dyn PlacementHold> = Box::new(open);
+                        Ok(Placement { trace, choice: Some(choice), hold: Some(hold), slot: None })
+                    }
+                    // The coordinator has not heard yet that the target leaves, or this
+                    // entry has not heard of it.
+                    None => self.place_here(exchange, again).await,
+                }
+            }
+            AskVerdict::PlaceHere => self.place_here(exchange, again).await,
+        }
+    }
+
+    async fn place_here(&self, exchange: &Exchange, again: bool) -> Result<Placement, GateRefusal> {
+        let call = PlacementCall {
+            service: exchange.facts.service,
+            facts: exchange.facts,
+            again,
+            excluded: exchange.targets.clone(),
+            data_centre: self.state.data_centre.to_string(),
+            affinity: hash_bytes(self.state.entry_name.as_bytes()),
+            remote_cost: remote_cost(exchange),
+        };
+        let placed = self.coordinator.place(&call).await?;
+        let hold: Box<dyn PlacementHold> = Box::new(OwnHold { _reservation: placed.reservation });
+        Ok(Placement {
+            trace: placed.trace,
+            choice: Some(placed.choice),
+            hold: Some(hold),
+            slot: None,
+        })
+    }
+
+    /// Finds a granted target that this entry may still use. Its own view of ejections
+    /// does not count: the coordinator has seen more.
+    fn usable(
+        &self,
+        fleet: &Arc<FleetSnapshot>,
+        granted: GrantedTarget,
+        exchange: &Exchange,
+    ) -> Option<(RouteChoice, Arc<TargetCounters>)> {
+        let key = self.tags.of(fleet).target(granted.target)?;
+        let target = fleet.targets.get(key)?;
+        let leaves = matches!(target.state, TargetState::Draining | TargetState::Leaving);
+        if leaves || exchange.targets.contains(&key) {
+            return None;
+        }
+        let GrantedTarget { choice: reason, candidates, .. } = granted;
+        Some((RouteChoice { target: key, reason, candidates }, target.counters.clone()))
+    }
+
+    fn trace_of(&self, granted: GrantedTarget, queued: Timestamp) -> AdmissionTrace {
+        AdmissionTrace {
+            rule: granted.admission,
+            queued,
+            admitted: self.state.clock.now(),
+            admission_number: granted.admission_number,
+            queue_length: granted.queue_length,
+            overtaken: granted.overtaken,
+        }
+    }
+}
+
+impl CallPlacement for SharedPlacement {
+    fn place<'a>(
+        &'a self,
+        exchange: &'a Exchange,
+    ) -> BoxFuture<'a, Result<Placement, GateRefusal>> {
+        Box::pin(self.ask(exchange, false))
+    }
+
+    fn place_again<'a>(&'a self, exchange: &'a Exchange) -> BoxFuture<'a, Option<Placement>> {
+        Box::pin(async { self.ask(exchange, true).await.ok() })
+    }
+}
+
+/// A place that this entry gave to a request of its own. What the attempt shows is
+/// recorded in the counters of this entry in any case.
+struct OwnHold {
+    _reservation: Reservation,
+}
+
+impl PlacementHold for OwnHold {
+    fn end(&mut self, _end: AttemptEnd) {}
+}
+
+/// An open question to a coordinator, or the use of what it granted; dropping it ends
+/// either.
+pub(super) struct OpenAsk {
+    pub(super) id: AskId,
+    pub(super) handle: PlacementHandle,
+    pub(super) state: Arc<SharedState>,
+    /// Counters of the granted target.
+    pub(super) counters: Option<Arc<TargetCounters>>,
+    pub(super) end: AttemptEnd,
+}
+
+impl PlacementHold for OpenAsk {
+    fn end(&mut self, end: AttemptEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for OpenAsk {
+    fn drop(&mut self) {
+        let mut ended = EndedAsk { id: self.id, end: self.end, pace_percent: 0, pace_age_ms: 0 };
+        if let Some(counters) = &self.counters {
+            let (pace_percent, age) = counters.pace_report(self.state.clock.now());
+            let age_ms = age.as_millis() as u64;
+            if age_ms <= MAX_REPORT_AGE_MS {
+                ended.pace_percent = u16::try_from(pace_percent).unwrap_or(u16::MAX);
+                ended.pace_age_ms = age_ms as u16;
+            }
+        }
+        self.handle.end(ended);
+    }
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- a/src/runtime/chain.rs
+++ b/src/runtime/chain.rs
@@ -9,7 +9,8 @@
     AdmitFilter, ClaimFilter, ClassifyFilter, FilterChain, ForwardFilter, IdentifyFilter,
     QuarantineFilter, RecordFilter, RouteFilter,
 };
-use crate::gate::{AdmissionGates, QuarantineGate};
+use crate::gate::QuarantineGate;
+use crate::placement::CallPlacement;
 use crate::pool::TargetTransport;
 use crate::state::SharedState;
 use crate::targets::TargetsHandle;
@@ -21,7 +22,7 @@
     pub(super) policy: Arc<dyn RoutingPolicy>,
     pub(super) transport: Arc<dyn TargetTransport>,
     pub(super) quarantine: Arc<QuarantineGate>,
-    pub(super) gates: Arc<AdmissionGates>,
+    pub(super) placement: Arc<dyn CallPlacement>,
     pub(super) claims: Arc<dyn KeyClaims>,
     /// Size up to which a request body is read whole, in bytes.
     pub(super) buffered_body_bytes: u64,
@@ -34,15 +35,15 @@
     pub(super) fn build(self) -> FilterChain {
         let (buffered_body_bytes, whole_answer_bytes) =
             (self.buffered_body_bytes, self.whole_answer_bytes);
-        let Self { state, targets, policy, transport, quarantine, gates, claims, .. } = self;
+        let Self { state, targets, policy, transport, quarantine, placement, claims, .. } = self;
         FilterChain::new(vec![
             Arc::new(RecordFilter::new(state.clone())),
             Arc::new(IdentifyFilter::new(state.clone())),
             Arc::new(ClassifyFilter::new(state.clone())),
             Arc::new(QuarantineFilter::new(state.clone(), quarantine, buffered_body_bytes)),
             Arc::new(ClaimFilter::new(state.clone(), claims)),
-            Arc::new(AdmitFilter::new(state.clone(), gates)),
-            Arc::new(RouteFilter::new(state.clone(), policy, targets)),
+            Arc::new(AdmitFilter::new(state.clone(), placement.clone())),
+            Arc::new(RouteFilter::new(state.clone(), policy, targets, placement)),
             Arc::new(ForwardFilter::new(state, transport, whole_answer_bytes)),
         ])
     }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -18,7 +18,7 @@
     SettingsMessage, StateController, TargetsMessage,
 };
 use zinniaport_core::intent::ServiceIntent;
-use zinniaport_core::policy::EntryView;
+use zinniaport_core::policy::{EntryView, RoutingPolicy};
 
 use crate::admin::{
     AdminHandler, AdminRouter, BurnHandler, ExplainHandler, LivenessHandler, LocalRecords,
@@ -31,13 +31,16 @@
 use crate::front::HttpFront;
 use crate::gate::{AdmissionGates, QuarantineGate};
 use crate::measuring::{FileGrant, IntentGrant, MeasuringDriver, MeasuringParts, probe_need};
-use crate::pool::{HttpTransport, UnobservedSilence};
+use crate::placement::{
+    CallPlacement, Coordinator, LocalPlacement, PlacementDriver, SharedPlacement, TargetProber,
+};
+use crate::pool::{HttpTransport, TargetTransport, UnobservedSilence};
 use crate::records::PeerRecords;
-use crate::settings::{EntrySettings, PlatformSettings};
+use crate::settings::{EntrySettings, PlatformSettings, SignalSettings};
 use crate::signals::SignalsDriver;
 use crate::state::SharedState;
 use crate::store::{HttpStore, ObjectStore, VmDirectory};
-use crate::targets::TargetsDriver;
+use crate::targets::{TargetsDriver, TargetsHandle};
 use crate::telemetry::drive_burn;
 
 /// Why an entry cannot start.
@@ -74,6 +77,38 @@
     }
 }
 
+/// What placement by coordinators needs.
+struct SharedParts {
+    state: Arc<SharedState>,
+    targets: TargetsHandle,
+    gates: Arc<AdmissionGates>,
+    quarantine: Arc<QuarantineGate>,
+    policy: Arc<dyn RoutingPolicy>,
+    transport: Arc<dyn TargetTransport>,
+}
+
+impl SharedParts {
+    /// Starts the messages between entries and what decides with them. Both run on
+    /// during a planned stop, until the last request has ended.
+    async fn start(self, settings: SignalSettings) -> Result<SharedPlacement, StartError> {
+        let Self { state, targets, gates, quarantine, policy, transport } = self;
+        let (probes, capacity) = (settings.target_probes_per_second, settings.capacity());
+        let saved_retries = settings.saved_retries;
+        let prober = TargetProber::new(state.clone(), transport, probes, capacity);
+        let coordinator =
+            Coordinator::new(state.clone(), gates.clone(), policy, prober, saved_retries);
+        let mut signals =
+            SignalsDriver::open(state.clone(), targets.clone(), quarantine, settings).await?;
+        let (coordinator, sender) = (Arc::new(coordinator), signals.sender());
+        let driver = PlacementDriver::new(state, targets, gates, coordinator, sender);
+        signals.connect(driver.handle());
+        let placement = driver.placement();
+        tokio::spawn(signals.run(CancellationToken::new()));
+        tokio::spawn(driver.run(CancellationToken::new()));
+        Ok(placement)
+    }
+}
+
 /// A running entry.
 pub struct EntryRuntime {
     caller_address: SocketAddr,
@@ -86,6 +121,7 @@
     drain: DrainController,
     control: Option<ControlPlane>,
     claims: Arc<dyn KeyClaims>,
+    state: Arc<SharedState>,
 }
 
 impl EntryRuntime {
@@ -131,6 +167,8 @@
         apply_intents(&state, &mut driver, std::mem::take(&mut settings.services));
         if directory.is_some() {
             driver.deliver(TargetsMessage::Intents(unknown_fleet()));
+        } else {
+            state.set_coordinates(true);
         }
         let mut checks: Vec<Arc<dyn ReadinessCheck>> = Vec::new();
         if let Some(source) = directory {
@@ -144,12 +182,6 @@
         tokio::spawn(driver.run(CancellationToken::new()));
         let quarantine = Arc::new(QuarantineGate::new(clock.clone()));
         let gates = Arc::new(AdmissionGates::new(clock.clone()));
-        if let Some(signals) = settings.signals.take() {
-            let (state, targets) = (state.clone(), targets.clone());
-            let (gates, quarantine) = (gates.clone(), quarantine.clone());
-            let signals = SignalsDriver::open(state, targets, gates, quarantine, signals).await?;
-            tokio::spawn(signals.run(CancellationToken::new()));
-        }
         let control = match (settings.platform.take(), store) {
             (Some(platform), Some(store)) => {
                 let parts = ControlParts {
@@ -173,9 +205,23 @@
         let router = AdminRouter::new(handlers(&state, checks, control.as_ref()));
         tokio::spawn(router.serve(admin_listener, stop.clone()));
         tokio::spawn(drive_burn(state.clone(), stop.clone()));
-        let EntrySettings { limits, pool, stop: stop_settings, routing, .. } = settings;
+        let EntrySettings { limits, pool, stop: stop_settings, routing, signals, .. } = settings;
         let transport = Arc::new(HttpTransport::new(pool.clone(), Arc::new(UnobservedSilence)));
         let policy = routing.policy();
+        let placement: Arc<dyn CallPlacement> = match signals {
+            None => Arc::new(LocalPlacement::new(state.clone(), gates)),
+            Some(signals) => {
+                let parts = SharedParts {
+                    state: state.clone(),
+                    targets: targets.clone(),
+                    gates,
+                    quarantine: quarantine.clone(),
+                    policy: policy.clone(),
+                    transport: transport.clone(),
+                };
+                Arc::new(parts.start(signals).await?)
+            }
+        };
         let grant: Arc<dyn IntentGrant> = match &control {
             Some(control) => control.status().clone(),
             None => Arc::new(FileGrant),
@@ -193,11 +239,12 @@
             policy,
             transport,
             quarantine,
-            gates: gates.clone(),
+            placement,
             claims: claims.clone(),
             buffered_body_bytes: limits.buffered_body_bytes,
             whole_answer_bytes: pool.whole_answer_bytes,
         };
+        let shared = state.clone();
         let front = HttpFront::new(state, parts.build(), limits);
         let close = CancellationToken::new();
         let linger = stop_settings.idle_linger();
@@ -215,6 +262,7 @@
             drain,
             control,
             claims,
+            state: shared,
         })
     }
 
@@ -237,6 +285,7 @@
     /// the platform's balancer lags, then the listener closes and requests in
     /// flight end.
     pub async fn stop(mut self) {
+        self.state.set_coordinates(false);
         let mut message = DrainMessage::StopRequested;
         loop {
             let effects = self.drain.handle(message, self.clock.now());
--- a/src/settings/signals.rs
+++ b/src/settings/signals.rs
@@ -6,7 +6,7 @@
 
 use super::fault::{CheckSettings, FaultList, field};
 
-/// How an entry tells the others of requests in flight and waiting.
+/// How an entry talks with the others in datagrams.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SignalSettings {
@@ -18,6 +18,23 @@
     /// Retries that all entries together may save up.
     #[serde(default = "default_saved_retries")]
     pub saved_retries: u32,
+    /// Share of a core that the entry can use. The largest entries coordinate.
+    #[serde(default = "default_cpu_share")]
+    pub cpu_share: f64,
+    /// Probes of one target a second that all entries together may send.
+    #[serde(default)]
+    pub target_probes_per_second: f64,
+}
+
+fn default_cpu_share() -> f64 {
+    1.0
+}
+
+impl SignalSettings {
+    /// Gives the processor share in percent of a core, at least 1.
+    pub fn capacity(&self) -> u16 {
+        (self.cpu_share * 100.0).round().max(1.0) as u16
+    }
 }
 
 /// Ten for each of 19 entries.
@@ -31,5 +48,11 @@
             let remedy = "name the IP address that the other entries use";
             faults.add(field(path, "listen"), self.listen, "not 0.0.0.0 or [::]", remedy);
         }
+        let share = "give the share of one core, such as 0.2";
+        let at = |name| field(path, name);
+        faults.check_range(at("cpu_share"), self.cpu_share, 0.01..=64.0, share);
+        let probes = "give the probes of one target a second, 0 for none";
+        let rate = self.target_probes_per_second;
+        faults.check_range(at("target_probes_per_second"), rate, 0.0..=1000.0, probes);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! State that filters and controllers share: snapshots behind read-copy-update.
 
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
@@ -53,8 +53,10 @@
     pub measuring: ArcSwap<SecondaryMap<ServiceKey, MeasuringAccount>>,
     /// Metrics of this entry.
     pub metrics: EntryMetrics,
-    /// Notified when requests in flight or waiting change.
-    pub load_changed: Notify,
+    /// Notified when the other entries should hear of this one.
+    pub signal_news: Notify,
+    /// Whether this entry may coordinate: it knows what it needs and does not stop.
+    pub coordinates: AtomicBool,
     /// Newest changes of the directory that this entry and others know.
     pub revisions: RevisionBoard,
     /// Retries and hedges that this entry may save up for one service.
@@ -76,12 +78,19 @@
             burn: ArcSwap::default(),
             measuring: ArcSwap::default(),
             metrics: EntryMetrics::new(),
-            load_changed: Notify::new(),
+            signal_news: Notify::new(),
+            coordinates: AtomicBool::new(false),
             revisions: RevisionBoard::default(),
             saved_retries: AtomicU64::new(MAX_SAVED_RETRIES),
         }
     }
 
+    /// Sets whether this entry may coordinate, and tells the others.
+    pub fn set_coordinates(&self, able: bool) {
+        self.coordinates.store(able, Ordering::Release);
+        self.signal_news.notify_one();
+    }
+
     /// Replaces the headers that callers and targets use.
     #[must_use]
     pub fn with_dialect(mut self, dialect: Arc<dyn CallDialect>) -> Self {
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -12,7 +12,7 @@
 use zinniaport::directory::{DirectorySource, ReadAge};
 use zinniaport::runtime::{EntryBorders, EntryRuntime};
 use zinniaport::settings::EntrySettings;
-use zinniaport::signals::encode_signal;
+use zinniaport::signals::{SignalDatagram, encode_datagram};
 use zinniaport::store::StoreError;
 use zinniaport_core::directory::{
     ConfigurationNote, DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, ServiceNote,
@@ -134,7 +134,7 @@
         let signals = UdpSocket::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
         let entry = start(Arc::default(), &format!("signals: {{ listen: \"{signals}\" }}")).await;
         let message = SignalMessage { incarnation: 1, sequence: 1, ..SignalMessage::default() };
-        other.send_to(&encode_signal(&message).unwrap(), signals).await.unwrap();
+        other.send_to(&encode_datagram(&SignalDatagram::Signal(message)).unwrap(), signals).await.unwrap();
         // The entry answers a signal once it counts its sender among those it hears.
         other.recv_from(&mut [0; 2048]).await.unwrap();
         tokio::time::sleep(Duration::from_millis(20)).await;
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -7,13 +7,14 @@
 
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
-use zinniaport::gate::{AdmissionGates, QuarantineGate};
+use zinniaport::gate::QuarantineGate;
 use zinniaport::settings::SignalSettings;
-use zinniaport::signals::{SignalsDriver, decode_signal, encode_signal};
+use zinniaport::signals::{SignalDatagram, SignalsDriver, decode_datagram, encode_datagram};
 use zinniaport::state::SharedState;
 use zinniaport::targets::TargetsDriver;
 use zinniaport_core::call::CallFingerprint;
 use zinniaport_core::clock::{ClockSource, SystemClock, Timestamp};
+use zinniaport_core::placement::{AskId, PlacementMessage};
 use zinniaport_core::quarantine::QuarantineEntry;
 use zinniaport_core::signals::SignalMessage;
 use zinniaport_testing::test_cases;
@@ -21,10 +22,9 @@
 async fn start(clock: Arc<dyn ClockSource>) -> (SocketAddr, Arc<QuarantineGate>) {
     let state = Arc::new(SharedState::new(clock.clone(), "entry-1", "valle-a"));
     let (_, targets) = TargetsDriver::new(state.clone());
-    let gates = Arc::new(AdmissionGates::new(clock.clone()));
     let quarantine = Arc::new(QuarantineGate::new(clock));
     let settings: SignalSettings = serde_norway::from_str("listen: 127.0.0.1:0").unwrap();
-    let driver = SignalsDriver::open(state, targets, gates, quarantine.clone(), settings);
+    let driver = SignalsDriver::open(state, targets, quarantine.clone(), settings);
     let driver = driver.await.unwrap();
     let address = driver.address();
     tokio::spawn(driver.run(CancellationToken::new()));
@@ -46,12 +46,11 @@
         let message = SignalMessage {
             incarnation: 1,
             sequence: 1,
-            whole: true,
             crashes: vec![crash(clock.now())],
             members: vec![second],
             ..SignalMessage::default()
         };
-        third.send_to(&encode_signal(&message).unwrap(), first).await.unwrap();
+        third.send_to(&encode_datagram(&SignalDatagram::Signal(message)).unwrap(), first).await.unwrap();
         for _ in 0..400 {
             if !quarantine.entries().is_empty() {
                 break;
@@ -62,15 +61,18 @@
     }
 
     damaged_datagrams_are_dropped: "a datagram of another program that ends an entry or fills its memory" => {
-        let message = SignalMessage { incarnation: 1 << 50, sequence: 3, ..SignalMessage::default() };
-        let bytes = encode_signal(&message).unwrap();
-        assert_eq!(decode_signal(&bytes).unwrap(), message);
-        for place in 0..bytes.len() {
-            assert!(decode_signal(&bytes[..place]).is_err(), "cut at {place}");
-            let mut damaged = bytes.clone();
-            damaged[place] = 0xff;
-            let _ = decode_signal(&damaged);
+        let signal = SignalMessage { incarnation: 1 << 50, sequence: 3, ..SignalMessage::default() };
+        let placement = PlacementMessage { held: Some(vec![AskId(1 << 50)]), ..PlacementMessage::default() };
+        for datagram in [SignalDatagram::Signal(signal), SignalDatagram::Placement(placement)] {
+            let bytes = encode_datagram(&datagram).unwrap();
+            assert_eq!(decode_datagram(&bytes).unwrap(), datagram);
+            for place in 0..bytes.len() {
+                assert!(decode_datagram(&bytes[..place]).is_err(), "cut at {place}");
+                let mut damaged = bytes.clone();
+                damaged[place] = 0xff;
+                let _ = decode_datagram(&damaged);
+            }
         }
-        assert!(decode_signal(&[0xff; 64]).is_err());
+        assert!(decode_datagram(&[0xff; 64]).is_err());
     }
 }
