Pass the directory on from the two entries that watch it

Change: the two largest entries watch the platform; the others read from them (RelayedDirectory, RelayHandler), by a long poll over the address of the signals. A target counts as untried until a request to it was answered, and is then preferred a little. An entry keeps closer to its own targets (1.4 in place of 1.2).

--- a/core/src/directory.rs
+++ b/core/src/directory.rs
@@ -4,13 +4,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use strum::{Display, EnumIter, IntoStaticStr};
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
 use crate::intent::TargetInstance;
 use crate::routes::{CallerLimits, RouteIntent};
 
 /// A part of a directory that is listed and watched by itself.
-#[derive(Clone, Copy, Debug, Display, EnumIter, Eq, Hash, IntoStaticStr, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, EnumIter, EnumString, Eq, Hash, IntoStaticStr, PartialEq)]
 #[strum(serialize_all = "kebab-case")]
 pub enum DirectoryPart {
     /// The targets.
@@ -20,7 +21,7 @@
 }
 
 /// What a target says of itself.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct TargetNote {
     /// Its identity and start.
     pub instance: TargetInstance,
@@ -39,7 +40,7 @@
 }
 
 /// A service as the operator states it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ServiceNote {
     /// Name of the service.
     pub name: String,
@@ -50,7 +51,7 @@
 }
 
 /// The configuration of the operator, whole.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ConfigurationNote {
     /// Its version; a higher one replaces a lower one.
     pub version: u64,
@@ -63,7 +64,7 @@
 }
 
 /// One object of a directory.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum DirectoryItem {
     /// A target.
     Target(TargetNote),
@@ -74,7 +75,7 @@
 }
 
 /// A change of one object.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DirectoryChange {
     /// Name of the object.
     pub name: String,
@@ -85,7 +86,7 @@
 }
 
 /// Changes up to a revision, oldest first.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct DirectoryBatch {
     /// Revision up to which the batch is complete.
     pub revision: u64,
--- a/core/src/policy/shortest_wait.rs
+++ b/core/src/policy/shortest_wait.rs
@@ -25,7 +25,7 @@
 
 /// Factor on the expected time at a target that an entry does not prefer, which
 /// outweighs a new connection.
-const OTHER_TARGET_FACTOR: f32 = 1.2;
+const OTHER_TARGET_FACTOR: f32 = 1.4;
 
 /// Time in which targets answer probes.
 const PROBE_TIME: Duration = Duration::from_millis(10);
@@ -42,6 +42,10 @@
 /// Factor on the time of work of a target that has just started.
 const COLD_FACTOR: f32 = 2.0;
 
+/// Factor on the expected time of a target that has answered no request yet. It gets
+/// one soon, although it may be cold: until then nothing is known of it.
+const UNTRIED_FACTOR: f32 = 0.7;
+
 /// Time of work assumed before the first answers, in microseconds.
 const FIRST_WORK_US: f32 = 100_000.0;
 
@@ -103,17 +107,16 @@
         if running / slots > KNEE_SHARE {
             work *= KNEE_FACTOR;
         }
-        // A target that nobody has an answer from yet gets one request, whatever it
-        // may cost: until then nothing is known of it.
-        let untried = counters.reported_pace.load(Ordering::Relaxed) == 0 && load < 1.0;
-        if target.ramp_start.is_some() && !untried {
+        let untried = is_untried(target, load);
+        if untried {
+            work *= UNTRIED_FACTOR;
+        } else if target.ramp_start.is_some() {
             work *= COLD_FACTOR;
         }
         let latency = counters.latency_us.load(Ordering::Relaxed) as f32;
         work *= (latency / self.work_us / SLOW_FACTOR).max(1.0);
         let queued = (load + 1.0 - slots).max(0.0);
-        let pace = if untried { 1.0 } else { self.pace(target) };
-        work * pace * (1.0 + queued / slots)
+        work * self.pace(target) * (1.0 + queued / slots)
     }
 
     /// Estimates the pace at which a target begins a request sent now. A report
@@ -135,6 +138,11 @@
     }
 }
 
+/// Tells whether no request to the target has been answered or is under way.
+fn is_untried(target: &OpenTarget, load: f32) -> bool {
+    target.counters.latency_us.load(Ordering::Relaxed) == 0 && load < 1.0
+}
+
 impl RoutingPolicy for ShortestWait {
     fn name(&self) -> &'static str {
         "shortest-wait"
--- a/core/src/routes.rs
+++ b/core/src/routes.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::intent::KindIntent;
 use crate::keys::ServiceKey;
@@ -12,7 +13,7 @@
 const GOLDEN_STEP: u32 = 0x9e37_79b9;
 
 /// One service of a route with its share of the requests.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct RoutePart {
     /// Name of the service.
     pub service: String,
@@ -21,7 +22,7 @@
 }
 
 /// What an operator states about the requests of one host and path prefix.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RouteIntent {
     /// Host that the requests name.
     pub host: String,
@@ -78,7 +79,7 @@
 
 /// Limits on what a caller may send and how long a connection may stay idle, as
 /// the operator set them.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest request head, in bytes.
     pub max_header_bytes: u32,
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -1,13 +1,19 @@
 //! Follows a directory of targets and configuration that the platform keeps.
 
+mod board;
+mod relay;
+mod relayed;
+
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+pub use board::RevisionBoard;
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
+pub use relay::{BatchOrigin, DirectoryRelay, RelayHandler};
+pub use relayed::RelayedDirectory;
 use strum::IntoEnumIterator;
-use tokio::sync::Notify;
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 use zinniaport_core::controllers::{
@@ -49,46 +55,6 @@
     ) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>>;
 }
 
-/// Newest changes of the directory that this entry and others know, by part, and
-/// whether this entry watches without lag.
-#[derive(Debug, Default)]
-pub struct RevisionBoard {
-    known: [AtomicU64; 2],
-    heard: [AtomicU64; 2],
-    news: Notify,
-    /// True while others may rely on this entry. An entry that hears no other leads.
-    follows: AtomicBool,
-}
-
-impl RevisionBoard {
-    /// Gives the newest changes that this entry knows.
-    pub fn known(&self) -> [u64; 2] {
-        [0, 1].map(|part: usize| self.known[part].load(Ordering::Acquire))
-    }
-
-    /// Notes the newest changes that others know.
-    pub fn hear(&self, revisions: [u64; 2]) {
-        for (heard, revision) in self.heard.iter().zip(revisions) {
-            heard.fetch_max(revision, Ordering::AcqRel);
-        }
-        self.news.notify_one();
-    }
-
-    /// Sets whether this entry watches without lag.
-    pub fn set_leads(&self, leads: bool) {
-        self.follows.store(!leads, Ordering::Release);
-    }
-
-    /// Tells whether this entry watches without lag.
-    pub fn leads(&self) -> bool {
-        !self.follows.load(Ordering::Acquire)
-    }
-
-    fn watch_age(&self) -> ReadAge {
-        if self.leads() { ReadAge::Current } else { ReadAge::Lagging }
-    }
-}
-
 /// Gives the snapshot of an entry that has not learnt its configuration, in which
 /// requests are refused rather than not found.
 pub fn unknown_fleet() -> Arc<FleetSnapshot> {
@@ -201,7 +167,8 @@
             tokio::time::sleep(delay).await;
             let result = match revision {
                 Some(revision) => {
-                    let age = state.revisions.watch_age();
+                    let leads = state.revisions.leads();
+                    let age = if leads { ReadAge::Current } else { ReadAge::Lagging };
                     source.watch(part, revision, age).await
                 }
                 None => source.list(part).await,
--- /dev/null
+++ b/src/directory/relayed.rs
@@ -0,0 +1,172 @@
+//! A directory read through the entries that watch it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use tokio::time::{Instant, sleep};
+use zinniaport_core::directory::{DirectoryBatch, DirectoryPart};
+use zinniaport_core::policy::hash_bytes;
+
+use super::relay::{BatchOrigin, DirectoryRelay, RelayQuery, decode_batch};
+use super::{DirectorySource, ReadAge};
+use crate::state::SharedState;
+use crate::store::{ApiCaller, StoreError, no_answer, refused};
+
+/// Time for which a watching entry holds a question without news.
+const RELAY_HOLD: Duration = Duration::from_millis(600);
+
+/// Time limit of a call to another entry besides that.
+const RELAY_LIMIT: Duration = Duration::from_millis(250);
+
+/// Time for which an entry that did not answer is not asked.
+const SUSPECT_TIME: Duration = Duration::from_secs(1);
+
+/// The same for one that says that it cannot tell, such as one that starts.
+const REFUSED_TIME: Duration = Duration::from_millis(15);
+
+/// Time in which an entry that starts waits to hear others before it reads the
+/// directory itself, and pauses between looks.
+const START_WAIT: Duration = Duration::from_millis(120);
+const START_STEP: Duration = Duration::from_millis(20);
+
+/// Time in which an entry that starts waits for one that watches to know something.
+const LIST_WAIT: Duration = Duration::from_millis(600);
+
+/// Reads the directory itself while it leads, else from an entry that does, and itself
+/// when none answers.
+pub struct RelayedDirectory {
+    state: Arc<SharedState>,
+    source: Arc<dyn DirectorySource>,
+    relay: Arc<DirectoryRelay>,
+    callers: Mutex<HashMap<SocketAddr, RelayCaller>>,
+    /// Whether the last of the watching entries is asked first, so that the first does
+    /// not serve all others.
+    starts_last: bool,
+}
+
+/// Connections to one entry.
+struct RelayCaller {
+    api: Arc<ApiCaller>,
+    suspect_until: Option<Instant>,
+}
+
+impl RelayedDirectory {
+    /// Creates a directory; what `source` answers is passed on through `relay`.
+    pub fn new(
+        state: Arc<SharedState>,
+        source: Arc<dyn DirectorySource>,
+        relay: Arc<DirectoryRelay>,
+    ) -> Self {
+        let starts_last = hash_bytes(state.entry_name.as_bytes()).is_multiple_of(2);
+        Self { state, source, relay, callers: Mutex::default(), starts_last }
+    }
+
+    async fn list_once(&self, part: DirectoryPart) -> Result<DirectoryBatch, StoreError> {
+        let board = &self.state.revisions;
+        let started = Instant::now();
+        while started.elapsed() < START_WAIT && board.leaders().is_empty() {
+            sleep(START_STEP).await;
+        }
+        let query = RelayQuery { part, after: None, hold: Duration::ZERO };
+        while !board.leads() && started.elapsed() < LIST_WAIT {
+            if let Some(batch) = self.ask_leaders(query).await? {
+                self.relay.take(part, &batch, BatchOrigin::ListedByOther);
+                return Ok(batch);
+            }
+            sleep(START_STEP).await;
+        }
+        let batch = self.source.list(part).await?;
+        self.relay.take(part, &batch, BatchOrigin::Listed);
+        Ok(batch)
+    }
+
+    async fn watch_once(
+        &self,
+        part: DirectoryPart,
+        revision: u64,
+        age: ReadAge,
+    ) -> Result<DirectoryBatch, StoreError> {
+        if !self.state.revisions.leads() && age == ReadAge::Lagging {
+            let query = RelayQuery { part, after: Some(revision), hold: RELAY_HOLD };
+            if let Some(batch) = self.ask_leaders(query).await? {
+                self.relay.take(part, &batch, BatchOrigin::WatchedByOther);
+                return Ok(batch);
+            }
+        }
+        let batch = self.source.watch(part, revision, age).await?;
+        self.relay.take(part, &batch, BatchOrigin::Watched);
+        Ok(batch)
+    }
+
+    /// Asks the entries that watch, one after the other; none if no one answers.
+    async fn ask_leaders(&self, query: RelayQuery) -> Result<Option<DirectoryBatch>, StoreError> {
+        let mut leaders = self.state.revisions.leaders();
+        if self.starts_last {
+            leaders.reverse();
+        }
+        for address in leaders {
+            let Some(api) = self.caller(address) else { continue };
+            match ask(&api, query).await {
+                Ok(batch) => return Ok(Some(batch)),
+                // Its memory starts later than what this entry knows.
+                Err(StoreError::TooOld) => return Err(StoreError::TooOld),
+                Err(error) => {
+                    log::debug!("cannot read the directory from {address}: {error}");
+                    let answers = matches!(error, StoreError::Refused { .. });
+                    self.suspect(address, if answers { REFUSED_TIME } else { SUSPECT_TIME });
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    fn caller(&self, address: SocketAddr) -> Option<Arc<ApiCaller>> {
+        let mut callers = self.callers.lock().unwrap_or_else(PoisonError::into_inner);
+        let caller = callers.entry(address).or_insert_with(|| RelayCaller {
+            api: Arc::new(ApiCaller::new(address)),
+            suspect_until: None,
+        });
+        let trusted = caller.suspect_until.is_none_or(|until| until <= Instant::now());
+        trusted.then(|| caller.api.clone())
+    }
+
+    fn suspect(&self, address: SocketAddr, time: Duration) {
+        let mut callers = self.callers.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(caller) = callers.get_mut(&address) {
+            caller.suspect_until = Some(Instant::now() + time);
+        }
+    }
+}
+
+async fn ask(api: &ApiCaller, query: RelayQuery) -> Result<DirectoryBatch, StoreError> {
+    let request = Request::get(query.to_uri()).body(Full::default());
+    let request = request.map_err(|error| refused(error.to_string()))?;
+    let response = api.call(request, query.hold + RELAY_LIMIT).await?;
+    match response.status() {
+        StatusCode::OK => {
+            decode_batch(response.body()).map_err(|error| no_answer(error.to_string()))
+        }
+        StatusCode::GONE => Err(StoreError::TooOld),
+        status => Err(refused(format!("status {status}"))),
+    }
+}
+
+impl DirectorySource for RelayedDirectory {
+    fn list(&self, part: DirectoryPart) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
+        Box::pin(self.list_once(part))
+    }
+
+    fn watch(
+        &self,
+        part: DirectoryPart,
+        revision: u64,
+        age: ReadAge,
+    ) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
+        Box::pin(self.watch_once(part, revision, age))
+    }
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -27,7 +27,9 @@
 use crate::claims::{KeyClaims, NoKeyClaims, StoreKeyClaims};
 use crate::control::{ControlParts, ControlPlane};
 use crate::dialect::{CallDialect, OwnDialect};
-use crate::directory::{DirectoryDriver, DirectorySource, unknown_fleet};
+use crate::directory::{
+    DirectoryDriver, DirectoryRelay, DirectorySource, RelayHandler, RelayedDirectory, unknown_fleet,
+};
 use crate::front::HttpFront;
 use crate::gate::{AdmissionGates, QuarantineGate};
 use crate::measuring::{FileGrant, IntentGrant, MeasuringDriver, MeasuringParts, probe_need};
@@ -85,13 +87,14 @@
     quarantine: Arc<QuarantineGate>,
     policy: Arc<dyn RoutingPolicy>,
     transport: Arc<dyn TargetTransport>,
+    relay: Arc<DirectoryRelay>,
 }
 
 impl SharedParts {
     /// Starts the messages between entries and what decides with them. Both run on
     /// during a planned stop, until the last request has ended.
     async fn start(self, settings: SignalSettings) -> Result<SharedPlacement, StartError> {
-        let Self { state, targets, gates, quarantine, policy, transport } = self;
+        let Self { state, targets, gates, quarantine, policy, transport, relay } = self;
         let (probes, capacity) = (settings.target_probes_per_second, settings.capacity());
         let saved_retries = settings.saved_retries;
         let prober = TargetProber::new(state.clone(), transport, probes, capacity);
@@ -100,6 +103,10 @@
         let mut signals =
             SignalsDriver::open(state.clone(), targets.clone(), quarantine, settings).await?;
         let (coordinator, sender) = (Arc::new(coordinator), signals.sender());
+        let (listener, _) = listen(signals.address()).await?;
+        let handler = RelayHandler::new(state.clone(), relay);
+        let router = AdminRouter::new(vec![Arc::new(handler)]);
+        tokio::spawn(router.serve(listener, CancellationToken::new()));
         let driver = PlacementDriver::new(state, targets, gates, coordinator, sender);
         signals.connect(driver.handle());
         let placement = driver.placement();
@@ -171,10 +178,15 @@
             state.set_coordinates(true);
         }
         let mut checks: Vec<Arc<dyn ReadinessCheck>> = Vec::new();
+        let relay = Arc::new(DirectoryRelay::default());
         if let Some(source) = directory {
             let learnt = Arc::new(AtomicBool::new(false));
             checks.push(learnt.clone());
             let (state, targets, terms) = (state.clone(), targets.clone(), settings.directory);
+            let source = match &settings.signals {
+                Some(_) => Arc::new(RelayedDirectory::new(state.clone(), source, relay.clone())),
+                None => source,
+            };
             let follower = DirectoryDriver::new(state, source, targets, learnt, terms);
             tokio::spawn(follower.run(CancellationToken::new()));
         }
@@ -218,6 +230,7 @@
                     quarantine: quarantine.clone(),
                     policy: policy.clone(),
                     transport: transport.clone(),
+                    relay,
                 };
                 Arc::new(parts.start(signals).await?)
             }
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -1,5 +1,6 @@
 //! Datagrams between entries: who lives, what each can carry and knows, and placement.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -248,8 +249,12 @@
         let own = FleetMember { address: self.address(), capacity: self.capacity() };
         let goes_first =
             |member: &&FleetMember| (member.capacity, own.address) > (own.capacity, member.address);
-        let before = members.iter().filter(goes_first).count();
-        self.state.revisions.set_leads(before < LEADERS);
+        let mut before: Vec<_> = members.iter().filter(goes_first).copied().collect();
+        before.sort_by_key(|member| (Reverse(member.capacity), member.address));
+        let leads = before.len() < LEADERS;
+        before.truncate(LEADERS);
+        let leaders = before.into_iter().map(|member| member.address).collect();
+        self.state.revisions.set_leaders(leaders, leads);
         if let Some(placement) = &self.placement {
             placement.set_members(members.iter().copied().chain([own]).collect());
         }
