Keep slowed targets for late requests and count objectives at the caller

Under load a useful request went to a target that its neighbours slowed five-fold, or queued at a fast one beyond the share of its slots at which it slows down; a fifth of the answers in those seconds were late, many by less than the 25 ms between caller and entry, which the objective includes. After the loss of power entries found each other only a second later, since the seeds were not up at the first contact.

Change: room at slowed targets counts by itself and goes to requests that are late anyway; a request that was admitted waits for a target that answers in time. SlotUse learns whether full targets are slower. caller_path_ms takes the way to the caller off the objective, and a third of the usual time is kept in reserve. Entries list the directory at once when they start, contact others each 100 ms until one is heard, and small fleets name all their members.

--- a/core/src/admission/queue.rs
+++ b/core/src/admission/queue.rs
@@ -271,6 +271,30 @@
         }
         self.demote_late(now + service_time);
         let (key, rule) = self.next_useful().or_else(|| self.next_late())?;
+        self.depart(key, rule, now)
+    }
+
+    /// Takes out the next request among those that come too late to keep their full
+    /// worth, if there is one.
+    pub fn take_late(
+        &mut self,
+        now: Timestamp,
+        service_time: Duration,
+    ) -> Option<QueueDeparture<W>> {
+        if let Some(waiter) = self.take_expired(now) {
+            return Some(QueueDeparture::Expired(waiter));
+        }
+        self.demote_late(now + service_time);
+        let (key, rule) = self.next_late()?;
+        self.depart(key, rule, now)
+    }
+
+    fn depart(
+        &mut self,
+        key: WaitKey,
+        rule: ReasonCode,
+        now: Timestamp,
+    ) -> Option<QueueDeparture<W>> {
         let call = self.calls.remove(key)?;
         self.forget(&call);
         self.count_overtakes(&call);
--- a/core/src/admission/window.rs
+++ b/core/src/admission/window.rs
@@ -6,7 +6,8 @@
 use std::sync::atomic::Ordering;
 
 use crate::clock::Timestamp;
-use crate::policy::{LoadPrior, RouteTable, usable_slots};
+use crate::policy::{LoadPrior, RouteTable};
+use crate::slot_use::SlotUse;
 
 /// Computes the concurrency window of a service: the requests in flight plus
 /// this entry's share of the slots that appear free, at least its home slots,
@@ -46,24 +47,40 @@
 /// Room of a service for further requests, as its coordinator sees it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct SharedRoom {
-    /// Requests that the targets can take now without a queue.
+    /// Requests that targets can take now without a queue and are not known to be slowed.
     pub free: u32,
+    /// Requests that slowed targets can take.
+    pub slow: u32,
     /// Requests that the targets should run together.
     pub usable: u32,
 }
 
 /// Computes the room of a service from the requests of all entries. `admitted` counts
 /// those that were admitted, also those that have no target yet.
-pub fn shared_room(table: &RouteTable, admitted: u32, now: Timestamp) -> SharedRoom {
+pub fn shared_room(service: &ServiceRoom<'_>, admitted: u32, now: Timestamp) -> SharedRoom {
     let (mut room, mut placed) = (SharedRoom::default(), 0);
-    for target in &table.open {
-        placed += target.counters.placed.load(Ordering::Relaxed);
-        let usable = usable_slots(target.slots);
+    for target in &service.table.open {
+        let counters = &target.counters;
+        placed += counters.placed.load(Ordering::Relaxed);
+        let usable = service.slot_use.usable_slots(target.slots);
         room.usable += usable;
-        if !target.counters.sheds(now) {
-            room.free += usable.saturating_sub(target.counters.held_requests(now));
+        let left = usable.saturating_sub(counters.held_requests(now));
+        if counters.sheds(now) {
+            continue;
         }
+        *(if counters.is_slowed(now) { &mut room.slow } else { &mut room.free }) += left;
     }
-    room.free = room.free.saturating_sub(admitted.saturating_sub(placed));
+    let underway = admitted.saturating_sub(placed);
+    room.slow = room.slow.saturating_sub(underway.saturating_sub(room.free));
+    room.free = room.free.saturating_sub(underway);
     room
 }
+
+/// What the room of a service depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceRoom<'a> {
+    /// Its targets.
+    pub table: &'a RouteTable,
+    /// Whether these slow down when they are full.
+    pub slot_use: &'a SlotUse,
+}
--- a/core/src/controllers/signals.rs
+++ b/core/src/controllers/signals.rs
@@ -21,6 +21,9 @@
 /// Time between two messages to an entry that is not heard.
 const CONTACT_PERIOD: Duration = Duration::from_secs(1);
 
+/// The same while no entry is heard at all, as after a loss of power.
+const FIRST_CONTACT_PERIOD: Duration = Duration::from_millis(100);
+
 /// Silence after which an entry that was heard before is not contacted any more.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
@@ -175,8 +178,9 @@
             self.last_sent = now;
             due.extend(self.heard.iter().map(|member| member.address));
         }
+        let pause = if self.heard.is_empty() { FIRST_CONTACT_PERIOD } else { CONTACT_PERIOD };
         for (address, peer) in &mut self.peers {
-            if !peer.is_heard(silence, now) && now.since(peer.contacted) >= CONTACT_PERIOD {
+            if !peer.is_heard(silence, now) && now.since(peer.contacted) >= pause {
                 peer.contacted = now;
                 due.push(*address);
             }
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::policy::{EntryView, ProbePool, RouteTable};
 use crate::retry::{LatencyQuantile, RetryBudget};
 use crate::routes::{RouteBook, RouteChoice, RouteIntent, RouteRule};
+use crate::slot_use::SlotUse;
 
 /// State of a target as this entry sees it.
 #[derive(Clone, Copy, Debug, Display, EnumString, Eq, Hash, PartialEq, Serialize, Deserialize)]
@@ -54,6 +55,14 @@
 /// there, about the time of one request of the shortest kind.
 const TRUSTED_LOAD_AGE: Duration = Duration::from_millis(50);
 
+/// Age at which a report of the pace of work says nothing any more. Neighbours that
+/// slow a target come and go within some 150 ms.
+pub const MAX_PACE_AGE: Duration = Duration::from_millis(150);
+
+/// Reported time of work, in percent of the usual, from which on a target counts as
+/// slowed by its neighbours.
+const SLOWED_PACE: u32 = 250;
+
 /// Load that a target reports of itself.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LoadReport {
@@ -139,6 +148,12 @@
         (self.reported_pace.load(Ordering::Relaxed), now.since(reported))
     }
 
+    /// Tells whether the target has just reported that its neighbours slow it.
+    pub fn is_slowed(&self, now: Timestamp) -> bool {
+        let (pace, age) = self.pace_report(now);
+        pace >= SLOWED_PACE && age <= MAX_PACE_AGE
+    }
+
     /// Tells whether the target has not reported since it was last probed.
     pub fn awaits_probe(&self) -> bool {
         self.probed_at.load(Ordering::Relaxed) > self.reported_at.load(Ordering::Relaxed)
@@ -214,6 +229,8 @@
     pub retries: RetryBudget,
     /// Recent latency up to the response head, for hedges.
     pub latency: LatencyQuantile,
+    /// Whether targets slow down when they are full.
+    pub slot_use: SlotUse,
 }
 
 /// A service with the intent in force.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -27,3 +27,4 @@
 pub mod retry;
 pub mod routes;
 pub mod signals;
+pub mod slot_use;
--- a/core/src/policy/mod.rs
+++ b/core/src/policy/mod.rs
@@ -21,7 +21,7 @@
 use rand::RngCore;
 pub use random::RandomPolicy;
 pub use round_robin::RoundRobin;
-pub use shortest_wait::{MEAN_PACE, ShortestWait, usable_slots};
+pub use shortest_wait::{MEAN_PACE, ShortestWait};
 pub use table::{EntryView, OpenTarget, RAMP_TIME, RouteTable, hash_bytes, ramp_share};
 pub use two_choices::TwoChoices;
 
@@ -61,7 +61,7 @@
     fn choice(&self, target: &OpenTarget, reason: ReasonCode) -> RouteChoice {
         let candidates = self.service.table.candidates(self.excluded);
         let reason = if candidates == 1 { ReasonCode::OnlyTarget } else { reason };
-        RouteChoice { target: target.key, reason, candidates }
+        RouteChoice { target: target.key, reason, candidates, expected_us: 0 }
     }
 
     fn prior(&self) -> LoadPrior {
@@ -79,6 +79,9 @@
     pub reason: ReasonCode,
     /// How many targets could have been picked.
     pub candidates: u16,
+    /// Time until the answer that the policy expects, in microseconds; 0 if it expects
+    /// none.
+    pub expected_us: u32,
 }
 
 /// Picks a target for a request.
--- a/core/src/policy/probe_pool.rs
+++ b/core/src/policy/probe_pool.rs
@@ -136,6 +136,7 @@
             target: choice.target,
             reason: ReasonCode::ProbedCold,
             candidates: count as u16,
+            expected_us: 0,
         })
     }
 }
--- a/core/src/policy/shortest_wait.rs
+++ b/core/src/policy/shortest_wait.rs
@@ -9,11 +9,8 @@
 use super::{OpenTarget, RouteChoice, RouteQuery, RoutingPolicy, TwoChoices, failure_penalty};
 use crate::call::ReasonCode;
 use crate::clock::Timestamp;
-use crate::fleet::USUAL_PACE;
-
-/// Age at which a report of the pace of work says nothing any more. Neighbours that
-/// slow a target come and go within some 150 ms.
-const MAX_PACE_AGE: Duration = Duration::from_millis(150);
+use crate::fleet::{MAX_PACE_AGE, USUAL_PACE};
+use crate::slot_use::PART_SHARE;
 
 /// Mean pace of targets, as a factor on the usual time of work: a quarter of them is
 /// slowed five-fold at any time.
@@ -33,10 +30,7 @@
 /// Pace that is assumed for a target that has not answered a probe in that time.
 const UNANSWERED_PACE: f32 = 4.0;
 
-/// Utilisation above which many targets slow down.
-pub const KNEE_SHARE: f32 = 0.8;
-
-/// Factor on the time of work above that utilisation.
+/// Factor on the time of work of a target that is nearly full, where that slows it.
 const KNEE_FACTOR: f32 = 1.7;
 
 /// Factor on the time of work of a target that has just started.
@@ -57,12 +51,6 @@
 /// entries with the same view do not all pick the same target.
 const TIE_SHARE: f32 = 0.05;
 
-/// Gives the requests that a target should run at the same time: as many as keep it
-/// below the utilisation at which it slows down, and one at least.
-pub fn usable_slots(slots: u32) -> u32 {
-    ((slots as f32 * KNEE_SHARE) as u32).max(1)
-}
-
 /// Picks the target with the shortest expected time among all open ones.
 ///
 /// It needs the requests of all entries and falls back to two choices without them. A pick walks the targets of one service, about 20 at the design
@@ -76,6 +64,7 @@
     work_us: f32,
     remote_cost: f32,
     assumed_pace: f32,
+    slows_when_full: bool,
 }
 
 impl WaitBasis {
@@ -83,7 +72,8 @@
         let median = query.service.table.median_latency_us.load(Ordering::Relaxed);
         let work_us = if median == 0 { FIRST_WORK_US } else { median as f32 };
         let RouteQuery { now, remote_cost, assumed_pace, .. } = *query;
-        Self { now, work_us, remote_cost, assumed_pace }
+        let slows_when_full = query.service.counters.slot_use.slows_when_full();
+        Self { now, work_us, remote_cost, assumed_pace, slows_when_full }
     }
 
     /// Weighs a target for the entry that asks: the expected time, raised where the
@@ -104,7 +94,7 @@
         let load = counters.held_requests(self.now) as f32 + failure_penalty(target);
         let running = (load + 1.0).min(slots);
         let mut work = self.work_us;
-        if running / slots > KNEE_SHARE {
+        if self.slows_when_full && running / slots > PART_SHARE {
             work *= KNEE_FACTOR;
         }
         let untried = is_untried(target, load);
@@ -176,6 +166,9 @@
                 break;
             }
         }
-        best.map(|(target, _)| query.choice(target, ReasonCode::ShortestWait))
+        best.map(|(target, _)| RouteChoice {
+            expected_us: basis.expect(target) as u32,
+            ..query.choice(target, ReasonCode::ShortestWait)
+        })
     }
 }
--- /dev/null
+++ b/core/src/slot_use.rs
@@ -0,0 +1,86 @@
+//! Whether targets of a service slow down when all their slots are busy.
+
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Share of its slots up to which every target works at its usual speed. Many slow down
+/// above it.
+pub const PART_SHARE: f32 = 0.8;
+
+/// Requests of each sort before they are compared. The time of work spreads by a third,
+/// so the mean of 24 is known to some 7%.
+const MIN_SAMPLES: u32 = 24;
+
+/// Factor on the time of work from which on full targets count as slower.
+const SLOWER_FACTOR: f32 = 1.3;
+
+/// A sample counts as this multiple of the mean at most, since some requests meet a
+/// target that was slowed after it reported its pace.
+const MAX_SAMPLE_FACTOR: u64 = 2;
+
+/// Mean of the latest requests of one sort.
+#[derive(Debug, Default)]
+struct TimeAverage {
+    samples: AtomicU32,
+    mean_us: AtomicU64,
+}
+
+impl TimeAverage {
+    /// Adds a sample; concurrent ones may lose one another.
+    fn record(&self, sample_us: u64) {
+        let samples = self.samples.load(Ordering::Relaxed).min(MIN_SAMPLES - 1);
+        let mean = self.mean_us.load(Ordering::Relaxed);
+        let sample = if samples < 4 { sample_us } else { sample_us.min(mean * MAX_SAMPLE_FACTOR) };
+        let weight = u64::from(samples);
+        self.mean_us.store((mean * weight + sample) / (weight + 1), Ordering::Relaxed);
+        self.samples.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn mean_us(&self) -> Option<u64> {
+        let enough = self.samples.load(Ordering::Relaxed) >= MIN_SAMPLES;
+        enough.then(|| self.mean_us.load(Ordering::Relaxed))
+    }
+}
+
+/// Compares requests that began on full targets with others of the same service.
+#[derive(Debug, Default)]
+pub struct SlotUse {
+    part: TimeAverage,
+    full: TimeAverage,
+}
+
+impl SlotUse {
+    /// Records a request that took `latency` at a target whose pace was `pace_percent`
+    /// when it began; `full` tells whether it took the last slot.
+    pub fn record(&self, full: bool, latency: Duration, pace_percent: u32) {
+        let usual_us = latency.as_micros() as u64 * 100 / u64::from(pace_percent.max(1));
+        let average = if full { &self.full } else { &self.part };
+        average.record(usual_us.max(1));
+    }
+
+    /// Gives the time of a request on a target that is neither full nor slowed, once it
+    /// is known.
+    pub fn usual_time(&self) -> Option<Duration> {
+        self.part.mean_us().map(Duration::from_micros)
+    }
+
+    /// Tells whether full targets are taken to be slower: until it is known, and when
+    /// they are.
+    pub fn slows_when_full(&self) -> bool {
+        match (self.part.mean_us(), self.full.mean_us()) {
+            (Some(part), Some(full)) => full as f32 > part as f32 * SLOWER_FACTOR,
+            _ => true,
+        }
+    }
+
+    /// Gives the requests that a target should run at the same time: as many as keep it
+    /// at its usual speed, and one at least. A few requests are let in beyond that to
+    /// find out whether it has to be.
+    pub fn usable_slots(&self, slots: u32) -> u32 {
+        let tries = self.part.mean_us().is_some() && self.full.mean_us().is_none();
+        if tries || !self.slows_when_full() {
+            return slots.max(1);
+        }
+        ((slots as f32 * PART_SHARE) as u32).max(1)
+    }
+}
--- a/core/tests/window.rs
+++ b/core/tests/window.rs
@@ -3,12 +3,14 @@
 mod support;
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use proptest::prelude::*;
 use support::{SERVICE, fleet, view};
-use zinniaport_core::admission::window::{concurrency_window, shared_room};
+use zinniaport_core::admission::window::{ServiceRoom, concurrency_window, shared_room};
 use zinniaport_core::clock::Timestamp;
-use zinniaport_core::fleet::TargetState;
+use zinniaport_core::fleet::{LoadReport, TargetState};
+use zinniaport_core::slot_use::SlotUse;
 use zinniaport_testing::{check_property, test_cases};
 
 const NOW: Timestamp = Timestamp(1_000_000);
@@ -48,25 +50,47 @@
         assert_eq!(concurrency_window(&fleet.find(SERVICE).unwrap().1.table, 5, NOW), 0);
     }
 
-    shared_room_is_what_is_left: "more requests admitted together than the targets run without slowing down" => {
-        let loads = proptest::collection::vec((0_u32..5, 0_u32..8, any::<bool>()), 1..6);
+    shared_room_is_what_is_left: "more requests admitted together than the targets run without slowing down, or some sent to slowed targets that could wait for others" => {
+        let loads = proptest::collection::vec((0_u32..5, 0_u32..8, any::<bool>(), any::<bool>()), 1..6);
         check_property(512, &(loads, 0_u32..6), |(loads, underway)| {
             let fleet = fleet(loads.len(), view(0, 1));
-            let table = &fleet.find(SERVICE).unwrap().1.table;
-            let (mut placed_on_all, mut room) = (0, 0);
-            for (target, (placed, reported, is_new)) in table.open.iter().zip(&loads) {
+            let service = fleet.find(SERVICE).unwrap().1;
+            let (mut placed_on_all, mut free, mut slow) = (0, 0, 0);
+            for (target, (placed, reported, is_new, slowed)) in service.table.open.iter().zip(&loads) {
                 target.counters.placed.store(*placed, Ordering::Relaxed);
                 let age = if *is_new { 1_000 } else { 500_000 };
-                target.counters.record_report((*reported).into(), Timestamp(NOW.0 - age));
+                let report = LoadReport { running: *reported, waiting: 0, pace_percent: if *slowed { 500 } else { 100 } };
+                target.counters.record_report(report, Timestamp(NOW.0 - age));
                 placed_on_all += placed;
                 // Two of three slots may be busy; a report may count the request that it answers.
                 let held = if *is_new { (*placed).max(reported.saturating_sub(1)) } else { *placed };
-                room += 2_u32.saturating_sub(held);
+                *(if *is_new && *slowed { &mut slow } else { &mut free }) += 2_u32.saturating_sub(held);
             }
-            let found = shared_room(table, placed_on_all + underway, NOW);
-            prop_assert_eq!(found.free, room.saturating_sub(underway));
+            let room = ServiceRoom { table: &service.table, slot_use: &service.counters.slot_use };
+            let found = shared_room(&room, placed_on_all + underway, NOW);
+            prop_assert_eq!(found.free, free.saturating_sub(underway));
+            prop_assert_eq!(found.slow + found.free, (slow + free).saturating_sub(underway));
             prop_assert_eq!(found.usable, 2 * loads.len() as u32);
             Ok(())
         });
     }
+
+    full_targets_are_used_where_that_is_no_harm: "a quarter of the capacity left idle in a storm at targets that do not slow down when full" => {
+        let time = |ms| Duration::from_millis(ms);
+        for (full_ms, usable) in [(104, 4), (170, 3)] {
+            let slot_use = SlotUse::default();
+            assert_eq!(slot_use.usable_slots(4), 3, "nothing is known");
+            // Times of work between 70 and 130 ms; every seventh request meets a target that was just slowed.
+            let sample = |number: u64, mean: u64| time((mean * (70 + number * 37 % 61) / 100) * if number % 7 == 0 { 5 } else { 1 });
+            for number in 0..60 {
+                slot_use.record(false, sample(number, 100), 100);
+            }
+            assert_eq!(slot_use.usable_slots(4), 4, "the last slot is tried");
+            for number in 0..60 {
+                slot_use.record(true, sample(number, full_ms), 100);
+            }
+            assert_eq!(slot_use.usable_slots(4), usable, "full targets take {full_ms} ms");
+        }
+        assert_eq!(SlotUse::default().usable_slots(1), 1);
+    }
 }
--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -8,7 +8,7 @@
 use futures::future::BoxFuture;
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 use zinniaport_core::directory::{DirectoryBatch, DirectoryPart};
 use zinniaport_core::policy::hash_bytes;
 
@@ -29,14 +29,6 @@
 /// The same for one that says that it cannot tell, such as one that starts.
 const REFUSED_TIME: Duration = Duration::from_millis(15);
 
-/// Time in which an entry that starts waits to hear others before it reads the
-/// directory itself, and pauses between looks.
-const START_WAIT: Duration = Duration::from_millis(120);
-const START_STEP: Duration = Duration::from_millis(20);
-
-/// Time in which an entry that starts waits for one that watches to know something.
-const LIST_WAIT: Duration = Duration::from_millis(600);
-
 /// Reads the directory itself while it leads, else from an entry that does, and itself
 /// when none answers.
 pub struct RelayedDirectory {
@@ -66,19 +58,15 @@
         Self { state, source, relay, callers: Mutex::default(), starts_last }
     }
 
+    /// Lists from an entry that watches. One that starts asks the platform at once: it
+    /// hears nobody yet, and callers wait for it.
     async fn list_once(&self, part: DirectoryPart) -> Result<DirectoryBatch, StoreError> {
-        let board = &self.state.revisions;
-        let started = Instant::now();
-        while started.elapsed() < START_WAIT && board.leaders().is_empty() {
-            sleep(START_STEP).await;
-        }
-        let query = RelayQuery { part, after: None, hold: Duration::ZERO };
-        while !board.leads() && started.elapsed() < LIST_WAIT {
+        if !self.state.revisions.leads() {
+            let query = RelayQuery { part, after: None, hold: Duration::ZERO };
             if let Some(batch) = self.ask_leaders(query).await? {
                 self.relay.take(part, &batch, BatchOrigin::ListedByOther);
                 return Ok(batch);
             }
-            sleep(START_STEP).await;
         }
         let batch = self.source.list(part).await?;
         self.relay.take(part, &batch, BatchOrigin::Listed);
--- a/src/filters/classify.rs
+++ b/src/filters/classify.rs
@@ -18,12 +18,14 @@
 /// Classifies a request by the intent of its service.
 pub struct ClassifyFilter {
     state: Arc<SharedState>,
+    caller_path: Duration,
 }
 
 impl ClassifyFilter {
-    /// Creates the filter.
-    pub fn new(state: Arc<SharedState>) -> Self {
-        Self { state }
+    /// Creates the filter. `caller_path` is the time that a request and its answer take
+    /// between caller and entry, which callers count towards their objective.
+    pub fn new(state: Arc<SharedState>, caller_path: Duration) -> Self {
+        Self { state, caller_path }
     }
 
     fn classify(&self, exchange: &mut Exchange) -> Result<(), Refusal> {
@@ -52,7 +54,9 @@
         facts.max_dispatches = kind.max_dispatches;
         facts.arrived = now;
         facts.deadline = now + limit;
-        facts.useful_until = Some(now + kind.target_latency().min(limit));
+        let objective = kind.target_latency();
+        let left = objective.saturating_sub(self.caller_path).max(objective / 2);
+        facts.useful_until = Some(now + left.min(limit));
         Ok(())
     }
 }
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -7,7 +7,9 @@
 
 use arc_swap::ArcSwap;
 use tokio::sync::oneshot;
-use zinniaport_core::admission::window::{concurrency_window, shared_room};
+use zinniaport_core::admission::window::{
+    ServiceRoom, SharedRoom, concurrency_window, shared_room,
+};
 use zinniaport_core::admission::{
     AdmissionLimits, AdmissionQueue, EarlyRefusal, QueueDeparture, ServiceRate, WaitKey,
 };
@@ -37,6 +39,10 @@
 /// overloaded: a third of the time of a request passes until they have begun.
 const OVERLOAD_SHARE: f32 = 0.34;
 
+/// Factor on the usual time of work within which most requests are answered: times
+/// spread by a third.
+const SURE_FACTOR: f32 = 1.3;
+
 /// Least share of `Retry-After` by which callers that were refused together are
 /// spread, so that they do not return together.
 const RETURN_SPREAD: f64 = 0.5;
@@ -131,7 +137,7 @@
         let overloaded = self.is_overloaded(&table);
         let given_up = {
             let mut queue = self.lock();
-            let given_up = queue.give_up(self.clock.now(), self.service_time(), overloaded);
+            let given_up = queue.give_up(self.clock.now(), self.usual_time(), overloaded);
             self.note_waiting(queue.len());
             given_up
         };
@@ -143,20 +149,36 @@
     /// Tells whether more requests wait than the targets can begin within a fraction
     /// of the time of one.
     fn is_overloaded(&self, table: &RouteTable) -> bool {
-        let usable = shared_room(table, 0, self.clock.now()).usable;
+        let usable = self.room(table, 0).usable;
         let waiting = self.waiting.load(Ordering::Relaxed);
         waiting as f32 > usable as f32 * OVERLOAD_SHARE
     }
 
+    fn room(&self, table: &RouteTable, admitted: u32) -> SharedRoom {
+        let service = ServiceRoom { table, slot_use: &self.counters.slot_use };
+        shared_room(&service, admitted, self.clock.now())
+    }
+
+    /// Gives the time that a request takes at a target that is not slowed, as far as
+    /// that is known.
+    fn usual_time(&self) -> Duration {
+        self.counters.slot_use.usual_time().unwrap_or_else(|| self.service_time())
+    }
+
+    /// Gives the time within which most requests are answered at such a target.
+    fn sure_time(&self) -> Duration {
+        self.usual_time().mul_f32(SURE_FACTOR)
+    }
+
     fn service_time(&self) -> Duration {
         Duration::from_micros(self.service_time_us.load(Ordering::Relaxed))
     }
 
     /// Gives the rate at which slots become free for the requests of all entries.
     fn shared_rate(&self, table: &RouteTable) -> ServiceRate {
-        let window = shared_room(table, 0, self.clock.now()).usable;
+        let window = self.room(table, 0).usable;
         let useful_only = self.is_overloaded(table);
-        ServiceRate { window, service_time: self.service_time(), useful_only }
+        ServiceRate { window, service_time: self.usual_time(), useful_only }
     }
 
     fn join(
@@ -187,14 +209,22 @@
         Ok(WaitPlace { gate: self.clone(), key: joined.key, verdict })
     }
 
-    /// Admits waiting requests while slots are free.
+    /// Admits waiting requests while slots are free: to targets at their usual pace
+    /// those that can still be useful before others, to slowed ones only the others.
     fn serve_queue(self: &Arc<Self>) {
-        while self.waiting.load(Ordering::SeqCst) > 0 && self.take_slot() {
+        while self.waiting.load(Ordering::SeqCst) > 0 {
+            let useful = self.take_slot();
+            if !useful && !self.take_slow_slot() {
+                return;
+            }
             let now = self.clock.now();
             let guard = SlotGuard::new(self.clone(), now);
             let departure = {
                 let mut queue = self.lock();
-                let departure = queue.take_next(now, self.service_time());
+                let departure = match useful {
+                    true => queue.take_next(now, self.sure_time()),
+                    false => queue.take_late(now, self.sure_time()),
+                };
                 self.note_waiting(queue.len());
                 departure
             };
@@ -209,7 +239,10 @@
                     guard.give_back();
                     let _ = sender.send(Err(self.expired()));
                 }
-                None => guard.give_back(),
+                None => {
+                    guard.give_back();
+                    return;
+                }
             }
         }
     }
@@ -253,8 +286,17 @@
 
     /// Takes room that the requests of all entries leave.
     fn claim_room(&self, table: &RouteTable) -> bool {
-        let now = self.clock.now();
-        let claim = |admitted| (shared_room(table, admitted, now).free > 0).then_some(admitted + 1);
+        let claim = |admitted| (self.room(table, admitted).free > 0).then_some(admitted + 1);
+        self.counters.in_flight.fetch_update(Ordering::SeqCst, Ordering::SeqCst, claim).is_ok()
+    }
+
+    /// Takes room at slowed targets.
+    fn take_slow_slot(&self) -> bool {
+        let table = self.table.load();
+        if !table.shares_load {
+            return false;
+        }
+        let claim = |admitted| (self.room(&table, admitted).slow > 0).then_some(admitted + 1);
         self.counters.in_flight.fetch_update(Ordering::SeqCst, Ordering::SeqCst, claim).is_ok()
     }
 
--- a/src/placement/coordinator.rs
+++ b/src/placement/coordinator.rs
@@ -8,8 +8,11 @@
 use zinniaport_core::call::{CallFacts, ReasonCode};
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::decision::AdmissionTrace;
-use zinniaport_core::fleet::{FleetSnapshot, ServiceEntry, TargetCounters};
+use zinniaport_core::fleet::{
+    FleetSnapshot, ServiceCounters, ServiceEntry, TargetCounters, TargetEntry,
+};
 use zinniaport_core::keys::{ServiceKey, TargetKey};
+use zinniaport_core::placement::AttemptEnd;
 use zinniaport_core::policy::{MEAN_PACE, RouteChoice, RouteQuery, RoutingPolicy};
 
 use super::prober::TargetProber;
@@ -23,6 +26,16 @@
 /// some 6 ms; a wrong pick costs hundreds.
 const PROBING_LIMIT: Duration = Duration::from_millis(12);
 
+/// Age up to which the reported pace of a target holds for a request that begins.
+const KNOWN_PACE_AGE: Duration = Duration::from_millis(40);
+
+/// Longest pause between two looks for a target while a request can wait for one.
+const LOOK_PERIOD: Duration = Duration::from_millis(5);
+
+/// Share of the usual time of work that is kept in reserve when a request waits for a
+/// target that can answer in time.
+const RESERVE_SHARE: f32 = 1.3;
+
 /// Share of the retries that all entries may save up which one coordinator saves; a
 /// second one may stand in for it.
 const COORDINATOR_SHARE: f64 = 0.4;
@@ -63,13 +76,37 @@
 /// A place at a target that counts as taken until it is dropped.
 pub struct Reservation {
     target: Arc<TargetCounters>,
+    service: Arc<ServiceCounters>,
+    /// Whether the request took the last slot of the target.
+    full: bool,
+    /// Time of work that the target had just reported, in percent of the usual; none if
+    /// its last report was old.
+    pace_percent: Option<u32>,
     _slot: SlotGuard,
 }
 
 impl Reservation {
-    fn new(target: Arc<TargetCounters>, slot: SlotGuard) -> Self {
-        target.placed.fetch_add(1, Ordering::SeqCst);
-        Self { target, _slot: slot }
+    fn new(
+        target: &TargetEntry,
+        service: Arc<ServiceCounters>,
+        slot: SlotGuard,
+        now: Timestamp,
+    ) -> Self {
+        let counters = target.counters.clone();
+        let before = counters.held_requests(now);
+        counters.placed.fetch_add(1, Ordering::SeqCst);
+        let (pace, age) = counters.pace_report(now);
+        let pace_percent = (pace > 0 && age <= KNOWN_PACE_AGE).then_some(pace);
+        let full = before + 1 >= target.slots;
+        Self { target: counters, service, full, pace_percent, _slot: slot }
+    }
+
+    /// Learns from how the use of the target ended.
+    pub(super) fn note_end(&self, end: AttemptEnd) {
+        if let (AttemptEnd::Answered(latency_us), Some(pace)) = (end, self.pace_percent) {
+            let latency = Duration::from_micros(latency_us.into());
+            self.service.slot_use.record(self.full, latency, pace);
+        }
     }
 }
 
@@ -137,7 +174,8 @@
         let Some(target) = fleet.targets.get(choice.target) else {
             return Err(GateRefusal::at_once(ReasonCode::NoTarget));
         };
-        let reservation = Reservation::new(target.counters.clone(), slot);
+        let service = service.counters.clone();
+        let reservation = Reservation::new(target, service, slot, self.state.clock.now());
         Ok(PlacedCall { trace, choice, reservation })
     }
 
@@ -151,29 +189,36 @@
         self.state.saved_retries.load(Ordering::Relaxed)
     }
 
-    /// Picks a target whose pace is known, probing the most promising ones for a moment
-    /// where it is not.
+    /// Picks a target whose pace is known and that can answer while the answer keeps its
+    /// full worth. Probes the most promising ones where that is not known, and waits for
+    /// one as long as there is time.
     async fn choose(&self, call: &PlacementCall) -> Option<RouteChoice> {
         let started = self.state.clock.now();
         loop {
             let fleet = self.state.fleet.load_full();
             let service = fleet.services.get(call.service)?;
-            let now = self.state.clock.now();
-            let left = PROBING_LIMIT.saturating_sub(now.since(started));
-            if left.is_zero() || !self.prober.can_probe(service) {
+            if !self.prober.can_probe(service) {
                 break;
             }
+            let now = self.state.clock.now();
             let choice = self.pick(call, &fleet, &call.excluded, 1.0)?;
-            if self.is_fresh(&fleet, choice.target, now) {
+            let is_fresh = self.is_fresh(&fleet, choice.target, now);
+            let answered = now + Duration::from_micros(choice.expected_us.into());
+            if is_fresh && answered <= call.facts.useful_until() {
                 return Some(choice);
             }
             let news = self.prober.news.notified();
             let mut news = std::pin::pin!(news);
             news.as_mut().enable();
-            if !self.probe_some(call, &fleet, service) {
+            let awaited = self.probe_some(call, &fleet, service);
+            let usual = service.counters.slot_use.usual_time().unwrap_or_default();
+            let patience = call.facts.useful_until().since(now + usual.mul_f32(RESERVE_SHARE));
+            let probing = PROBING_LIMIT.saturating_sub(now.since(started));
+            let left = if is_fresh || awaited { patience.max(probing) } else { Duration::ZERO };
+            if left.is_zero() {
                 break;
             }
-            let _ = timeout(left, news).await;
+            let _ = timeout(left.min(LOOK_PERIOD), news).await;
         }
         let fleet = self.state.fleet.load_full();
         self.pick(call, &fleet, &call.excluded, MEAN_PACE)
--- a/src/placement/driver.rs
+++ b/src/placement/driver.rs
@@ -89,7 +89,7 @@
 /// A question of another entry that this one decides on or has granted.
 enum ServedAsk {
     Deciding { _task: AbortOnDropHandle<()> },
-    Granted { target: TargetKey, _reservation: Reservation },
+    Granted { target: TargetKey, reservation: Reservation },
 }
 
 /// Owns the controllers of questions and grants.
@@ -279,7 +279,7 @@
                         let granted = granted_target(tag, &placed);
                         let target = placed.choice.target;
                         let reservation = placed.reservation;
-                        let served = ServedAsk::Granted { target, _reservation: reservation };
+                        let served = ServedAsk::Granted { target, reservation };
                         self.served.insert(key, served);
                         PlacementAnswer::Granted(granted)
                     }
@@ -299,7 +299,10 @@
 
     /// Takes over what another entry learnt of the target that it used.
     fn learn(&self, key: GrantKey, ended: EndedAsk) {
-        let Some(ServedAsk::Granted { target, .. }) = self.served.get(&key) else { return };
+        let Some(ServedAsk::Granted { target, reservation }) = self.served.get(&key) else {
+            return;
+        };
+        reservation.note_end(ended.end);
         let fleet = self.state.fleet.load();
         let Some(entry) = fleet.targets.get(*target) else { return };
         let (counters, now) = (&entry.counters, self.state.clock.now());
--- a/src/placement/shared.rs
+++ b/src/placement/shared.rs
@@ -97,7 +97,7 @@
             remote_cost: remote_cost(exchange),
         };
         let placed = self.coordinator.place(&call).await?;
-        let hold: Box<dyn PlacementHold> = Box::new(OwnHold { _reservation: placed.reservation });
+        let hold: Box<dyn PlacementHold> = Box::new(OwnHold { reservation: placed.reservation });
         Ok(Placement {
             trace: placed.trace,
             choice: Some(placed.choice),
@@ -121,7 +121,8 @@
             return None;
         }
         let GrantedTarget { choice: reason, candidates, .. } = granted;
-        Some((RouteChoice { target: key, reason, candidates }, target.counters.clone()))
+        let choice = RouteChoice { target: key, reason, candidates, expected_us: 0 };
+        Some((choice, target.counters.clone()))
     }
 
     fn trace_of(&self, granted: GrantedTarget, queued: Timestamp) -> AdmissionTrace {
@@ -149,14 +150,16 @@
     }
 }
 
-/// A place that this entry gave to a request of its own. What the attempt shows is
-/// recorded in the counters of this entry in any case.
+/// A place that this entry gave to a request of its own. What the attempt shows of the
+/// target is recorded in the counters of this entry in any case.
 struct OwnHold {
-    _reservation: Reservation,
+    reservation: Reservation,
 }
 
 impl PlacementHold for OwnHold {
-    fn end(&mut self, _end: AttemptEnd) {}
+    fn end(&mut self, end: AttemptEnd) {
+        self.reservation.note_end(end);
+    }
 }
 
 /// An open question to a coordinator, or the use of what it granted; dropping it ends
--- a/src/runtime/chain.rs
+++ b/src/runtime/chain.rs
@@ -1,6 +1,7 @@
 //! The filter chain of an entry.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use zinniaport_core::policy::RoutingPolicy;
 
@@ -24,6 +25,8 @@
     pub(super) quarantine: Arc<QuarantineGate>,
     pub(super) placement: Arc<dyn CallPlacement>,
     pub(super) claims: Arc<dyn KeyClaims>,
+    /// Time that a request and its answer take between caller and entry.
+    pub(super) caller_path: Duration,
     /// Size up to which a request body is read whole, in bytes.
     pub(super) buffered_body_bytes: u64,
     /// Size up to which an answer is read whole, in bytes.
@@ -35,11 +38,12 @@
     pub(super) fn build(self) -> FilterChain {
         let (buffered_body_bytes, whole_answer_bytes) =
             (self.buffered_body_bytes, self.whole_answer_bytes);
+        let caller_path = self.caller_path;
         let Self { state, targets, policy, transport, quarantine, placement, claims, .. } = self;
         FilterChain::new(vec![
             Arc::new(RecordFilter::new(state.clone())),
             Arc::new(IdentifyFilter::new(state.clone())),
-            Arc::new(ClassifyFilter::new(state.clone())),
+            Arc::new(ClassifyFilter::new(state.clone(), caller_path)),
             Arc::new(QuarantineFilter::new(state.clone(), quarantine, buffered_body_bytes)),
             Arc::new(ClaimFilter::new(state.clone(), claims)),
             Arc::new(AdmitFilter::new(state.clone(), placement.clone())),
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -254,6 +254,7 @@
             quarantine,
             placement,
             claims: claims.clone(),
+            caller_path: limits.caller_path(),
             buffered_body_bytes: limits.buffered_body_bytes,
             whole_answer_bytes: pool.whole_answer_bytes,
         };
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -29,6 +29,9 @@
     /// Size in bytes up to which a request body of known length is read whole
     /// before it is sent on, so that it can be sent again.
     pub buffered_body_bytes: u64,
+    /// Time that a request and its answer take between caller and entry, in
+    /// milliseconds. Callers count it towards their objective.
+    pub caller_path_ms: u64,
 }
 
 impl Default for LimitSettings {
@@ -42,6 +45,7 @@
             max_caller_connections: 10_000,
             max_http2_streams: 100,
             buffered_body_bytes: 16 << 10,
+            caller_path_ms: 0,
         }
     }
 }
@@ -52,6 +56,11 @@
         Duration::from_millis(self.header_read_timeout_ms)
     }
 
+    /// Gives the time that a request and its answer take between caller and entry.
+    pub fn caller_path(&self) -> Duration {
+        Duration::from_millis(self.caller_path_ms)
+    }
+
     /// Gives the longest time without progress in a body.
     pub fn body_progress_timeout(&self) -> Duration {
         Duration::from_millis(self.body_progress_timeout_ms)
@@ -75,6 +84,7 @@
         faults.check_range(at("max_caller_connections"), connections, 1..=1_000_000, count);
         let buffered = self.buffered_body_bytes;
         faults.check_range(at("buffered_body_bytes"), buffered, 0..=64 << 20, bytes);
+        faults.check_range(at("caller_path_ms"), self.caller_path_ms, 0..=10_000, time);
         faults.check_range(at("max_http2_streams"), self.max_http2_streams, 1..=10_000, count);
     }
 }
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -31,8 +31,12 @@
 /// Largest datagram that is received, in bytes.
 const MAX_DATAGRAM: usize = 16 << 10;
 
-/// Entries that one message names. At 139 entries all of them would be most of the
-/// bytes between data centres.
+/// Entries up to which one message names all of them, so that entries find each other at
+/// once after a loss of power.
+const SMALL_FLEET: usize = 32;
+
+/// Entries that one message of a larger fleet names. At 139 entries all of them would be
+/// most of the bytes between data centres.
 const MAX_MEMBERS: usize = 8;
 
 /// Time for which messages tell of a crash, which several of them repeat.
@@ -280,7 +284,7 @@
     fn next_members(&self) -> Vec<SocketAddr> {
         let heard = self.controller.heard();
         let start = self.sequence as usize * MAX_MEMBERS;
-        let count = heard.len().min(MAX_MEMBERS);
+        let count = if heard.len() <= SMALL_FLEET { heard.len() } else { MAX_MEMBERS };
         (0..count).map(|step| heard[(start + step) % heard.len()].address).collect()
     }
 }
