Spare the platform during an outage and prefer targets in two steps

Change: an entry that follows others calls the platform itself once in 1.8 s while neither gets an answer, and learns of the return from the entries that watch. A leader that has never listed says so in place of asking for a list. Entries prefer four targets of a data centre, then six more. A target that does not answer a probe counts as slower than one that is slowed.

Tests: outage_is_not_hammered failed first; tests/placement.rs places over scripted targets and between two entries.

--- a/core/src/policy/shortest_wait.rs
+++ b/core/src/policy/shortest_wait.rs
@@ -16,19 +16,19 @@
 /// slowed five-fold at any time.
 pub const MEAN_PACE: f32 = 2.0;
 
-/// Targets of each data centre that an entry prefers. At a few requests a second a
-/// connection to each of four stays in use, and that all four are slowed is rare.
-const PREFERRED_TARGETS: f32 = 4.0;
-
-/// Factor on the expected time at a target that an entry does not prefer, which
-/// outweighs a new connection.
+/// Targets of each data centre that an entry prefers, with the factor on the expected
+/// time at them; the last factor holds for all others. At a few requests a second a
+/// connection to each of four stays in use, and that all four are slowed is rare; the
+/// next few are used again before their connections are closed.
+const PREFERENCES: [(f32, f32); 2] = [(4.0, 1.0), (10.0, 1.2)];
 const OTHER_TARGET_FACTOR: f32 = 1.4;
 
 /// Time in which targets answer probes.
 const PROBE_TIME: Duration = Duration::from_millis(10);
 
-/// Pace that is assumed for a target that has not answered a probe in that time.
-const UNANSWERED_PACE: f32 = 4.0;
+/// Pace that is assumed for a target that has not answered a probe in that time: it may
+/// be gone, so one that is slowed five-fold goes before it.
+const UNANSWERED_PACE: f32 = 6.0;
 
 /// Factor on the time of work of a target that is nearly full, where that slows it.
 const KNEE_FACTOR: f32 = 1.7;
@@ -80,11 +80,9 @@
     /// way there costs more.
     fn weigh(&self, target: &OpenTarget, query: &RouteQuery<'_>) -> f32 {
         let local = *target.data_centre == *query.data_centre;
-        let preferred = query
-            .affinity
-            .is_none_or(|affinity| local && target.is_preferred(affinity, PREFERRED_TARGETS));
         let remote = if local { 1.0 } else { 1.0 + self.remote_cost };
-        self.expect(target) * remote * if preferred { 1.0 } else { OTHER_TARGET_FACTOR }
+        let preference = query.affinity.map_or(1.0, |affinity| preference_of(target, affinity));
+        self.expect(target) * remote * preference
     }
 
     /// Estimates the time in microseconds until a request sent now is answered.
@@ -128,6 +126,12 @@
     }
 }
 
+/// Gives the factor by which an entry with this draw raises the expected time.
+fn preference_of(target: &OpenTarget, affinity: u64) -> f32 {
+    let found = PREFERENCES.iter().find(|(count, _)| target.is_preferred(affinity, *count));
+    found.map_or(OTHER_TARGET_FACTOR, |(_, factor)| *factor)
+}
+
 /// Tells whether no request to the target has been answered or is under way.
 fn is_untried(target: &OpenTarget, load: f32) -> bool {
     target.counters.latency_us.load(Ordering::Relaxed) == 0 && load < 1.0
--- a/core/tests/window.rs
+++ b/core/tests/window.rs
@@ -81,7 +81,7 @@
             let slot_use = SlotUse::default();
             assert_eq!(slot_use.usable_slots(4), 3, "nothing is known");
             // Times of work between 70 and 130 ms; every seventh request meets a target that was just slowed.
-            let sample = |number: u64, mean: u64| time((mean * (70 + number * 37 % 61) / 100) * if number % 7 == 0 { 5 } else { 1 });
+            let sample = |number: u64, mean: u64| time((mean * (70 + number * 37 % 61) / 100) * if number.is_multiple_of(7) { 5 } else { 1 });
             for number in 0..60 {
                 slot_use.record(false, sample(number, 100), 100);
             }
--- a/src/directory/relay.rs
+++ b/src/directory/relay.rs
@@ -208,9 +208,11 @@
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "another entry watches");
         }
         let part = query.part;
+        let Some(complete_since) = self.relay.lock(part).complete_since else {
+            return text_response(StatusCode::SERVICE_UNAVAILABLE, "nothing is known yet");
+        };
         if let Some(after) = query.after {
-            let complete = self.relay.lock(part).complete_since;
-            if complete.is_none_or(|since| after < since) {
+            if after < complete_since {
                 return text_response(StatusCode::GONE, "list first");
             }
             self.wait_for_news(part, after, query.hold).await;
--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -29,6 +29,11 @@
 /// The same for one that says that it cannot tell, such as one that starts.
 const REFUSED_TIME: Duration = Duration::from_millis(15);
 
+/// Time between two calls to the platform of an entry that follows others, while neither
+/// it nor they get an answer. When the platform is back, the entries that watch find it
+/// first; this is for one that is turned away less than they are.
+const OWN_CALL_PERIOD: Duration = Duration::from_millis(1_800);
+
 /// Reads the directory itself while it leads, else from an entry that does, and itself
 /// when none answers.
 pub struct RelayedDirectory {
@@ -39,6 +44,9 @@
     /// Whether the last of the watching entries is asked first, so that the first does
     /// not serve all others.
     starts_last: bool,
+    /// When this entry may call the platform again after a call of its own that failed,
+    /// while it follows others.
+    own_call_at: Mutex<Option<Instant>>,
 }
 
 /// Connections to one entry.
@@ -55,7 +63,8 @@
         relay: Arc<DirectoryRelay>,
     ) -> Self {
         let starts_last = hash_bytes(state.entry_name.as_bytes()).is_multiple_of(2);
-        Self { state, source, relay, callers: Mutex::default(), starts_last }
+        let (callers, own_call_at) = (Mutex::default(), Mutex::default());
+        Self { state, source, relay, callers, starts_last, own_call_at }
     }
 
     /// Lists from an entry that watches. One that starts asks the platform at once: it
@@ -85,12 +94,29 @@
                 self.relay.take(part, &batch, BatchOrigin::WatchedByOther);
                 return Ok(batch);
             }
+            self.allow_own_call()?;
         }
-        let batch = self.source.watch(part, revision, age).await?;
+        let watched = self.source.watch(part, revision, age).await;
+        self.note_own_call(watched.is_ok());
+        let batch = watched?;
         self.relay.take(part, &batch, BatchOrigin::Watched);
         Ok(batch)
     }
 
+    /// Tells whether this entry may call the platform although it follows others.
+    fn allow_own_call(&self) -> Result<(), StoreError> {
+        let own_call_at = *self.own_call_at.lock().unwrap_or_else(PoisonError::into_inner);
+        match own_call_at {
+            Some(at) if Instant::now() < at => Err(refused("no entry reaches the platform")),
+            _ => Ok(()),
+        }
+    }
+
+    fn note_own_call(&self, answered: bool) {
+        let next = (!answered).then(|| Instant::now() + OWN_CALL_PERIOD);
+        *self.own_call_at.lock().unwrap_or_else(PoisonError::into_inner) = next;
+    }
+
     /// Asks the entries that watch, one after the other; none if no one answers.
     async fn ask_leaders(&self, query: RelayQuery) -> Result<Option<DirectoryBatch>, StoreError> {
         let mut leaders = self.state.revisions.leaders();
--- /dev/null
+++ b/tests/placement.rs
@@ -0,0 +1,299 @@
+//! Placement by a coordinator, over scripted targets and between two entries.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use tokio_util::sync::CancellationToken;
+use zinniaport::dialect::{
+    AnswerVerdict, CallDialect, DEADLINE_HEADER, OwnDialect, REQUEST_ID_HEADER,
+};
+use zinniaport::exchange::{CallResponse, Exchange, empty_body};
+use zinniaport::gate::AdmissionGates;
+use zinniaport::placement::{
+    CallPlacement, Coordinator, Placement, PlacementCall, PlacementDriver, SharedPlacement,
+    TargetProber,
+};
+use zinniaport::pool::{TargetCall, TargetTransport, TransportError};
+use zinniaport::signals::SignalsDriver;
+use zinniaport::state::SharedState;
+use zinniaport::targets::TargetsDriver;
+use zinniaport_core::call::{CallFacts, ReasonCode};
+use zinniaport_core::clock::SystemClock;
+use zinniaport_core::controllers::TargetsMessage;
+use zinniaport_core::fleet::{FleetSnapshot, LoadReport};
+use zinniaport_core::intent::{
+    MeasuringIntent, ServiceIntent, TargetInstance, TargetIntent, TargetWish,
+};
+use zinniaport_core::keys::ServiceKey;
+use zinniaport_core::policy::ShortestWait;
+use zinniaport_testing::test_cases;
+
+const PACE: HeaderName = HeaderName::from_static("x-pace");
+
+/// Targets that answer probes with their pace, or not at all.
+struct ScriptedTargets {
+    paces: HashMap<SocketAddr, u32>,
+    probes: AtomicUsize,
+}
+
+impl TargetTransport for ScriptedTargets {
+    fn send(&self, call: TargetCall) -> BoxFuture<'_, Result<CallResponse, TransportError>> {
+        assert_eq!(call.request.uri().path(), "/health");
+        self.probes.fetch_add(1, Ordering::SeqCst);
+        let pace = self.paces.get(&call.address).copied();
+        Box::pin(async move {
+            let Some(pace) = pace else { return std::future::pending().await };
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            let response = http::Response::builder().header(PACE, pace);
+            Ok(response.body(empty_body()).unwrap())
+        })
+    }
+}
+
+/// The project's own headers, and the pace of a target.
+struct PaceDialect;
+
+impl CallDialect for PaceDialect {
+    fn request_id(&self) -> &HeaderName {
+        &REQUEST_ID_HEADER
+    }
+
+    fn adds_request_id(&self) -> bool {
+        true
+    }
+
+    fn deadline(&self) -> &HeaderName {
+        &DEADLINE_HEADER
+    }
+
+    fn name_instance(&self, headers: &mut HeaderMap, instance: &TargetInstance) {
+        OwnDialect.name_instance(headers, instance);
+    }
+
+    fn load(&self, headers: &HeaderMap) -> Option<LoadReport> {
+        let pace_percent = headers.get(PACE)?.to_str().ok()?.parse().ok()?;
+        Some(LoadReport { running: 0, waiting: 0, pace_percent })
+    }
+
+    fn judge(&self, request_id: Option<&str>, response: &CallResponse) -> AnswerVerdict {
+        OwnDialect.judge(request_id, response)
+    }
+
+    fn announces_drain(&self, headers: &HeaderMap) -> bool {
+        OwnDialect.announces_drain(headers)
+    }
+
+    fn retry_after(&self, delay: Duration) -> HeaderValue {
+        OwnDialect.retry_after(delay)
+    }
+}
+
+fn address(target: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, target], 80))
+}
+
+/// A service with targets of three slots, one for each number.
+fn intent(targets: impl Iterator<Item = u8>) -> ServiceIntent {
+    let target = |number| TargetIntent {
+        address: address(number),
+        data_centre: "valle-a".to_owned(),
+        slots: 3,
+        state: TargetWish::Serving,
+        instance: None,
+    };
+    ServiceIntent {
+        service: "pump-history".to_owned(),
+        team: "co-operative".to_owned(),
+        kinds: Vec::new(),
+        targets: targets.map(target).collect(),
+        measuring: MeasuringIntent {
+            probe_path: Some("/health".to_owned()),
+            ..MeasuringIntent::default()
+        },
+        max_queue_length: 100,
+        retry_percent: 20.0,
+        max_ejected_percent: 34.0,
+        max_crashed_targets: 2,
+    }
+}
+
+/// One entry that knows the service; it shares its signals with those named as seeds.
+struct Entry {
+    state: Arc<SharedState>,
+    coordinator: Arc<Coordinator>,
+    placement: SharedPlacement,
+    address: SocketAddr,
+    stop: CancellationToken,
+}
+
+impl Entry {
+    async fn start(targets: &Arc<ScriptedTargets>, cpu_share: f64, seeds: &[SocketAddr]) -> Self {
+        let name = format!("entry-{cpu_share}");
+        let state = SharedState::new(Arc::new(SystemClock::new()), &name, "valle-a");
+        let state = Arc::new(state.with_dialect(Arc::new(PaceDialect)));
+        state.set_coordinates(true);
+        let (mut driver, handle) = TargetsDriver::new(state.clone());
+        let mut fleet = FleetSnapshot::default();
+        let numbers = targets.paces.keys().copied().chain([address(200)]);
+        let numbers = numbers.map(|address| match address {
+            SocketAddr::V4(address) => address.ip().octets()[3],
+            SocketAddr::V6(_) => unreachable!(),
+        });
+        fleet.apply(intent(numbers), 1, state.clock.now());
+        driver.deliver(TargetsMessage::Intents(Arc::new(fleet)));
+        let stop = CancellationToken::new();
+        tokio::spawn(driver.run(stop.clone()));
+        let gates = Arc::new(AdmissionGates::new(state.clock.clone()));
+        let prober = TargetProber::new(state.clone(), targets.clone(), 60.0, 100);
+        let coordinator =
+            Coordinator::new(state.clone(), gates.clone(), Arc::new(ShortestWait), prober, 58);
+        let coordinator = Arc::new(coordinator);
+        let text = format!("{{listen: 127.0.0.1:0, cpu_share: {cpu_share}, seeds: {seeds:?}}}");
+        let settings = serde_norway::from_str(&text).unwrap();
+        let quarantine = Arc::new(zinniaport::gate::QuarantineGate::new(state.clock.clone()));
+        let mut signals =
+            SignalsDriver::open(state.clone(), handle.clone(), quarantine, settings).await.unwrap();
+        let (address, sender) = (signals.address(), signals.sender());
+        let driver =
+            PlacementDriver::new(state.clone(), handle, gates, coordinator.clone(), sender);
+        signals.connect(driver.handle());
+        let placement = driver.placement();
+        tokio::spawn(signals.run(stop.clone()));
+        tokio::spawn(driver.run(stop.clone()));
+        let entry = Self { state, coordinator, placement, address, stop };
+        while !entry.table_shares_load() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        entry
+    }
+
+    fn table_shares_load(&self) -> bool {
+        self.state.fleet.load().find("pump-history").unwrap().1.table.shares_load
+    }
+
+    fn service(&self) -> ServiceKey {
+        self.state.fleet.load().find("pump-history").unwrap().0
+    }
+
+    fn facts(&self, useful_ms: u64) -> CallFacts {
+        let now = self.state.clock.now();
+        CallFacts {
+            service: self.service(),
+            deadline: now + Duration::from_secs(20),
+            useful_until: Some(now + Duration::from_millis(useful_ms)),
+            ..CallFacts::default()
+        }
+    }
+
+    fn call(&self, useful_ms: u64) -> PlacementCall {
+        PlacementCall {
+            service: self.service(),
+            facts: self.facts(useful_ms),
+            again: false,
+            excluded: Vec::new(),
+            data_centre: "valle-a".to_owned(),
+            affinity: 7,
+            remote_cost: 0.05,
+        }
+    }
+
+    async fn place(&self) -> Placement {
+        let fleet = self.state.fleet.load_full();
+        let request = http::Request::new(empty_body());
+        let mut exchange = Exchange::new("request-1".to_owned(), fleet, request);
+        exchange.facts = self.facts(10_000);
+        self.placement.place(&exchange).await.expect("there is room")
+    }
+
+    /// Counts the requests that the entry, as a coordinator, has placed.
+    fn placed(&self) -> u32 {
+        let fleet = self.state.fleet.load();
+        fleet.targets.values().map(|target| target.counters.placed.load(Ordering::SeqCst)).sum()
+    }
+}
+
+fn targets(paces: impl IntoIterator<Item = (u8, u32)>) -> Arc<ScriptedTargets> {
+    let paces = paces.into_iter().map(|(number, pace)| (address(number), pace));
+    Arc::new(ScriptedTargets { paces: paces.collect(), probes: AtomicUsize::new(0) })
+}
+
+async fn wait_until(mut holds: impl FnMut() -> bool) {
+    let waited = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(20), waited).await.expect("it never holds");
+}
+
+test_cases! {
+    async slowed_targets_are_found_before_use: "a request that takes five times as long because the pace of its target was not known" => {
+        // Two of six targets work at their usual pace; one more, at address 200, answers no probe.
+        let targets = targets([(1, 500), (2, 500), (3, 100), (4, 500), (5, 100), (6, 500)]);
+        let entry = Entry::start(&targets, 1.0, &[]).await;
+        let mut held = Vec::new();
+        for _ in 0..4 {
+            let placed = entry.coordinator.place(&entry.call(5_000)).await.unwrap();
+            let target = entry.state.fleet.load().targets[placed.choice.target].address;
+            assert!([address(3), address(5)].contains(&target), "{target}");
+            held.push(placed);
+        }
+        assert_eq!(entry.placed(), 4);
+        drop(held);
+        assert_eq!(entry.placed(), 0);
+    }
+
+    async late_requests_take_slowed_targets: "a target that stays idle although requests wait that are late anyway" => {
+        let targets = targets([(1, 500), (2, 500)]);
+        let entry = Entry::start(&targets, 1.0, &[]).await;
+        let placed = entry.coordinator.place(&entry.call(1)).await.unwrap();
+        let target = entry.state.fleet.load().targets[placed.choice.target].address;
+        assert!([address(1), address(2)].contains(&target), "{target}");
+    }
+
+    async probes_are_bounded: "probes that grow with the requests and take the slots of the targets" => {
+        let targets = targets((1..=4).map(|number| (number, 100)));
+        let entry = Entry::start(&targets, 1.0, &[]).await;
+        let started = std::time::Instant::now();
+        for _ in 0..300 {
+            drop(entry.coordinator.place(&entry.call(5_000)).await.unwrap());
+        }
+        // At most 60 a second for each of five targets, and one at the start.
+        let allowed = 5.0 * (1.0 + 60.0 * started.elapsed().as_secs_f64());
+        let probes = targets.probes.load(Ordering::SeqCst);
+        assert!(probes as f64 <= allowed, "{probes} probes, {allowed} allowed");
+    }
+
+    async coordinator_places_for_others: "two entries that fill the same slots because each counts its own requests" => {
+        let targets = targets((1..=4).map(|number| (number, 100)));
+        let large = Entry::start(&targets, 4.0, &[]).await;
+        let small = Entry::start(&targets, 0.5, &[large.address]).await;
+        // The small entry hears the large one and asks it from then on.
+        let mut first = None;
+        wait_until(|| large.state.fleet.load().view.members.len() == 2).await;
+        for _ in 0..400 {
+            let placement = small.place().await;
+            if large.placed() == 1 {
+                first = Some(placement);
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let first = first.expect("the small entry never asks the large one");
+        let second = large.place().await;
+        assert_eq!((large.placed(), small.placed()), (2, 0));
+        drop(first);
+        drop(second);
+        wait_until(|| large.placed() == 0).await;
+        // Without the large one the small one decides alone, soon.
+        large.stop.cancel();
+        let placement = small.place().await;
+        assert_eq!(placement.choice.unwrap().reason, ReasonCode::ShortestWait);
+        assert_eq!(small.placed(), 1);
+    }
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use futures::future::BoxFuture;
@@ -21,18 +21,24 @@
 
 const PART: DirectoryPart = DirectoryPart::Targets;
 
-/// A platform that counts its calls and answers with its present revision.
+/// A platform that counts its calls and answers with its present revision, unless it is
+/// away.
 #[derive(Default)]
 struct CountedSource {
     calls: AtomicUsize,
     revision: AtomicU64,
+    away: AtomicBool,
 }
 
 impl CountedSource {
     fn answer(&self) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
         self.calls.fetch_add(1, Ordering::SeqCst);
         let revision = self.revision.load(Ordering::SeqCst);
-        Box::pin(async move { Ok(batch(revision, &[])) })
+        let away = self.away.load(Ordering::SeqCst);
+        let cause = "it is away".to_owned();
+        Box::pin(async move {
+            if away { Err(StoreError::Refused { cause }) } else { Ok(batch(revision, &[])) }
+        })
     }
 
     fn calls(&self) -> usize {
@@ -162,4 +168,30 @@
         directory.watch(PART, 20, ReadAge::Lagging).await.unwrap();
         assert_eq!(source.calls(), 1, "without any leader it asks the platform");
     }
+
+    async outage_is_not_hammered: "a fleet whose every entry calls a platform that is away several times a second" => {
+        // Its leader has never had an answer, as when all lost the platform long ago.
+        let (address, relay) = leader().await;
+        let (directory, source) = follower(vec![address]);
+        source.away.store(true, Ordering::SeqCst);
+        let started = Instant::now();
+        while started.elapsed() < Duration::from_millis(900) {
+            assert!(directory.watch(PART, 20, ReadAge::Lagging).await.is_err());
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(source.calls(), 1);
+        // The return is learnt from the leader at once, without a call of its own.
+        relay.take(PART, &batch(20, &[]), BatchOrigin::Listed);
+        relay.take(PART, &batch(30, &[("i-2", 30)]), BatchOrigin::Watched);
+        let back = async {
+            loop {
+                if let Ok(batch) = directory.watch(PART, 20, ReadAge::Lagging).await {
+                    return batch;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let watched = timeout(Duration::from_secs(20), back).await.expect("the return is never learnt");
+        assert_eq!((names(&watched), source.calls()), (vec![("i-2", 30, true)], 1));
+    }
 }
