Write log lines through a bounded buffer

Cause: a log line was written in place, so an entry whose standard output nobody reads stopped serving once the pipe was full: the new test hung after some 160 lines.

Change: logforth's asynchronous appender, 2,048 lines at most, drops further lines while its reader is behind. At the end of the process the buffer has 500 ms to be written.

--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -8,7 +8,7 @@
 use super::wait_for_stop;
 use crate::runtime::{EntryBorders, EntryRuntime};
 use crate::settings::{EntrySettings, SettingsError};
-use crate::telemetry::start_logs;
+use crate::telemetry::{flush_logs, start_logs};
 
 /// Runs an entry.
 #[derive(Debug, Parser)]
@@ -67,5 +67,6 @@
     log::info!("stop requested");
     entry.stop().await;
     log::info!("stopped");
+    flush_logs();
     ExitCode::SUCCESS
 }
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -1,7 +1,10 @@
 //! JSON log lines on standard error or standard output.
 
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc;
+use std::time::Duration;
 
+use logforth::append::asynchronous::AsyncBuilder;
 use logforth::append::{Stderr, Stdout};
 use logforth::diagnostic::StaticDiagnostic;
 use logforth::layout::JsonLayout;
@@ -10,6 +13,13 @@
 
 use crate::settings::{LogLevel, LogOutput, LogSettings};
 
+/// Lines that wait for a slow reader, some 400 bytes each, before further ones are
+/// dropped.
+const MAX_BUFFERED_LINES: usize = 2048;
+
+/// Longest wait for the lines of a process that ends.
+const FLUSH_LIMIT: Duration = Duration::from_millis(500);
+
 /// Starts to write log lines. Does nothing if the process already logs.
 pub fn start_logs(settings: &LogSettings, entry_name: &str) {
     let least = match settings.level {
@@ -25,10 +35,15 @@
         .dispatch(|dispatch| {
             let dispatch = dispatch.filter(LevelFilter::MoreSevereEqual(least)).diagnostic(entry);
             let layout = JsonLayout::default();
-            match output {
-                LogOutput::Stderr => dispatch.append(Stderr::default().with_layout(layout)),
-                LogOutput::Stdout => dispatch.append(Stdout::default().with_layout(layout)),
-            }
+            // A reader that falls behind costs lines, never time on the request path.
+            let lines = AsyncBuilder::new("log-writer")
+                .buffered_lines_limit(Some(MAX_BUFFERED_LINES))
+                .overflow_drop_incoming();
+            let lines = match output {
+                LogOutput::Stderr => lines.append(Stderr::default().with_layout(layout)),
+                LogOutput::Stdout => lines.append(Stdout::default().with_layout(layout)),
+            };
+            dispatch.append(lines.build())
         })
         .try_apply();
     if started.is_err() {
@@ -36,6 +51,16 @@
     }
 }
 
+/// Waits a moment until the lines so far are written. Nobody may read them.
+pub fn flush_logs() {
+    let (sender, flushed) = mpsc::channel();
+    std::thread::spawn(move || {
+        log::logger().flush();
+        let _ = sender.send(());
+    });
+    let _ = flushed.recv_timeout(FLUSH_LIMIT);
+}
+
 /// Lines that may be written in one second. Refusals are most frequent under
 /// overload, when writing a line for each would slow the entry further.
 const LINES_PER_SECOND: u64 = 100;
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -5,5 +5,5 @@
 mod metrics;
 
 pub use burn::drive_burn;
-pub use logs::{LineAllowance, start_logs};
+pub use logs::{LineAllowance, flush_logs, start_logs};
 pub use metrics::EntryMetrics;
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -157,6 +157,31 @@
         entry.kill().await.unwrap();
     }
 
+    async full_log_pipe_stops_nothing: "requests that hang because nobody reads the log" => {
+        let settings = Path::new(env!("CARGO_TARGET_TMPDIR")).join("full-pipe.yaml");
+        let text = "name: entry-8\ndata_centre: a\nlisten: 127.0.0.1:0\nadmin_listen: 127.0.0.1:0\nlog: { level: info, output: stdout }\n";
+        std::fs::write(&settings, text).unwrap();
+        let mut entry = tokio::process::Command::new(env!("CARGO_BIN_EXE_zinniaport-entry"))
+            .arg("--settings").arg(settings)
+            .stdout(Stdio::piped()).stderr(Stdio::null()).kill_on_drop(true)
+            .spawn().unwrap();
+        let mut output = BufReader::with_capacity(64, entry.stdout.take().unwrap()).lines();
+        let first = output.next_line().await.unwrap().unwrap();
+        let callers = first.strip_prefix("callers: ").unwrap().parse().unwrap();
+        // The pipe holds 64 KiB. A refusal writes some 400 bytes, 100 lines a second at most.
+        let served = async {
+            for _ in 0..60 {
+                for _ in 0..10 {
+                    let path = format!("/{}", "no-such-service".repeat(100));
+                    assert_eq!(get(callers, &path).await.unwrap().status(), 404);
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(30), served).await.expect("a request hangs");
+        entry.kill().await.unwrap();
+    }
+
     examples_load: "an example that no longer matches the settings" => {
         let examples = examples();
         assert!(examples.len() >= 6, "{examples:?}");
