--- a/core/src/admission/queue.rs
+++ b/core/src/admission/queue.rs
@@ -266,12 +266,7 @@
         now: Timestamp,
         service_time: Duration,
     ) -> Option<QueueDeparture<W>> {
-        if let Some(waiter) = self.take_expired(now) {
-            return Some(QueueDeparture::Expired(waiter));
-        }
-        self.demote_late(now + service_time);
-        let (key, rule) = self.next_useful().or_else(|| self.next_late())?;
-        self.depart(key, rule, now)
+        self.depart(now, service_time, |queue| queue.next_useful().or_else(|| queue.next_late()))
     }
 
     /// Takes out the next request among those that come too late to keep their full
@@ -281,20 +276,20 @@
         now: Timestamp,
         service_time: Duration,
     ) -> Option<QueueDeparture<W>> {
-        if let Some(waiter) = self.take_expired(now) {
-            return Some(QueueDeparture::Expired(waiter));
-        }
-        self.demote_late(now + service_time);
-        let (key, rule) = self.next_late()?;
-        self.depart(key, rule, now)
+        self.depart(now, service_time, Self::next_late)
     }
 
     fn depart(
         &mut self,
-        key: WaitKey,
-        rule: ReasonCode,
         now: Timestamp,
+        service_time: Duration,
+        choose: impl FnOnce(&Self) -> Option<(WaitKey, ReasonCode)>,
     ) -> Option<QueueDeparture<W>> {
+        if let Some(waiter) = self.take_expired(now) {
+            return Some(QueueDeparture::Expired(waiter));
+        }
+        self.demote_late(now + service_time);
+        let (key, rule) = choose(self)?;
         let call = self.calls.remove(key)?;
         self.forget(&call);
         self.count_overtakes(&call);
--- /dev/null
+++ b/core/src/counters.rs
@@ -0,0 +1,208 @@
+//! Counters of targets and services, which the request path updates without a lock.
+
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use crate::clock::Timestamp;
+use crate::policy::ProbePool;
+use crate::retry::{LatencyQuantile, RetryBudget};
+use crate::slot_use::SlotUse;
+
+/// Longest time for which a target's wish to shed load is honoured. A target
+/// that still sheds says so again.
+pub const MAX_SHEDDING: Duration = Duration::from_secs(1);
+
+/// Time of work on a target that is not slowed by its neighbours, in percent of
+/// its usual time.
+pub const USUAL_PACE: u32 = 100;
+
+/// Age up to which the load that a target reported counts beside what was placed
+/// there, about the time of one request of the shortest kind.
+const TRUSTED_LOAD_AGE: Duration = Duration::from_millis(50);
+
+/// Age at which a report of the pace of work says nothing any more. Neighbours that
+/// slow a target come and go within some 150 ms.
+pub const MAX_PACE_AGE: Duration = Duration::from_millis(150);
+
+/// Time in which targets answer probes.
+const PROBE_TIME: Duration = Duration::from_millis(10);
+
+/// Reported time of work, in percent of the usual, from which on a target counts as
+/// slowed by its neighbours.
+const SLOWED_PACE: u32 = 250;
+
+/// Load that a target reports of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoadReport {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait for a slot of it.
+    pub waiting: u32,
+    /// Time that work takes at this moment, in percent of its usual time.
+    pub pace_percent: u32,
+}
+
+impl Default for LoadReport {
+    fn default() -> Self {
+        Self { running: 0, waiting: 0, pace_percent: USUAL_PACE }
+    }
+}
+
+impl From<u32> for LoadReport {
+    /// Makes the report of a target that states only how many requests it holds.
+    fn from(requests: u32) -> Self {
+        Self { running: requests, ..Self::default() }
+    }
+}
+
+/// Counters of a target that the request path updates without a lock.
+#[derive(Debug, Default)]
+pub struct TargetCounters {
+    /// Requests of this entry in flight.
+    pub in_flight: AtomicU32,
+    /// Load that the target last reported: requests running and queued.
+    pub reported_load: AtomicU32,
+    /// Time of work that the target last reported, in percent of its usual time; 0
+    /// before the first report.
+    pub reported_pace: AtomicU32,
+    /// When that report, or a newer one of the time of work alone, arrived, in
+    /// microseconds.
+    pub reported_at: AtomicU64,
+    /// When the reported load arrived, in microseconds.
+    pub load_at: AtomicU64,
+    /// Requests of this entry in flight when that report arrived.
+    pub in_flight_at_report: AtomicU32,
+    /// Requests of all entries that this one, as the coordinator of the service, has
+    /// placed there and that have not ended.
+    pub placed: AtomicU32,
+    /// When the last probe was sent, in microseconds.
+    pub probed_at: AtomicU64,
+    /// Moving average of the time to the response head, in microseconds.
+    pub latency_us: AtomicU64,
+    /// Failures since the last success.
+    pub failures_in_row: AtomicU32,
+    /// Moving average of failures, in 1/1024.
+    pub failure_share: AtomicU32,
+    /// Until when the target sheds load, in microseconds.
+    pub sheds_until: AtomicU64,
+}
+
+impl TargetCounters {
+    /// Records a load report that arrived at `now`.
+    pub fn record_report(&self, report: LoadReport, now: Timestamp) {
+        let in_flight = self.in_flight.load(Ordering::Relaxed);
+        self.in_flight_at_report.store(in_flight, Ordering::Relaxed);
+        self.reported_load.store(report.running + report.waiting, Ordering::Relaxed);
+        self.reported_pace.store(report.pace_percent, Ordering::Relaxed);
+        self.reported_at.store(now.0, Ordering::Relaxed);
+        self.load_at.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Gives the requests that the target is taken to hold: those placed there, or
+    /// more if it has just said so, as others may place requests too. A report may
+    /// count the request that it answers, so one more says nothing.
+    pub fn held_requests(&self, now: Timestamp) -> u32 {
+        let placed = self.placed.load(Ordering::Relaxed);
+        let is_new = now.since(Timestamp(self.load_at.load(Ordering::Relaxed))) <= TRUSTED_LOAD_AGE;
+        let reported = self.reported_load.load(Ordering::Relaxed);
+        let reported = if is_new && reported > placed + 1 { reported - 1 } else { 0 };
+        placed.max(reported)
+    }
+
+    /// Gives the time of work that the target last reported, in percent of the usual, and
+    /// the age of that report; 0 before the first.
+    pub fn pace_report(&self, now: Timestamp) -> (u32, Duration) {
+        let reported = Timestamp(self.reported_at.load(Ordering::Relaxed));
+        (self.reported_pace.load(Ordering::Relaxed), now.since(reported))
+    }
+
+    /// Tells whether the target has just reported that its neighbours slow it.
+    pub fn is_slowed(&self, now: Timestamp) -> bool {
+        let (pace, age) = self.pace_report(now);
+        pace >= SLOWED_PACE && age <= MAX_PACE_AGE
+    }
+
+    /// Tells whether the target has not answered a probe in time.
+    pub fn is_silent(&self, now: Timestamp) -> bool {
+        let probed = Timestamp(self.probed_at.load(Ordering::Relaxed));
+        self.awaits_probe() && now.since(probed) >= PROBE_TIME
+    }
+
+    /// Tells whether the target has not reported since it was last probed.
+    pub fn awaits_probe(&self) -> bool {
+        self.probed_at.load(Ordering::Relaxed) > self.reported_at.load(Ordering::Relaxed)
+    }
+
+    /// Takes over the time of work that another entry was told `age` ago.
+    pub fn record_pace(&self, pace_percent: u32, age: Duration, now: Timestamp) {
+        let reported = (now - age).0;
+        if self.reported_at.load(Ordering::Relaxed) < reported {
+            self.reported_at.store(reported, Ordering::Relaxed);
+            self.reported_pace.store(pace_percent, Ordering::Relaxed);
+        }
+    }
+
+    /// Records a response whose head arrived after `latency`. Concurrent updates
+    /// may lose one another, which moves the averages by one sample at most.
+    pub fn record_success(&self, latency: Duration) {
+        self.failures_in_row.store(0, Ordering::Relaxed);
+        let share = self.failure_share.load(Ordering::Relaxed);
+        self.failure_share.store(share - share.div_ceil(8), Ordering::Relaxed);
+        self.record_latency(latency);
+    }
+
+    /// Adds a sample to the average of the time to the response head.
+    pub fn record_latency(&self, latency: Duration) {
+        let sample = (latency.as_micros() as u64).max(1);
+        let average = match self.latency_us.load(Ordering::Relaxed) {
+            0 => sample,
+            average => (average * 7 + sample).div_ceil(8),
+        };
+        self.latency_us.store(average, Ordering::Relaxed);
+    }
+
+    /// Gives the reported load if the report arrived at `time` or later.
+    pub fn report_since(&self, time: Timestamp) -> Option<u32> {
+        let fresh = self.reported_at.load(Ordering::Relaxed) >= time.0;
+        fresh.then(|| self.reported_load.load(Ordering::Relaxed))
+    }
+
+    /// Records a failure and returns the number of failures in a row.
+    pub fn record_failure(&self) -> u32 {
+        let share = self.failure_share.load(Ordering::Relaxed);
+        self.failure_share.store(share + (1024 - share.min(1024)) / 8, Ordering::Relaxed);
+        self.failures_in_row.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Records that the target refuses work for `period`, at most [`MAX_SHEDDING`].
+    pub fn record_shedding(&self, period: Duration, now: Timestamp) {
+        let until = now + period.min(MAX_SHEDDING);
+        self.sheds_until.fetch_max(until.0, Ordering::Relaxed);
+    }
+
+    /// Tells whether the target sheds load.
+    pub fn sheds(&self, now: Timestamp) -> bool {
+        now.0 < self.sheds_until.load(Ordering::Relaxed)
+    }
+}
+
+/// Counters of a service that the request path updates without a lock.
+#[derive(Debug, Default)]
+pub struct ServiceCounters {
+    /// Requests of this entry in flight.
+    pub in_flight: AtomicU32,
+    /// Requests of this entry that wait for a slot.
+    pub waiting: AtomicU32,
+    /// Probes since a target of the service last reported its load.
+    pub unreported_probes: AtomicU32,
+    /// Next position for round robin.
+    pub cursor: AtomicU32,
+    /// Recent load reports for the probe policy.
+    pub probes: ProbePool,
+    /// Retries and hedges of this entry.
+    pub retries: RetryBudget,
+    /// Recent latency up to the response head, for hedges.
+    pub latency: LatencyQuantile,
+    /// Whether targets slow down when they are full.
+    pub slot_use: SlotUse,
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod claims;
 pub mod clock;
 pub mod controllers;
+pub mod counters;
 pub mod decision;
 pub mod digest;
 pub mod directory;
