Count a silent target as silent also after a further probe

A probe was taken for unanswered 10 ms after the last one was sent, and targets are probed again each 24 ms, so for 10 ms after each further probe the slots of a silent target counted as room and a hedge was let in. The load only moved the moment.

Change: silence counts from the first probe since the last report. An entry that decides alone uses the draw that its coordinators use, so that it keeps to the same targets. AskHold replaces a second type named OpenAsk.

--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -77,6 +77,8 @@
     pub placed: AtomicU32,
     /// When the last probe was sent, in microseconds.
     pub probed_at: AtomicU64,
+    /// When the first probe since the last report was sent, in microseconds.
+    pub awaited_since: AtomicU64,
     /// Moving average of the time to the response head, in microseconds.
     pub latency_us: AtomicU64,
     /// Failures since the last success.
@@ -122,15 +124,24 @@
         pace >= SLOWED_PACE && age <= MAX_PACE_AGE
     }
 
-    /// Tells whether the target has not answered a probe in time.
+    /// Notes that a probe is sent.
+    pub fn record_probe(&self, now: Timestamp) {
+        if !self.awaits_probe() {
+            self.awaited_since.store(now.0, Ordering::Relaxed);
+        }
+        self.probed_at.store(now.0, Ordering::Relaxed);
+    }
+
+    /// Tells whether the target has not answered probes in time. A further probe does
+    /// not make it count as answering.
     pub fn is_silent(&self, now: Timestamp) -> bool {
-        let probed = Timestamp(self.probed_at.load(Ordering::Relaxed));
-        self.awaits_probe() && now.since(probed) >= PROBE_TIME
+        let since = Timestamp(self.awaited_since.load(Ordering::Relaxed));
+        self.awaits_probe() && now.since(since) >= PROBE_TIME
     }
 
-    /// Tells whether the target has not reported since it was last probed.
+    /// Tells whether the target has not reported since it was probed.
     pub fn awaits_probe(&self) -> bool {
-        self.probed_at.load(Ordering::Relaxed) > self.reported_at.load(Ordering::Relaxed)
+        self.awaited_since.load(Ordering::Relaxed) > self.reported_at.load(Ordering::Relaxed)
     }
 
     /// Takes over the time of work that another entry was told `age` ago.
--- a/core/tests/window.rs
+++ b/core/tests/window.rs
@@ -9,7 +9,7 @@
 use support::{SERVICE, fleet, view};
 use zinniaport_core::admission::window::{ServiceRoom, concurrency_window, shared_room};
 use zinniaport_core::clock::Timestamp;
-use zinniaport_core::fleet::{LoadReport, TargetState};
+use zinniaport_core::fleet::{LoadReport, TargetCounters, TargetState};
 use zinniaport_core::slot_use::SlotUse;
 use zinniaport_testing::{check_property, test_cases};
 
@@ -93,4 +93,20 @@
         }
         assert_eq!(SlotUse::default().usable_slots(1), 1);
     }
+
+    silent_targets_stay_silent: "a target that answers nothing and counts as room for a moment after each further probe" => {
+        let counters = TargetCounters::default();
+        let at = |ms: u64| Timestamp(ms * 1_000);
+        counters.record_report(LoadReport::default(), at(1));
+        for probe in 1..20 {
+            let sent = probe * 25;
+            counters.record_probe(at(sent));
+            assert_eq!(counters.is_silent(at(sent + 2)), probe > 1, "2 ms after probe {probe}");
+            assert!(counters.is_silent(at(sent + 12)), "12 ms after probe {probe}");
+        }
+        counters.record_report(LoadReport::default(), at(600));
+        assert!(!counters.is_silent(at(700)), "it has answered");
+        counters.record_probe(at(700));
+        assert!(!counters.is_silent(at(702)) && counters.is_silent(at(711)));
+    }
 }
--- a/src/placement/driver.rs
+++ b/src/placement/driver.rs
@@ -25,7 +25,7 @@
 use zinniaport_core::signals::TargetTag;
 
 use super::coordinator::{Coordinator, PlacedCall, PlacementCall, Reservation};
-use super::shared::{OpenAsk, SharedPlacement};
+use super::shared::{AskHold, SharedPlacement};
 use super::tags::TagBoard;
 use crate::gate::{AdmissionGates, GateRefusal};
 use crate::signals::{SignalDatagram, SignalSender};
@@ -61,12 +61,12 @@
 
 impl PlacementHandle {
     /// Asks a coordinator.
-    pub(super) fn ask(&self, ask: PlacementAsk) -> (OpenAsk, oneshot::Receiver<AskVerdict>) {
+    pub(super) fn ask(&self, ask: PlacementAsk) -> (AskHold, oneshot::Receiver<AskVerdict>) {
         let id = AskId(self.next_id.fetch_add(1, Ordering::Relaxed));
         let (sender, verdict) = oneshot::channel();
         self.tell(PlacementNews::Asked(id, ask, sender));
         let (handle, state) = (self.clone(), self.state.clone());
-        let open = OpenAsk { id, handle, state, counters: None, end: AttemptEnd::Unknown };
+        let open = AskHold { id, handle, state, counters: None, end: AttemptEnd::Unknown };
         (open, verdict)
     }
 
@@ -148,7 +148,8 @@
     /// Gives the placement of requests that asks through this driver.
     pub fn placement(&self) -> SharedPlacement {
         let (state, coordinator) = (self.state.clone(), self.coordinator.clone());
-        SharedPlacement::new(state, coordinator, self.handle.clone(), self.tags.clone())
+        let affinity = affinity_of(self.sender.address());
+        SharedPlacement::new(state, coordinator, self.handle.clone(), self.tags.clone(), affinity)
     }
 
     /// Works until `stop` is cancelled.
@@ -258,7 +259,7 @@
             attempt: ask.attempt,
             excluded: ask.excluded.iter().filter_map(|tag| table.target(*tag)).collect(),
             data_centre: ask.data_centre,
-            affinity: hash_bytes(key.peer.to_string().as_bytes()),
+            affinity: affinity_of(key.peer),
             remote_cost: f32::from(ask.remote_cost_percent) / 100.0,
         };
         let (coordinator, handle) = (self.coordinator.clone(), self.handle.clone());
@@ -335,6 +336,11 @@
     }
 }
 
+/// Gives the draw of an entry, by which it keeps to few targets.
+fn affinity_of(entry: SocketAddr) -> u64 {
+    hash_bytes(entry.to_string().as_bytes())
+}
+
 fn granted_target(target: TargetTag, placed: &PlacedCall) -> GrantedTarget {
     let trace = placed.trace;
     GrantedTarget {
--- a/src/placement/prober.rs
+++ b/src/placement/prober.rs
@@ -105,7 +105,7 @@
         if !self.take_allowance(now) {
             return false;
         }
-        target.counters.probed_at.store(now.0, Ordering::Relaxed);
+        target.counters.record_probe(now);
         service.counters.unreported_probes.fetch_add(1, Ordering::Relaxed);
         let mut request = Request::new(empty_body());
         *request.uri_mut() = path;
--- a/src/placement/shared.rs
+++ b/src/placement/shared.rs
@@ -13,7 +13,7 @@
 use zinniaport_core::placement::{
     AskId, AttemptEnd, AttemptKind, EndedAsk, GrantedTarget, PlacementAsk,
 };
-use zinniaport_core::policy::{RouteChoice, hash_bytes};
+use zinniaport_core::policy::RouteChoice;
 use zinniaport_core::signals::ServiceTag;
 
 use super::coordinator::{Coordinator, PlacementCall, Reservation};
@@ -34,6 +34,8 @@
     coordinator: Arc<Coordinator>,
     handle: PlacementHandle,
     tags: Arc<TagBoard>,
+    /// Draw of this entry, the same that other coordinators use for it.
+    affinity: u64,
 }
 
 impl SharedPlacement {
@@ -42,8 +44,9 @@
         coordinator: Arc<Coordinator>,
         handle: PlacementHandle,
         tags: Arc<TagBoard>,
+        affinity: u64,
     ) -> Self {
-        Self { state, coordinator, handle, tags }
+        Self { state, coordinator, handle, tags, affinity }
     }
 
     async fn ask(
@@ -68,7 +71,7 @@
             remote_cost_percent: (remote_cost(exchange) * 100.0) as u16,
             excluded: exchange.targets.iter().filter_map(|key| table.tag_of(*key)).collect(),
         };
-        let (mut open, verdict) = self.handle.ask(ask);
+        let (mut hold, verdict) = self.handle.ask(ask);
         let Ok(Ok(verdict)) = timeout(facts.time_left(now), verdict).await else {
             return Err(GateRefusal::at_once(ReasonCode::DeadlineUnreachable));
         };
@@ -78,10 +81,10 @@
                 let fleet = self.state.fleet.load_full();
                 match self.usable(&fleet, granted, exchange) {
                     Some((choice, counters)) => {
-                        open.counters = Some(counters);
+                        hold.counters = Some(counters);
                         let is_first = attempt == AttemptKind::First;
                         let trace = is_first.then(|| self.trace_of(granted, now));
-                        let hold: Box<dyn PlacementHold> = Box::new(open);
+                        let hold: Box<dyn PlacementHold> = Box::new(hold);
                         Ok(Placement { trace, choice: Some(choice), hold: Some(hold), slot: None })
                     }
                     // The coordinator has not heard yet that the target leaves, or this
@@ -104,7 +107,7 @@
             attempt,
             excluded: exchange.targets.clone(),
             data_centre: self.state.data_centre.to_string(),
-            affinity: hash_bytes(self.state.entry_name.as_bytes()),
+            affinity: self.affinity,
             remote_cost: remote_cost(exchange),
         };
         let placed = self.coordinator.place(&call).await?;
@@ -179,7 +182,7 @@
 
 /// An open question to a coordinator, or the use of what it granted; dropping it ends
 /// either.
-pub(super) struct OpenAsk {
+pub(super) struct AskHold {
     pub(super) id: AskId,
     pub(super) handle: PlacementHandle,
     pub(super) state: Arc<SharedState>,
@@ -188,13 +191,13 @@
     pub(super) end: AttemptEnd,
 }
 
-impl PlacementHold for OpenAsk {
+impl PlacementHold for AskHold {
     fn end(&mut self, end: AttemptEnd) {
         self.end = end;
     }
 }
 
-impl Drop for OpenAsk {
+impl Drop for AskHold {
     fn drop(&mut self) {
         let mut ended = EndedAsk { id: self.id, end: self.end, pace_percent: 0, pace_age_ms: 0 };
         if let Some(counters) = &self.counters {
