Watch the platform without lag when no other entry answers

Cause as far as traced: an entry that follows and reaches no leader fell back to a watch that may lag by seconds, and hears of no newer revision that would make it catch up. The test shows the lagging watch and failed first.

Change: the fallback watches without lag. It costs ten times as much, only while no leader answers.

--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -96,7 +96,9 @@
             }
             self.allow_own_call()?;
         }
-        let watched = self.source.watch(part, revision, age).await;
+        // Whoever no other entry answers may not hear of changes either, so it must not
+        // rely on answers that lag.
+        let watched = self.source.watch(part, revision, ReadAge::Current).await;
         self.note_own_call(watched.is_ok());
         let batch = watched?;
         self.relay.take(part, &batch, BatchOrigin::Watched);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -28,6 +28,7 @@
     calls: AtomicUsize,
     revision: AtomicU64,
     away: AtomicBool,
+    lagging: AtomicUsize,
 }
 
 impl CountedSource {
@@ -55,8 +56,9 @@
         &self,
         _part: DirectoryPart,
         _revision: u64,
-        _age: ReadAge,
+        age: ReadAge,
     ) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
+        self.lagging.fetch_add(usize::from(age == ReadAge::Lagging), Ordering::SeqCst);
         self.answer()
     }
 }
@@ -167,6 +169,8 @@
         let (directory, source) = follower(vec![silent.local_addr().unwrap()]);
         directory.watch(PART, 20, ReadAge::Lagging).await.unwrap();
         assert_eq!(source.calls(), 1, "without any leader it asks the platform");
+        let lagging = source.lagging.load(Ordering::SeqCst);
+        assert_eq!(lagging, 0, "an entry that is cut off from the others waits seconds for a change");
     }
 
     async outage_is_not_hammered: "a fleet whose every entry calls a platform that is away several times a second" => {
