Take a dropped history for an answer of the platform, each part by itself

At 9.86 s the watch of the targets was told that the history is gone; that counted as a call without answer, and its period of 1.8 s, shared by both parts, held the configuration back until 11.84 s with 'no entry reaches the platform'.

Change: a dropped history is an answer, and each part has a period of its own.

Test: dropped_history_is_no_outage failed first.

--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -44,9 +44,9 @@
     /// Whether the last of the watching entries is asked first, so that the first does
     /// not serve all others.
     starts_last: bool,
-    /// When this entry may call the platform again after a call of its own that failed,
-    /// while it follows others.
-    own_call_at: Mutex<Option<Instant>>,
+    /// When this entry may call the platform again for each part after a call of its own
+    /// that failed, while it follows others.
+    own_call_at: Mutex<[Option<Instant>; 2]>,
 }
 
 /// Connections to one entry.
@@ -94,29 +94,32 @@
                 self.relay.take(part, &batch, BatchOrigin::WatchedByOther);
                 return Ok(batch);
             }
-            self.allow_own_call()?;
+            self.allow_own_call(part)?;
         }
         // Whoever no other entry answers may not hear of changes either, so it must not
         // rely on answers that lag.
         let watched = self.source.watch(part, revision, ReadAge::Current).await;
-        self.note_own_call(watched.is_ok());
+        // That the history is gone is an answer too; a list follows.
+        let answered = matches!(watched, Ok(_) | Err(StoreError::TooOld));
+        self.note_own_call(part, answered);
         let batch = watched?;
         self.relay.take(part, &batch, BatchOrigin::Watched);
         Ok(batch)
     }
 
     /// Tells whether this entry may call the platform although it follows others.
-    fn allow_own_call(&self) -> Result<(), StoreError> {
-        let own_call_at = *self.own_call_at.lock().unwrap_or_else(PoisonError::into_inner);
-        match own_call_at {
+    fn allow_own_call(&self, part: DirectoryPart) -> Result<(), StoreError> {
+        let own_call_at = self.own_call_at.lock().unwrap_or_else(PoisonError::into_inner);
+        match own_call_at[part as usize] {
             Some(at) if Instant::now() < at => Err(refused("no entry reaches the platform")),
             _ => Ok(()),
         }
     }
 
-    fn note_own_call(&self, answered: bool) {
+    fn note_own_call(&self, part: DirectoryPart, answered: bool) {
         let next = (!answered).then(|| Instant::now() + OWN_CALL_PERIOD);
-        *self.own_call_at.lock().unwrap_or_else(PoisonError::into_inner) = next;
+        let mut own_call_at = self.own_call_at.lock().unwrap_or_else(PoisonError::into_inner);
+        own_call_at[part as usize] = next;
     }
 
     /// Asks the entries that watch, one after the other; none if no one answers.
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -29,6 +29,7 @@
     revision: AtomicU64,
     away: AtomicBool,
     lagging: AtomicUsize,
+    forgets: AtomicBool,
 }
 
 impl CountedSource {
@@ -37,7 +38,11 @@
         let revision = self.revision.load(Ordering::SeqCst);
         let away = self.away.load(Ordering::SeqCst);
         let cause = "it is away".to_owned();
+        let forgets = self.forgets.load(Ordering::SeqCst);
         Box::pin(async move {
+            if forgets {
+                return Err(StoreError::TooOld);
+            }
             if away { Err(StoreError::Refused { cause }) } else { Ok(batch(revision, &[])) }
         })
     }
@@ -198,4 +203,18 @@
         let watched = timeout(Duration::from_secs(20), back).await.expect("the return is never learnt");
         assert_eq!((names(&watched), source.calls()), (vec![("i-2", 30, true)], 1));
     }
+
+    async dropped_history_is_no_outage: "an entry that reads no change for seconds because its platform has forgotten the older ones" => {
+        let (directory, source) = follower(Vec::new());
+        source.forgets.store(true, Ordering::SeqCst);
+        let watched = directory.watch(PART, 20, ReadAge::Lagging).await;
+        assert!(matches!(watched, Err(StoreError::TooOld)), "{watched:?}");
+        source.forgets.store(false, Ordering::SeqCst);
+        assert!(directory.watch(PART, 20, ReadAge::Lagging).await.is_ok());
+        // One part without an answer says nothing about the other.
+        source.away.store(true, Ordering::SeqCst);
+        assert!(directory.watch(PART, 20, ReadAge::Lagging).await.is_err());
+        source.away.store(false, Ordering::SeqCst);
+        assert!(directory.watch(DirectoryPart::Configuration, 20, ReadAge::Lagging).await.is_ok());
+    }
 }
