Put plans in force that are confirmed after a restore of the platform

Cause: entries order intents by versions of the store. A store restored from a backup counts from an earlier version, so that every entry took a newly confirmed intent for an older one and every list for a stale read. Change: a stored intent carries an offset that is added to its version. A confirmation raises it past all versions held when the store shows less than the entry holds; batches of the store carry their largest offset. Tests: restored_stores_take_plans (property, 600 histories with restores) fails without the offset. plans_work_after_a_restore waited for nine lists, which only came about because lists went on failing; it now waits until each entry has the version, checks that the version is higher than before, and confirms a second plan at another entry. Left: a plan confirmed at an entry that had not learnt the versions from before the restore is not in force at the others (docs/PROMISES.md).

--- a/core/src/controllers/plans.rs
+++ b/core/src/controllers/plans.rs
@@ -8,7 +8,9 @@
 
 use super::{ReadReply, StateController, WriteReply};
 use crate::clock::Timestamp;
-use crate::plan::{ChangePlan, PlanIdentity, PlannedChange, StoredIntent, changes_between};
+use crate::plan::{
+    ChangePlan, PlanIdentity, PlannedChange, StoredIntent, VersionFloor, changes_between,
+};
 
 /// Store calls that one confirmation may make. With the delays between them a
 /// confirmation ends within about 7 s even when the store does not answer.
@@ -23,8 +25,8 @@
 /// What the plans controller is told.
 #[derive(Clone, Debug)]
 pub enum PlansMessage {
-    /// An operator confirms a plan.
-    Confirm(Box<ChangePlan>),
+    /// An operator confirms a plan at an entry that holds these versions.
+    Confirm(Box<ChangePlan>, VersionFloor),
     /// A read of the intent ended.
     Read(PlanIdentity, ReadReply<Box<StoredIntent>>),
     /// A write of the intent ended.
@@ -84,6 +86,9 @@
 #[derive(Debug)]
 struct Confirmation {
     plan: Box<ChangePlan>,
+    floor: VersionFloor,
+    /// Offset of the version that was written last.
+    written_offset: u64,
     calls: u32,
     /// The answer of a write was lost, so it may have taken effect.
     answer_lost: bool,
@@ -130,12 +135,16 @@
             ReadReply::Found { content, .. } => Some(content.as_ref()),
             _ => None,
         };
+        let in_force = present.map_or(version, |stored| stored.version_in_force(version));
         let contained = present.map_or(Some(false), |stored| stored.contains(&confirmation.plan));
         if contained == Some(true) {
-            return self.finish(plan, ConfirmOutcome::Applied { version });
+            return self.finish(plan, ConfirmOutcome::Applied { version: in_force });
         }
         if version == confirmation.plan.base_version {
-            let content = Box::new(StoredIntent::after(present, &confirmation.plan));
+            let present = present.map(|stored| (stored, version));
+            let content = StoredIntent::after(present, &confirmation.plan, confirmation.floor);
+            confirmation.written_offset = content.version_offset;
+            let content = Box::new(content);
             return vec![PlansEffect::Write { plan, content, base_version: version }];
         }
         if contained.is_none() {
@@ -145,13 +154,16 @@
             changes_between(confirmation.plan.base.as_ref(), &stored.intent)
         });
         let author = present.map(|stored| stored.author.clone()).unwrap_or_default();
-        self.finish(plan, ConfirmOutcome::Outdated { version, author, changes })
+        self.finish(plan, ConfirmOutcome::Outdated { version: in_force, author, changes })
     }
 
     fn take_write(&mut self, plan: PlanIdentity, reply: WriteReply) -> Vec<PlansEffect> {
         let Some(confirmation) = self.open.get_mut(&plan) else { return Vec::new() };
         match reply {
-            WriteReply::Written(version) => self.finish(plan, ConfirmOutcome::Applied { version }),
+            WriteReply::Written(version) => {
+                let version = confirmation.written_offset.saturating_add(version);
+                self.finish(plan, ConfirmOutcome::Applied { version })
+            }
             WriteReply::Conflict(version) => {
                 confirmation.lowest_version = confirmation.lowest_version.max(version);
                 self.read_again(plan)
@@ -176,13 +188,19 @@
 
     fn handle(&mut self, message: Self::Message, _now: Timestamp) -> Vec<Self::Effect> {
         match message {
-            PlansMessage::Confirm(plan) => {
+            PlansMessage::Confirm(plan, floor) => {
                 let identity = plan.identity;
                 if self.open.contains_key(&identity) {
                     return Vec::new();
                 }
-                let confirmation =
-                    Confirmation { plan, calls: 0, answer_lost: false, lowest_version: 0 };
+                let confirmation = Confirmation {
+                    plan,
+                    floor,
+                    written_offset: 0,
+                    calls: 0,
+                    answer_lost: false,
+                    lowest_version: 0,
+                };
                 self.open.insert(identity, confirmation);
                 self.read_again(identity)
             }
--- a/core/src/controllers/settings/exchange.rs
+++ b/core/src/controllers/settings/exchange.rs
@@ -7,12 +7,12 @@
 use crate::clock::Timestamp;
 use crate::intent::ServiceIntent;
 
-/// An intent with its version in the store.
+/// An intent with its version in force.
 #[derive(Clone, Debug, PartialEq)]
 pub struct VersionedIntent {
     /// The intent.
     pub intent: Arc<ServiceIntent>,
-    /// Its version.
+    /// Its version: that of the store with the offset of the stored intent.
     pub version: u64,
 }
 
--- a/core/src/controllers/settings/follower.rs
+++ b/core/src/controllers/settings/follower.rs
@@ -71,6 +71,11 @@
     failures: u32,
     /// Store version to watch from; none until a list succeeded.
     position: Option<u64>,
+    /// Largest offset that the last list and the watches after it showed.
+    pub(super) offset: u64,
+    /// Whether the last list showed less than is held: a stale read, or a store
+    /// that was restored to an older state.
+    pub(super) shows_less: bool,
     /// Highest version that the store does not show yet, and since when.
     unseen: Option<(u64, Timestamp)>,
     synced_peers: HashSet<String>,
@@ -92,6 +97,8 @@
             call: StoreCall::None,
             failures: 0,
             position: None,
+            offset: 0,
+            shows_less: false,
             unseen: None,
             synced_peers: HashSet::new(),
             first_complete_peer: None,
@@ -129,8 +136,10 @@
     ) -> Vec<SettingsEffect> {
         self.call = StoreCall::None;
         self.last_contact = now;
-        if batch.version < highest {
-            // A stale read, or a store that lost changes. Held versions stay.
+        self.offset = batch.offset;
+        self.shows_less = self.shown_by(batch) < highest;
+        if self.shows_less {
+            // Held versions stay.
             return self.take_failure(now);
         }
         self.failures = 0;
@@ -152,6 +161,7 @@
         if self.position.is_none_or(|position| batch.version < position) {
             return self.take_failure(now);
         }
+        self.offset = self.offset.max(batch.offset);
         let quick = now.since(batch.sent) < MIN_EMPTY_WATCH;
         let empty = self.position == Some(batch.version);
         self.position = Some(batch.version);
@@ -165,9 +175,14 @@
         Vec::new()
     }
 
+    /// Gives the version in force up to which a batch is complete.
+    fn shown_by(&self, batch: &StoreBatch) -> u64 {
+        self.offset.saturating_add(batch.version)
+    }
+
     /// Takes a batch as proof of freshness if it is not behind what is known.
     fn confirm(&mut self, batch: &StoreBatch, highest: u64) {
-        if batch.whole && batch.version >= highest {
+        if batch.whole && self.shown_by(batch) >= highest {
             self.confirmed = self.confirmed.max(Some(batch.sent));
         }
     }
@@ -212,6 +227,7 @@
     /// Notes the highest version held, to recognise a watch that shows nothing.
     pub(super) fn note_highest(&mut self, highest: u64, now: Timestamp) {
         let Some(position) = self.position else { return };
+        let position = self.offset.saturating_add(position);
         self.unseen = match self.unseen {
             _ if highest <= position => None,
             Some((version, since)) if version > position => Some((version, since)),
--- a/core/src/controllers/settings/mod.rs
+++ b/core/src/controllers/settings/mod.rs
@@ -15,6 +15,7 @@
 use crate::digest::ShortDigest;
 use crate::fleet::FleetSnapshot;
 use crate::intent::ServiceIntent;
+use crate::plan::VersionFloor;
 
 /// Intents that the store returned, complete up to a version.
 #[derive(Clone, Debug)]
@@ -23,6 +24,8 @@
     pub sent: Timestamp,
     /// Store version up to which the batch is complete.
     pub version: u64,
+    /// Largest offset of versions among the intents.
+    pub offset: u64,
     /// The intents.
     pub intents: Vec<VersionedIntent>,
     /// Whether every object could be read.
@@ -132,6 +135,17 @@
         self.fleet.find(service).map_or(0, |(_, entry)| entry.version)
     }
 
+    /// Gives the versions held, for a plan that is confirmed here.
+    pub fn version_floor(&self, service: &str) -> VersionFloor {
+        let follower = self.follower.as_ref();
+        let lost = follower.is_some_and(|follower| follower.shows_less);
+        VersionFloor {
+            service: if lost { u64::MAX } else { self.version_of(service) },
+            highest: self.highest,
+            offset: follower.map_or(0, |follower| follower.offset),
+        }
+    }
+
     /// Applies an intent and returns whether it was newer.
     fn apply(&mut self, intent: ServiceIntent, version: u64, now: Timestamp) -> bool {
         let service = intent.service.clone();
--- a/core/src/plan/mod.rs
+++ b/core/src/plan/mod.rs
@@ -9,7 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 pub use changes::{ChangeAction, PlannedChange, changes_between};
-pub use stored::{AppliedPlan, INTENT_PREFIX, MAX_APPLIED_PLANS, StoredIntent, intent_name};
+pub use stored::{
+    AppliedPlan, INTENT_PREFIX, MAX_APPLIED_PLANS, StoredIntent, VersionFloor, intent_name,
+};
 
 use crate::clock::Timestamp;
 use crate::digest::ShortDigest;
--- a/core/src/plan/stored.rs
+++ b/core/src/plan/stored.rs
@@ -26,6 +26,32 @@
     pub author: String,
     /// The last plans applied, oldest first.
     pub applied: VecDeque<AppliedPlan>,
+    /// What is added to versions of the store. A platform that is restored from a
+    /// backup counts from an earlier version, while entries hold later ones.
+    #[serde(default)]
+    pub version_offset: u64,
+}
+
+/// What an entry holds when a plan is confirmed there. It shows whether the store
+/// was restored to an older state.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct VersionFloor {
+    /// Lowest version in force that a present read of the service may show.
+    pub service: u64,
+    /// Highest version in force of any service.
+    pub highest: u64,
+    /// Largest offset of an intent in the store.
+    pub offset: u64,
+}
+
+impl VersionFloor {
+    /// Gives the offset for the intent that follows one with `offset` at `version`
+    /// of the store. A stale read raises it without need, which keeps the order.
+    pub fn offset_after(&self, offset: u64, version: u64) -> u64 {
+        let known = self.offset.max(offset);
+        let lost = offset.saturating_add(version) < self.service;
+        if lost { known.max(self.highest) } else { known }
+    }
 }
 
 /// Prefix of the names of stored intents.
@@ -39,17 +65,27 @@
 impl StoredIntent {
     /// Creates an intent that no plan led to.
     pub fn without_plans(intent: ServiceIntent, author: &str) -> Self {
-        Self { intent, author: author.to_owned(), applied: VecDeque::new() }
+        Self { intent, author: author.to_owned(), applied: VecDeque::new(), version_offset: 0 }
+    }
+
+    /// Gives the version in force of an intent at `version` of the store.
+    pub fn version_in_force(&self, version: u64) -> u64 {
+        self.version_offset.saturating_add(version)
     }
 
-    /// Creates the successor of `present` that `plan` leads to.
-    pub fn after(present: Option<&Self>, plan: &ChangePlan) -> Self {
+    /// Creates the successor of `present`, with its version in the store, that
+    /// `plan` leads to.
+    pub fn after(present: Option<(&Self, u64)>, plan: &ChangePlan, floor: VersionFloor) -> Self {
+        let (present, version) = present.unzip();
+        let offset = present.map_or(0, |present| present.version_offset);
+        let version_offset = floor.offset_after(offset, version.unwrap_or_default());
         let mut applied = present.map(|present| present.applied.clone()).unwrap_or_default();
         applied.push_back(AppliedPlan(plan.identity, plan.base_version));
         while applied.len() > MAX_APPLIED_PLANS {
             applied.pop_front();
         }
-        Self { intent: plan.intent.clone(), author: plan.author.clone(), applied }
+        let (intent, author) = (plan.intent.clone(), plan.author.clone());
+        Self { intent, author, applied, version_offset }
     }
 
     /// Tells whether a plan was applied; none if the list no longer reaches back
--- a/core/tests/plans.rs
+++ b/core/tests/plans.rs
@@ -13,7 +13,7 @@
 use zinniaport_core::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
 use zinniaport_core::plan::{
     ChangeAction, ChangePlan, IntentStatement, MAX_APPLIED_PLANS, PlanBasis, PlanError, PlanRisk,
-    PlanStamp, StoredIntent,
+    PlanStamp, StoredIntent, VersionFloor,
 };
 use zinniaport_testing::{check_property, test_cases};
 
@@ -177,7 +177,7 @@
             Step::Confirm(entry, plan) if !self.plans.is_empty() => {
                 let plan = self.plans[plan.index(self.plans.len())].clone();
                 *self.confirmed.entry(plan.intent.max_queue_length).or_default() += 1;
-                self.tell(*entry, PlansMessage::Confirm(Box::new(plan)));
+                self.tell(*entry, PlansMessage::Confirm(Box::new(plan), VersionFloor::default()));
             }
             Step::Deliver(call, fault) if !self.calls.is_empty() => {
                 self.deliver(call.index(self.calls.len()), *fault);
@@ -264,7 +264,7 @@
             let unsure = world.outcomes.len();
             for plan in world.plans.clone() {
                 *world.confirmed.entry(plan.intent.max_queue_length).or_default() += 2;
-                world.tell(0, PlansMessage::Confirm(Box::new(plan)));
+                world.tell(0, PlansMessage::Confirm(Box::new(plan), VersionFloor::default()));
                 world.settle();
             }
             check_history(&world)?;
@@ -315,11 +315,11 @@
         for mark in 0..=MAX_APPLIED_PLANS as u32 {
             let plan = plan_on(world.history.last(), 1000 + mark);
             world.plans.push(plan.clone());
-            world.tell(0, PlansMessage::Confirm(Box::new(plan)));
+            world.tell(0, PlansMessage::Confirm(Box::new(plan), VersionFloor::default()));
             world.settle();
         }
         let oldest = world.plans[0].clone();
-        world.tell(0, PlansMessage::Confirm(Box::new(oldest)));
+        world.tell(0, PlansMessage::Confirm(Box::new(oldest), VersionFloor::default()));
         world.settle();
         assert_eq!(world.outcomes.last().unwrap().1, ConfirmOutcome::Unknown);
     }
--- a/core/tests/propagation.rs
+++ b/core/tests/propagation.rs
@@ -46,6 +46,8 @@
 #[derive(Clone, Debug)]
 enum Step {
     Change(Index),
+    /// Brings the store back to an earlier state, from which its versions go on.
+    Restore(Index),
     Advance(u64),
     /// Serves the store call of an entry. A served call may show the store as of
     /// now, as of when it was sent, or an older state.
@@ -69,6 +71,7 @@
         prop_oneof![4 => Just(View::Present), 2 => Just(View::AsSent), 1 => Just(View::Stale)];
     prop_oneof![
         3 => any::<Index>().prop_map(Step::Change),
+        1 => any::<Index>().prop_map(Step::Restore),
         3 => (1_u64..6_000).prop_map(Step::Advance),
         5 => (0..ENTRIES, view).prop_map(|(entry, view)| Step::Serve(entry, view)),
         2 => (0..ENTRIES).prop_map(Step::FailStore),
@@ -100,14 +103,33 @@
     reply: Option<ConfigMessage>,
 }
 
+/// A change of an intent in the store.
+#[derive(Clone, Copy, Debug)]
+struct Change {
+    at: Timestamp,
+    service: &'static str,
+    version: u64,
+    offset: u64,
+}
+
+impl Change {
+    fn in_force(&self) -> (&'static str, u64) {
+        (self.service, self.version + self.offset)
+    }
+}
+
 struct World {
     now: Timestamp,
-    store: Vec<(Timestamp, &'static str, u64)>,
+    store: Vec<Change>,
+    /// Length of the store's history after the last restore.
+    restored: usize,
     entries: Vec<Entry>,
     messages: Vec<Message>,
     /// The store may answer reads with old states. An entry that knows nothing
     /// newer cannot tell, so freshness and start are not promised then.
     stale: bool,
+    /// The store may be restored to an older state.
+    restores: bool,
     incarnations: usize,
 }
 
@@ -115,10 +137,12 @@
     fn new() -> Self {
         let mut world = Self {
             now: Timestamp(1_000_000),
-            store: vec![(Timestamp(1), SERVICES[0], 1)],
+            store: vec![Change { at: Timestamp(1), service: SERVICES[0], version: 1, offset: 0 }],
+            restored: 0,
             entries: Vec::new(),
             messages: Vec::new(),
             stale: false,
+            restores: false,
             incarnations: 0,
         };
         for entry in 0..ENTRIES {
@@ -149,8 +173,8 @@
     }
 
     fn store_at(&self, time: Timestamp) -> Versions {
-        let until = self.store.iter().take_while(|(changed, _, _)| *changed <= time);
-        until.map(|(_, service, version)| (*service, *version)).collect()
+        let until = self.store.iter().take_while(|change| change.at <= time);
+        until.map(Change::in_force).collect()
     }
 
     fn clock(&self, entry: usize) -> Timestamp {
@@ -196,7 +220,7 @@
         let Some((call, sent)) = self.entries[entry].call.take() else { return };
         let seen = match view {
             View::Present => self.store.len(),
-            View::AsSent => self.store.partition_point(|(changed, _, _)| *changed <= sent),
+            View::AsSent => self.store.partition_point(|change| change.at <= sent),
             View::Stale if self.stale => self.store.len() / 2,
             View::Stale => self.store.len(),
         };
@@ -204,15 +228,16 @@
             SettingsEffect::Watch { version, .. } => version,
             _ => 0,
         };
-        let shown: Versions =
-            self.store[..seen].iter().map(|(_, service, version)| (*service, *version)).collect();
+        let shown: BTreeMap<_, _> =
+            self.store[..seen].iter().map(|change| (change.service, *change)).collect();
+        let shown: Vec<_> = shown.into_values().filter(|change| change.version > after).collect();
         let batch = StoreBatch {
             sent: Timestamp(sent.0 + self.entries[entry].offset),
-            version: self.store[..seen].last().map_or(0, |(_, _, version)| *version),
+            version: self.store[..seen].last().map_or(0, |change| change.version),
+            offset: shown.iter().map(|change| change.offset).max().unwrap_or_default(),
             intents: shown
-                .into_iter()
-                .filter(|(_, version)| *version > after)
-                .map(|(service, version)| intent(service, version))
+                .iter()
+                .map(|change| intent(change.service, change.in_force().1))
                 .collect(),
             whole: true,
         };
@@ -226,6 +251,18 @@
         );
     }
 
+    /// Accepts a plan at the entry that holds the newest intent of the service.
+    fn change(&mut self, service: &'static str) {
+        let version = self.store.last().map_or(0, |change| change.version) + 1;
+        let present = self.store.iter().rfind(|change| change.service == service);
+        let (shown, offset) = present.map_or((0, 0), |change| (change.version, change.offset));
+        let newest = self.entries.iter().max_by_key(|entry| entry.held.get(service).copied());
+        let floor = newest.unwrap().controller.version_floor(service);
+        self.now = self.now + Duration::from_micros(1);
+        let offset = floor.offset_after(offset, shown);
+        self.store.push(Change { at: self.now, service, version, offset });
+    }
+
     fn send(&mut self, from: usize, to: usize, request: ConfigMessage) {
         let from = (from, self.entries[from].incarnation);
         self.messages.push(Message { from, to, sent: self.now, request, reply: None });
@@ -267,9 +304,15 @@
     fn run(&mut self, step: &Step) {
         match step {
             Step::Change(service) => {
-                let version = self.store.last().map_or(0, |(_, _, version)| *version) + 1;
-                self.now = self.now + Duration::from_micros(1);
-                self.store.push((self.now, SERVICES[service.index(SERVICES.len())], version));
+                self.change(SERVICES[service.index(SERVICES.len())]);
+            }
+            Step::Restore(kept) if self.restores => {
+                self.store.truncate(1 + kept.index(self.store.len()));
+                self.restored = self.store.len();
+                let kept = self.store_at(self.now);
+                self.entries.iter_mut().for_each(|entry| entry.sources.push(kept.clone()));
+                // The store ends its connections, and with them the calls.
+                (0..ENTRIES).for_each(|entry| self.run(&Step::FailStore(entry)));
             }
             Step::Advance(millis) => self.now = self.now + Duration::from_millis(*millis),
             Step::Serve(entry, view) => self.serve(*entry, *view),
@@ -360,6 +403,29 @@
         });
     }
 
+    restored_stores_take_plans: "a plan accepted after the store was restored that is in force nowhere, or one that goes back" => {
+        check_property(600, &proptest::collection::vec(step(), 1..120), |steps| {
+            let mut world = World::new();
+            world.restores = true;
+            for step in &steps {
+                let before = world.state();
+                world.run(step);
+                world.check(&before)?;
+            }
+            world.heal();
+            let newest = world.store_at(world.now);
+            for entry in &world.entries {
+                prop_assert_eq!(&entry.held, &world.entries[0].held, "all hold the same");
+                prop_assert!(entry.ready, "all entries are ready");
+                for change in &world.store[world.restored..] {
+                    let (service, _) = change.in_force();
+                    prop_assert_eq!(entry.held.get(service), newest.get(service));
+                }
+            }
+            Ok(())
+        });
+    }
+
     peers_keep_an_entry_ready: "entries that all stop serving when only the store is out" => {
         let mut world = World::new();
         world.heal();
--- a/src/admin/plan_book.rs
+++ b/src/admin/plan_book.rs
@@ -184,7 +184,8 @@
         }
         plan.author.clone_from(&member.author);
         let (service, author) = (plan.intent.service.clone(), member.author.clone());
-        let outcome = self.run(PlansMessage::Confirm(plan)).await;
+        let floor = self.propagation.version_floor(&service).await.unwrap_or_default();
+        let outcome = self.run(PlansMessage::Confirm(plan, floor)).await;
         log::info!(
             plan = identity.to_string().as_str(), service = service.as_str(),
             author = author.as_str();
@@ -209,6 +210,7 @@
                     let reply = self.store.write(&name, &content, base_version).await;
                     if let WriteReply::Written(version) = reply {
                         // Spreads the change even when every watch is silent.
+                        let version = content.version_in_force(version);
                         let intent = content.intent;
                         self.propagation.tell(SettingsMessage::Accepted { intent, version }).await;
                     }
--- a/src/bench/capacity/stored.rs
+++ b/src/bench/capacity/stored.rs
@@ -27,7 +27,12 @@
         AppliedPlan(identity, 1_000_000 + number as u64)
     };
     let applied: VecDeque<_> = (0..plans).map(plan).collect();
-    StoredIntent { intent: intent(0, targets, 0), author: "ana".to_owned(), applied }
+    StoredIntent {
+        intent: intent(0, targets, 0),
+        author: "ana".to_owned(),
+        applied,
+        version_offset: 0,
+    }
 }
 
 fn json_bytes(value: &impl serde::Serialize) -> f64 {
--- a/src/propagation.rs
+++ b/src/propagation.rs
@@ -13,7 +13,7 @@
     ConfigMessage, EntryPlace, SettingsController, SettingsEffect, SettingsMessage,
     StateController, StoreBatch, TargetsMessage, VersionedIntent,
 };
-use zinniaport_core::plan::{INTENT_PREFIX, StoredIntent};
+use zinniaport_core::plan::{INTENT_PREFIX, StoredIntent, VersionFloor};
 
 use crate::state::SharedState;
 use crate::store::{StoreCaller, WatchBatch};
@@ -53,6 +53,7 @@
 /// A request to the task that owns the settings controller.
 enum PropagationRequest {
     Tell(SettingsMessage),
+    Floor(String, oneshot::Sender<VersionFloor>),
     Open(oneshot::Sender<ConfigMessage>),
     Answer(ConfigMessage, oneshot::Sender<ConfigMessage>),
     Continue(PeerReply, oneshot::Sender<Option<ConfigMessage>>),
@@ -88,6 +89,12 @@
         let _ = self.requests.send(PropagationRequest::Tell(message)).await;
     }
 
+    /// Gives the versions held, for a plan that changes `service`; none once the
+    /// entry stops.
+    pub async fn version_floor(&self, service: &str) -> Option<VersionFloor> {
+        self.ask(|reply| PropagationRequest::Floor(service.to_owned(), reply)).await
+    }
+
     /// Opens an exchange with a peer; none once the entry stops.
     pub async fn open_exchange(&self) -> Option<ConfigMessage> {
         self.ask(PropagationRequest::Open).await
@@ -173,6 +180,9 @@
     fn serve(&mut self, request: PropagationRequest) {
         match request {
             PropagationRequest::Tell(message) => self.step(message),
+            PropagationRequest::Floor(service, reply) => {
+                let _ = reply.send(self.controller.version_floor(&service));
+            }
             PropagationRequest::Open(reply) => {
                 let _ = reply.send(self.controller.open_exchange(self.now()));
             }
@@ -245,13 +255,16 @@
 
 /// Decodes intents; those that cannot be read leave the batch incomplete.
 fn read_batch(batch: &WatchBatch, sent: Timestamp) -> StoreBatch {
-    let mut decoded = StoreBatch { sent, version: batch.version, intents: Vec::new(), whole: true };
+    let mut decoded =
+        StoreBatch { sent, version: batch.version, offset: 0, intents: Vec::new(), whole: true };
     for object in &batch.changes {
         let Some(text) = &object.content else { continue };
         match serde_json::from_str::<StoredIntent>(text) {
-            Ok(stored) => decoded
-                .intents
-                .push(VersionedIntent { intent: Arc::new(stored.intent), version: object.version }),
+            Ok(stored) => {
+                let version = stored.version_in_force(object.version);
+                decoded.offset = decoded.offset.max(stored.version_offset);
+                decoded.intents.push(VersionedIntent { intent: Arc::new(stored.intent), version });
+            }
             Err(error) => {
                 log::error!(
                     "cannot read {} at version {}: {error}; \
--- a/tests/system_configuration.rs
+++ b/tests/system_configuration.rs
@@ -156,7 +156,12 @@
         system.wait_for_version(&ALL, held).await;
         restore(&mut system, &backup).await;
         let version = system.change(0, &numbered(&system, 30)).await;
-        eventually("entries read the new state", async || system.calls("list").await >= 9).await;
+        assert!(version > held, "version {version} would not replace {held}");
+        system.wait_for_version(&ALL, version).await;
+        eventually("entries read the new state", async || system.calls("list").await >= 3).await;
+        // A second plan has to follow the first, from any entry.
+        let version = system.change(2, &numbered(&system, 31)).await;
+        system.wait_for_version(&ALL, version).await;
         for entry in ALL {
             let present = system.version(entry).await;
             assert_eq!(present, version, "entry {entry} keeps the version from before the restore");
