Take an answer for one part as a sign that the store is not away

At 4.02 s the entry learnt the removal and held it for a second, since a lapsed registration looks the same. At 4.65 s its configuration part, lost since 3.41 s by a reset connection, answered again; that counted as the return of the store and put the removal off by 2 s. Change: the store was away only if no call for either part was answered. Test: partial_loss_is_no_outage fails first.

--- a/core/src/controllers/directory.rs
+++ b/core/src/controllers/directory.rs
@@ -158,6 +158,8 @@
     removed: IndexMap<String, u64>,
     configuration: Option<ConfigurationNote>,
     parts: [PartFollower; 2],
+    /// When a call for either part was last answered.
+    answered: Timestamp,
     /// Until when removals are held back because the store was away.
     returned_until: Timestamp,
     fleet: FleetSnapshot,
@@ -180,6 +182,7 @@
             configuration: None,
             parts: Default::default(),
             random: SmallRng::seed_from_u64(seed),
+            answered: Timestamp::default(),
             returned_until: Timestamp::default(),
             fleet: FleetSnapshot::default(),
             terms,
@@ -201,14 +204,15 @@
     fn note_answer(&mut self, part: DirectoryPart, now: Timestamp) -> Option<DirectoryEffect> {
         let follower = self.part(part);
         follower.failures = 0;
-        let away = now.since(follower.lost_since.take()?);
-        if away >= LAPSE_AFTER {
+        let lost_since = follower.lost_since.take()?;
+        // An answer for the other part meanwhile shows that the store was not away.
+        if now.since(lost_since.max(self.answered)) >= LAPSE_AFTER {
             self.returned_until = now + RETURN_DELAY;
             for record in self.targets.values_mut() {
                 record.drop_at = record.drop_at.map(|_| now + RETURN_DELAY);
             }
         }
-        Some(DirectoryEffect::Regained(part, away))
+        Some(DirectoryEffect::Regained(part, now.since(lost_since)))
     }
 
     /// Applies a batch and goes on to watch.
@@ -234,6 +238,7 @@
         listed: bool,
         now: Timestamp,
     ) -> Vec<DirectoryEffect> {
+        self.answered = now;
         let mut effects = Vec::new();
         let newest = batch.changes.iter().map(|change| change.revision).max().unwrap_or(0);
         let mut changed = false;
--- a/core/tests/directory.rs
+++ b/core/tests/directory.rs
@@ -121,6 +121,16 @@
         assert_eq!(followed.open(), 1, "the one that is still missing is gone");
     }
 
+    partial_loss_is_no_outage: "a target that left and stays in use for seconds because another part was out of reach" => {
+        let mut followed = Followed::new(vec![target("i", 5, false)]);
+        followed.tell(DirectoryMessage::Failed(DirectoryPart::Configuration), SECOND);
+        followed.targets_changed(21, vec![removal("i", 21)], SECOND + 600_000);
+        let back = SECOND + 1_200_000;
+        followed.tell(DirectoryMessage::Watched(DirectoryPart::Configuration, batch(21, Vec::new())), back);
+        followed.tell(DirectoryMessage::Tick, SECOND + 1_700_000);
+        assert_eq!(followed.open(), 0);
+    }
+
     dropped_history_is_listed: "a watch that starts over without the changes in between" => {
         let mut followed = Followed::new(vec![target("i", 5, false)]);
         let effects = followed.tell(DirectoryMessage::HistoryGone(DirectoryPart::Targets), SECOND);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -204,6 +204,20 @@
         assert_eq!((names(&watched), source.calls()), (vec![("i-2", 30, true)], 1));
     }
 
+    async lost_call_is_repeated_soon: "a change that an entry without a leader reads seconds late because one of its connections was reset" => {
+        let (directory, source) = follower(Vec::new());
+        directory.watch(PART, 20, ReadAge::Lagging).await.unwrap();
+        source.away.store(true, Ordering::SeqCst);
+        assert!(directory.watch(PART, 20, ReadAge::Lagging).await.is_err());
+        source.away.store(false, Ordering::SeqCst);
+        source.revision.store(30, Ordering::SeqCst);
+        let started = Instant::now();
+        while directory.watch(PART, 20, ReadAge::Lagging).await.is_err() {
+            assert!(started.elapsed() < Duration::from_secs(1), "a change counts after two");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     async dropped_history_is_no_outage: "an entry that reads no change for seconds because its platform has forgotten the older ones" => {
         let (directory, source) = follower(Vec::new());
         source.forgets.store(true, Ordering::SeqCst);
