Repeat a lost call to the platform soon after answered ones

Fifteen entries that no leader answered followed the platform by themselves; a reset connection at 3.40 s barred them from it for 1.8 s, a period meant for a platform that is away. They learnt a removal of 4.01 s at 5.5 s. Change: the first call that is lost after answered ones may be repeated after 200 ms; the period of 1.8 s holds from the second on.

--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use futures::future::BoxFuture;
@@ -34,6 +34,10 @@
 /// first; this is for one that is turned away less than they are.
 const OWN_CALL_PERIOD: Duration = Duration::from_millis(1_800);
 
+/// Time until a call is repeated for which an entry had answers of the platform until
+/// then. A reset connection is such a loss, and a change counts two seconds later.
+const LOST_CALL_PERIOD: Duration = Duration::from_millis(200);
+
 /// Reads the directory itself while it leads, else from an entry that does, and itself
 /// when none answers.
 pub struct RelayedDirectory {
@@ -44,9 +48,25 @@
     /// Whether the last of the watching entries is asked first, so that the first does
     /// not serve all others.
     starts_last: bool,
-    /// When this entry may call the platform again for each part after a call of its own
-    /// that failed, while it follows others.
-    own_call_at: Mutex<[Option<Instant>; 2]>,
+    /// Calls of this entry's own while it follows others, for each part.
+    own_calls: Mutex<[OwnCalls; 2]>,
+}
+
+/// Calls to the platform of an entry that follows others.
+#[derive(Clone, Copy, Debug, Default)]
+struct OwnCalls {
+    /// Whether the last one was answered, with no answer of another entry since.
+    answered: bool,
+    /// When the next one may follow one that failed.
+    next: Option<Instant>,
+}
+
+impl OwnCalls {
+    fn note(&mut self, answered: bool) {
+        let period = if self.answered { LOST_CALL_PERIOD } else { OWN_CALL_PERIOD };
+        self.answered = answered;
+        self.next = (!answered).then(|| Instant::now() + period);
+    }
 }
 
 /// Connections to one entry.
@@ -63,8 +83,8 @@
         relay: Arc<DirectoryRelay>,
     ) -> Self {
         let starts_last = hash_bytes(state.entry_name.as_bytes()).is_multiple_of(2);
-        let (callers, own_call_at) = (Mutex::default(), Mutex::default());
-        Self { state, source, relay, callers, starts_last, own_call_at }
+        let (callers, own_calls) = (Mutex::default(), Mutex::default());
+        Self { state, source, relay, callers, starts_last, own_calls }
     }
 
     /// Lists from an entry that watches. One that starts asks the platform at once: it
@@ -91,6 +111,7 @@
         if !self.state.revisions.leads() && age == ReadAge::Lagging {
             let query = RelayQuery { part, after: Some(revision), hold: RELAY_HOLD };
             if let Some(batch) = self.ask_leaders(query).await? {
+                self.own_calls()[part as usize].answered = false;
                 self.relay.take(part, &batch, BatchOrigin::WatchedByOther);
                 return Ok(batch);
             }
@@ -101,7 +122,7 @@
         let watched = self.source.watch(part, revision, ReadAge::Current).await;
         // That the history is gone is an answer too; a list follows.
         let answered = matches!(watched, Ok(_) | Err(StoreError::TooOld));
-        self.note_own_call(part, answered);
+        self.own_calls()[part as usize].note(answered);
         let batch = watched?;
         self.relay.take(part, &batch, BatchOrigin::Watched);
         Ok(batch)
@@ -109,17 +130,14 @@
 
     /// Tells whether this entry may call the platform although it follows others.
     fn allow_own_call(&self, part: DirectoryPart) -> Result<(), StoreError> {
-        let own_call_at = self.own_call_at.lock().unwrap_or_else(PoisonError::into_inner);
-        match own_call_at[part as usize] {
+        match self.own_calls()[part as usize].next {
             Some(at) if Instant::now() < at => Err(refused("no entry reaches the platform")),
             _ => Ok(()),
         }
     }
 
-    fn note_own_call(&self, part: DirectoryPart, answered: bool) {
-        let next = (!answered).then(|| Instant::now() + OWN_CALL_PERIOD);
-        let mut own_call_at = self.own_call_at.lock().unwrap_or_else(PoisonError::into_inner);
-        own_call_at[part as usize] = next;
+    fn own_calls(&self) -> MutexGuard<'_, [OwnCalls; 2]> {
+        self.own_calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Asks the entries that watch, one after the other; none if no one answers.
