--- a/testing/src/process.rs
+++ b/testing/src/process.rs
@@ -13,11 +13,12 @@
 /// A hung child fails the test after this time instead of hanging the suite.
 const CHILD_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// A running binary of the workspace whose standard output is read line by line.
+/// A running binary of the workspace whose standard output can be read line by line.
 #[derive(Debug)]
 pub struct ChildProcess {
     child: Child,
-    lines: Lines<BufReader<ChildStdout>>,
+    /// Standard output, unless it goes elsewhere.
+    lines: Option<Lines<BufReader<ChildStdout>>>,
 }
 
 impl ChildProcess {
@@ -29,17 +30,45 @@
     pub fn start<A: AsRef<std::ffi::OsStr>>(
         program: impl AsRef<Path>,
         arguments: impl IntoIterator<Item = A>,
+    ) -> Self {
+        Self::start_with_output(program, arguments, Stdio::piped(), Stdio::null())
+    }
+
+    /// The same with other places for standard output and standard error.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the program cannot be started.
+    pub fn start_with_output<A: AsRef<std::ffi::OsStr>>(
+        program: impl AsRef<Path>,
+        arguments: impl IntoIterator<Item = A>,
+        output: Stdio,
+        errors: Stdio,
     ) -> Self {
         let mut child = Command::new(program.as_ref())
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stdout(output)
+            .stderr(errors)
             .kill_on_drop(true)
             .spawn()
             .expect("the binary is built by cargo before its tests");
-        let output = child.stdout.take().expect("standard output is piped");
-        Self { child, lines: BufReader::new(output).lines() }
+        let lines = child.stdout.take().map(|output| BufReader::new(output).lines());
+        Self { child, lines }
+    }
+
+    /// Takes the lines of standard output that are not read yet, unless they go elsewhere.
+    pub fn take_lines(&mut self) -> Option<Lines<BufReader<ChildStdout>>> {
+        self.lines.take()
+    }
+
+    /// Gives how the child ended; none while it runs.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the child cannot be waited for.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("the child can be waited for")
     }
 
     /// Reads lines until one starts with `prefix` and returns the rest of it.
@@ -49,7 +78,8 @@
     /// Panics when the child ends or a minute passes without such a line.
     pub async fn wait_for_line(&mut self, prefix: &str) -> String {
         let search = async {
-            while let Some(line) = self.lines.next_line().await.expect("output is UTF-8") {
+            let lines = self.lines.as_mut().expect("standard output is piped");
+            while let Some(line) = lines.next_line().await.expect("output is UTF-8") {
                 if let Some(rest) = line.strip_prefix(prefix) {
                     return rest.trim().to_owned();
                 }
