Let requests wait a moment for the first configuration

The first fleet was also published before its targets were listed. Change: a request waits up to 350 ms for the first fleet (a slow store takes 300 ms), its time counted from its arrival; nothing is published before both parts are listed. Test: early_requests_wait fails first.

--- a/core/src/controllers/directory.rs
+++ b/core/src/controllers/directory.rs
@@ -258,10 +258,13 @@
         // A list holds all that changed up to its revision, removals included.
         let covered = if listed { revision } else { follower.newest_change };
         follower.heard = follower.heard.filter(|(heard, _)| *heard > covered);
-        if changed {
+        // Routes without the targets, or the other way, would refuse what can be served
+        // a moment later.
+        let complete = self.parts.iter().all(|part| part.revision.is_some());
+        if complete && (changed || !self.ready) {
             effects.extend(self.publish(now));
         }
-        effects.extend(self.readiness());
+        effects.extend(self.readiness(complete));
         effects
     }
 
@@ -425,8 +428,7 @@
         effects
     }
 
-    fn readiness(&mut self) -> Option<DirectoryEffect> {
-        let complete = self.parts.iter().all(|part| part.revision.is_some());
+    fn readiness(&mut self, complete: bool) -> Option<DirectoryEffect> {
         if self.ready || !complete || self.configuration.is_none() {
             return None;
         }
--- a/src/filters/classify.rs
+++ b/src/filters/classify.rs
@@ -42,7 +42,9 @@
                 format!("{method} {path} belongs to no kind of {}", service.intent.service);
             return Err(Refusal::not_run(ReasonCode::UnknownKind, detail));
         };
-        let now = self.state.clock.now();
+        // The caller's time runs from the arrival, also while the entry was not ready.
+        let arrived = exchange.facts.arrived;
+        let now = if arrived.0 == 0 { self.state.clock.now() } else { arrived };
         let limit = kind.deadline();
         let given = caller_limit(&exchange.head.headers, self.state.dialect.deadline())?;
         let limit = given.map_or(limit, |given| given.min(limit));
--- a/src/filters/identify.rs
+++ b/src/filters/identify.rs
@@ -26,6 +26,10 @@
 /// entry that starts learns it within a few calls of milliseconds.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(200);
 
+/// Time for which a request waits for the first configuration. An entry reads it in
+/// 25 ms, from a slow platform in 300 ms.
+const FIRST_WAIT: Duration = Duration::from_millis(350);
+
 /// Looks up the service by the first segment of the path, and the caller by its
 /// header.
 pub struct IdentifyFilter {
@@ -38,6 +42,20 @@
         Self { state }
     }
 
+    /// Waits for a moment until the configuration is known. An entry that starts may
+    /// have callers before it.
+    async fn wait_for_configuration(&self, exchange: &mut Exchange) {
+        let end = tokio::time::Instant::now() + FIRST_WAIT;
+        while !knows_configuration(exchange) {
+            let mut news = std::pin::pin!(self.state.fleet_news.notified());
+            news.as_mut().enable();
+            exchange.fleet = self.state.fleet.load_full();
+            if knows_configuration(exchange) || tokio::time::timeout_at(end, news).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Finds the caller's key; callers without a usable name share the null key.
     fn caller(&self, headers: &HeaderMap) -> CallerKey {
         let name = headers.get(CALLER_HEADER).and_then(|value| value.to_str().ok());
@@ -61,6 +79,7 @@
         next: FilterNext<'a>,
     ) -> BoxFuture<'a, FilterResult> {
         Box::pin(async move {
+            self.wait_for_configuration(exchange).await;
             identify_service(exchange)?;
             exchange.facts.caller = self.caller(&exchange.head.headers);
             next.run(exchange).await
@@ -68,6 +87,11 @@
     }
 }
 
+/// Tells whether there is a configuration, or none is needed.
+fn knows_configuration(exchange: &Exchange) -> bool {
+    exchange.fleet.routes.as_ref().is_none_or(|book| book.is_known())
+}
+
 /// Finds the service by host and path where there are routes, else by the first
 /// segment of the path.
 fn identify_service(exchange: &mut Exchange) -> Result<(), Refusal> {
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,6 +32,8 @@
 pub struct SharedState {
     /// Services and targets.
     pub fleet: ArcSwap<FleetSnapshot>,
+    /// Notified when a fleet is published, which those who wait for a first one need.
+    pub fleet_news: Notify,
     /// Clock of this entry.
     pub clock: Arc<dyn ClockSource>,
     /// Headers that callers and targets use.
@@ -68,6 +70,7 @@
     pub fn new(clock: Arc<dyn ClockSource>, entry_name: &str, data_centre: &str) -> Self {
         Self {
             fleet: ArcSwap::default(),
+            fleet_news: Notify::new(),
             clock,
             dialect: Arc::new(OwnDialect),
             entry_name: entry_name.into(),
--- a/src/targets.rs
+++ b/src/targets.rs
@@ -61,6 +61,7 @@
         for effect in self.controller.handle(message, self.state.clock.now()) {
             let TargetsEffect::Publish(fleet) = effect;
             self.state.fleet.store(fleet);
+            self.state.fleet_news.notify_waiters();
         }
     }
 
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -31,13 +31,19 @@
 struct FakeDirectory {
     listed: Mutex<[Option<DirectoryBatch>; 2]>,
     later: Mutex<VecDeque<(DirectoryPart, DirectoryBatch)>>,
+    /// Time that the list of each part takes.
+    list_times: [Duration; 2],
 }
 
 impl DirectorySource for FakeDirectory {
     fn list(&self, part: DirectoryPart) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
         let listed = self.listed.lock().unwrap()[part as usize].clone();
         let cause = "it is away".to_owned();
-        Box::pin(async move { listed.ok_or(StoreError::NoAnswer { cause }) })
+        let list_time = self.list_times[part as usize];
+        Box::pin(async move {
+            tokio::time::sleep(list_time).await;
+            listed.ok_or(StoreError::NoAnswer { cause })
+        })
     }
 
     fn watch(
@@ -144,6 +150,18 @@
         assert_eq!(get(entry.admin_address(), "/readyz").await.unwrap().status(), 503);
     }
 
+    async early_requests_wait: "callers refused by an entry that would serve them a few milliseconds later" => {
+        let target = FakeTarget::start(|stream, _| echo_heads(stream)).await;
+        for list_times in [[20, 60], [60, 20]] {
+            let listed = Mutex::new([Some(targets(&target)), Some(configuration())]);
+            let list_times = list_times.map(Duration::from_millis);
+            let directory = FakeDirectory { listed, list_times, ..FakeDirectory::default() };
+            let entry = start(Arc::new(directory), "").await;
+            let answer = ask(&entry, "/h/1").await;
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        }
+    }
+
     async directory_is_served: "a request that does not find its way by host, path and instance" => {
         let target = FakeTarget::start(|stream, _| echo_heads(stream)).await;
         let directory = Arc::new(FakeDirectory::default());
