Learn how much time a request needs once it is admitted

Change: the time that has to be left when a request starts is learnt as the time within which four in five are answered (RunSpread), between 1.15 and 2.2 times the usual time.

--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -4,8 +4,10 @@
 //! requests of a service may be in flight from this entry.
 
 mod queue;
+mod run_spread;
 pub mod window;
 
 pub use queue::{
     AdmissionLimits, AdmissionQueue, EarlyRefusal, JoinedCall, QueueDeparture, ServiceRate, WaitKey,
 };
+pub use run_spread::RunSpread;
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -11,7 +11,7 @@
     ServiceRoom, SharedRoom, concurrency_window, shared_room,
 };
 use zinniaport_core::admission::{
-    AdmissionLimits, AdmissionQueue, EarlyRefusal, QueueDeparture, ServiceRate, WaitKey,
+    AdmissionLimits, AdmissionQueue, EarlyRefusal, QueueDeparture, RunSpread, ServiceRate, WaitKey,
 };
 use zinniaport_core::call::{CallFacts, ReasonCode};
 use zinniaport_core::clock::{ClockSource, Timestamp};
@@ -39,10 +39,6 @@
 /// overloaded: a third of the time of a request passes until they have begun.
 const OVERLOAD_SHARE: f32 = 0.34;
 
-/// Factor on the usual time of work within which most requests are answered: times
-/// spread by a third.
-const SURE_FACTOR: f32 = 1.3;
-
 /// Least share of `Retry-After` by which callers that were refused together are
 /// spread, so that they do not return together.
 const RETURN_SPREAD: f64 = 0.5;
@@ -66,6 +62,7 @@
     window_at: AtomicU64,
     waiting: AtomicU32,
     service_time_us: AtomicU64,
+    run_spread: RunSpread,
     queue: Mutex<GateQueue>,
     /// The targets as of the last look.
     table: ArcSwap<RouteTable>,
@@ -87,6 +84,7 @@
             window_at: AtomicU64::new(0),
             waiting: AtomicU32::new(0),
             service_time_us: AtomicU64::new(FIRST_SERVICE_TIME_US),
+            run_spread: RunSpread::default(),
             queue: Mutex::new(AdmissionQueue::new(limits)),
             table: ArcSwap::default(),
         }
@@ -165,9 +163,9 @@
         self.counters.slot_use.usual_time().unwrap_or_else(|| self.service_time())
     }
 
-    /// Gives the time within which most requests are answered at such a target.
+    /// Gives the time within which most requests are answered at the present load.
     fn sure_time(&self) -> Duration {
-        self.usual_time().mul_f32(SURE_FACTOR)
+        self.run_spread.sure_time(self.usual_time())
     }
 
     fn service_time(&self) -> Duration {
@@ -417,7 +415,9 @@
 impl Drop for SlotGuard {
     fn drop(&mut self) {
         let Some(taken) = self.taken else { return };
-        let sample = self.gate.clock.now().since(taken).as_micros() as u64;
+        let sample = self.gate.clock.now().since(taken);
+        self.gate.run_spread.record(sample, self.gate.usual_time());
+        let sample = sample.as_micros() as u64;
         let average = self.gate.service_time_us.load(Ordering::Relaxed);
         self.gate.service_time_us.store((average * 15 + sample).div_ceil(16), Ordering::Relaxed);
         self.gate.counters.in_flight.fetch_sub(1, Ordering::SeqCst);
