Log requests whose callers left before an answer

Records had it, logs did not. Change: a line with reason caller-left, its dispatches and how long it waited. Test: logs_callers_that_leave (real process) fails first.

--- a/src/filters/record.rs
+++ b/src/filters/record.rs
@@ -35,8 +35,13 @@
         self.state.decisions.write(record);
         self.state.metrics.end(&record, &exchange.fleet);
         // Refusals have a line of their own, with what led to them.
-        if end.outcome == CallOutcome::Ran && self.lines.take(end.answered) {
-            log_answer(&record, exchange);
+        let left = end.reason == ReasonCode::CallerLeft;
+        if (left || end.outcome == CallOutcome::Ran) && self.lines.take(end.answered) {
+            if left {
+                log_departure(&record, exchange);
+            } else {
+                log_answer(&record, exchange);
+            }
         }
     }
 
@@ -109,6 +114,21 @@
     );
 }
 
+/// Writes a line about a request whose caller left before it was answered.
+fn log_departure(record: &DecisionRecord, exchange: &Exchange) {
+    let (facts, end) = (&record.facts, &record.end);
+    log::info!(
+        request_id = exchange.request_id.as_str(),
+        config_version = facts.config_version,
+        reason = <&str>::from(end.reason),
+        outcome = <&str>::from(end.outcome),
+        dispatches = dispatch_words(exchange).as_str(),
+        snapshot_age_ms = end.answered.since(exchange.fleet.published).as_millis() as u64,
+        waited_us = end.answered.since(facts.arrived).as_micros() as u64;
+        "the caller left before an answer"
+    );
+}
+
 /// Lists the dispatches of a request: target, rule, microseconds after its arrival
 /// and age of the load report in microseconds.
 fn dispatch_words(exchange: &Exchange) -> String {
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -157,6 +157,37 @@
         entry.kill().await.unwrap();
     }
 
+    async logs_callers_that_leave: "a request without a log line because its caller gave up" => {
+        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let settings = Path::new(env!("CARGO_TARGET_TMPDIR")).join("left.yaml");
+        let text = format!(
+            "name: entry-9\ndata_centre: a\nlisten: 127.0.0.1:0\nadmin_listen: 127.0.0.1:0\n\
+             log: {{ level: info, output: stdout }}\nservices:\n- service: s\n  team: t\n  kinds:\n\
+             \x20 - {{ name: k, rank: 0, idempotent: true, deadline_ms: 20000 }}\n  targets:\n\
+             \x20 - {{ address: \"{}\", data_centre: a, slots: 9 }}\n",
+            silent.local_addr().unwrap()
+        );
+        std::fs::write(&settings, text).unwrap();
+        let arguments = ["--settings".as_ref(), settings.as_os_str()];
+        let mut entry = ChildProcess::start(env!("CARGO_BIN_EXE_zinniaport-entry"), arguments);
+        let callers: SocketAddr = entry.wait_for_line("callers:").await.parse().unwrap();
+        let mut caller = TcpStream::connect(callers).await.unwrap();
+        let head = "GET /s/1 HTTP/1.1\r\nhost: s\r\nx-request-id: left-early\r\n\r\n";
+        caller.write_all(head.as_bytes()).await.unwrap();
+        let (_dispatched, _) = silent.accept().await.unwrap();
+        drop(caller);
+        let line = loop {
+            let line = entry.wait_for_line("{").await;
+            if line.contains("left-early") {
+                break line;
+            }
+        };
+        let line: Value = serde_json::from_str(&format!("{{{line}")).unwrap();
+        assert_eq!(line["kvs"]["reason"], "caller-left", "{line}");
+        assert_eq!(line["kvs"]["outcome"], "unknown", "{line}");
+        assert!(line["kvs"]["dispatches"].as_str().unwrap().contains("127.0.0.1"), "{line}");
+    }
+
     async full_log_pipe_stops_nothing: "requests that hang because nobody reads the log" => {
         let settings = Path::new(env!("CARGO_TARGET_TMPDIR")).join("full-pipe.yaml");
         let text = "name: entry-8\ndata_centre: a\nlisten: 127.0.0.1:0\nadmin_listen: 127.0.0.1:0\nlog: { level: info, output: stdout }\n";
