--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -202,8 +202,6 @@
 pub struct ServiceCounters {
     /// Requests of this entry in flight.
     pub in_flight: AtomicU32,
-    /// Requests of this entry that wait for a slot.
-    pub waiting: AtomicU32,
     /// Probes since a target of the service last reported its load.
     pub unreported_probes: AtomicU32,
     /// Next position for round robin.
--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -6,8 +6,6 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
-use http::{Request, StatusCode};
-use http_body_util::Full;
 use tokio::time::Instant;
 use zinniaport_core::directory::{DirectoryBatch, DirectoryPart};
 use zinniaport_core::policy::hash_bytes;
@@ -181,16 +179,8 @@
 }
 
 async fn ask(api: &ApiCaller, query: RelayQuery) -> Result<DirectoryBatch, StoreError> {
-    let request = Request::get(query.to_uri()).body(Full::default());
-    let request = request.map_err(|error| refused(error.to_string()))?;
-    let response = api.call(request, query.hold + RELAY_LIMIT).await?;
-    match response.status() {
-        StatusCode::OK => {
-            decode_batch(response.body()).map_err(|error| no_answer(error.to_string()))
-        }
-        StatusCode::GONE => Err(StoreError::TooOld),
-        status => Err(refused(format!("status {status}"))),
-    }
+    let response = api.read(query.to_uri(), query.hold + RELAY_LIMIT).await?;
+    decode_batch(response.body()).map_err(|error| no_answer(error.to_string()))
 }
 
 impl DirectorySource for RelayedDirectory {
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -268,7 +268,6 @@
 
     fn note_waiting(&self, waiting: usize) {
         self.waiting.store(waiting as u32, Ordering::SeqCst);
-        self.counters.waiting.store(waiting as u32, Ordering::Relaxed);
     }
 
     fn take_slot(&self) -> bool {
--- a/src/store/connection.rs
+++ b/src/store/connection.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -80,6 +80,27 @@
         answer
     }
 
+    /// Reads `target` and gives the answer if it has status 200.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when there is no whole answer in time, when what was asked for
+    /// is no longer kept (410), or on any other status.
+    pub async fn read(
+        &self,
+        target: String,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, StoreError> {
+        let request = Request::get(target).body(Full::default());
+        let request = request.map_err(|error| refused(error.to_string()))?;
+        let response = self.call(request, limit).await?;
+        match response.status() {
+            StatusCode::OK => Ok(response),
+            StatusCode::GONE => Err(StoreError::TooOld),
+            status => Err(refused(format!("status {status}"))),
+        }
+    }
+
     async fn exchange(
         &self,
         mut request: Request<Full<Bytes>>,
