--- a/core/tests/propagation.rs
+++ b/core/tests/propagation.rs
@@ -364,6 +364,17 @@
         entries.map(|entry| (entry.incarnation, entry.held.clone(), entry.ready)).collect()
     }
 
+    /// Runs steps, each with its check, and lets the world heal.
+    fn play(&mut self, steps: &[Step]) -> Result<(), TestCaseError> {
+        for step in steps {
+            let before = self.state();
+            self.run(step);
+            self.check(&before)?;
+        }
+        self.heal();
+        Ok(())
+    }
+
     /// Lets 14 s pass without faults, with one exchange per entry and second.
     fn heal(&mut self) {
         self.messages.clear();
@@ -388,12 +399,7 @@
         check_property(600, &(any::<bool>(), proptest::collection::vec(step(), 1..120)), |(stale, steps)| {
             let mut world = World::new();
             world.stale = stale;
-            for step in &steps {
-                let before = world.state();
-                world.run(step);
-                world.check(&before)?;
-            }
-            world.heal();
+            world.play(&steps)?;
             let newest = world.store_at(world.now);
             for entry in &world.entries {
                 prop_assert_eq!(&entry.held, &newest, "all entries hold the newest intents");
@@ -407,12 +413,7 @@
         check_property(600, &proptest::collection::vec(step(), 1..120), |steps| {
             let mut world = World::new();
             world.restores = true;
-            for step in &steps {
-                let before = world.state();
-                world.run(step);
-                world.check(&before)?;
-            }
-            world.heal();
+            world.play(&steps)?;
             let newest = world.store_at(world.now);
             for entry in &world.entries {
                 prop_assert_eq!(&entry.held, &world.entries[0].held, "all hold the same");
