Rebuild tables of targets only when the view of the members changed

A view that repeats what is known rebuilt the tables of the controller without publishing them; the request path went on with the old ones, whose median of latencies was never computed again. Where it was still unknown, the time of work counted as 100 ms, more than the 95 ms that a status check has, and each waited for a target that would answer in time. Traced by the logs of all entries and a trial that logged the room at the coordinator. Change: a view that changes nothing changes no table. Test: published_tables_learn fails first (0 instead of 40,000 us). Ruled out: leaked placements, silent probes, the queue (no status check joined it).

--- a/core/src/controllers/targets.rs
+++ b/core/src/controllers/targets.rs
@@ -120,8 +120,11 @@
                 changed = true;
             }
             TargetsMessage::View(view) => {
+                // New tables must be published: the request path reads only those.
                 changed = self.fleet.view != view;
-                self.fleet.set_view(view);
+                if changed {
+                    self.fleet.set_view(view);
+                }
             }
             TargetsMessage::Drained(target) => self.set_drained(target, true, now),
             TargetsMessage::Returned(target) => self.set_drained(target, false, now),
--- a/core/tests/targets.rs
+++ b/core/tests/targets.rs
@@ -100,6 +100,19 @@
 }
 
 test_cases! {
+    published_tables_learn: "requests that are placed by a time of work from before the last view of the members" => {
+        let mut driver = Driver::new(4, 50.0);
+        driver.send(TargetsMessage::View(view(0, 3)));
+        driver.send(TargetsMessage::View(view(0, 3)));
+        let service = driver.published.find(SERVICE).unwrap().1;
+        for key in &service.targets {
+            driver.published.targets[*key].counters.record_latency(Duration::from_millis(40));
+        }
+        driver.pass(Duration::from_millis(100));
+        let table = &driver.published.find(SERVICE).unwrap().1.table;
+        assert_eq!(table.median_latency_us.load(Ordering::Relaxed), 40_000);
+    }
+
     ejection_keeps_a_floor: "a service that loses its last target, or too large a share, to ejection" => {
         check_property(512, &(1_usize..9, prop_oneof![Just(34.0), Just(100.0)], events()), |(count, percent, events)| {
             let mut driver = Driver::new(count, percent);
