--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -4,6 +4,7 @@
 //! requests of a service may be in flight from this entry.
 
 mod queue;
+mod rank;
 mod run_spread;
 pub mod window;
 
--- a/core/src/admission/queue.rs
+++ b/core/src/admission/queue.rs
@@ -1,10 +1,11 @@
 //! Bounded queue of the requests that wait for a slot of one service.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use slotmap::SlotMap;
 
+use super::rank::{RankQueue, WaitingCall};
 use crate::call::{CallFacts, ReasonCode};
 use crate::clock::Timestamp;
 use crate::decision::AdmissionTrace;
@@ -82,90 +83,6 @@
     Expired(W),
 }
 
-#[derive(Debug)]
-struct WaitingCall<W> {
-    waiter: W,
-    rank: u8,
-    caller: CallerKey,
-    useful_until: Timestamp,
-    deadline: Timestamp,
-    order: u64,
-    queued: Timestamp,
-    queue_length: u32,
-    overtaken: u32,
-}
-
-impl<W> WaitingCall<W> {
-    /// Gives its place among those of its caller that can still be useful.
-    fn place(&self) -> (Timestamp, u64) {
-        (self.useful_until, self.order)
-    }
-
-    /// Gives its place among all by deadline.
-    fn deadline_place(&self) -> (Timestamp, u64) {
-        (self.deadline, self.order)
-    }
-}
-
-/// Requests of one rank. Callers take turns; a caller that has been served, or
-/// that is new, goes to the back.
-#[derive(Debug, Default)]
-struct RankQueue {
-    turns: VecDeque<CallerKey>,
-    callers: HashMap<CallerKey, BTreeMap<(Timestamp, u64), WaitKey>>,
-    /// Requests whose answers come too late to have their full worth, by deadline.
-    late: BTreeMap<(Timestamp, u64), WaitKey>,
-    waiting: usize,
-    overtaken: u32,
-}
-
-impl RankQueue {
-    fn add(&mut self, caller: CallerKey, place: (Timestamp, u64), key: WaitKey) {
-        let calls = self.callers.entry(caller).or_default();
-        if calls.is_empty() {
-            self.turns.push_back(caller);
-        }
-        calls.insert(place, key);
-        self.waiting += 1;
-    }
-
-    fn remove(&mut self, caller: CallerKey, place: (Timestamp, u64)) {
-        let Some(calls) = self.callers.get_mut(&caller) else { return };
-        if calls.remove(&place).is_some() {
-            self.waiting -= 1;
-        }
-        if calls.is_empty() {
-            self.callers.remove(&caller);
-            self.turns.retain(|turn| *turn != caller);
-        }
-    }
-
-    /// Moves a request to those that come too late.
-    fn demote<W>(&mut self, key: WaitKey, call: &WaitingCall<W>) {
-        self.remove(call.caller, call.place());
-        self.late.insert(call.deadline_place(), key);
-        self.waiting += 1;
-    }
-
-    /// Gives the request whose turn it is among those that can still be useful.
-    fn next_useful(&self) -> Option<WaitKey> {
-        let calls = self.callers.get(self.turns.front()?)?;
-        calls.first_key_value().map(|(_, key)| *key)
-    }
-
-    fn waiting_of(&self, caller: CallerKey) -> usize {
-        self.callers.get(&caller).map_or(0, BTreeMap::len)
-    }
-
-    /// Counts the requests that go before a new one of `caller`, which waits
-    /// for all earlier turns of its own and as many of each other caller.
-    fn ahead_of(&self, caller: CallerKey) -> usize {
-        let own = self.waiting_of(caller);
-        let others = self.callers.iter().filter(|(other, _)| **other != caller);
-        own + others.map(|(_, calls)| calls.len().min(own + 1)).sum::<usize>()
-    }
-}
-
 /// Requests that wait for a slot of one service, ordered by rank, then by
 /// turns of their callers, then by deadline.
 #[derive(Debug)]
--- /dev/null
+++ b/core/src/controllers/directory/fleet.rs
@@ -0,0 +1,73 @@
+//! The fleet that follows from targets and configuration.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::{DirectoryController, DirectoryEffect};
+use crate::clock::Timestamp;
+use crate::directory::TargetNote;
+use crate::fleet::DirectedFleet;
+use crate::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
+
+/// Requests that wait at one entry for one service.
+const MAX_QUEUE_LENGTH: u32 = 256;
+
+/// Greatest share of the targets of a service that ejection removes, in percent.
+const MAX_EJECTED_PERCENT: f64 = 50.0;
+
+/// Targets that a request may crash before it is quarantined, one less than the
+/// three after which the platform bounds its retries.
+const MAX_CRASHED_TARGETS: u8 = 2;
+
+impl DirectoryController {
+    pub(super) fn publish(&mut self, now: Timestamp) -> Option<DirectoryEffect> {
+        let configuration = self.configuration.as_ref()?;
+        let mut targets: IndexMap<&str, Vec<TargetIntent>> = IndexMap::new();
+        for note in self.targets.values().filter_map(|record| record.note.as_ref()) {
+            targets.entry(&note.service).or_default().push(target_intent(note));
+        }
+        let services = configuration.services.iter().map(|service| {
+            let routes = configuration.routes.iter();
+            let used =
+                routes.filter(|route| route.parts.iter().any(|part| part.service == service.name));
+            ServiceIntent {
+                service: service.name.clone(),
+                team: String::new(),
+                kinds: used.map(|route| route.kind.clone()).collect(),
+                targets: targets.swap_remove(service.name.as_str()).unwrap_or_default(),
+                measuring: MeasuringIntent {
+                    probe_path: Some(service.health_path.clone()).filter(|path| !path.is_empty()),
+                    ..MeasuringIntent::default()
+                },
+                max_queue_length: MAX_QUEUE_LENGTH,
+                retry_percent: self.terms.retry_ratio * 100.0,
+                max_ejected_percent: MAX_EJECTED_PERCENT,
+                max_crashed_targets: MAX_CRASHED_TARGETS,
+            }
+        });
+        let directed = DirectedFleet {
+            version: configuration.version,
+            services: services.collect(),
+            routes: configuration.routes.clone(),
+            limits: configuration.limits,
+        };
+        self.fleet.direct(directed, self.first_draw, now);
+        Some(DirectoryEffect::Publish(Arc::new(self.fleet.clone())))
+    }
+}
+
+fn target_intent(note: &TargetNote) -> TargetIntent {
+    let state = match (note.leaving, note.warm_up_left.is_zero()) {
+        (true, _) => TargetWish::Leaving,
+        (false, true) => TargetWish::Serving,
+        (false, false) => TargetWish::Joining,
+    };
+    TargetIntent {
+        address: note.address,
+        data_centre: note.data_centre.clone(),
+        slots: note.slots,
+        state,
+        instance: Some(note.instance.clone()),
+    }
+}
--- a/core/src/controllers/directory.rs
+++ b/core/src/controllers/directory/mod.rs
@@ -4,6 +4,9 @@
 //! ended; a list replaces it only when the platform no longer keeps the changes
 //! in between. Objects and versions never go back, whatever a stale read returns.
 
+mod fleet;
+mod records;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,19 +16,15 @@
 use serde::Deserialize;
 use strum::IntoEnumIterator;
 
+use records::TargetRecord;
+
 use super::StateController;
 use crate::backoff::BackoffBounds;
 use crate::clock::Timestamp;
 use crate::directory::{
-    ConfigurationNote, DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, TargetNote,
+    ConfigurationNote, DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart,
 };
-use crate::fleet::{DirectedFleet, FleetSnapshot};
-use crate::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
-
-/// Time for which a target that was removed without having announced it stays in
-/// use. Such a removal may be a lapsed registration of a live target, which comes
-/// back; a target that left serves on for the drain time, at least 2 s.
-const REMOVAL_DELAY: Duration = Duration::from_secs(1);
+use crate::fleet::FleetSnapshot;
 
 /// The same after the store was away: live targets register again within about 2 s.
 const RETURN_DELAY: Duration = Duration::from_millis(2_000);
@@ -48,16 +47,6 @@
 /// platform counts.
 const WATCH_PAUSE: Duration = Duration::from_millis(100);
 
-/// Requests that wait at one entry for one service.
-const MAX_QUEUE_LENGTH: u32 = 256;
-
-/// Greatest share of the targets of a service that ejection removes, in percent.
-const MAX_EJECTED_PERCENT: f64 = 50.0;
-
-/// Targets that a request may crash before it is quarantined, one less than the
-/// three after which the platform bounds its retries.
-const MAX_CRASHED_TARGETS: u8 = 2;
-
 /// What the directory controller is told.
 #[derive(Clone, Debug)]
 pub enum DirectoryMessage {
@@ -126,16 +115,6 @@
     lost_since: Option<Timestamp>,
 }
 
-/// A registered target.
-#[derive(Debug)]
-struct TargetRecord {
-    revision: u64,
-    /// None for an object that names no target to use.
-    note: Option<TargetNote>,
-    /// When it is dropped, after its removal.
-    drop_at: Option<Timestamp>,
-}
-
 /// How a directory is used, as the operator of the entries sets it.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -169,9 +148,6 @@
     ready: bool,
 }
 
-/// Removals that are remembered; the oldest makes room.
-const MAX_REMOVED: usize = 4096;
-
 impl DirectoryController {
     /// Creates a controller. `seed` drives the jitter of its retries and where
     /// split routes start.
@@ -293,87 +269,6 @@
         }
     }
 
-    fn take_target(
-        &mut self,
-        name: String,
-        revision: u64,
-        note: Option<TargetNote>,
-        effects: &mut Vec<DirectoryEffect>,
-    ) -> bool {
-        let known = self.targets.get(&name).map(|record| record.revision);
-        let removed = self.removed.get(&name).copied();
-        if known.max(removed).is_some_and(|held| held >= revision) {
-            return false;
-        }
-        let state = match &note {
-            None => "unusable",
-            Some(note) if note.leaving => "leaving",
-            Some(_) => "registered",
-        };
-        effects.push(changed(&name, revision, state));
-        self.removed.shift_remove(&name);
-        self.targets.insert(name, TargetRecord { revision, note, drop_at: None });
-        true
-    }
-
-    /// Removes a target that announced it or names nothing to use; any other one
-    /// is kept for a while.
-    fn take_removal(
-        &mut self,
-        name: &str,
-        revision: u64,
-        now: Timestamp,
-        effects: &mut Vec<DirectoryEffect>,
-    ) -> bool {
-        let Some(record) = self.targets.get_mut(name) else {
-            self.forget(name, revision);
-            return false;
-        };
-        if record.revision > revision {
-            return false;
-        }
-        let announced = record.note.as_ref().is_none_or(|note| note.leaving);
-        if !announced {
-            let due = (now + REMOVAL_DELAY).max(self.returned_until);
-            record.revision = revision;
-            record.drop_at.get_or_insert(due);
-            effects.push(changed(name, revision, "removed-unannounced"));
-            return false;
-        }
-        effects.push(changed(name, revision, "removed"));
-        self.forget(name, revision);
-        true
-    }
-
-    fn forget(&mut self, name: &str, revision: u64) {
-        self.targets.shift_remove(name);
-        let known = self.removed.entry(name.to_owned()).or_default();
-        *known = revision.max(*known);
-        if self.removed.len() > MAX_REMOVED {
-            self.removed.shift_remove_index(0);
-        }
-    }
-
-    /// Treats what a list does not hold any more as removed.
-    fn drop_unlisted(
-        &mut self,
-        batch: &DirectoryBatch,
-        now: Timestamp,
-        effects: &mut Vec<DirectoryEffect>,
-    ) -> bool {
-        let listed: std::collections::HashSet<&str> =
-            batch.changes.iter().map(|change| change.name.as_str()).collect();
-        let unlisted = self.targets.iter().filter(|(name, record)| {
-            !listed.contains(name.as_str()) && record.revision <= batch.revision
-        });
-        let unlisted: Vec<String> = unlisted.map(|(name, _)| name.clone()).collect();
-        let mut changed = false;
-        for name in unlisted {
-            changed |= self.take_removal(&name, batch.revision, now, effects);
-        }
-        changed
-    }
-
     /// Asks for changes that other entries have known for a while.
     fn catch_up(&mut self, now: Timestamp) -> Vec<DirectoryEffect> {
         let mut effects = Vec::new();
@@ -411,23 +306,6 @@
         effects
     }
 
-    fn drop_due(&mut self, now: Timestamp) -> Vec<DirectoryEffect> {
-        let due =
-            self.targets.iter().filter(|(_, record)| record.drop_at.is_some_and(|at| at <= now));
-        let due: Vec<(String, u64)> =
-            due.map(|(name, record)| (name.clone(), record.revision)).collect();
-        if due.is_empty() {
-            return Vec::new();
-        }
-        let mut effects = Vec::new();
-        for (name, revision) in due {
-            effects.push(changed(&name, revision, "dropped"));
-            self.forget(&name, revision);
-        }
-        effects.extend(self.publish(now));
-        effects
-    }
-
     fn readiness(&mut self, complete: bool) -> Option<DirectoryEffect> {
         if self.ready || !complete || self.configuration.is_none() {
             return None;
@@ -435,60 +313,6 @@
         self.ready = true;
         Some(DirectoryEffect::Ready)
     }
-
-    fn publish(&mut self, now: Timestamp) -> Option<DirectoryEffect> {
-        let configuration = self.configuration.as_ref()?;
-        let mut targets: IndexMap<&str, Vec<TargetIntent>> = IndexMap::new();
-        for note in self.targets.values().filter_map(|record| record.note.as_ref()) {
-            targets.entry(&note.service).or_default().push(target_intent(note));
-        }
-        let services = configuration.services.iter().map(|service| {
-            let routes = configuration.routes.iter();
-            let used =
-                routes.filter(|route| route.parts.iter().any(|part| part.service == service.name));
-            ServiceIntent {
-                service: service.name.clone(),
-                team: String::new(),
-                kinds: used.map(|route| route.kind.clone()).collect(),
-                targets: targets.swap_remove(service.name.as_str()).unwrap_or_default(),
-                measuring: MeasuringIntent {
-                    probe_path: Some(service.health_path.clone()).filter(|path| !path.is_empty()),
-                    ..MeasuringIntent::default()
-                },
-                max_queue_length: MAX_QUEUE_LENGTH,
-                retry_percent: self.terms.retry_ratio * 100.0,
-                max_ejected_percent: MAX_EJECTED_PERCENT,
-                max_crashed_targets: MAX_CRASHED_TARGETS,
-            }
-        });
-        let directed = DirectedFleet {
-            version: configuration.version,
-            services: services.collect(),
-            routes: configuration.routes.clone(),
-            limits: configuration.limits,
-        };
-        self.fleet.direct(directed, self.first_draw, now);
-        Some(DirectoryEffect::Publish(Arc::new(self.fleet.clone())))
-    }
-}
-
-fn changed(id: &str, revision: u64, state: &'static str) -> DirectoryEffect {
-    DirectoryEffect::TargetChanged(TargetChange { id: id.to_owned(), revision, state })
-}
-
-fn target_intent(note: &TargetNote) -> TargetIntent {
-    let state = match (note.leaving, note.warm_up_left.is_zero()) {
-        (true, _) => TargetWish::Leaving,
-        (false, true) => TargetWish::Serving,
-        (false, false) => TargetWish::Joining,
-    };
-    TargetIntent {
-        address: note.address,
-        data_centre: note.data_centre.clone(),
-        slots: note.slots,
-        state,
-        instance: Some(note.instance.clone()),
-    }
 }
 
 impl StateController for DirectoryController {
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -1,6 +1,5 @@
 //! The admission queue of one service, shared by all requests for it.
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -17,7 +16,6 @@
 use zinniaport_core::clock::{ClockSource, Timestamp};
 use zinniaport_core::decision::AdmissionTrace;
 use zinniaport_core::fleet::{FleetSnapshot, ServiceCounters, ServiceEntry};
-use zinniaport_core::keys::ServiceKey;
 use zinniaport_core::policy::RouteTable;
 
 /// Requests of better ranks that go ahead of a rank before it goes next. At 8, a
@@ -325,43 +323,6 @@
     }
 }
 
-/// The gates of all services.
-pub struct AdmissionGates {
-    clock: Arc<dyn ClockSource>,
-    admissions: Arc<AtomicU64>,
-    gates: ArcSwap<HashMap<ServiceKey, Arc<AdmissionGate>>>,
-}
-
-impl AdmissionGates {
-    /// Creates gates on demand.
-    pub fn new(clock: Arc<dyn ClockSource>) -> Self {
-        Self { clock, admissions: Arc::default(), gates: ArcSwap::default() }
-    }
-
-    /// Finds the gate of a service; the first request for a service adds it.
-    pub fn of(&self, key: ServiceKey, service: &ServiceEntry) -> Arc<AdmissionGate> {
-        if let Some(gate) = self.gates.load().get(&key) {
-            return gate.clone();
-        }
-        let (clock, counters) = (self.clock.clone(), service.counters.clone());
-        let created = Arc::new(AdmissionGate::new(clock, counters, self.admissions.clone()));
-        self.gates.rcu(|gates| {
-            let mut gates = HashMap::clone(gates);
-            gates.entry(key).or_insert_with(|| created.clone());
-            gates
-        });
-        self.gates.load().get(&key).cloned().unwrap_or(created)
-    }
-
-    /// Looks again for room for all requests that wait, and refuses those that cannot
-    /// be served any more.
-    pub fn refresh(&self) {
-        for gate in self.gates.load().values() {
-            gate.refresh();
-        }
-    }
-}
-
 /// Draws a delay of at least `delay`, so that callers return one by one.
 fn spread(delay: Duration) -> Duration {
     delay.mul_f64(1.0 + rand::random_range(0.0..RETURN_SPREAD))
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -2,9 +2,11 @@
 //! behind a short mutex that no controller holds.
 
 mod admission;
+mod gates;
 mod quarantine;
 
-pub use admission::{AdmissionGate, AdmissionGates, GateRefusal, SlotGuard};
+pub use admission::{AdmissionGate, GateRefusal, SlotGuard};
+pub use gates::AdmissionGates;
 pub use quarantine::{PermitHandle, QuarantineGate, RunPermit, SuspectCall};
 
 /// Body of a request that was read as a whole before dispatch, so that it can
