--- a/tests/admission_gate.rs
+++ b/tests/admission_gate.rs
@@ -1,35 +1,24 @@
 //! Slots and places of the admission gate under concurrent requests.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use support::service_intent;
 use zinniaport::gate::AdmissionGate;
 use zinniaport_core::call::CallFacts;
 use zinniaport_core::clock::{ClockSource, SystemClock, Timestamp};
 use zinniaport_core::fleet::{FleetSnapshot, ServiceEntry};
-use zinniaport_core::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
+use zinniaport_core::intent::ServiceIntent;
 use zinniaport_testing::test_cases;
 
 fn fleet(slots: u32) -> FleetSnapshot {
-    let intent = ServiceIntent {
-        service: "pump-history".to_owned(),
-        team: "co-operative".to_owned(),
-        kinds: Vec::new(),
-        targets: vec![TargetIntent {
-            address: SocketAddr::from(([127, 0, 0, 1], 9)),
-            data_centre: "valle-a".to_owned(),
-            slots,
-            state: TargetWish::Serving,
-            instance: None,
-        }],
-        measuring: MeasuringIntent::default(),
-        max_queue_length: 1_000,
-        retry_percent: 10.0,
-        max_ejected_percent: 34.0,
-        max_crashed_targets: 2,
-    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    let mut intent = ServiceIntent { max_queue_length: 1_000, ..service_intent([address]) };
+    intent.targets[0].slots = slots;
     let mut fleet = FleetSnapshot::default();
     fleet.apply(intent, 1, Timestamp(1));
     fleet
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -1,5 +1,7 @@
 //! Placement by a coordinator, over scripted targets and between two entries.
 
+mod support;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,6 +10,7 @@
 
 use futures::future::BoxFuture;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
+use support::service_intent;
 use tokio_util::sync::CancellationToken;
 use zinniaport::dialect::{
     AnswerVerdict, CallDialect, DEADLINE_HEADER, OwnDialect, REQUEST_ID_HEADER,
@@ -26,9 +29,7 @@
 use zinniaport_core::clock::SystemClock;
 use zinniaport_core::controllers::TargetsMessage;
 use zinniaport_core::fleet::{FleetSnapshot, LoadReport};
-use zinniaport_core::intent::{
-    MeasuringIntent, ServiceIntent, TargetInstance, TargetIntent, TargetWish,
-};
+use zinniaport_core::intent::{MeasuringIntent, ServiceIntent, TargetInstance};
 use zinniaport_core::keys::ServiceKey;
 use zinniaport_core::placement::AttemptKind;
 use zinniaport_core::policy::ShortestWait;
@@ -100,26 +101,11 @@
 
 /// A service with targets of three slots, one for each number.
 fn intent(targets: impl Iterator<Item = u8>) -> ServiceIntent {
-    let target = |number| TargetIntent {
-        address: address(number),
-        data_centre: "valle-a".to_owned(),
-        slots: 3,
-        state: TargetWish::Serving,
-        instance: None,
-    };
+    let probe_path = Some("/health".to_owned());
     ServiceIntent {
-        service: "pump-history".to_owned(),
-        team: "co-operative".to_owned(),
-        kinds: Vec::new(),
-        targets: targets.map(target).collect(),
-        measuring: MeasuringIntent {
-            probe_path: Some("/health".to_owned()),
-            ..MeasuringIntent::default()
-        },
-        max_queue_length: 100,
+        measuring: MeasuringIntent { probe_path, ..MeasuringIntent::default() },
         retry_percent: 20.0,
-        max_ejected_percent: 34.0,
-        max_crashed_targets: 2,
+        ..service_intent(targets.map(address))
     }
 }
 
--- a/tests/route_filter.rs
+++ b/tests/route_filter.rs
@@ -1,5 +1,7 @@
 //! Retries and hedges of the route filter over a scripted transport.
 
+mod support;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -7,6 +9,7 @@
 use futures::future::BoxFuture;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
+use support::service_intent;
 use tokio_util::sync::CancellationToken;
 use zinniaport::dialect::DRAIN_HEADER;
 use zinniaport::exchange::{CallBody, Exchange, empty_body, full_body};
@@ -20,7 +23,7 @@
 use zinniaport_core::clock::SystemClock;
 use zinniaport_core::controllers::TargetsMessage;
 use zinniaport_core::fleet::FleetSnapshot;
-use zinniaport_core::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
+use zinniaport_core::intent::ServiceIntent;
 use zinniaport_core::keys::TargetKey;
 use zinniaport_core::policy::TwoChoices;
 use zinniaport_core::retry::MAX_SAVED_RETRIES;
@@ -78,23 +81,11 @@
 }
 
 fn intent() -> ServiceIntent {
-    let target = |port| TargetIntent {
-        address: SocketAddr::from(([127, 0, 0, 1], port)),
-        data_centre: "valle-a".to_owned(),
-        slots: 3,
-        state: TargetWish::Serving,
-        instance: None,
-    };
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
     ServiceIntent {
-        service: "pump-history".to_owned(),
-        team: "co-operative".to_owned(),
-        kinds: Vec::new(),
-        targets: (1..=5).map(target).collect(),
-        measuring: MeasuringIntent::default(),
         max_queue_length: 10,
         retry_percent: 100.0,
-        max_ejected_percent: 34.0,
-        max_crashed_targets: 2,
+        ..service_intent((1..=5).map(address))
     }
 }
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinHandle;
 use zinniaport::runtime::EntryRuntime;
 use zinniaport::settings::EntrySettings;
+use zinniaport_core::intent::{MeasuringIntent, ServiceIntent, TargetIntent, TargetWish};
 
 /// Writes the settings of an entry with one target; `extra` is more YAML.
 pub fn settings_text(target: SocketAddr, extra: &str) -> String {
@@ -30,6 +31,28 @@
     )
 }
 
+/// Makes an intent for a service with targets of three slots.
+pub fn service_intent(addresses: impl IntoIterator<Item = SocketAddr>) -> ServiceIntent {
+    let target = |address| TargetIntent {
+        address,
+        data_centre: "valle-a".to_owned(),
+        slots: 3,
+        state: TargetWish::Serving,
+        instance: None,
+    };
+    ServiceIntent {
+        service: "pump-history".to_owned(),
+        team: "co-operative".to_owned(),
+        kinds: Vec::new(),
+        targets: addresses.into_iter().map(target).collect(),
+        measuring: MeasuringIntent::default(),
+        max_queue_length: 100,
+        retry_percent: 10.0,
+        max_ejected_percent: 34.0,
+        max_crashed_targets: 2,
+    }
+}
+
 /// Starts an entry in this process.
 pub async fn start_entry(target: SocketAddr, extra: &str) -> EntryRuntime {
     let settings: EntrySettings = serde_norway::from_str(&settings_text(target, extra)).unwrap();
