Install signal handlers before an entry announces its addresses

Cause: an entry printed `callers:` and `admin:` before it installed its signal handlers, so a SIGHUP in between had its default action and ended the process. The stand-ins had the same order.

Change: `StopSignals::install` creates the handlers; programs call it before they print their addresses and wait on them later.

--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -5,7 +5,7 @@
 
 use clap::Parser;
 
-use super::wait_for_stop;
+use super::{StopSignals, cannot_handle_signals};
 use crate::runtime::{EntryDependencies, EntryRuntime};
 use crate::settings::{EntrySettings, SettingsError};
 use crate::telemetry::{flush_logs, start_logs};
@@ -49,6 +49,10 @@
 ) -> ExitCode {
     let applied_settings = settings.clone();
     start_logs(&settings.log, &settings.name);
+    let mut signals = match StopSignals::install() {
+        Ok(signals) => signals,
+        Err(error) => return cannot_handle_signals(&error),
+    };
     let entry = match EntryRuntime::start_with_dependencies(settings, dependencies).await {
         Ok(entry) => entry,
         Err(error) => {
@@ -58,14 +62,14 @@
     };
     println!("callers: {}", entry.caller_address());
     println!("admin: {}", entry.admin_address());
-    wait_for_stop(|| match load() {
+    let reload = || match load() {
         Ok(settings) => {
             let changed = settings != applied_settings;
             log::info!(changed = changed; "settings reloaded; changes apply at the next start");
         }
         Err(error) => log::error!("cannot reload the settings, keeping the current ones: {error}"),
-    })
-    .await;
+    };
+    signals.wait(reload).await;
     log::info!("stop requested, draining");
     entry.stop().await;
     log::info!("stopped");
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -20,6 +20,7 @@
 use clap::{Parser, Subcommand};
 pub use entry::{EntryArguments, run_entry};
 pub use standin::{PlatformArguments, TargetArguments};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Operates, measures and demonstrates the zinniaport load balancer.
 #[derive(Debug, Parser)]
@@ -71,23 +72,42 @@
     }
 }
 
-/// Waits for SIGTERM or Ctrl-C, and calls `reload` at each SIGHUP.
-///
-/// SIGHUP is handled even if `reload` does nothing, because its default action terminates the
-/// process.
-async fn wait_for_stop(mut reload: impl FnMut()) {
-    use tokio::signal::unix::{SignalKind, signal};
-    let (Ok(mut terminate), Ok(mut hangup)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::hangup()))
-    else {
-        log::error!("cannot install signal handlers; stop the process with SIGKILL");
-        return std::future::pending().await;
-    };
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return,
-            _ = tokio::signal::ctrl_c() => return,
-            _ = hangup.recv() => reload(),
+/// Signals that stop a process or announce changed settings.
+struct StopSignals {
+    interrupt: Signal,
+    terminate: Signal,
+    hangup: Signal,
+}
+
+impl StopSignals {
+    /// Installs the handlers. Until then the default action of each signal ends the process, so
+    /// a program calls this before it prints its addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a handler cannot be installed.
+    fn install() -> std::io::Result<Self> {
+        Ok(Self {
+            interrupt: signal(SignalKind::interrupt())?,
+            terminate: signal(SignalKind::terminate())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM or Ctrl-C, and calls `reload` at each SIGHUP.
+    async fn wait(&mut self, mut reload: impl FnMut()) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => reload(),
+            }
         }
     }
 }
+
+/// Reports that the signal handlers cannot be installed.
+fn cannot_handle_signals(error: &std::io::Error) -> ExitCode {
+    eprintln!("cannot install signal handlers: {error}; raise the limit of open files");
+    ExitCode::FAILURE
+}
--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -9,7 +9,7 @@
 use zinniaport_standin::platform::{PlatformFaults, PlatformSettings, StandinPlatform};
 use zinniaport_standin::target::{ServiceTime, StandinTarget, TargetBehaviour, TargetSettings};
 
-use super::wait_for_stop;
+use super::{StopSignals, cannot_handle_signals};
 
 /// Runs a stand-in for a target.
 ///
@@ -62,9 +62,13 @@
             Ok(target) => target,
             Err(error) => return cannot_listen(self.listen, &error),
         };
+        let mut signals = match StopSignals::install() {
+            Ok(signals) => signals,
+            Err(error) => return cannot_handle_signals(&error),
+        };
         println!("listening: {}", target.address());
         tokio::select! {
-            () = wait_for_stop(|| {}) => ExitCode::SUCCESS,
+            () = signals.wait(|| {}) => ExitCode::SUCCESS,
             () = target.wait_until_stopped(), if self.restart_after_ms.is_none() => {
                 eprintln!("the target crashed on a request with the header x-crash; start it again");
                 ExitCode::FAILURE
@@ -110,8 +114,12 @@
             Err(error) => return cannot_listen(self.listen, &error),
         };
         platform.set_faults(self.faults.unwrap_or_default());
+        let mut signals = match StopSignals::install() {
+            Ok(signals) => signals,
+            Err(error) => return cannot_handle_signals(&error),
+        };
         println!("listening: {}", platform.address());
-        wait_for_stop(|| {}).await;
+        signals.wait(|| {}).await;
         ExitCode::SUCCESS
     }
 }
--- a/src/commands/try_out/mod.rs
+++ b/src/commands/try_out/mod.rs
@@ -18,7 +18,7 @@
 
 use super::client::{AdminError, fetch};
 use super::explain::explanation_text;
-use super::wait_for_stop;
+use super::{StopSignals, cannot_handle_signals};
 use crate::admin::{EntryStatus, RecordBatch};
 use crate::state::KEPT_RECORDS;
 
@@ -60,7 +60,11 @@
         let invariants_held = match self.requests {
             Some(requests) => serve_requests(&demo, requests).await,
             None => {
-                show_summary(callers, admin).await;
+                let mut signals = match StopSignals::install() {
+                    Ok(signals) => signals,
+                    Err(error) => return cannot_handle_signals(&error),
+                };
+                show_summary(callers, admin, &mut signals).await;
                 true
             }
         };
@@ -132,12 +136,12 @@
 }
 
 /// Sends a light background load and prints a summary periodically until Ctrl-C.
-async fn show_summary(callers: SocketAddr, admin: SocketAddr) {
+async fn show_summary(callers: SocketAddr, admin: SocketAddr, signals: &mut StopSignals) {
     let mut results = load::generate(callers, BACKGROUND_REQUESTS, Duration::from_secs(1));
     let terminal = std::io::stdout().is_terminal();
     let period = Duration::from_secs(if terminal { 1 } else { 5 });
     let mut interval = tokio::time::interval(period);
-    let stop = wait_for_stop(|| {});
+    let stop = signals.wait(|| {});
     tokio::pin!(stop);
     println!("press Ctrl-C to stop\n");
     loop {
