--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -11,8 +11,20 @@
 /// Digest over the service, method, path, first part of the body and idempotency key of a
 /// request. Copies of the same request have the same fingerprint.
 #[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    derive_more::Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
 )]
+#[display("{_0:016x}")]
 pub struct CallFingerprint(pub u64);
 
 /// Attributes of a request that decisions depend on, independent of its encoding.
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -31,6 +31,13 @@
 /// Maximum number of copies of one fingerprint that wait.
 const MAX_WAITING: usize = 256;
 
+/// Time for which messages to other entries report a crash. Several messages repeat it, since
+/// datagrams may be lost.
+const CRASH_REPORT_TIME: Duration = Duration::from_secs(2);
+
+/// Maximum number of crash records in one message, of about 30 bytes each.
+pub const MAX_REPORTED: usize = 16;
+
 /// Maximum time by which another entry's clock may be ahead.
 const MAX_CLOCK_LEAD: Duration = Duration::from_secs(60);
 
@@ -61,6 +68,13 @@
     }
 }
 
+/// Selects the crash records that a message to other entries carries.
+pub fn select_reported(mut records: Vec<CrashRecord>, now: Timestamp) -> Vec<CrashRecord> {
+    records.retain(|record| now.since(record.last_crash) < CRASH_REPORT_TIME);
+    records.truncate(MAX_REPORTED);
+    records
+}
+
 /// Whether a copy of a request may run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunDecision {
@@ -179,17 +193,26 @@
         self.crash_records.values()
     }
 
+    /// Returns the crash record of a fingerprint, if it has crashed a target.
+    pub fn crash_record(&self, fingerprint: CallFingerprint) -> Option<&CrashRecord> {
+        self.crash_records.get(&fingerprint)
+    }
+
     /// Merges a crash record of another table. Ignores a record whose time is too far ahead,
-    /// because it would never expire.
-    pub fn merge(&mut self, record: &CrashRecord, now: Timestamp) {
+    /// because it would never expire. Returns `true` if it names targets that were not known.
+    pub fn merge(&mut self, record: &CrashRecord, now: Timestamp) -> bool {
         if record.is_expired(now) || record.last_crash > now + MAX_CLOCK_LEAD {
-            return;
+            return false;
         }
         self.harmless.remove(&record.fingerprint);
         let fingerprint = record.fingerprint;
         let empty = || CrashRecord { fingerprint, ..CrashRecord::default() };
-        self.crash_records.entry(fingerprint).or_insert_with(empty).merge(record);
+        let known = self.crash_records.entry(fingerprint).or_insert_with(empty);
+        let known_targets = known.targets.clone();
+        known.merge(record);
+        let has_news = known.targets != known_targets;
         self.drop_oldest_record();
+        has_news
     }
 
     /// Decides whether a copy may run now. Removes its crash record if it has expired.
--- a/src/filters/record.rs
+++ b/src/filters/record.rs
@@ -56,6 +56,7 @@
                 reason = <&str>::from(refusal.reason),
                 outcome = <&str>::from(refusal.outcome),
                 status = refusal.status().as_u16(),
+                fingerprint = exchange.facts.fingerprint.map(|print| print.to_string()),
                 dispatches = format_dispatches(exchange).as_str(),
                 snapshot_age_ms = now.since(exchange.fleet.published).as_millis() as u64,
                 waited_us = now.since(exchange.facts.arrived).as_micros() as u64;
--- a/src/gate/quarantine.rs
+++ b/src/gate/quarantine.rs
@@ -9,6 +9,8 @@
 use zinniaport_core::clock::ClockSource;
 use zinniaport_core::quarantine::{CrashRecord, QuarantineTable, RunDecision, RunEnd};
 
+use crate::telemetry::LineLimiter;
+
 /// Number of shards of the table. Fingerprints are spread over them to reduce contention
 /// for the mutexes.
 const SHARDS: usize = 16;
@@ -28,13 +30,14 @@
 /// Decides which copies of a request may run at the same time.
 pub struct QuarantineGate {
     clock: Arc<dyn ClockSource>,
+    limiter: LineLimiter,
     shards: [Mutex<GateTable>; SHARDS],
 }
 
 impl QuarantineGate {
     /// Creates a gate with an empty table.
     pub fn new(clock: Arc<dyn ClockSource>) -> Self {
-        Self { clock, shards: Default::default() }
+        Self { clock, limiter: LineLimiter::default(), shards: Default::default() }
     }
 
     /// Waits for at most `limit` until a copy may run.
@@ -86,14 +89,38 @@
     pub fn merge(&self, records: &[CrashRecord]) {
         let now = self.clock.now();
         for record in records {
-            self.lock(record.fingerprint).merge(record, now);
+            let has_news = self.lock(record.fingerprint).merge(record, now);
+            if has_news && self.limiter.try_acquire(now) {
+                log::info!(
+                    fingerprint:% = record.fingerprint,
+                    crashed = record.targets.len(),
+                    age_ms = now.since(record.last_crash).as_millis() as u64;
+                    "another entry lost targets that ran this request"
+                );
+            }
         }
     }
 
     fn end(self: &Arc<Self>, call: FingerprintedCall, end: RunEnd) {
         let context = (call.max_crashed_targets, self.clock.now());
         let is_live = |sender: &oneshot::Sender<PermitResult>| !sender.is_closed();
-        let released = self.lock(call.fingerprint).end(call.fingerprint, end, context, is_live);
+        let (released, crashed) = {
+            let mut table = self.lock(call.fingerprint);
+            let released = table.end(call.fingerprint, end, context, is_live);
+            let record = table.crash_record(call.fingerprint);
+            (released, record.map_or(0, |record| record.targets.len()))
+        };
+        if let RunEnd::Crashed(target) = end
+            && self.limiter.try_acquire(context.1)
+        {
+            log::warn!(
+                fingerprint:% = call.fingerprint,
+                target:% = target,
+                crashed = crashed,
+                allowed = call.max_crashed_targets;
+                "lost a target that ran this request"
+            );
+        }
         for (sender, decision) in released {
             let result = match decision {
                 RunDecision::Run => Ok(RunPermit::new(self, call)),
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -17,6 +17,7 @@
 };
 use zinniaport_core::placement::{CoordinatorCandidate, PlacementMessage};
 use zinniaport_core::policy::EntryView;
+use zinniaport_core::quarantine::select_reported;
 use zinniaport_core::signals::SignalMessage;
 
 use crate::gate::QuarantineGate;
@@ -40,13 +41,6 @@
 /// entries, the full list would be most of the traffic between data centres.
 const LISTED_MEMBERS: usize = 8;
 
-/// Time for which messages report a crash. Several messages repeat it, since datagrams may be
-/// lost.
-const CRASH_REPORT_TIME: Duration = Duration::from_secs(2);
-
-/// Maximum number of crash records in one message, of about 30 bytes each.
-const MAX_CRASHES: usize = 16;
-
 /// Number of leaders: the live entries with the largest capacity, which watch the directory
 /// without lag and announce changes to the others. With two, the loss of one has no effect.
 const LEADER_COUNT: usize = 2;
@@ -282,9 +276,7 @@
     fn next_message(&mut self) -> SignalMessage {
         self.sequence += 1;
         let now = self.state.clock.now();
-        let mut crashes = self.quarantine.crash_records();
-        crashes.retain(|record| now.since(record.last_crash) < CRASH_REPORT_TIME);
-        crashes.truncate(MAX_CRASHES);
+        let crashes = select_reported(self.quarantine.crash_records(), now);
         SignalMessage {
             incarnation: self.incarnation,
             sequence: self.sequence,
