Announce crashes of targets at once, and tell entries that start of earlier ones

Callers' requests that crash targets went on crashing them: each entry may let such a request crash two targets, and most entries did not know of the first.

Cause: state that was shared for less time than the period in which it is sent. A message reported a crash for 2 s, but an entry among 139 sends one to each other only every 3.5 s, so four crashes in ten were never reported; and an entry that started later than 2 s after a crash never learned of it.

Change: an entry that loses a target announces it to all live entries at once and again 200 ms later. Records of several targets stay in the messages in turn until they expire. An entry that starts gets the known records in the first message to it, also if its predecessor was heard of a moment ago.

Evidence: core/tests/crash_reports.rs. Before: 16 targets crashed in a calm fleet of 139, 8 in a fleet of 15 whose entries restart in turn. After: at most 3 in each case.

--- a/core/src/controllers/signals.rs
+++ b/core/src/controllers/signals.rs
@@ -30,6 +30,13 @@
 /// Time without messages after which an entry that was live before is no longer contacted.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
+/// Number of messages that announce a crash to all live entries, since one may be lost.
+const ANNOUNCEMENTS: u32 = 2;
+
+/// Shortest time between two such messages. While many targets are lost, one message
+/// announces several crashes.
+const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(200);
+
 /// Greatest number of entries that are tracked, so that forged addresses take bounded
 /// memory.
 const MAX_PEERS: usize = 1024;
@@ -39,6 +46,8 @@
 pub enum SignalsMessage {
     /// A message of another entry arrived.
     Received(SocketAddr, SignalMessage),
+    /// This entry lost a target that ran a request.
+    CrashRecorded,
     /// Time passed. Due every 50 ms.
     Tick,
 }
@@ -51,6 +60,8 @@
     Revisions([u64; 2]),
     /// Send a message to these entries.
     Send(Vec<SocketAddr>),
+    /// Send a message to this entry, which has just started or was silent.
+    SendFirst(SocketAddr),
     /// The live entries or their capacities changed. Holds the live entries and the number
     /// of entries that may be running, including this one and silent ones.
     PeersChanged(Vec<CoordinatorCandidate>, usize),
@@ -81,6 +92,9 @@
     live_peers: Vec<CoordinatorCandidate>,
     revisions: [u64; 2],
     last_sent: Timestamp,
+    /// Number of messages that are still to announce the last crash.
+    announcements: u32,
+    last_announced: Timestamp,
 }
 
 impl SignalsController {
@@ -93,6 +107,8 @@
             live_peers: Vec::new(),
             revisions: [0; 2],
             last_sent: Timestamp::default(),
+            announcements: 0,
+            last_announced: Timestamp::default(),
         }
     }
 
@@ -133,7 +149,8 @@
         if message.incarnation < peer.incarnation {
             return effects;
         }
-        if message.incarnation > peer.incarnation {
+        let has_restarted = message.incarnation > peer.incarnation;
+        if has_restarted {
             peer.sequence = 0;
             peer.incarnation = message.incarnation;
         } else if message.sequence <= peer.sequence {
@@ -151,8 +168,8 @@
             self.revisions = revisions;
             effects.push(SignalsEffect::Revisions(revisions));
         }
-        if newly_live {
-            effects.push(SignalsEffect::Send(vec![from]));
+        if newly_live || has_restarted {
+            effects.push(SignalsEffect::SendFirst(from));
         }
         if newly_live || changed {
             effects.extend(self.update_live_peers(now));
@@ -175,6 +192,17 @@
         Some(SignalsEffect::PeersChanged(live, self.peers.len() + 1))
     }
 
+    /// Announces crashes to all live entries, if that is due.
+    fn announce(&mut self, now: Timestamp) -> Option<SignalsEffect> {
+        if self.announcements == 0 || now.since(self.last_announced) < ANNOUNCEMENT_PERIOD {
+            return None;
+        }
+        self.announcements -= 1;
+        self.last_announced = now;
+        let addresses = self.live_peers.iter().map(|peer| peer.address).collect();
+        Some(SignalsEffect::Send(addresses))
+    }
+
     fn tick(&mut self, now: Timestamp) -> Vec<SignalsEffect> {
         let mut effects = Vec::new();
         let max_silence = self.max_silence();
@@ -182,6 +210,7 @@
             peer.last_message.is_none_or(|received| now.since(received) < FORGET_AFTER)
         });
         effects.extend(self.update_live_peers(now));
+        effects.extend(self.announce(now));
         let mut due = Vec::new();
         if now.since(self.last_sent) >= self.period() {
             self.last_sent = now;
@@ -208,6 +237,10 @@
     fn handle(&mut self, message: Self::Message, now: Timestamp) -> Vec<Self::Effect> {
         match message {
             SignalsMessage::Received(from, message) => self.receive(from, &message, now),
+            SignalsMessage::CrashRecorded => {
+                self.announcements = ANNOUNCEMENTS;
+                self.announce(now).into_iter().collect()
+            }
             SignalsMessage::Tick => self.tick(now),
         }
     }
--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -5,6 +5,7 @@
 //! targets that it may crash, and to one after the first crash. This bounds the crashed
 //! targets even if many copies arrive at the same time.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -31,12 +32,22 @@
 /// Maximum number of copies of one fingerprint that wait.
 const MAX_WAITING: usize = 256;
 
-/// Time for which messages to other entries report a crash. Several messages repeat it, since
-/// datagrams may be lost.
-const CRASH_REPORT_TIME: Duration = Duration::from_secs(2);
+/// Age up to which a crash is news, which a message reports before older ones.
+const NEWS_AGE: Duration = Duration::from_secs(2);
 
-/// Maximum number of crash records in one message, of about 30 bytes each.
-pub const MAX_REPORTED: usize = 16;
+/// Maximum number of new crash records in one message, of about 30 bytes each.
+const MAX_NEWS: usize = 8;
+
+/// Number of targets from which on a crash record stays in the messages until it expires.
+/// Losing one target may have had another cause.
+const REPEATED_CRASHES: usize = 2;
+
+/// Number of older records in one message, which take turns. With a message of each peer in
+/// every period, an entry that missed a record gets it in one of the next periods.
+const OLDER_RECORDS: usize = 2;
+
+/// Maximum number of records in a message to an entry that has just started.
+const MAX_FIRST_RECORDS: usize = 32;
 
 /// Maximum time by which another entry's clock may be ahead.
 const MAX_CLOCK_LEAD: Duration = Duration::from_secs(60);
@@ -68,11 +79,45 @@
     }
 }
 
-/// Selects the crash records that a message to other entries carries.
-pub fn select_reported(mut records: Vec<CrashRecord>, now: Timestamp) -> Vec<CrashRecord> {
-    records.retain(|record| now.since(record.last_crash) < CRASH_REPORT_TIME);
-    records.truncate(MAX_REPORTED);
-    records
+/// Crash records that messages to other entries carry.
+#[derive(Debug, Default)]
+pub struct CrashReport {
+    /// New records: first those with the most targets, then the latest.
+    news: Vec<CrashRecord>,
+    /// Older records with several targets.
+    older: Vec<CrashRecord>,
+}
+
+impl CrashReport {
+    /// Creates a report of `records`.
+    pub fn new(records: Vec<CrashRecord>, now: Timestamp) -> Self {
+        let is_news = |record: &CrashRecord| now.since(record.last_crash) < NEWS_AGE;
+        let (mut news, mut older): (Vec<_>, Vec<_>) = records.into_iter().partition(is_news);
+        news.sort_by_key(|record| Reverse((record.targets.len(), record.last_crash)));
+        older.extend(news.split_off(news.len().min(MAX_NEWS)));
+        older.retain(|record| record.targets.len() >= REPEATED_CRASHES);
+        older.sort_by_key(|record| record.fingerprint);
+        Self { news, older }
+    }
+
+    /// Returns the records of message number `sequence`: the new ones and, in turn, some of the
+    /// older ones.
+    pub fn records(self, sequence: u64) -> Vec<CrashRecord> {
+        let Self { mut news, older } = self;
+        let start = (sequence as usize).wrapping_mul(OLDER_RECORDS);
+        let count = OLDER_RECORDS.min(older.len());
+        news.extend((0..count).map(|step| older[start.wrapping_add(step) % older.len()].clone()));
+        news
+    }
+
+    /// Returns the records for an entry that has just started and knows none.
+    pub fn first_records(self) -> Vec<CrashRecord> {
+        let Self { mut news, mut older } = self;
+        older.sort_by_key(|record| Reverse((record.targets.len(), record.last_crash)));
+        older.truncate(MAX_FIRST_RECORDS.saturating_sub(news.len()));
+        news.append(&mut older);
+        news
+    }
 }
 
 /// Whether a copy of a request may run.
--- a/core/tests/crash_reports.rs
+++ b/core/tests/crash_reports.rs
@@ -12,7 +12,7 @@
 use zinniaport_core::controllers::{
     SignalsController, SignalsEffect, SignalsMessage, StateController,
 };
-use zinniaport_core::quarantine::{QuarantineTable, RunDecision, RunEnd, select_reported};
+use zinniaport_core::quarantine::{CrashReport, QuarantineTable, RunDecision, RunEnd};
 use zinniaport_core::signals::SignalMessage;
 use zinniaport_testing::test_cases;
 
@@ -72,15 +72,17 @@
         }
     }
 
-    fn message(&mut self, now: Timestamp) -> SignalMessage {
+    fn message(&mut self, is_first: bool, now: Timestamp) -> SignalMessage {
         self.sequence += 1;
+        let report = CrashReport::new(self.table.crash_records().cloned().collect(), now);
+        let crashes = if is_first { report.first_records() } else { report.records(self.sequence) };
         let peers = self.controller.live_peers();
         let listed = peers.iter().cycle().skip(self.sequence as usize * 8).take(8.min(peers.len()));
         SignalMessage {
             incarnation: self.started.0,
             sequence: self.sequence,
             capacity: 10,
-            crashes: select_reported(self.table.crash_records().cloned().collect(), now),
+            crashes,
             members: listed.map(|peer| peer.address).collect(),
             ..SignalMessage::default()
         }
@@ -175,13 +177,18 @@
             let target = SocketAddr::from(([10, 1, 0, 0], self.runs.len() as u16));
             let end = RunEnd::Crashed(target);
             self.entries[entry].table.end(CALL, end, (MAX_CRASHED, now), |()| true);
+            self.step(entry, SignalsMessage::CrashRecorded, now);
         }
     }
 
     fn step(&mut self, entry: usize, message: SignalsMessage, now: Timestamp) {
         for effect in self.entries[entry].controller.handle(message, now) {
-            let SignalsEffect::Send(addresses) = effect else { continue };
-            let message = self.entries[entry].message(now);
+            let (addresses, is_first) = match effect {
+                SignalsEffect::Send(addresses) => (addresses, false),
+                SignalsEffect::SendFirst(address) => (vec![address], true),
+                _ => continue,
+            };
+            let message = self.entries[entry].message(is_first, now);
             self.messages.push((address(entry), message));
             let index = self.messages.len() - 1;
             for to in addresses {
@@ -197,7 +204,8 @@
     /// [`STABLE_WINDOW`] after the third crash, at entries that run for as long.
     fn later_runs(&self) -> usize {
         let Some((third, _)) = self.runs.get(2) else { return 0 };
-        let counted = |(at, stable): &&(Timestamp, bool)| *stable && at.since(*third) > STABLE_WINDOW;
+        let counted =
+            |(at, stable): &&(Timestamp, bool)| *stable && at.since(*third) > STABLE_WINDOW;
         self.runs.iter().filter(counted).count()
     }
 }
--- a/src/gate/quarantine.rs
+++ b/src/gate/quarantine.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use zinniaport_core::call::{CallFingerprint, ReasonCode};
 use zinniaport_core::clock::ClockSource;
 use zinniaport_core::quarantine::{CrashRecord, QuarantineTable, RunDecision, RunEnd};
@@ -31,13 +31,20 @@
 pub struct QuarantineGate {
     clock: Arc<dyn ClockSource>,
     limiter: LineLimiter,
+    /// Notified when this entry has lost a target that ran a request.
+    pub crash_recorded: Notify,
     shards: [Mutex<GateTable>; SHARDS],
 }
 
 impl QuarantineGate {
     /// Creates a gate with an empty table.
     pub fn new(clock: Arc<dyn ClockSource>) -> Self {
-        Self { clock, limiter: LineLimiter::default(), shards: Default::default() }
+        Self {
+            clock,
+            limiter: LineLimiter::default(),
+            crash_recorded: Notify::new(),
+            shards: Default::default(),
+        }
     }
 
     /// Waits for at most `limit` until a copy may run.
@@ -110,16 +117,17 @@
             let record = table.crash_record(call.fingerprint);
             (released, record.map_or(0, |record| record.targets.len()))
         };
-        if let RunEnd::Crashed(target) = end
-            && self.limiter.try_acquire(context.1)
-        {
-            log::warn!(
-                fingerprint:% = call.fingerprint,
-                target:% = target,
-                crashed = crashed,
-                allowed = call.max_crashed_targets;
-                "lost a target that ran this request"
-            );
+        if let RunEnd::Crashed(target) = end {
+            self.crash_recorded.notify_one();
+            if self.limiter.try_acquire(context.1) {
+                log::warn!(
+                    fingerprint:% = call.fingerprint,
+                    target:% = target,
+                    crashed = crashed,
+                    allowed = call.max_crashed_targets;
+                    "lost a target that ran this request"
+                );
+            }
         }
         for (sender, decision) in released {
             let result = match decision {
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -17,7 +17,7 @@
 };
 use zinniaport_core::placement::{CoordinatorCandidate, PlacementMessage};
 use zinniaport_core::policy::EntryView;
-use zinniaport_core::quarantine::select_reported;
+use zinniaport_core::quarantine::CrashReport;
 use zinniaport_core::signals::SignalMessage;
 
 use crate::gate::QuarantineGate;
@@ -157,6 +157,7 @@
     /// Exchanges signals until `stop` is cancelled.
     pub async fn run(mut self, stop: CancellationToken) {
         let (state, socket) = (self.state.clone(), self.sender.socket.clone());
+        let quarantine = self.quarantine.clone();
         let mut ticks = interval(TICK_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut datagram = vec![0; MAX_DATAGRAM];
@@ -169,6 +170,9 @@
                     Err(error) => log::debug!("cannot receive datagram: {error}"),
                 },
                 () = state.signal_due.notified() => self.send_changes(),
+                () = quarantine.crash_recorded.notified() => {
+                    self.step(SignalsMessage::CrashRecorded);
+                }
                 _ = ticks.tick() => self.step(SignalsMessage::Tick),
             }
         }
@@ -202,6 +206,11 @@
                 let message = self.next_message();
                 self.sender.send(&SignalDatagram::Signal(message), &addresses);
             }
+            SignalsEffect::SendFirst(address) => {
+                let crashes = self.crash_report().first_records();
+                let message = SignalMessage { crashes, ..self.next_message() };
+                self.sender.send(&SignalDatagram::Signal(message), &[address]);
+            }
             SignalsEffect::PeersChanged(peers, entry_count) => {
                 log::info!(heard = peers.len(), entries = entry_count; "live entries changed");
                 self.update_peers(&peers, entry_count);
@@ -275,8 +284,7 @@
 
     fn next_message(&mut self) -> SignalMessage {
         self.sequence += 1;
-        let now = self.state.clock.now();
-        let crashes = select_reported(self.quarantine.crash_records(), now);
+        let crashes = self.crash_report().records(self.sequence);
         SignalMessage {
             incarnation: self.incarnation,
             sequence: self.sequence,
@@ -287,6 +295,10 @@
         }
     }
 
+    fn crash_report(&self) -> CrashReport {
+        CrashReport::new(self.quarantine.crash_records(), self.state.clock.now())
+    }
+
     /// Returns the live entries to list in the next message: all of them, or the next few in
     /// turn if there are many.
     fn next_members(&self) -> Vec<SocketAddr> {
