Keep crash records in the store for entries that hear from no other

An entry that is partitioned from all others still reaches the store and its callers, and after a loss of all entries nobody knows the records; each such entry may let the request crash two more targets.

Records of one target are not added, since a lost response looks the same. Expired ones are removed.

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -39,7 +39,6 @@
 const MAX_NEWS: usize = 8;
 
 /// Number of targets from which on a crash record stays in the messages until it expires.
-/// Losing one target may have had another cause.
 const REPEATED_CRASHES: usize = 2;
 
 /// Number of older records in one message, which take turns. With a message of each peer in
@@ -74,7 +73,14 @@
         self.last_crash = self.last_crash.max(other.last_crash);
     }
 
-    fn is_expired(&self, now: Timestamp) -> bool {
+    /// Returns `true` if the request crashed several targets. Losing one target may have had
+    /// another cause.
+    pub fn is_repeated(&self) -> bool {
+        self.targets.len() >= REPEATED_CRASHES
+    }
+
+    /// Returns `true` if the record is no longer kept.
+    pub fn is_expired(&self, now: Timestamp) -> bool {
         now.since(self.last_crash) >= QUARANTINE_TIME
     }
 }
@@ -95,7 +101,7 @@
         let (mut news, mut older): (Vec<_>, Vec<_>) = records.into_iter().partition(is_news);
         news.sort_by_key(|record| Reverse((record.targets.len(), record.last_crash)));
         older.extend(news.split_off(news.len().min(MAX_NEWS)));
-        older.retain(|record| record.targets.len() >= REPEATED_CRASHES);
+        older.retain(CrashRecord::is_repeated);
         older.sort_by_key(|record| record.fingerprint);
         Self { news, older }
     }
--- /dev/null
+++ b/src/gate/archive.rs
@@ -0,0 +1,172 @@
+//! Keeps crash records in an external store, for entries that hear of a crash from no other
+//! entry: those that are partitioned from it, and those that start after all others ended.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio_util::sync::CancellationToken;
+use zinniaport_core::call::CallFingerprint;
+use zinniaport_core::quarantine::CrashRecord;
+
+use super::QuarantineGate;
+use crate::state::SharedState;
+use crate::store::StoreError;
+
+/// Time after the start of an entry in which it hears from the others, so that only the
+/// leaders read the archive.
+const START_DELAY: Duration = Duration::from_secs(1);
+
+/// Time between two checks for records that the archive lacks.
+const CHECK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Time after a failed call until the next one.
+const FAILURE_DELAY: Duration = Duration::from_secs(2);
+
+/// Maximum number of records that are added in one check, as losses of responses may look like
+/// crashes.
+const MAX_ADDED: usize = 2;
+
+/// Crash records of an archive.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ArchivedCrashes {
+    /// Revision of the archive up to which the records are complete.
+    pub revision: u64,
+    /// Records.
+    pub records: Vec<CrashRecord>,
+}
+
+/// A store of crash records that outlives the entries.
+pub trait CrashArchive: Send + Sync {
+    /// Lists all records. The response may be seconds old.
+    fn list(&self) -> BoxFuture<'_, Result<ArchivedCrashes, StoreError>>;
+
+    /// Waits for records that were added after `revision`. Returns none if none come before
+    /// the time limit of the archive.
+    fn watch(&self, revision: u64) -> BoxFuture<'_, Result<ArchivedCrashes, StoreError>>;
+
+    /// Adds a record. Does nothing if there is one with this fingerprint.
+    fn add<'a>(&'a self, record: &'a CrashRecord) -> BoxFuture<'a, Result<(), StoreError>>;
+
+    /// Removes the record of a fingerprint.
+    fn remove(&self, fingerprint: CallFingerprint) -> BoxFuture<'_, Result<(), StoreError>>;
+}
+
+/// Exchanges crash records between the quarantine and the archive while this entry is a leader.
+pub struct ArchiveDriver {
+    state: Arc<SharedState>,
+    quarantine: Arc<QuarantineGate>,
+    archive: Arc<dyn CrashArchive>,
+    /// Fingerprints of the records in the archive, as far as known.
+    archived: HashSet<CallFingerprint>,
+    /// Time of the next attempt to add records after one that failed.
+    next_add: Option<Instant>,
+}
+
+impl ArchiveDriver {
+    /// Creates a driver.
+    pub fn new(
+        state: Arc<SharedState>,
+        quarantine: Arc<QuarantineGate>,
+        archive: Arc<dyn CrashArchive>,
+    ) -> Self {
+        Self { state, quarantine, archive, archived: HashSet::new(), next_add: None }
+    }
+
+    /// Runs until `stop` is cancelled.
+    pub async fn run(mut self, stop: CancellationToken) {
+        let archive = self.archive.clone();
+        let mut checks = interval(CHECK_PERIOD);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut read = read_archive(archive.clone(), None, START_DELAY);
+        let mut is_leading = true;
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return,
+                result = &mut read, if is_leading => {
+                    let (revision, delay) = self.apply(result).await;
+                    read = read_archive(archive.clone(), revision, delay);
+                }
+                _ = checks.tick() => {
+                    let was_leading = std::mem::replace(&mut is_leading, self.state.revisions.is_leader());
+                    if is_leading && !was_leading {
+                        read = read_archive(archive.clone(), None, Duration::ZERO);
+                    }
+                    if is_leading {
+                        self.add_missing().await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Applies the records of a read. Returns the revision from which to watch, or `None` to
+    /// list all records, and the time until then.
+    async fn apply(
+        &mut self,
+        result: Result<ArchivedCrashes, StoreError>,
+    ) -> (Option<u64>, Duration) {
+        match result {
+            Ok(ArchivedCrashes { revision, records }) => {
+                let now = self.state.clock.now();
+                for record in records.iter().filter(|record| record.is_expired(now)) {
+                    if let Err(error) = self.archive.remove(record.fingerprint).await {
+                        log::warn!(fingerprint:% = record.fingerprint; "cannot remove an expired crash record from the archive: {error}");
+                    }
+                }
+                self.archived.extend(records.iter().map(|record| record.fingerprint));
+                if self.quarantine.merge(&records) {
+                    self.quarantine.crash_recorded.notify_one();
+                }
+                (Some(revision), Duration::ZERO)
+            }
+            Err(StoreError::TooOld) => (None, Duration::ZERO),
+            Err(error) => {
+                log::warn!("cannot read the archive of crash records, retrying: {error}");
+                (None, FAILURE_DELAY)
+            }
+        }
+    }
+
+    /// Adds records of several targets that the archive lacks.
+    async fn add_missing(&mut self) {
+        if self.next_add.is_some_and(|at| Instant::now() < at) {
+            return;
+        }
+        let mut records = self.quarantine.crash_records();
+        self.archived
+            .retain(|fingerprint| records.iter().any(|record| record.fingerprint == *fingerprint));
+        records
+            .retain(|record| record.is_repeated() && !self.archived.contains(&record.fingerprint));
+        for record in records.iter().take(MAX_ADDED) {
+            match self.archive.add(record).await {
+                Ok(()) => {
+                    self.archived.insert(record.fingerprint);
+                    log::info!(fingerprint:% = record.fingerprint, crashed = record.targets.len(); "archived a crash record");
+                }
+                Err(error) => {
+                    log::warn!(fingerprint:% = record.fingerprint; "cannot archive a crash record, retrying: {error}");
+                    self.next_add = Some(Instant::now() + FAILURE_DELAY);
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Lists the archive, or watches it from `revision`, after `delay`.
+fn read_archive(
+    archive: Arc<dyn CrashArchive>,
+    revision: Option<u64>,
+    delay: Duration,
+) -> BoxFuture<'static, Result<ArchivedCrashes, StoreError>> {
+    Box::pin(async move {
+        sleep(delay).await;
+        match revision {
+            Some(revision) => archive.watch(revision).await,
+            None => archive.list().await,
+        }
+    })
+}
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -2,10 +2,12 @@
 //! behind a mutex that is held briefly and never by a controller.
 
 mod admission;
+mod archive;
 mod gates;
 mod quarantine;
 
 pub use admission::{AdmissionGate, GateRefusal, SlotGuard};
+pub use archive::{ArchiveDriver, ArchivedCrashes, CrashArchive};
 pub use gates::AdmissionGates;
 pub use quarantine::{FingerprintedCall, PermitHandle, QuarantineGate, RunPermit};
 
--- a/src/gate/quarantine.rs
+++ b/src/gate/quarantine.rs
@@ -92,12 +92,15 @@
             .collect()
     }
 
-    /// Merges the crash records of another entry.
-    pub fn merge(&self, records: &[CrashRecord]) {
+    /// Merges the crash records of another entry. Returns `true` if they name targets that were
+    /// not known.
+    pub fn merge(&self, records: &[CrashRecord]) -> bool {
         let now = self.clock.now();
+        let mut has_news = false;
         for record in records {
-            let has_news = self.lock(record.fingerprint).merge(record, now);
-            if has_news && self.limiter.try_acquire(now) {
+            let is_news = self.lock(record.fingerprint).merge(record, now);
+            has_news |= is_news;
+            if is_news && self.limiter.try_acquire(now) {
                 log::info!(
                     fingerprint:% = record.fingerprint,
                     crashed = record.targets.len(),
@@ -106,6 +109,7 @@
                 );
             }
         }
+        has_news
     }
 
     fn end(self: &Arc<Self>, call: FingerprintedCall, end: RunEnd) {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -32,7 +32,7 @@
     unconfigured_fleet,
 };
 use crate::front::HttpFrontend;
-use crate::gate::{AdmissionGates, QuarantineGate};
+use crate::gate::{AdmissionGates, ArchiveDriver, CrashArchive, QuarantineGate};
 use crate::measuring::{
     IntentFreshness, MeasuringDriver, MeasuringParts, StaticFreshness, probe_trigger,
 };
@@ -67,6 +67,8 @@
     vms: Option<Arc<dyn VmDirectory>>,
     /// A directory of targets and configuration, instead of intents.
     directory: Option<Arc<dyn DirectorySource>>,
+    /// Crash records that outlive the entries.
+    crash_archive: Option<Arc<dyn CrashArchive>>,
     /// Dialect of the headers that callers and targets use.
     #[builder(default = Arc::new(DefaultDialect))]
     dialect: Arc<dyn HeaderDialect>,
@@ -170,7 +172,7 @@
         mut settings: EntrySettings,
         dependencies: EntryDependencies,
     ) -> Result<Self, StartError> {
-        let EntryDependencies { store, vms, directory, dialect } = dependencies;
+        let EntryDependencies { store, vms, directory, crash_archive, dialect } = dependencies;
         let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
         let state = SharedState::new(clock.clone(), &settings.name, &settings.data_centre);
         let state = Arc::new(state.with_dialect(dialect));
@@ -203,6 +205,10 @@
         // until the last request has ended.
         tokio::spawn(driver.run(CancellationToken::new()));
         let quarantine = Arc::new(QuarantineGate::new(clock.clone()));
+        if let Some(archive) = crash_archive {
+            let archive = ArchiveDriver::new(state.clone(), quarantine.clone(), archive);
+            tokio::spawn(archive.run(stop.clone()));
+        }
         let gates = Arc::new(AdmissionGates::new(clock.clone()));
         let control = match (settings.platform.take(), store) {
             (Some(platform), Some(store)) => {
