Read and log the request limits that targets state, which are not kept

Users ask that a target which states in its responses how many requests per second it takes from all entries together gets no more. No entry read the header.

Change: a response's limit is parsed at the boundary and kept with its receive time in the counters of the target; entries pass it to the coordinator when an attempt ends, with its age, and probes report it too. Log lines tell when a target begins and ceases to state one.

--- a/core/src/controllers/requester.rs
+++ b/core/src/controllers/requester.rs
@@ -300,7 +300,13 @@
 /// Returns a message part that frees the target granted to a placement request, if any,
 /// without a result of its use.
 fn without_result(id: PlacementId) -> EndedPlacement {
-    EndedPlacement { id, end: Default::default(), slowdown_percent: 0, slowdown_age_ms: 0 }
+    EndedPlacement {
+        id,
+        end: Default::default(),
+        slowdown_percent: 0,
+        slowdown_age_ms: 0,
+        limit: None,
+    }
 }
 
 impl StateController for RequesterController {
--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Timestamp;
 use crate::policy::ProbePool;
+use crate::request_limit::LimitState;
 use crate::retry::{LatencyQuantile, RetryBudget};
 use crate::saturation::SaturationMonitor;
 
@@ -87,6 +88,8 @@
     pub failure_share: AtomicU32,
     /// Time until which the target sheds load, in microseconds.
     pub shedding_until: AtomicU64,
+    /// Limit on requests per second that the target stated.
+    pub limit: LimitState,
 }
 
 impl TargetCounters {
@@ -112,6 +115,11 @@
         placed.max(reported)
     }
 
+    /// Counts a request that this entry places at the target.
+    pub fn record_placement(&self) {
+        self.placed.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Returns the service time that the target last reported, in percent of its nominal one
     /// (0 before the first report), and the age of that report.
     pub fn slowdown_report(&self, now: Timestamp) -> (u32, Duration) {
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -14,6 +14,7 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::call::ReasonCode;
+use crate::request_limit::AgedStatement;
 use crate::signals::{ServiceTag, TargetTag};
 
 /// Identifies a placement request of an entry. Each process starts at a random number, so
@@ -128,6 +129,8 @@
     pub slowdown_percent: u16,
     /// Age of that report, in milliseconds.
     pub slowdown_age_ms: u16,
+    /// What the target last stated about its limit on requests per second, if that is recent.
+    pub limit: Option<AgedStatement>,
 }
 
 /// Message about placement from one entry to another.
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -5,6 +5,7 @@
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use zinniaport_core::fleet::LoadReport;
 use zinniaport_core::intent::TargetInstance;
+use zinniaport_core::request_limit::LimitStatement;
 
 use crate::exchange::CallResponse;
 
@@ -38,6 +39,9 @@
     /// Returns the load that a target reports in a response, if any.
     fn parse_load(&self, headers: &HeaderMap) -> Option<LoadReport>;
 
+    /// Returns what a response states about the limit of its target on requests per second.
+    fn parse_limit(&self, headers: &HeaderMap) -> LimitStatement;
+
     /// Classifies the head of a response. `request_id` is the identifier that the caller sent,
     /// if any.
     fn classify_response(&self, request_id: Option<&str>, response: &CallResponse)
@@ -63,6 +67,9 @@
 /// Response header with the number of running and queued requests of a target.
 pub const LOAD_HEADER: HeaderName = HeaderName::from_static("x-load");
 
+/// Response header with the requests per second that a target takes from all entries together.
+pub const LIMIT_HEADER: &str = "x-request-limit";
+
 /// Response header by which a target states that it refused the request before running it.
 pub const REFUSED_HEADER: HeaderName = HeaderName::from_static("x-zinniaport-refused");
 
@@ -72,6 +79,14 @@
 /// Request header with the identifier of the process that the request is addressed to.
 pub const INSTANCE_HEADER: HeaderName = HeaderName::from_static("x-instance");
 
+/// Parses the limit in the header `name`. If it is repeated, the first value counts.
+pub fn parse_limit_header(headers: &HeaderMap, name: &str) -> LimitStatement {
+    match headers.get(name) {
+        None => LimitStatement::Unlimited,
+        Some(value) => value.to_str().map_or(LimitStatement::Unreadable, LimitStatement::parse),
+    }
+}
+
 impl HeaderDialect for DefaultDialect {
     fn request_id_header(&self) -> &HeaderName {
         &REQUEST_ID_HEADER
@@ -96,6 +111,10 @@
         Some(requests.into())
     }
 
+    fn parse_limit(&self, headers: &HeaderMap) -> LimitStatement {
+        parse_limit_header(headers, LIMIT_HEADER)
+    }
+
     fn classify_response(
         &self,
         _request_id: Option<&str>,
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -15,9 +15,10 @@
 use http_body_util::{BodyExt, BodyStream, Limited, StreamBody};
 use tokio::time::{Instant, timeout};
 use zinniaport_core::call::ReasonCode;
-use zinniaport_core::fleet::TargetCounters;
+use zinniaport_core::fleet::{TargetCounters, TargetSnapshot};
 use zinniaport_core::intent::TargetInstance;
 use zinniaport_core::placement::AttemptEnd;
+use zinniaport_core::request_limit::LimitStatement;
 
 use super::attempt::shedding_time;
 use super::{FilterNext, FilterResult, RequestFilter};
@@ -30,6 +31,7 @@
 use crate::pool::{IdleCheck, TargetCall, TargetTransport, TransportError};
 use crate::refusal::Refusal;
 use crate::state::SharedState;
+use crate::targets::record_limit;
 
 /// Maximum size of a target's refusal body that is read so that the connection can be reused,
 /// in bytes.
@@ -93,9 +95,10 @@
             target.counters.record_report(report, self.state.clock.now());
         }
         let caller_request_id = exchange.head.headers.get(dialect.request_id_header());
-        match dialect
-            .classify_response(caller_request_id.and_then(|id| id.to_str().ok()), &response)
-        {
+        let class =
+            dialect.classify_response(caller_request_id.and_then(|id| id.to_str().ok()), &response);
+        self.record_limit(&target, class, &response);
+        match class {
             ResponseClass::Answered if response.status().is_server_error() => {
                 guard.record_end(AttemptEnd::Failed);
             }
@@ -125,6 +128,22 @@
     }
 }
 
+impl ForwardFilter {
+    /// Records what a response states about the limit of its target. A response of another
+    /// process states nothing, and one that is not a success may lack the header.
+    fn record_limit(&self, target: &TargetSnapshot, class: ResponseClass, response: &CallResponse) {
+        let statement = self.state.dialect.parse_limit(response.headers());
+        let is_success = class == ResponseClass::Answered && response.status().is_success();
+        let counts = match statement {
+            LimitStatement::Unlimited => is_success,
+            _ => matches!(class, ResponseClass::Answered | ResponseClass::NotRun),
+        };
+        if counts {
+            record_limit(target, statement, self.state.clock.now());
+        }
+    }
+}
+
 /// Buffers a response of up to `max_bytes`, so that the request can be retried at another
 /// target if the body is cut short or damaged. Streams the rest of a longer one.
 async fn buffer_response(mut response: CallResponse, max_bytes: usize) -> FilterResult {
--- a/src/placement/coordinated.rs
+++ b/src/placement/coordinated.rs
@@ -25,8 +25,8 @@
 use crate::gate::GateRefusal;
 use crate::state::SharedState;
 
-/// Maximum age of a target's slowdown report that is passed on to the coordinator, in
-/// milliseconds.
+/// Maximum age of what a target reported about its slowdown and its limit, up to which it is
+/// passed on to the coordinator, in milliseconds.
 const MAX_REPORT_AGE_MS: u64 = 500;
 
 /// Sends a placement request to the coordinator of the service for each attempt.
@@ -209,10 +209,17 @@
 
 impl Drop for RemoteLease {
     fn drop(&mut self) {
-        let mut ended =
-            EndedPlacement { id: self.id, end: self.end, slowdown_percent: 0, slowdown_age_ms: 0 };
+        let mut ended = EndedPlacement {
+            id: self.id,
+            end: self.end,
+            slowdown_percent: 0,
+            slowdown_age_ms: 0,
+            limit: None,
+        };
         if let Some(counters) = &self.counters {
-            let (slowdown_percent, age) = counters.slowdown_report(self.state.clock.now());
+            let now = self.state.clock.now();
+            ended.limit = counters.limit.statement(Duration::from_millis(MAX_REPORT_AGE_MS), now);
+            let (slowdown_percent, age) = counters.slowdown_report(now);
             let age_ms = age.as_millis() as u64;
             if age_ms <= MAX_REPORT_AGE_MS {
                 ended.slowdown_percent = u16::try_from(slowdown_percent).unwrap_or(u16::MAX);
--- a/src/placement/coordinator.rs
+++ b/src/placement/coordinator.rs
@@ -94,7 +94,7 @@
     ) -> Self {
         let counters = target.counters.clone();
         let before = counters.estimated_requests(now);
-        counters.placed.fetch_add(1, Ordering::SeqCst);
+        counters.record_placement();
         let (slowdown, age) = counters.slowdown_report(now);
         let slowdown_percent = (slowdown > 0 && age <= FRESH_SLOWDOWN_AGE).then_some(slowdown);
         let fills_target = before + 1 >= target.slots;
--- a/src/placement/driver.rs
+++ b/src/placement/driver.rs
@@ -22,6 +22,7 @@
     PlacementRequest, PlacementResponse, TargetGrant,
 };
 use zinniaport_core::policy::hash_bytes;
+use zinniaport_core::request_limit::AgedStatement;
 use zinniaport_core::signals::TargetTag;
 
 use super::coordinated::{CoordinatedPlacement, RemoteLease};
@@ -30,7 +31,7 @@
 use crate::gate::{AdmissionGates, GateRefusal};
 use crate::signals::{SignalDatagram, SignalSender};
 use crate::state::SharedState;
-use crate::targets::TargetsHandle;
+use crate::targets::{TargetsHandle, record_limit};
 
 /// Time between ticks, at which placement requests are repeated and waiting requests are
 /// admitted to slots that became free.
@@ -330,6 +331,10 @@
             let age = Duration::from_millis(ended.slowdown_age_ms.into());
             counters.record_slowdown(ended.slowdown_percent.into(), age, now);
         }
+        if let Some(AgedStatement { statement, age_ms }) = ended.limit {
+            let stated_at = now - Duration::from_millis(age_ms.into());
+            record_limit(snapshot, statement, stated_at);
+        }
         match ended.end {
             AttemptEnd::Unknown => {}
             AttemptEnd::Answered(latency_us) => {
--- a/src/placement/prober.rs
+++ b/src/placement/prober.rs
@@ -15,6 +15,7 @@
 use crate::exchange::empty_body;
 use crate::pool::{TargetCall, TargetTransport};
 use crate::state::SharedState;
+use crate::targets::record_limit;
 
 /// Timeout of a probe. Its result is useful for a few milliseconds only; the longer timeout
 /// keeps the connection from being closed.
@@ -117,14 +118,16 @@
             deadline: Instant::now() + PROBE_TIMEOUT,
             check: None,
         };
-        let (target, service) = (target.counters.clone(), service.counters.clone());
+        let (target, service) = (target.clone(), service.counters.clone());
         let (state, transport, report_arrived) =
             (self.state.clone(), self.transport.clone(), self.report_arrived.clone());
         tokio::spawn(async move {
             let deadline = call.deadline;
             let Ok(response) = transport.send(call).await else { return };
             if let Some(report) = state.dialect.parse_load(response.headers()) {
-                target.record_report(report, state.clock.now());
+                let now = state.clock.now();
+                target.counters.record_report(report, now);
+                record_limit(&target, state.dialect.parse_limit(response.headers()), now);
                 service.unanswered_probes.store(0, Ordering::Relaxed);
                 report_arrived.notify_waiters();
             }
--- a/src/targets.rs
+++ b/src/targets.rs
@@ -6,9 +6,12 @@
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
+use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::{
     StateController, TargetsController, TargetsEffect, TargetsMessage,
 };
+use zinniaport_core::fleet::TargetSnapshot;
+use zinniaport_core::request_limit::{LimitChange, LimitStatement};
 
 use crate::state::SharedState;
 
@@ -47,6 +50,20 @@
     }
 }
 
+/// Records what a target stated at `at` about its limit on requests per second.
+pub fn record_limit(target: &TargetSnapshot, statement: LimitStatement, at: Timestamp) {
+    let Some(change) = target.counters.limit.record(statement, at) else { return };
+    let target_id = target.instance.as_ref().map_or("", |instance| &instance.id);
+    match change {
+        LimitChange::Started(limit) => {
+            log::info!(target_id = target_id, target:% = target.address, per_second:% = limit; "target states a request limit");
+        }
+        LimitChange::Ended => {
+            log::info!(target_id = target_id, target:% = target.address; "target no longer states a request limit");
+        }
+    }
+}
+
 impl TargetsDriver {
     /// Creates a driver and its handle.
     pub fn new(state: Arc<SharedState>) -> (Self, TargetsHandle) {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -33,6 +33,7 @@
 use zinniaport_core::keys::ServiceKey;
 use zinniaport_core::placement::AttemptKind;
 use zinniaport_core::policy::ShortestWait;
+use zinniaport_core::request_limit::LimitStatement;
 use zinniaport_testing::test_cases;
 
 const SLOWDOWN_HEADER: HeaderName = HeaderName::from_static("x-slowdown");
@@ -82,6 +83,10 @@
         Some(LoadReport { running: 0, waiting: 0, slowdown_percent })
     }
 
+    fn parse_limit(&self, headers: &HeaderMap) -> LimitStatement {
+        DefaultDialect.parse_limit(headers)
+    }
+
     fn classify_response(
         &self,
         request_id: Option<&str>,
