Send a target no more requests than the limit that it states

Targets got up to 1.7 times what they said they take, since no decision used their statement.

Cause: a limit that belongs to all entries together was known to none of the parts that choose a target. Kept by each entry for itself it would not hold either.

Change: the coordinator of a service picks a target with a limit only while the limit leaves a request, admits waiting requests only as far as targets can take them, and refuses the others at once as under overload. Requests, retries and hedges count alike. Which part of a limit an entry may use follows from the number of entries that sent it requests in the last 10 s: coordinators that do not know of each other, and entries that place requests alone, thus use about the whole limit together. An entry without coordinators uses an equal part.

--- a/core/src/admission/window.rs
+++ b/core/src/admission/window.rs
@@ -31,7 +31,7 @@
         if headroom < 0.0 {
             queued -= headroom;
         } else if !target.counters.is_shedding(now) {
-            free += headroom;
+            free += headroom.min(target.counters.limit.permits(now) as f32);
         }
     }
     let entries = table.entry_count as f32;
@@ -57,19 +57,25 @@
 }
 
 /// Computes the headroom of a service from the requests of all entries. `admitted` counts
-/// the admitted requests, including those that have no target yet.
+/// the admitted requests, including those that have no target yet. A target with a request
+/// limit runs as many requests at once as arrive within a service time (Little's law).
 pub fn service_headroom(
     service: &HeadroomInput<'_>,
     admitted: u32,
     now: Timestamp,
 ) -> ServiceHeadroom {
-    let (mut headroom, mut placed) = (ServiceHeadroom::default(), 0);
+    let (mut headroom, mut placed, mut concurrency) = (ServiceHeadroom::default(), 0, 0.0);
+    let service_time = service.saturation.nominal_service_time();
     for target in &service.table.available {
         let counters = &target.counters;
         placed += counters.placed.load(Ordering::Relaxed);
         let usable = service.saturation.usable_slots(target.slots);
-        headroom.usable += usable;
+        concurrency += match (counters.limit.own_rate(), service_time) {
+            (Some(rate), Some(time)) => (rate as f32 * time.as_secs_f32()).min(usable as f32),
+            _ => usable as f32,
+        };
         let free = usable.saturating_sub(counters.estimated_requests(now));
+        let free = free.min(counters.limit.permits(now));
         if counters.is_shedding(now) {
             continue;
         }
@@ -77,6 +83,7 @@
         let is_slow = counters.is_slowed(now) || counters.is_unresponsive(now);
         *(if is_slow { &mut headroom.slowed } else { &mut headroom.free }) += free;
     }
+    headroom.usable = concurrency.ceil() as u32;
     let unplaced = admitted.saturating_sub(placed);
     headroom.slowed = headroom.slowed.saturating_sub(unplaced.saturating_sub(headroom.free));
     headroom.free = headroom.free.saturating_sub(unplaced);
--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -116,7 +116,8 @@
     }
 
     /// Counts a request that this entry places at the target.
-    pub fn record_placement(&self) {
+    pub fn record_placement(&self, now: Timestamp) {
+        self.limit.take(now);
         self.placed.fetch_add(1, Ordering::SeqCst);
     }
 
@@ -206,6 +207,11 @@
     pub fn is_shedding(&self, now: Timestamp) -> bool {
         now.0 < self.shedding_until.load(Ordering::Relaxed)
     }
+
+    /// Returns `true` if the target sheds load or this entry has used up its request limit.
+    pub fn is_closed(&self, now: Timestamp) -> bool {
+        self.is_shedding(now) || self.limit.is_exhausted(now)
+    }
 }
 
 /// Counters of a service that the request path updates without locks.
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -8,9 +8,11 @@
 //! no response sends its request to the next candidate and finally places it itself.
 
 mod ranking;
+mod share;
 
 pub use ranking::{CoordinatorCandidate, rank_coordinators};
 use serde::{Deserialize, Serialize};
+pub use share::ServedEntries;
 use strum::{Display, IntoStaticStr};
 
 use crate::call::ReasonCode;
--- a/core/src/policy/home_slots.rs
+++ b/core/src/policy/home_slots.rs
@@ -74,7 +74,7 @@
     let own = counters.in_flight.load(Ordering::Relaxed);
     own < target.home_slots
         && !query.excluded.contains(&target.key)
-        && !counters.is_shedding(query.now)
+        && !counters.is_closed(query.now)
         && AgedReports::load_per_slot(query, target) < 1.0
         && passes_ramp(target, query.now, random)
 }
@@ -98,7 +98,7 @@
     let (first, second) = (sample(), sample());
     let usable = |target: &&AvailableTarget| {
         !query.excluded.contains(&target.key)
-            && !target.counters.is_shedding(query.now)
+            && !target.counters.is_closed(query.now)
             && failure_penalty(target) == 0.0
             && target.ramp_start.is_none()
     };
--- a/core/src/policy/probe_pool.rs
+++ b/core/src/policy/probe_pool.rs
@@ -106,7 +106,7 @@
     query.fleet.targets.get(target).is_some_and(|snapshot| {
         snapshot.state.takes_requests()
             && snapshot.counters.consecutive_failures.load(Ordering::Relaxed) == 0
-            && !snapshot.counters.is_shedding(query.now)
+            && !snapshot.counters.is_closed(query.now)
             && !query.excluded.contains(&target)
     })
 }
--- a/core/src/policy/shortest_wait.rs
+++ b/core/src/policy/shortest_wait.rs
@@ -151,7 +151,9 @@
             return TwoChoices.pick(query, random);
         }
         let estimator = WaitEstimator::new(query);
-        let usable = |target: &&AvailableTarget| !query.excluded.contains(&target.key);
+        let usable = |target: &&AvailableTarget| {
+            !query.excluded.contains(&target.key) && !target.counters.limit.is_exhausted(query.now)
+        };
         let mut best: Option<(&AvailableTarget, f32)> = None;
         let mut ties = 0;
         // Uses shedding targets only if there are no others.
--- a/core/src/policy/table.rs
+++ b/core/src/policy/table.rs
@@ -79,7 +79,7 @@
     /// Returns `true` if the target takes a request for which it was sampled: never while it
     /// sheds load, and with the probability of its share while it ramps up.
     fn accepts(&self, now: Timestamp, random: &mut dyn RngCore) -> bool {
-        if self.counters.is_shedding(now) {
+        if self.counters.is_closed(now) {
             return false;
         }
         self.ramp_start.is_none_or(|start| random.random::<f32>() < ramp_share(start, now))
@@ -193,7 +193,9 @@
         }
         let start = random.random_range(0..self.available.len());
         let mut rotated = self.available[start..].iter().chain(&self.available[..start]);
-        rotated.find(|target| !excluded.contains(&target.key))
+        rotated.find(|target| {
+            !excluded.contains(&target.key) && !target.counters.limit.is_exhausted(now)
+        })
     }
 
     /// Samples two targets, which are the same only if no second one was found.
--- a/core/src/request_limit.rs
+++ b/core/src/request_limit.rs
@@ -15,6 +15,13 @@
 /// Limit from which on a target counts as unlimited, in requests per second.
 const MAX_LIMIT: f64 = 100_000.0;
 
+/// Time for which unused requests accumulate, so that a target may get as many requests at once
+/// as it takes in this time, or one if it takes fewer.
+const BURST_TIME: Duration = Duration::from_secs(1);
+
+/// Number of parts into which a limit is divided among entries.
+const WHOLE_SHARE: u32 = 1_000;
+
 /// Requests per second that a target takes from all entries together.
 #[derive(
     Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
@@ -83,6 +90,12 @@
     /// When the response arrived that stated the limit, or that stated none after one that
     /// did, in microseconds; 0 if no limit was ever stated.
     stated_at: AtomicU64,
+    /// Part of the limit that this entry may use, in units of 1 / [`WHOLE_SHARE`]; 0 stands for
+    /// the whole limit.
+    share: AtomicU32,
+    /// Time up to which this entry has used up its part, in microseconds. Each request moves it
+    /// by the interval of the requests.
+    used_until: AtomicU64,
 }
 
 impl LimitState {
@@ -111,6 +124,49 @@
         Some(RequestLimit(self.limit_milli.load(Ordering::Relaxed))).filter(|limit| limit.0 > 0)
     }
 
+    /// Sets the part of the limit that this entry may use, from 0.0 to 1.0.
+    pub fn set_share(&self, share: f64) {
+        let share = (share * f64::from(WHOLE_SHARE)) as u32;
+        self.share.store(share.clamp(1, WHOLE_SHARE), Ordering::Relaxed);
+    }
+
+    /// Returns the requests per second that this entry may send, if there is a limit.
+    pub fn own_rate(&self) -> Option<f64> {
+        let share = match self.share.load(Ordering::Relaxed) {
+            0 => WHOLE_SHARE,
+            share => share,
+        };
+        Some(self.limit()?.per_second() * f64::from(share) / f64::from(WHOLE_SHARE))
+    }
+
+    /// Returns the time between two requests at the own rate and the time for which unused
+    /// requests accumulate, both in microseconds.
+    fn intervals_us(&self) -> Option<(u64, u64)> {
+        let interval = ((1e6 / self.own_rate()?) as u64).max(1);
+        Some((interval, interval.max(BURST_TIME.as_micros() as u64)))
+    }
+
+    /// Returns the number of requests that this entry may send now.
+    pub fn permits(&self, now: Timestamp) -> u32 {
+        let Some((interval, burst)) = self.intervals_us() else { return u32::MAX };
+        let used_until = self.used_until.load(Ordering::Relaxed);
+        let unused = now.0.saturating_sub(used_until).min(burst) / interval;
+        u32::try_from(unused).unwrap_or(u32::MAX)
+    }
+
+    /// Returns `true` if this entry may send no request now.
+    pub fn is_exhausted(&self, now: Timestamp) -> bool {
+        self.permits(now) == 0
+    }
+
+    /// Counts a request that this entry sends, also if it exceeds the limit.
+    pub fn take(&self, now: Timestamp) {
+        let Some((interval, burst)) = self.intervals_us() else { return };
+        let earliest = now.0.saturating_sub(burst);
+        let take = |until: u64| Some(until.max(earliest) + interval);
+        let _ = self.used_until.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+    }
+
     /// Returns the last statement if it is at most `max_age` old.
     pub fn statement(&self, max_age: Duration, now: Timestamp) -> Option<AgedStatement> {
         let age = now.since(Timestamp(self.stated_at.load(Ordering::Relaxed)));
--- a/core/tests/request_limit.rs
+++ b/core/tests/request_limit.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -13,8 +14,10 @@
 use zinniaport_core::admission::window::{HeadroomInput, service_headroom};
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::fleet::{FleetSnapshot, TargetCounters};
+use zinniaport_core::placement::ServedEntries;
 use zinniaport_core::policy::{RoutingPolicy, ShortestWait};
 use zinniaport_core::request_limit::{LimitChange, LimitState, LimitStatement};
+use zinniaport_core::signals::ServiceTag;
 use zinniaport_testing::{check_property, test_cases};
 
 const MS: u64 = 1_000;
@@ -101,7 +104,7 @@
             let choice = choice.expect("a target is free").target;
             let targets = &service.table.available;
             let target = targets.iter().position(|target| target.key == choice).unwrap();
-            targets[target].counters.record_placement();
+            targets[target].counters.record_placement(now);
             self.arrivals[target].push(now);
             self.running.push_back((now + SERVICE_TIME, target));
             self.waiting -= 1;
@@ -123,6 +126,34 @@
         }
     }
 
+    several_coordinators_keep_a_limit: "coordinators that do not know of each other and each use the whole limit of a target" => {
+        // Entries 0 and 1 each coordinate for a part of the others; entry 2 is alone.
+        check_property(64, &(2_usize..140, 0_usize..140, 5_u32..200), |(count, split, limit)| {
+            let (service, start) = (ServiceTag(1), Timestamp(1_000_000));
+            let mut coordinators: Vec<_> = (0..3).map(|_| (ServedEntries::default(), LimitState::default())).collect();
+            for entry in 3..count {
+                let address = SocketAddr::from(([10, 0, 0, 1], entry as u16));
+                coordinators[usize::from(entry < split)].0.record(service, address, start);
+            }
+            let mut times = Vec::new();
+            for (served, state) in coordinators.iter_mut().take(count) {
+                state.record(LimitStatement::parse(&format!("{}", f64::from(limit) / 10.0)), start);
+                state.set_share(served.share(service, count, start));
+                for step in 0..8_000 {
+                    let now = Timestamp(start.0 + step * MS);
+                    if !state.is_exhausted(now) {
+                        state.take(now);
+                        times.push(now);
+                    }
+                }
+            }
+            times.sort();
+            let most = most_in_window(&times);
+            prop_assert!(most <= allowed(f64::from(limit) / 10.0), "{} requests in 4 s", most);
+            Ok(())
+        });
+    }
+
     limits_are_used_up: "limited targets that are left idle while requests wait" => {
         let mut service = SimulatedService::new(&["4.4", "10", "0.5"]);
         service.run(100.0, Timestamp(1_000_000), Duration::from_secs(20));
--- a/src/filters/route.rs
+++ b/src/filters/route.rs
@@ -108,6 +108,11 @@
             return Err(Refusal::not_run(ReasonCode::NoTarget, detail));
         };
         let now = query.now;
+        if let Some(target) = exchange.fleet.targets.get(choice.target) {
+            // Without a coordinator each entry uses an equal part of a request limit.
+            target.counters.limit.set_share(1.0 / service.table.entry_count.max(1) as f64);
+            target.counters.limit.take(now);
+        }
         let dispatch = dispatch_trace(exchange, choice, rule, now);
         exchange.trace.add_dispatch(dispatch);
         exchange.targets.push(choice.target);
--- a/src/placement/coordinator.rs
+++ b/src/placement/coordinator.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use zinniaport_core::call::{CallFacts, ReasonCode};
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::decision::AdmissionTrace;
@@ -94,7 +94,7 @@
     ) -> Self {
         let counters = target.counters.clone();
         let before = counters.estimated_requests(now);
-        counters.record_placement();
+        counters.record_placement(now);
         let (slowdown, age) = counters.slowdown_report(now);
         let slowdown_percent = (slowdown > 0 && age <= FRESH_SLOWDOWN_AGE).then_some(slowdown);
         let fills_target = before + 1 >= target.slots;
@@ -225,7 +225,13 @@
                 break;
             }
             let now = self.state.clock.now();
-            let choice = self.pick(call, &fleet, &call.excluded, 1.0)?;
+            let Some(choice) = self.pick(call, &fleet, &call.excluded, 1.0) else {
+                if now >= call.facts.soft_deadline() || !has_permit_soon(call, service, now) {
+                    return None;
+                }
+                sleep(PICK_PERIOD).await;
+                continue;
+            };
             let is_fresh = self.is_fresh(&fleet, choice.target, now);
             let finished = now + Duration::from_micros(choice.expected_us.into());
             if is_fresh && finished <= call.facts.soft_deadline() {
@@ -299,3 +305,14 @@
         self.policy.pick(&query, &mut rand::rng())
     }
 }
+
+/// Returns `true` if a target that the request may use has used up its request limit, and takes
+/// the next request before the soft deadline.
+fn has_permit_soon(call: &PlacementCall, service: &ServiceSnapshot, now: Timestamp) -> bool {
+    let mut targets =
+        service.table.available.iter().filter(|target| !call.excluded.contains(&target.key));
+    targets.any(|target| {
+        let limit = &target.counters.limit;
+        limit.is_exhausted(now) && !limit.is_exhausted(call.facts.soft_deadline())
+    })
+}
--- a/src/placement/driver.rs
+++ b/src/placement/driver.rs
@@ -19,11 +19,11 @@
 use zinniaport_core::keys::{CallerKey, TargetKey};
 use zinniaport_core::placement::{
     AttemptEnd, CoordinatorCandidate, EndedPlacement, PlacementId, PlacementMessage,
-    PlacementRequest, PlacementResponse, TargetGrant,
+    PlacementRequest, PlacementResponse, ServedEntries, TargetGrant,
 };
 use zinniaport_core::policy::hash_bytes;
 use zinniaport_core::request_limit::AgedStatement;
-use zinniaport_core::signals::TargetTag;
+use zinniaport_core::signals::{ServiceTag, TargetTag};
 
 use super::coordinated::{CoordinatedPlacement, RemoteLease};
 use super::coordinator::{Coordinator, PlacedCall, PlacementCall, TargetReservation};
@@ -117,6 +117,7 @@
     events: mpsc::UnboundedReceiver<PlacementEvent>,
     decision_senders: HashMap<PlacementId, oneshot::Sender<PlacementDecision>>,
     served: HashMap<GrantKey, ServedRequest>,
+    served_entries: ServedEntries,
     tags: Arc<TagCache>,
 }
 
@@ -144,6 +145,7 @@
             events,
             decision_senders: HashMap::new(),
             served: HashMap::new(),
+            served_entries: ServedEntries::default(),
             tags: Arc::default(),
         }
     }
@@ -190,6 +192,25 @@
         }
         if is_sweep {
             self.step_grants(GrantsMessage::Tick);
+            self.update_limit_shares();
+        }
+    }
+
+    /// Sets the part of the request limits of targets that this entry may use.
+    fn update_limit_shares(&mut self) {
+        let fleet = self.state.fleet.load();
+        let entry_count = self.state.entry_count.load(Ordering::Relaxed);
+        let now = self.state.clock.now();
+        for service in fleet.services.values() {
+            let targets = service.targets.iter().filter_map(|key| fleet.targets.get(*key));
+            let mut limits = targets
+                .map(|target| &target.counters.limit)
+                .filter(|limit| limit.limit().is_some());
+            let Some(first) = limits.next() else { continue };
+            let tag = ServiceTag::of(&service.intent.service);
+            let share = self.served_entries.share(tag, entry_count, now);
+            first.set_share(share);
+            limits.for_each(|limit| limit.set_share(share));
         }
     }
 
@@ -254,6 +275,7 @@
     /// Starts a task that decides on a placement request of another entry.
     fn start_placement(&mut self, key: GrantKey, request: PlacementRequest) {
         self.coordinator.record_remote_request();
+        self.served_entries.record(request.service, key.peer, self.state.clock.now());
         let fleet = self.state.fleet.load_full();
         let table = self.tags.table_for(&fleet);
         let Some(service) = table.service(request.service) else {
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -248,7 +248,8 @@
         if may_coordinate { self.settings.capacity() } else { 0 }
     }
 
-    /// Publishes the live peers and the retry tokens of this entry, one of `entry_count`.
+    /// Publishes the live peers, the number of entries and the retry tokens of this entry, one of
+    /// `entry_count`.
     fn update_peers(&self, peers: &[CoordinatorCandidate], entry_count: usize) {
         let addresses = peers.iter().map(|peer| peer.address.to_string().into());
         let own = self.state.entry_name.clone();
@@ -260,6 +261,7 @@
         };
         self.targets.send(TargetsMessage::View(view));
         self.update_candidates(peers);
+        self.state.entry_count.store(entry_count, Ordering::Relaxed);
         let retry_tokens = self.settings.saved_retries * DISTRIBUTED_SHARE / entry_count as f64;
         self.state.max_saved_retries.store((retry_tokens as u64).max(1), Ordering::Relaxed);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! State that filters and controllers share: snapshots that are replaced by read-copy-update.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
@@ -61,6 +61,8 @@
     pub may_coordinate: AtomicBool,
     /// Newest directory revisions that this entry and others know.
     pub revisions: RevisionTracker,
+    /// Number of entries that may be running, this one and silent ones included.
+    pub entry_count: AtomicUsize,
     /// Maximum number of retry tokens that this entry accumulates for one service. Retries and
     /// hedges spend them.
     pub max_saved_retries: AtomicU64,
@@ -85,6 +87,7 @@
             signal_due: Notify::new(),
             may_coordinate: AtomicBool::new(false),
             revisions: RevisionTracker::default(),
+            entry_count: AtomicUsize::new(1),
             max_saved_retries: AtomicU64::new(MAX_SAVED_RETRIES),
         }
     }
