Take a target out of use when its process announces that it leaves

The users' platform now announces in each response of a leaving target that it leaves (`Server-Leaving: 1`); requests that arrive later than `Drain` after an entry passed on such a response must not reach it from that entry.

Cause: the adapter ignored the header, and an announcement was undone when the registration of the same process changed, for example at the end of its warm-up.

Change: the header is decoded at the boundary; only a response of the addressed process counts. The announcement of a process is final: its list entry may be older, and a new process at the address is another target. The entry tells the coordinator when the attempt ends.

--- a/core/src/controllers/requester.rs
+++ b/core/src/controllers/requester.rs
@@ -305,6 +305,7 @@
         end: Default::default(),
         slowdown_percent: 0,
         slowdown_age_ms: 0,
+        leaving: false,
         limit: None,
     }
 }
--- a/core/src/controllers/targets.rs
+++ b/core/src/controllers/targets.rs
@@ -9,7 +9,7 @@
 use super::StateController;
 use crate::clock::Timestamp;
 use crate::fleet::{FleetSnapshot, TargetState};
-use crate::intent::DesiredState;
+use crate::intent::{DesiredState, TargetIntent};
 use crate::keys::{ServiceKey, TargetKey};
 use crate::outlier::{
     EjectionHistory, decay_failures, is_outlier, max_ejected, median_latency, reset,
@@ -73,12 +73,14 @@
         }
     }
 
-    /// Sets the state that the operator wants. An operator who lets a target join or serve
-    /// again knows that its drain has ended.
-    fn set_desired_state(&mut self, desired: DesiredState, now: Timestamp) {
+    /// Applies the state in the intent of a target. An operator who lets an address join or
+    /// serve again knows that its drain has ended. An intent that names a process may be older
+    /// than the announcement of this process that it leaves, which is final.
+    fn apply_intent(&mut self, intent: &TargetIntent, now: Timestamp) {
+        let desired = intent.state;
         if desired != self.desired && desired != DesiredState::Leaving {
             let was_leaving = self.desired == DesiredState::Leaving;
-            self.drained = false;
+            self.drained &= intent.instance.is_some();
             if desired == DesiredState::Joining || was_leaving {
                 self.ramp_start = Some(now);
             }
@@ -158,7 +160,7 @@
                 if !self.records.contains_key(*target) {
                     self.records.insert(*target, TargetRecord::default());
                 }
-                self.records[*target].set_desired_state(intent.state, now);
+                self.records[*target].apply_intent(intent, now);
             }
         }
         let fleet = &self.fleet;
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -131,6 +131,8 @@
     pub slowdown_percent: u16,
     /// Age of that report, in milliseconds.
     pub slowdown_age_ms: u16,
+    /// Whether the target announced that it leaves.
+    pub leaving: bool,
     /// What the target last stated about its limit on requests per second, if that is recent.
     pub limit: Option<AgedStatement>,
 }
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -58,6 +58,7 @@
         end: AttemptEnd::Unknown,
         slowdown_percent: 0,
         slowdown_age_ms: 0,
+        leaving: false,
         limit: None,
     }
 }
--- a/core/tests/targets.rs
+++ b/core/tests/targets.rs
@@ -14,7 +14,7 @@
     StateController, TargetsController, TargetsEffect, TargetsMessage,
 };
 use zinniaport_core::fleet::{FleetSnapshot, TargetState};
-use zinniaport_core::intent::{DesiredState, ServiceIntent};
+use zinniaport_core::intent::{DesiredState, ServiceIntent, TargetInstance};
 use zinniaport_core::policy::ramp_share;
 use zinniaport_testing::{check_property, test_cases};
 
@@ -102,6 +102,24 @@
 }
 
 test_cases! {
+    announced_leave_of_a_process_is_final: "a target that gets requests again because the list still says that it serves" => {
+        let mut driver = Driver::new(2, 50.0);
+        for started_ms in [1, 2] {
+            let mut intent = ServiceIntent::clone(&driver.intents.find(SERVICE).unwrap().1.intent);
+            intent.targets[0].state = DesiredState::Joining;
+            intent.targets[0].instance = Some(TargetInstance { id: "i-1".into(), started_ms });
+            assert!(driver.intents.apply(intent, 10 * started_ms, driver.now));
+            driver.publish_intents();
+            assert_eq!(driver.state(0), TargetState::Starting, "process {started_ms} may take requests");
+            let key = driver.published.find(SERVICE).unwrap().1.targets[0];
+            driver.send(TargetsMessage::DrainStarted(key));
+            driver.set_desired_state(0, DesiredState::Serving, 10 * started_ms + 1);
+            driver.advance(Duration::from_secs(60));
+            assert_eq!(driver.state(0), TargetState::Draining, "process {started_ms} announced that it leaves");
+        }
+    }
+
+
     published_tables_get_new_latencies: "a routing table without the latest median latency after a change of the member list" => {
         let mut driver = Driver::new(4, 50.0);
         driver.send(TargetsMessage::View(view(0, 3)));
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -98,6 +98,9 @@
         let class =
             dialect.classify_response(caller_request_id.and_then(|id| id.to_str().ok()), &response);
         self.record_limit(&target, class, &response);
+        if is_from_target(class) && dialect.announces_drain(response.headers()) {
+            guard.record_leaving();
+        }
         match class {
             ResponseClass::Answered if response.status().is_server_error() => {
                 guard.record_end(AttemptEnd::Failed);
@@ -128,6 +131,11 @@
     }
 }
 
+/// Returns `true` if a response comes from the target that the request was sent to.
+fn is_from_target(class: ResponseClass) -> bool {
+    matches!(class, ResponseClass::Answered | ResponseClass::NotRun)
+}
+
 impl ForwardFilter {
     /// Records what a response states about the limit of its target. A response of another
     /// process states nothing, and one that is not a success may lack the header.
@@ -136,7 +144,7 @@
         let is_success = class == ResponseClass::Answered && response.status().is_success();
         let counts = match statement {
             LimitStatement::Unlimited => is_success,
-            _ => matches!(class, ResponseClass::Answered | ResponseClass::NotRun),
+            _ => is_from_target(class),
         };
         if counts {
             record_limit(target, statement, self.state.clock.now());
@@ -257,7 +265,7 @@
             Refusal::not_run(ReasonCode::TargetRefused, detail)
         }
     };
-    refusal.target_drains = dialect.announces_drain(response.headers());
+    refusal.target_drains = is_from_target(class) && dialect.announces_drain(response.headers());
     let seconds = response.headers().get(header::RETRY_AFTER);
     match seconds.and_then(|value| value.to_str().ok()?.parse().ok()) {
         Some(seconds) => refusal.retry_after(Duration::from_secs(seconds)),
@@ -303,6 +311,12 @@
             lease.record_end(end);
         }
     }
+
+    fn record_leaving(&mut self) {
+        if let Some(lease) = &mut self.lease {
+            lease.record_leaving();
+        }
+    }
 }
 
 impl Drop for InFlightGuard {
--- a/src/placement/coordinated.rs
+++ b/src/placement/coordinated.rs
@@ -188,6 +188,9 @@
     fn record_end(&mut self, end: AttemptEnd) {
         self.reservation.record_end(end);
     }
+
+    /// Does nothing: the attempt tells the targets controller of this entry.
+    fn record_leaving(&mut self) {}
 }
 
 /// An open placement request to a coordinator, or the lease of the granted target. Dropping
@@ -199,12 +202,18 @@
     /// Counters of the granted target, if one was granted.
     pub(super) counters: Option<Arc<TargetCounters>>,
     pub(super) end: AttemptEnd,
+    /// Whether the target announced that it leaves.
+    pub(super) leaving: bool,
 }
 
 impl PlacementLease for RemoteLease {
     fn record_end(&mut self, end: AttemptEnd) {
         self.end = end;
     }
+
+    fn record_leaving(&mut self) {
+        self.leaving = true;
+    }
 }
 
 impl Drop for RemoteLease {
@@ -214,6 +223,7 @@
             end: self.end,
             slowdown_percent: 0,
             slowdown_age_ms: 0,
+            leaving: self.leaving,
             limit: None,
         };
         if let Some(counters) = &self.counters {
--- a/src/placement/driver.rs
+++ b/src/placement/driver.rs
@@ -73,7 +73,14 @@
         let (sender, decision) = oneshot::channel();
         self.send_event(PlacementEvent::Requested(id, request, sender));
         let (handle, state) = (self.clone(), self.state.clone());
-        let lease = RemoteLease { id, handle, state, counters: None, end: AttemptEnd::Unknown };
+        let lease = RemoteLease {
+            id,
+            handle,
+            state,
+            counters: None,
+            end: AttemptEnd::Unknown,
+            leaving: false,
+        };
         (lease, decision)
     }
 
@@ -353,6 +360,9 @@
             let age = Duration::from_millis(ended.slowdown_age_ms.into());
             counters.record_slowdown(ended.slowdown_percent.into(), age, now);
         }
+        if ended.leaving {
+            self.targets.try_send(TargetsMessage::DrainStarted(*target));
+        }
         if let Some(AgedStatement { statement, age_ms }) = ended.limit {
             let stated_at = now - Duration::from_millis(age_ms.into());
             record_limit(snapshot, statement, stated_at);
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -25,6 +25,9 @@
 pub trait PlacementLease: Send + Sync {
     /// Records how the attempt ended. Called at most once, before the drop.
     fn record_end(&mut self, end: AttemptEnd);
+
+    /// Records that the target announced that it leaves.
+    fn record_leaving(&mut self);
 }
 
 /// Permission to dispatch a request.
