Send a target nothing while it asked this entry for no requests

A target that refuses a request with 503 and `Retry-After` wants nothing from that entry for so long; at most two requests may reach it until then.

Cause: `Retry-After` was read as whole seconds only, counted for at most one second as shedding, and the coordinator, for whom it counted 5 ms if the target had free slots, granted the target to the same entry again.

Change: the entry keeps the end of the pause with the target, at most 60 s ahead, and excludes the target from its placement requests, retries, hedges and probes. If all targets of a service are paused, requests are refused at once with the time until the first one opens, with jitter.

Evidence: tests/placement.rs, paused_targets_get_no_requests, fails without the exclusion; core/tests/targets.rs, pauses_are_kept_and_bounded; tests/target_statements.rs.

--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -13,6 +13,10 @@
 /// that sheds load for longer announces it again.
 pub const MAX_SHED_TIME: Duration = Duration::from_secs(1);
 
+/// Maximum time for which a target gets no requests after it asked for none. One that still
+/// wants none asks again.
+pub const MAX_PAUSE: Duration = Duration::from_secs(60);
+
 /// Service time of a target that is not slowed by its neighbours, in percent of its nominal
 /// service time.
 pub const NO_SLOWDOWN_PERCENT: u32 = 100;
@@ -88,6 +92,8 @@
     pub failure_share: AtomicU32,
     /// Time until which the target sheds load, in microseconds.
     pub shedding_until: AtomicU64,
+    /// Time until which the target asked this entry for no requests, in microseconds.
+    pub paused_until: AtomicU64,
     /// Limit on requests per second that the target stated.
     pub limit: LimitState,
 }
@@ -208,9 +214,28 @@
         now.0 < self.shedding_until.load(Ordering::Relaxed)
     }
 
-    /// Returns `true` if the target sheds load or this entry has used up its request limit.
+    /// Records that the target asked this entry for no requests for `period`, at most
+    /// [`MAX_PAUSE`].
+    pub fn record_pause(&self, period: Duration, now: Timestamp) {
+        let until = now + period.min(MAX_PAUSE);
+        self.paused_until.fetch_max(until.0, Ordering::Relaxed);
+    }
+
+    /// Returns the time for which the target still wants no requests of this entry, if any.
+    pub fn pause_left(&self, now: Timestamp) -> Option<Duration> {
+        let left = Timestamp(self.paused_until.load(Ordering::Relaxed)).since(now);
+        Some(left).filter(|left| !left.is_zero())
+    }
+
+    /// Returns `true` if this entry must not send the target a request: the target asked for
+    /// none, or its request limit is used up.
+    pub fn is_barred(&self, now: Timestamp) -> bool {
+        self.pause_left(now).is_some() || self.limit.is_exhausted(now)
+    }
+
+    /// Returns `true` if the target sheds load or must not get a request.
     pub fn is_closed(&self, now: Timestamp) -> bool {
-        self.is_shedding(now) || self.limit.is_exhausted(now)
+        self.is_shedding(now) || self.is_barred(now)
     }
 }
 
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::Timestamp;
 pub use crate::counters::{
-    LoadReport, MAX_SHED_TIME, MAX_SLOWDOWN_AGE, NO_SLOWDOWN_PERCENT, ServiceCounters,
+    LoadReport, MAX_PAUSE, MAX_SHED_TIME, MAX_SLOWDOWN_AGE, NO_SLOWDOWN_PERCENT, ServiceCounters,
     TargetCounters,
 };
 use crate::intent::{DesiredState, ServiceIntent, TargetInstance, TargetIntent};
--- a/core/src/policy/round_robin.rs
+++ b/core/src/policy/round_robin.rs
@@ -21,8 +21,8 @@
         for _ in 0..table.available.len() {
             let turn = query.service.counters.cursor.fetch_add(1, Ordering::Relaxed) as usize;
             let target = &table.available[turn % table.available.len()];
-            let is_exhausted = target.counters.limit.is_exhausted(query.now);
-            if !query.excluded.contains(&target.key) && !is_exhausted {
+            let is_barred = target.counters.is_barred(query.now);
+            if !query.excluded.contains(&target.key) && !is_barred {
                 return Some(query.choice(target, ReasonCode::NextInTurn));
             }
         }
--- a/core/src/policy/table.rs
+++ b/core/src/policy/table.rs
@@ -193,9 +193,7 @@
         }
         let start = random.random_range(0..self.available.len());
         let mut rotated = self.available[start..].iter().chain(&self.available[..start]);
-        rotated.find(|target| {
-            !excluded.contains(&target.key) && !target.counters.limit.is_exhausted(now)
-        })
+        rotated.find(|target| !excluded.contains(&target.key) && !target.counters.is_barred(now))
     }
 
     /// Samples two targets, which are the same only if no second one was found.
--- a/core/tests/targets.rs
+++ b/core/tests/targets.rs
@@ -8,14 +8,16 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use support::{SERVICE, fleet, intent, targets, view};
+use support::{SERVICE, fleet, intent, query, targets, view};
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::{
     StateController, TargetsController, TargetsEffect, TargetsMessage,
 };
-use zinniaport_core::fleet::{FleetSnapshot, TargetState};
+use zinniaport_core::fleet::{FleetSnapshot, MAX_PAUSE, TargetCounters, TargetState};
 use zinniaport_core::intent::{DesiredState, ServiceIntent, TargetInstance};
-use zinniaport_core::policy::ramp_share;
+use zinniaport_core::policy::{
+    RandomPolicy, RoundRobin, RoutingPolicy, ShortestWait, TwoChoices, ramp_share,
+};
 use zinniaport_testing::{check_property, test_cases};
 
 /// The controller with the snapshot that the request path would use.
@@ -102,6 +104,34 @@
 }
 
 test_cases! {
+    pauses_are_kept_and_bounded: "requests to a target before the end of the time for which it asked for none, or a pause without end" => {
+        let counters = TargetCounters::default();
+        assert_eq!(counters.pause_left(Timestamp(5)), None);
+        counters.record_pause(Duration::from_secs(3), Timestamp(1_000_000));
+        counters.record_pause(Duration::from_secs(1), Timestamp(1_500_000));
+        assert!(counters.is_barred(Timestamp(3_999_999)), "a shorter pause ended a longer one");
+        assert!(!counters.is_barred(Timestamp(4_000_000)));
+        counters.record_pause(Duration::MAX, Timestamp(5_000_000));
+        assert_eq!(counters.pause_left(Timestamp(5_000_000)), Some(MAX_PAUSE));
+        // Policies without a coordinator pick no paused target either, even if there is no other.
+        let fleet = fleet(2, view(0, 1));
+        let table = &fleet.find(SERVICE).unwrap().1.table;
+        let now = Timestamp(1_000_000);
+        table.available[0].counters.record_pause(Duration::from_secs(9), now);
+        let policies: [Box<dyn RoutingPolicy>; 4] =
+            [Box::new(RandomPolicy), Box::new(RoundRobin), Box::new(TwoChoices), Box::new(ShortestWait)];
+        for policy in &policies {
+            for _ in 0..50 {
+                let choice = policy.pick(&query(&fleet, now), &mut rand::rng()).unwrap();
+                assert_eq!(choice.target, table.available[1].key, "{}", policy.name());
+            }
+        }
+        table.available[1].counters.record_pause(Duration::from_secs(9), now);
+        for policy in &policies {
+            assert!(policy.pick(&query(&fleet, now), &mut rand::rng()).is_none(), "{}", policy.name());
+        }
+    }
+
     announced_leave_of_a_process_is_final: "a target that gets requests again because the list still says that it serves" => {
         let mut driver = Driver::new(2, 50.0);
         for started_ms in [1, 2] {
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use zinniaport_core::fleet::LoadReport;
 use zinniaport_core::intent::TargetInstance;
 use zinniaport_core::request_limit::LimitStatement;
@@ -79,6 +79,13 @@
 /// Request header with the identifier of the process that the request is addressed to.
 pub const INSTANCE_HEADER: HeaderName = HeaderName::from_static("x-instance");
 
+/// Parses the seconds in `Retry-After`, which may have a fraction. Returns `None` for a date,
+/// a negative number and anything else that is not a number of seconds.
+pub fn parse_retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    (seconds >= 0.0).then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// Parses the limit in the header `name`. If it is repeated, the first value counts.
 pub fn parse_limit_header(headers: &HeaderMap, name: &str) -> LimitStatement {
     match headers.get(name) {
--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -113,6 +113,9 @@
             }
             ReasonCode::TargetRefused => {
                 self.counters.record_shedding(shedding_time(refusal), now);
+                if let Some(period) = refusal.retry_after {
+                    self.counters.record_pause(period, now);
+                }
             }
             ReasonCode::DeadlinePassed => self.counters.record_latency(now.since(self.started)),
             _ => {}
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -15,14 +15,14 @@
 use http_body_util::{BodyExt, BodyStream, Limited, StreamBody};
 use tokio::time::{Instant, timeout};
 use zinniaport_core::call::ReasonCode;
-use zinniaport_core::fleet::{TargetCounters, TargetSnapshot};
+use zinniaport_core::fleet::{MAX_PAUSE, TargetCounters, TargetSnapshot};
 use zinniaport_core::intent::TargetInstance;
 use zinniaport_core::placement::AttemptEnd;
 use zinniaport_core::request_limit::LimitStatement;
 
 use super::attempt::shedding_time;
 use super::{FilterNext, FilterResult, RequestFilter};
-use crate::dialect::{HeaderDialect, ResponseClass};
+use crate::dialect::{HeaderDialect, ResponseClass, parse_retry_after};
 use crate::exchange::{
     BodyError, BodyFault, CallBody, CallResponse, Exchange, empty_body, full_body,
 };
@@ -266,9 +266,8 @@
         }
     };
     refusal.target_drains = is_from_target(class) && dialect.announces_drain(response.headers());
-    let seconds = response.headers().get(header::RETRY_AFTER);
-    match seconds.and_then(|value| value.to_str().ok()?.parse().ok()) {
-        Some(seconds) => refusal.retry_after(Duration::from_secs(seconds)),
+    match parse_retry_after(response.headers()) {
+        Some(delay) => refusal.retry_after(delay.min(MAX_PAUSE)),
         None => refusal,
     }
 }
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -342,7 +342,7 @@
 }
 
 /// Returns `delay` with a random extension, so that callers do not retry at the same time.
-fn add_jitter(delay: Duration) -> Duration {
+pub fn add_jitter(delay: Duration) -> Duration {
     delay.mul_f64(1.0 + rand::random_range(0.0..RETRY_JITTER))
 }
 
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -6,7 +6,7 @@
 mod gates;
 mod quarantine;
 
-pub use admission::{AdmissionGate, GateRefusal, SlotGuard};
+pub use admission::{AdmissionGate, GateRefusal, SlotGuard, add_jitter};
 pub use archive::{ArchiveDriver, ArchivedCrashes, CrashArchive};
 pub use gates::AdmissionGates;
 pub use quarantine::{FingerprintedCall, PermitHandle, QuarantineGate, RunPermit};
--- a/src/placement/coordinated.rs
+++ b/src/placement/coordinated.rs
@@ -9,7 +9,8 @@
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::PlacementDecision;
 use zinniaport_core::decision::AdmissionTrace;
-use zinniaport_core::fleet::{FleetSnapshot, TargetCounters, TargetState};
+use zinniaport_core::fleet::{FleetSnapshot, ServiceSnapshot, TargetCounters, TargetState};
+use zinniaport_core::keys::TargetKey;
 use zinniaport_core::placement::{
     AttemptEnd, AttemptKind, EndedPlacement, PlacementId, PlacementRequest, TargetGrant,
 };
@@ -22,7 +23,7 @@
 use super::{CallPlacement, Placement, PlacementLease};
 use crate::exchange::Exchange;
 use crate::filters::remote_cost;
-use crate::gate::GateRefusal;
+use crate::gate::{GateRefusal, add_jitter};
 use crate::state::SharedState;
 
 /// Maximum age of what a target reported about its slowdown and its limit, up to which it is
@@ -62,7 +63,12 @@
             return Err(GateRefusal::with_default_delay(ReasonCode::UnknownService));
         };
         let now = self.state.clock.now();
+        if let Some(retry_after) = time_until_open(service, now) {
+            let retry_after = add_jitter(retry_after);
+            return Err(GateRefusal { reason: ReasonCode::NoTarget, retry_after });
+        }
         let table = self.tags.table_for(&fleet);
+        let excluded = excluded_targets(service, exchange, now);
         let request = PlacementRequest {
             service: ServiceTag::of(&service.intent.service),
             data_centre: self.state.data_centre.to_string(),
@@ -71,7 +77,7 @@
             soft_deadline_ms: millis(facts.soft_deadline().since(now)),
             deadline_ms: millis(facts.time_left(now)),
             remote_cost_percent: (remote_cost(exchange) * 100.0) as u16,
-            excluded: exchange.targets.iter().filter_map(|key| table.tag_of(*key)).collect(),
+            excluded: excluded.iter().filter_map(|key| table.tag_of(*key)).collect(),
         };
         let (mut lease, decision) = self.handle.request(request);
         let Ok(Ok(decision)) = timeout(facts.time_left(now), decision).await else {
@@ -110,15 +116,21 @@
         exchange: &Exchange,
         attempt: AttemptKind,
     ) -> Result<Placement, GateRefusal> {
+        let fleet = self.state.fleet.load();
+        let service = fleet.services.get(exchange.facts.service);
+        let now = self.state.clock.now();
         let call = PlacementCall {
             service: exchange.facts.service,
             facts: exchange.facts,
             attempt,
-            excluded: exchange.targets.clone(),
+            excluded: service
+                .map(|service| excluded_targets(service, exchange, now))
+                .unwrap_or_default(),
             data_centre: self.state.data_centre.to_string(),
             affinity: self.affinity,
             remote_cost: remote_cost(exchange),
         };
+        drop(fleet);
         let placed = self.coordinator.place(&call).await?;
         let lease: Box<dyn PlacementLease> =
             Box::new(LocalLease { reservation: placed.reservation });
@@ -141,7 +153,8 @@
         let key = self.tags.table_for(fleet).target(grant.target)?;
         let target = fleet.targets.get(key)?;
         let is_leaving = matches!(target.state, TargetState::Draining | TargetState::Leaving);
-        if is_leaving || exchange.targets.contains(&key) {
+        let is_paused = target.counters.pause_left(self.state.clock.now()).is_some();
+        if is_leaving || is_paused || exchange.targets.contains(&key) {
             return None;
         }
         let TargetGrant { target_reason: reason, candidates, .. } = grant;
@@ -240,6 +253,26 @@
     }
 }
 
+/// Returns the targets that a request must not be sent to: those that it was sent to before, and
+/// those that asked this entry for no requests.
+fn excluded_targets(
+    service: &ServiceSnapshot,
+    exchange: &Exchange,
+    now: Timestamp,
+) -> Vec<TargetKey> {
+    let paused = service.table.available.iter().filter(|target| {
+        target.counters.pause_left(now).is_some() && !exchange.targets.contains(&target.key)
+    });
+    exchange.targets.iter().copied().chain(paused.map(|target| target.key)).collect()
+}
+
+/// Returns the time until the first target of a service takes requests of this entry again, or
+/// `None` if one does now or there is none.
+fn time_until_open(service: &ServiceSnapshot, now: Timestamp) -> Option<Duration> {
+    let pauses = service.table.available.iter().map(|target| target.counters.pause_left(now));
+    pauses.collect::<Option<Vec<_>>>()?.into_iter().min()
+}
+
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/src/placement/prober.rs
+++ b/src/placement/prober.rs
@@ -101,6 +101,9 @@
         let path = service.intent.measuring.probe_path.as_deref().map(Uri::try_from);
         let Some(Ok(path)) = path else { return false };
         let now = self.state.clock.now();
+        if target.counters.pause_left(now).is_some() {
+            return false;
+        }
         let last = Timestamp(target.counters.last_probe_at.load(Ordering::Relaxed));
         if last.0 > 0 && now.since(last) < self.target_period {
             return target.counters.has_unanswered_probe();
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -295,6 +295,33 @@
         assert_eq!(small.placed(), 1);
     }
 
+    async paused_targets_get_no_requests: "a target that asked an entry for no requests and gets them from it through a coordinator" => {
+        let targets = targets((1..=3).map(|number| (number, 100)));
+        let large = Entry::start(&targets, 4.0, &[]).await;
+        let small = Entry::start(&targets, 0.5, &[large.address]).await;
+        wait_until(|| large.state.fleet.load().view.members.len() == 2).await;
+        let pause = |open: SocketAddr, period: Duration| {
+            let fleet = small.state.fleet.load();
+            for target in fleet.targets.values().filter(|target| target.address != open) {
+                target.counters.record_pause(period, small.state.clock.now());
+            }
+        };
+        pause(address(2), Duration::from_secs(50));
+        for _ in 0..30 {
+            let target = small.place().await.choice.unwrap().target;
+            assert_eq!(small.state.fleet.load().targets[target].address, address(2));
+        }
+        // Once all targets are paused, requests are refused at once, until the first one opens.
+        pause(address(1), Duration::from_secs(20));
+        let fleet = small.state.fleet.load_full();
+        let mut exchange = Exchange::new("request-1".to_owned(), fleet, http::Request::new(empty_body()));
+        exchange.facts = small.facts(10_000);
+        let refusal = small.placement.place(&exchange).await.err().expect("all targets are paused");
+        assert_eq!(refusal.reason, ReasonCode::NoTarget);
+        let (least, most) = (Duration::from_secs(15), Duration::from_secs(30));
+        assert!((least..=most).contains(&refusal.retry_after), "{:?}", refusal.retry_after);
+    }
+
     async hedges_need_a_free_slot: "hedges that take slots while first attempts wait" => {
         let targets = targets([(1, 100)]);
         let entry = Entry::start(&targets, 1.0, &[]).await;
