--- a/standin/src/target/behaviour.rs
+++ b/standin/src/target/behaviour.rs
@@ -87,6 +87,8 @@
     /// Announces in each response that the target is about to leave.
     #[builder(default)]
     pub draining: bool,
+    /// States in each response that the target takes this many requests per second.
+    pub request_limit: Option<f64>,
     /// Responds with status 500 at once, without a slot.
     #[builder(default)]
     pub fail_fast: bool,
--- a/standin/src/target/server.rs
+++ b/standin/src/target/server.rs
@@ -200,6 +200,10 @@
         if behaviour.draining {
             headers.insert("x-drain", HeaderValue::from(1));
         }
+        let limit = behaviour.request_limit.map(|limit| HeaderValue::try_from(limit.to_string()));
+        if let Some(Ok(limit)) = limit {
+            headers.insert("x-request-limit", limit);
+        }
     }
 
     fn age(&self) -> Duration {
