Drop crash records of a single target first when there are too many

Cause: the oldest record was dropped, so enough lost responses, each of which looks like a crash of one target, made an entry forget a request that had crashed several.

Evidence: core/tests/quarantine.rs, repeated_crashes_outlast_single_ones, fails before (the request runs again).

--- a/core/src/quarantine.rs
+++ b/core/src/quarantine.rs
@@ -312,7 +312,8 @@
         self.merge(&CrashRecord { fingerprint, targets, last_crash: now }, now);
     }
 
-    /// Drops the oldest crash record if there are too many.
+    /// Drops the oldest crash record if there are too many, one of a single target first: a
+    /// target that loses many responses causes many of these.
     fn drop_oldest_record(&mut self) {
         if self.crash_records.len() <= MAX_CRASH_RECORDS {
             return;
@@ -320,7 +321,7 @@
         let oldest = self
             .crash_records
             .values()
-            .min_by_key(|record| (record.last_crash, record.fingerprint));
+            .min_by_key(|record| (record.is_repeated(), record.last_crash, record.fingerprint));
         if let Some(fingerprint) = oldest.map(|record| record.fingerprint) {
             self.crash_records.remove(&fingerprint);
         }
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -97,6 +97,21 @@
         });
     }
 
+    repeated_crashes_outlast_single_ones: "a request that crashes targets again after many lost responses" => {
+        let mut table = QuarantineTable::<()>::default();
+        for port in [1, 2] {
+            table.begin(CALL, 2, Timestamp(1));
+            table.end(CALL, RunEnd::Crashed(target(port)), (2, Timestamp(1)), |()| true);
+        }
+        for call in 0..3 * MAX_CRASH_RECORDS as u64 {
+            let lost = CallFingerprint(1_000 + call);
+            table.begin(lost, 2, Timestamp(2 + call));
+            table.end(lost, RunEnd::Crashed(target(3)), (2, Timestamp(2 + call)), |()| true);
+        }
+        assert_eq!(table.crash_records().count(), MAX_CRASH_RECORDS);
+        assert_eq!(table.begin(CALL, 2, Timestamp(10_000)), RunDecision::Quarantined);
+    }
+
     crashes_expire_and_stay_bounded: "a table that grows without bound, or a request that is refused forever" => {
         let mut table = QuarantineTable::<()>::default();
         for call in 0..3 * MAX_CRASH_RECORDS as u64 {
