--- a/src/admin/observe.rs
+++ b/src/admin/observe.rs
@@ -12,6 +12,7 @@
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::fleet::{FleetSnapshot, ServiceSnapshot, TargetSnapshot, TargetState};
 use zinniaport_core::probe::MeasuringAccount;
+use zinniaport_core::request_limit::RequestLimit;
 
 use super::{AdminHandler, AdminRequest, AdminResponse, json_response, text_response};
 use crate::peers::PeerFanout;
@@ -150,6 +151,12 @@
     pub reported_load: Option<u32>,
     /// When that report arrived.
     pub reported_at: Timestamp,
+    /// Requests per second that the target takes from all entries, if it states a limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request_limit: Option<f64>,
+    /// Time for which the target still wants no requests of this entry, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pause_left_ms: Option<u64>,
 }
 
 impl EntryStatus {
@@ -157,26 +164,32 @@
     pub fn read(state: &SharedState) -> Self {
         let fleet = state.fleet.load();
         let measuring = state.measuring.load();
+        let now = state.clock.now();
         let account = |key| measuring.get(key).copied().unwrap_or_default();
         Self {
             entry: state.entry_name.to_string(),
             data_centre: state.data_centre.to_string(),
-            taken: state.clock.now(),
+            taken: now,
             changed: fleet.published,
             services: fleet
                 .service_keys
                 .values()
                 .filter_map(|key| Some((fleet.services.get(*key)?, account(*key))))
-                .map(|(service, account)| ServiceStatus::read(service, account, &fleet))
+                .map(|(service, account)| ServiceStatus::read(service, account, &fleet, now))
                 .collect(),
         }
     }
 }
 
 impl ServiceStatus {
-    fn read(service: &ServiceSnapshot, account: MeasuringAccount, fleet: &FleetSnapshot) -> Self {
+    fn read(
+        service: &ServiceSnapshot,
+        account: MeasuringAccount,
+        fleet: &FleetSnapshot,
+        now: Timestamp,
+    ) -> Self {
         let targets = service.targets.iter().filter_map(|key| fleet.targets.get(*key));
-        let targets: Vec<_> = targets.map(TargetStatus::read).collect();
+        let targets: Vec<_> = targets.map(|target| TargetStatus::read(target, now)).collect();
         Self {
             service: service.intent.service.clone(),
             team: service.intent.team.clone(),
@@ -190,7 +203,7 @@
 }
 
 impl TargetStatus {
-    fn read(target: &TargetSnapshot) -> Self {
+    fn read(target: &TargetSnapshot, now: Timestamp) -> Self {
         let counters = &target.counters;
         let reported_at = Timestamp(counters.reported_at.load(Ordering::Relaxed));
         let load = counters.reported_load.load(Ordering::Relaxed);
@@ -211,6 +224,8 @@
             in_flight: counters.in_flight.load(Ordering::Relaxed),
             reported_load: (reported_at > Timestamp::default()).then_some(load),
             reported_at,
+            request_limit: counters.limit.limit().map(RequestLimit::per_second),
+            pause_left_ms: counters.pause_left(now).map(|left| left.as_millis() as u64),
         }
     }
 }
--- a/tests/target_statements.rs
+++ b/tests/target_statements.rs
@@ -48,6 +48,9 @@
         // The requests that are sent before the first response states the limit, at most one of
         // each caller, come on top of those of one second.
         let allowed = 20.0 + 20.0 * (1.0 + started.elapsed().as_secs_f64());
+        let status = get(entry.admin_address(), "/v1/status").await.unwrap();
+        let status: serde_json::Value = serde_json::from_slice(status.body()).unwrap();
+        assert_eq!(status["services"][0]["targets"][0]["request_limit"], 20.0, "{status}");
         let got = targets.each_ref().map(|target| target.counts().started);
         assert!(got[0] as f64 <= allowed, "{got:?} requests, {allowed} allowed");
         assert!(got[1] > 400, "{got:?}");
