--- a/src/placement/driver.rs
+++ b/src/placement/driver.rs
@@ -23,10 +23,11 @@
 };
 use zinniaport_core::policy::hash_bytes;
 use zinniaport_core::request_limit::AgedStatement;
-use zinniaport_core::signals::{ServiceTag, TargetTag};
+use zinniaport_core::signals::TargetTag;
 
 use super::coordinated::{CoordinatedPlacement, RemoteLease};
 use super::coordinator::{Coordinator, PlacedCall, PlacementCall, TargetReservation};
+use super::shares::update_limit_shares;
 use super::tags::TagCache;
 use crate::gate::{AdmissionGates, GateRefusal};
 use crate::signals::{SignalDatagram, SignalSender};
@@ -199,25 +200,7 @@
         }
         if is_sweep {
             self.step_grants(GrantsMessage::Tick);
-            self.update_limit_shares();
-        }
-    }
-
-    /// Sets the part of the request limits of targets that this entry may use.
-    fn update_limit_shares(&mut self) {
-        let fleet = self.state.fleet.load();
-        let entry_count = self.state.entry_count.load(Ordering::Relaxed);
-        let now = self.state.clock.now();
-        for service in fleet.services.values() {
-            let targets = service.targets.iter().filter_map(|key| fleet.targets.get(*key));
-            let mut limits = targets
-                .map(|target| &target.counters.limit)
-                .filter(|limit| limit.limit().is_some());
-            let Some(first) = limits.next() else { continue };
-            let tag = ServiceTag::of(&service.intent.service);
-            let share = self.served_entries.share(tag, entry_count, now);
-            first.set_share(share);
-            limits.for_each(|limit| limit.set_share(share));
+            update_limit_shares(&self.state, &mut self.served_entries);
         }
     }
 
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -6,6 +6,7 @@
 mod driver;
 mod local;
 mod prober;
+mod shares;
 mod tags;
 
 pub use coordinated::CoordinatedPlacement;
