Pause before crash records are listed again after their history is lost

Cause: while the platform's store drops its history, a list may be older than what is left, so the watch from it fails, and the leaders listed and watched without pause.

Change: the next list comes 2 s later, as after any failed call.

--- a/src/gate/archive.rs
+++ b/src/gate/archive.rs
@@ -122,7 +122,8 @@
                 }
                 (Some(revision), Duration::ZERO)
             }
-            Err(StoreError::TooOld) => (None, Duration::ZERO),
+            // A list may be older than the history that is left, so a watch from it fails again.
+            Err(StoreError::TooOld) => (None, FAILURE_DELAY),
             Err(error) => {
                 log::warn!("cannot read the archive of crash records, retrying: {error}");
                 (None, FAILURE_DELAY)
--- a/tests/crash_archive.rs
+++ b/tests/crash_archive.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -28,6 +28,9 @@
 struct MemoryArchive {
     records: Mutex<Vec<CrashRecord>>,
     refusals: AtomicUsize,
+    /// Whether watches start before the history that is left.
+    forgets: AtomicBool,
+    lists: AtomicUsize,
     adds: AtomicUsize,
 }
 
@@ -49,6 +52,7 @@
     fn list(&self) -> BoxFuture<'_, Result<ArchivedCrashes, StoreError>> {
         Box::pin(async {
             self.check()?;
+            self.lists.fetch_add(1, Ordering::SeqCst);
             let records = self.records();
             Ok(ArchivedCrashes { revision: records.len() as u64, records })
         })
@@ -57,6 +61,9 @@
     fn watch(&self, revision: u64) -> BoxFuture<'_, Result<ArchivedCrashes, StoreError>> {
         Box::pin(async move {
             self.check()?;
+            if self.forgets.load(Ordering::SeqCst) {
+                return Err(StoreError::TooOld);
+            }
             sleep(Duration::from_millis(100)).await;
             let records = self.records();
             let added = records.get(revision as usize..).unwrap_or_default().to_vec();
@@ -149,6 +156,16 @@
         assert_eq!(archive.adds.load(Ordering::SeqCst), 1);
     }
 
+    paused lost_history_causes_few_calls: "lists without pause while a list is older than the history that is left" => {
+        let (archive, clock) = (Arc::<MemoryArchive>::default(), clock());
+        archive.forgets.store(true, Ordering::SeqCst);
+        let first = start_entry(&archive, &clock);
+        sleep(Duration::from_secs(10)).await;
+        let lists = archive.lists.load(Ordering::SeqCst);
+        assert!((2..=6).contains(&lists), "{lists} lists in 10 s");
+        drop(first);
+    }
+
     paused expired_records_are_removed: "an archive that grows without bound" => {
         let (archive, clock) = (Arc::<MemoryArchive>::default(), clock());
         let targets = BTreeSet::from([target(1), target(2)]);
