Judge pipelined requests one by one

Cause: the inspector of raw bytes had one flag for a connection, so a POST with two lengths made the entry refuse the valid request in front of it, under the id of the valid one. Empty lines before a head would have counted as a head. The deadline of a pipelined request counted from the moment at which hyper handed it over, so its target got more time than the caller would wait.

Change: the inspector records each head with its arrival time and the first ambiguous one. The front end takes the entries of that log in order; only the ambiguous request and what follows it are affected, and deadlines count from the arrival. Log lines say how long a request waited behind another on its connection.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
@@ -106,6 +107,8 @@
     pub body: Option<CallBody>,
     /// Status of the body after it was dispatched.
     pub body_status: BodyStatus,
+    /// Time for which the request waited for the response to an earlier one on its connection.
+    pub waited_behind: Duration,
     /// Index of the request's kind in its service, if a route set it.
     pub routed_kind: Option<usize>,
     /// Target for the next dispatch, if the placement picked it.
@@ -142,6 +145,7 @@
             head,
             body: Some(body),
             body_status: BodyStatus::default(),
+            waited_behind: Duration::ZERO,
             routed_kind: None,
             granted_choice: None,
             lease: None,
--- a/src/filters/record.rs
+++ b/src/filters/record.rs
@@ -59,6 +59,7 @@
                 fingerprint = exchange.facts.fingerprint.map(|print| print.to_string()),
                 dispatches = format_dispatches(exchange).as_str(),
                 snapshot_age_ms = now.since(exchange.fleet.published).as_millis() as u64,
+                waited_behind_us = exchange.waited_behind.as_micros() as u64,
                 waited_us = now.since(exchange.facts.arrived).as_micros() as u64;
                 "request refused: {}", refusal.detail
             );
@@ -77,7 +78,10 @@
         next: FilterNext<'a>,
     ) -> BoxFuture<'a, FilterResult> {
         Box::pin(async move {
-            exchange.facts.arrived = self.state.clock.now();
+            // The front end knows better when a pipelined request arrived.
+            if exchange.facts.arrived.0 == 0 {
+                exchange.facts.arrived = self.state.clock.now();
+            }
             self.state.metrics.begin();
             let mut open = OpenRecord { filter: self, exchange, result: None };
             let result = next.run(&mut *open.exchange).await;
@@ -110,6 +114,7 @@
         status = end.status,
         late = end.answered > facts.soft_deadline(),
         queued_us = queued,
+        waited_behind_us = exchange.waited_behind.as_micros() as u64,
         dispatches = format_dispatches(exchange).as_str(),
         snapshot_age_ms = end.answered.since(exchange.fleet.published).as_millis() as u64,
         took_us = end.answered.since(facts.arrived).as_micros() as u64;
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -12,7 +12,8 @@
 
 use super::HttpFrontend;
 use super::caller_stream::CallerStream;
-use super::head_inspector::{AmbiguityFlag, HeadInspector};
+use super::head_inspector::HeadInspector;
+use super::request_log::RequestLog;
 
 /// Factor between the configured limits of a head and the limits of hyper. hyper refuses a
 /// head beyond its own limits without a problem body, so a moderate excess stays below them.
@@ -73,11 +74,14 @@
             .header_read_timeout(self.limits.header_read_timeout())
             .max_headers(self.limits.max_header_count * HYPER_LIMIT_FACTOR)
             .max_buf_size(max_head_bytes.max(MIN_BUFFER_BYTES));
-        let ambiguity = AmbiguityFlag::default();
-        let stream = stream.inspect(HeadInspector::new(ambiguity.clone()));
+        let log = RequestLog::default();
+        let inspector = HeadInspector::new(log.clone(), self.state.clock.clone());
+        let stream = stream.inspect(inspector);
+        // hyper calls the service for one request at a time, so pipelined requests run one
+        // after the other and their responses keep the order.
         let service = service_fn(move |request| {
-            let (frontend, ambiguity) = (self.clone(), ambiguity.clone());
-            async move { Ok::<_, Infallible>(frontend.respond(request, &ambiguity).await) }
+            let (frontend, entry) = (self.clone(), log.take());
+            async move { Ok::<_, Infallible>(frontend.respond(request, &entry).await) }
         });
         run(builder.serve_connection(TokioIo::new(stream), service), drain).await;
     }
@@ -94,7 +98,8 @@
         let service = service_fn(move |request| {
             let frontend = self.clone();
             async move {
-                Ok::<_, Infallible>(frontend.respond(request, &AmbiguityFlag::default()).await)
+                let entry = RequestLog::default().take();
+                Ok::<_, Infallible>(frontend.respond(request, &entry).await)
             }
         });
         run(builder.serve_connection(TokioIo::new(stream), service), drain).await;
--- a/src/front/head_inspector.rs
+++ b/src/front/head_inspector.rs
@@ -6,24 +6,13 @@
 //! this entry may do otherwise, so such requests are refused.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
-/// Maximum number of bytes kept of a line. Framing headers are shorter.
-const MAX_LINE_BYTES: usize = 128;
-
-/// Set once a connection has carried an ambiguous head.
-#[derive(Clone, Debug, Default)]
-pub(super) struct AmbiguityFlag(Arc<AtomicBool>);
+use zinniaport_core::clock::ClockSource;
 
-impl AmbiguityFlag {
-    pub(super) fn is_ambiguous(&self) -> bool {
-        self.0.load(Ordering::Acquire)
-    }
+use super::request_log::RequestLog;
 
-    fn set_ambiguous(&self) {
-        self.0.store(true, Ordering::Release);
-    }
-}
+/// Maximum number of bytes kept of a line. Framing headers are shorter.
+const MAX_LINE_BYTES: usize = 128;
 
 /// Part of a message that the next byte belongs to, with the number of bytes left of a body or
 /// chunk.
@@ -37,18 +26,39 @@
 }
 
 /// Follows the framing of the requests on one connection.
-#[derive(Debug)]
 pub(super) struct HeadInspector {
-    ambiguity: AmbiguityFlag,
+    log: RequestLog,
+    clock: Arc<dyn ClockSource>,
     part: MessagePart,
     line: Vec<u8>,
+    /// Whether a line of the current head was read. Empty lines before a head belong to no
+    /// request (RFC 9112, 2.2).
+    in_head: bool,
+    /// Number of complete heads.
+    heads: u64,
     length: Option<u64>,
     chunked: bool,
 }
 
 impl HeadInspector {
-    pub(super) fn new(ambiguity: AmbiguityFlag) -> Self {
-        Self { ambiguity, part: MessagePart::Head, line: Vec::new(), length: None, chunked: false }
+    /// Creates an inspector that records what it finds in `log`.
+    pub(super) fn new(log: RequestLog, clock: Arc<dyn ClockSource>) -> Self {
+        Self {
+            log,
+            clock,
+            part: MessagePart::Head,
+            line: Vec::new(),
+            in_head: false,
+            heads: 0,
+            length: None,
+            chunked: false,
+        }
+    }
+
+    /// Records that the request which the current line belongs to is ambiguous.
+    fn record_ambiguity(&self) {
+        let is_head = matches!(self.part, MessagePart::Head);
+        self.log.record_ambiguity(if is_head { self.heads } else { self.heads - 1 });
     }
 
     /// Inspects the next bytes of the connection.
@@ -94,7 +104,7 @@
         let Some(end) = end else { return &[] };
         let mut line = std::mem::take(&mut self.line);
         if line.pop_if(|byte| *byte == b'\r').is_none() {
-            self.ambiguity.set_ambiguous();
+            self.record_ambiguity();
         }
         self.handle_line(&line);
         line.clear();
@@ -104,8 +114,12 @@
 
     fn handle_line(&mut self, line: &[u8]) {
         match self.part {
+            MessagePart::Head if line.is_empty() && !self.in_head => {}
             MessagePart::Head if line.is_empty() => self.end_head(),
-            MessagePart::Head => self.handle_header(line),
+            MessagePart::Head => {
+                self.in_head = true;
+                self.handle_header(line);
+            }
             MessagePart::ChunkSize => {
                 let size = line.split(|byte| *byte == b';').next().unwrap_or_default();
                 let size = std::str::from_utf8(size.trim_ascii()).unwrap_or_default();
@@ -129,13 +143,13 @@
             // The entry does not forward this header, so a target would not learn of a coding
             // that the entry does not decode.
             if self.chunked || !value.eq_ignore_ascii_case(b"chunked") {
-                self.ambiguity.set_ambiguous();
+                self.record_ambiguity();
             }
             self.chunked = true;
         } else if name.eq_ignore_ascii_case(b"content-length") {
             let length = std::str::from_utf8(value).ok().and_then(|value| value.parse().ok());
             if length.is_none() || self.length.is_some_and(|known| Some(known) != length) {
-                self.ambiguity.set_ambiguous();
+                self.record_ambiguity();
             }
             self.length = length;
         }
@@ -143,8 +157,11 @@
 
     fn end_head(&mut self) {
         if self.chunked && self.length.is_some() {
-            self.ambiguity.set_ambiguous();
+            self.record_ambiguity();
         }
+        self.log.record_head(self.clock.now());
+        self.in_head = false;
+        self.heads += 1;
         self.part = match (std::mem::take(&mut self.chunked), self.length.take()) {
             (true, _) => MessagePart::ChunkSize,
             (false, Some(length)) if length > 0 => MessagePart::Body(length),
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,12 +6,12 @@
 mod hop_headers;
 mod limited_body;
 mod problem;
+mod request_log;
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use connection::CallerConnection;
-use head_inspector::AmbiguityFlag;
 pub use hop_headers::{KEEP_ALIVE, strip_hop_headers};
 use http::request::Parts;
 use http::{HeaderValue, Request, Version, header};
@@ -20,6 +20,7 @@
 use limited_body::LimitedBody;
 use problem::problem_response;
 pub use problem::{KEY_STATE_HEADER, OUTCOME_HEADER};
+use request_log::RequestEntry;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
@@ -125,14 +126,14 @@
     }
 
     /// Returns the response to one request, which is a problem body if it is refused.
-    async fn respond(&self, request: Request<Incoming>, ambiguity: &AmbiguityFlag) -> CallResponse {
+    async fn respond(&self, request: Request<Incoming>, entry: &RequestEntry) -> CallResponse {
         let dialect = self.state.dialect.clone();
         let caller_request_id = request.headers().get(dialect.request_id_header()).cloned();
         let request_id = choose_request_id(caller_request_id.as_ref());
         let version = request.version();
         let (head, body) = request.into_parts();
         let body_status = BodyStatus::default();
-        let mut response = match self.check_head(&head, ambiguity) {
+        let mut response = match self.check_head(&head, entry) {
             Err(refusal) => problem_response(&refusal, &request_id, dialect.as_ref()),
             Ok(()) => {
                 let body = LimitedBody::new(body, body_status.clone(), &self.limits).boxed();
@@ -140,6 +141,10 @@
                 let fleet = self.state.fleet.load_full();
                 let mut exchange = Exchange::new(request_id.clone(), fleet, request);
                 exchange.body_status = body_status;
+                if let Some(arrived) = entry.arrived {
+                    exchange.facts.arrived = arrived;
+                    exchange.waited_behind = self.state.clock.now().since(arrived);
+                }
                 self.run(&mut exchange).await
             }
         };
@@ -149,7 +154,7 @@
         if let Some(value) = response_id {
             response.headers_mut().insert(dialect.request_id_header(), value);
         }
-        let closes = self.closing.load(Ordering::Acquire) || ambiguity.is_ambiguous();
+        let closes = self.closing.load(Ordering::Acquire) || entry.is_ambiguous();
         if closes && version < Version::HTTP_2 {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -171,8 +176,8 @@
     }
 
     /// Refuses a request whose head is ambiguous or exceeds a limit.
-    fn check_head(&self, head: &Parts, ambiguity: &AmbiguityFlag) -> Result<(), Refusal> {
-        if ambiguity.is_ambiguous() {
+    fn check_head(&self, head: &Parts, entry: &RequestEntry) -> Result<(), Refusal> {
+        if entry.is_ambiguous() {
             let detail = "the length of the body is ambiguous, or a line does not end in CRLF";
             return Err(Refusal::not_run(ReasonCode::BadRequest, detail));
         }
