Notice that a caller left while pipelined requests wait

Cause: hyper does not read from a connection while its buffer holds the next request, so it did not notice the end of a connection on which further requests waited. The request in progress kept its target busy, and those behind it were sent to targets for a caller that was gone.

A caller that closes only its sending side counts as gone; the two cannot be told apart.

Result: tests/pipelining.rs callers_that_leave_are_noticed, which on the code before fails with a request that reached the target afterwards.

--- a/src/front/caller_stream.rs
+++ b/src/front/caller_stream.rs
@@ -3,14 +3,17 @@
 
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use futures::future::FutureExt;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::{Duration, Sleep, sleep, timeout};
 
+use super::caller_socket::CallerSocket;
 use super::head_inspector::HeadInspector;
 
 /// First bytes of an HTTP/2 connection (RFC 9113, 3.4).
@@ -23,8 +26,8 @@
 /// Byte stream of a caller connection. Shows its input to an inspector, fails on stalled
 /// writes and lingers on shutdown.
 pub(super) struct CallerStream {
-    inner: TcpStream,
-    prefix: Bytes,
+    socket: Arc<CallerSocket>,
+    writer: OwnedWriteHalf,
     inspector: Option<HeadInspector>,
     write_limit: Duration,
     write_timer: Option<Pin<Box<Sleep>>>,
@@ -41,9 +44,10 @@
     ) -> io::Result<(Self, bool)> {
         let prefix = timeout(limit, read_prefix(&mut inner)).await??;
         let is_http2 = prefix == HTTP2_PREFACE;
+        let (reader, writer) = inner.into_split();
         let stream = Self {
-            inner,
-            prefix,
+            socket: Arc::new(CallerSocket::new(reader, &prefix)),
+            writer,
             inspector: None,
             write_limit,
             write_timer: None,
@@ -52,6 +56,11 @@
         Ok((stream, is_http2))
     }
 
+    /// Returns the receiving side, to wait for the end of the connection.
+    pub(super) fn socket(&self) -> Arc<CallerSocket> {
+        self.socket.clone()
+    }
+
     /// Sets the inspector that sees all further input.
     pub(super) fn inspect(mut self, inspector: HeadInspector) -> Self {
         self.inspector = Some(inspector);
@@ -95,12 +104,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        if self.prefix.is_empty() {
-            futures::ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
-        } else {
-            let length = self.prefix.len().min(buffer.remaining());
-            buffer.put_slice(&self.prefix.split_to(length));
-        }
+        futures::ready!(self.socket.poll_read(context, buffer))?;
         if let Some(inspector) = &mut self.inspector {
             inspector.inspect(&buffer.filled()[before..]);
         }
@@ -114,7 +118,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.inner).poll_write(context, bytes);
+        let polled = Pin::new(&mut self.writer).poll_write(context, bytes);
         self.limit_write(context, polled)
     }
 
@@ -123,21 +127,21 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let polled = Pin::new(&mut self.inner).poll_write_vectored(context, parts);
+        let polled = Pin::new(&mut self.writer).poll_write_vectored(context, parts);
         self.limit_write(context, polled)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
+        self.writer.is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
+        Pin::new(&mut self.writer).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.linger_timer.is_none() {
-            futures::ready!(Pin::new(&mut self.inner).poll_shutdown(context))?;
+            futures::ready!(Pin::new(&mut self.writer).poll_shutdown(context))?;
             self.linger_timer = Some(Box::pin(sleep(LINGER_TIMEOUT)));
         }
         let mut discarded = [0; 4096];
@@ -147,7 +151,7 @@
                 return Poll::Ready(Ok(()));
             }
             let mut buffer = ReadBuf::new(&mut discarded);
-            let read = futures::ready!(Pin::new(&mut self.inner).poll_read(context, &mut buffer));
+            let read = futures::ready!(self.socket.poll_read(context, &mut buffer));
             if read.is_err() || buffer.filled().is_empty() {
                 return Poll::Ready(Ok(()));
             }
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 
+use derive_more::{Display, Error};
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -29,6 +30,12 @@
 /// while its target is slow.
 const STREAM_WINDOW_BYTES: u32 = 256 << 10;
 
+/// The caller closed its connection while a request was in progress. Requests that it sent
+/// behind that one are not read.
+#[derive(Debug, Display, Error)]
+#[display("the caller closed its connection")]
+struct CallerLeft;
+
 /// A caller connection with the front end that serves its requests.
 pub(super) struct CallerConnection {
     frontend: HttpFrontend,
@@ -77,11 +84,18 @@
         let log = RequestLog::default();
         let inspector = HeadInspector::new(log.clone(), self.state.clock.clone());
         let stream = stream.inspect(inspector);
+        let socket = stream.socket();
         // hyper calls the service for one request at a time, so pipelined requests run one
         // after the other and their responses keep the order.
         let service = service_fn(move |request| {
-            let (frontend, entry) = (self.clone(), log.take());
-            async move { Ok::<_, Infallible>(frontend.respond(request, &entry).await) }
+            let (frontend, socket, entry) = (self.clone(), socket.clone(), log.take());
+            async move {
+                tokio::select! {
+                    biased;
+                    response = frontend.respond(request, &entry) => Ok(response),
+                    () = socket.closed() => Err(CallerLeft),
+                }
+            }
         });
         run(builder.serve_connection(TokioIo::new(stream), service), drain).await;
     }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP front end: accepts caller connections and serves their requests.
 
+mod caller_socket;
 mod caller_stream;
 mod connection;
 mod head_inspector;
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -8,6 +8,7 @@
 use support::{FakeTarget, read_request, start_entry};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 use zinniaport::runtime::EntryRuntime;
 use zinniaport_testing::test_cases;
@@ -16,15 +17,20 @@
 struct ScriptedTarget {
     target: FakeTarget,
     heads: Arc<Mutex<Vec<String>>>,
+    /// Notified when a connection was closed while a request of the path `/held` was running.
+    aborted: Arc<Notify>,
 }
 
 impl ScriptedTarget {
     async fn start() -> Self {
         let heads = Arc::new(Mutex::new(Vec::new()));
-        let recorded = heads.clone();
-        let target =
-            FakeTarget::start(move |stream, _| serve_by_path(stream, recorded.clone())).await;
-        Self { target, heads }
+        let aborted = Arc::new(Notify::new());
+        let (recorded, notified) = (heads.clone(), aborted.clone());
+        let target = FakeTarget::start(move |stream, _| {
+            serve_by_path(stream, recorded.clone(), notified.clone())
+        })
+        .await;
+        Self { target, heads, aborted }
     }
 
     /// Returns the paths that the target received, without the service.
@@ -42,13 +48,17 @@
     }
 }
 
-async fn serve_by_path(mut stream: TcpStream, heads: Arc<Mutex<Vec<String>>>) {
+async fn serve_by_path(
+    mut stream: TcpStream,
+    heads: Arc<Mutex<Vec<String>>>,
+    aborted: Arc<Notify>,
+) {
     while let Some(head) = read_request(&mut stream).await {
         heads.lock().unwrap().push(head.clone());
         if head.contains("/held ") {
             // Ends when the entry closes the connection.
             let _ = stream.read_u8().await;
-            return;
+            return aborted.notify_one();
         }
         if head.contains("/lost ") {
             return;
@@ -201,6 +211,20 @@
         assert_eq!(summary(&responses), [(502, "lost"), (200, "fast-2"), (504, "held"), (200, "fast-4")]);
     }
 
+    async callers_that_leave_are_noticed: "work that continues, or that begins, after the caller closed a connection on which further requests wait" => {
+        let target = ScriptedTarget::start().await;
+        let entry = start_entry(target.target.address, "").await;
+        let behind: String = (0..20).map(|number| request(&format!("never-{number}"))).collect();
+        let stream = send(&entry, &format!("{}{behind}", request("held"))).await;
+        target.wait_for("held").await;
+        drop(stream);
+        timeout(Duration::from_secs(10), target.aborted.notified()).await.unwrap();
+        // A later request of another caller shows that the entry had time to go on.
+        let last = request_with("fast", "Connection: close\r\n");
+        read_responses(&mut send(&entry, &last).await).await;
+        assert_eq!(target.paths(), ["held", "fast"]);
+    }
+
     async deadlines_count_from_the_arrival: "a target that gets more time than the caller of a pipelined request will wait" => {
         let target = ScriptedTarget::start().await;
         let entry = start_entry(target.target.address, "").await;
