Report changes of live entries at most 20 times a second

Change: after four reports within 200 ms, further changes are found by a later tick of the signals controller.

Result: core/tests/signals.rs starting_fleets_are_reported_together: 200 entries that start within 40 ms cause 200 reports before and at most 8 now.

--- a/core/src/controllers/signals.rs
+++ b/core/src/controllers/signals.rs
@@ -37,6 +37,14 @@
 /// announces several crashes.
 const ANNOUNCEMENT_PERIOD: Duration = Duration::from_millis(200);
 
+/// Time in which [`MAX_PEERS_REPORTS`] reports of changed live entries are made at once. While
+/// a large fleet starts, an entry hears of hundreds of others within a second, and each report
+/// rebuilds the tables of all targets.
+const PEERS_REPORT_PERIOD: Duration = Duration::from_millis(200);
+
+/// Greatest number of reports of changed live entries in [`PEERS_REPORT_PERIOD`].
+const MAX_PEERS_REPORTS: u32 = 4;
+
 /// Greatest number of entries that are tracked, so that forged addresses take bounded
 /// memory.
 const MAX_PEERS: usize = 1024;
@@ -90,6 +98,8 @@
     own_address: SocketAddr,
     peers: IndexMap<SocketAddr, PeerRecord>,
     live_peers: Vec<CoordinatorCandidate>,
+    /// When the current [`PEERS_REPORT_PERIOD`] began, and the number of reports in it.
+    peers_reports: (Timestamp, u32),
     revisions: [u64; 2],
     last_sent: Timestamp,
     /// Number of messages that are still to announce the last crash.
@@ -105,6 +115,7 @@
             own_address,
             peers: seeds.map(|seed| (seed, PeerRecord::default())).collect(),
             live_peers: Vec::new(),
+            peers_reports: (Timestamp::default(), 0),
             revisions: [0; 2],
             last_sent: Timestamp::default(),
             announcements: 0,
@@ -177,7 +188,14 @@
         effects
     }
 
+    /// Updates the live entries. After [`MAX_PEERS_REPORTS`] a change is left to a later tick.
     fn update_live_peers(&mut self, now: Timestamp) -> Option<SignalsEffect> {
+        let (period_start, reports) = self.peers_reports;
+        if now.since(period_start) >= PEERS_REPORT_PERIOD {
+            self.peers_reports = (now, 0);
+        } else if reports >= MAX_PEERS_REPORTS {
+            return None;
+        }
         let max_silence = self.max_silence();
         let live = self.peers.iter().filter(|(_, peer)| peer.is_live(max_silence, now));
         let candidate = |(address, peer): (&SocketAddr, &PeerRecord)| CoordinatorCandidate {
@@ -189,6 +207,7 @@
             return None;
         }
         self.live_peers.clone_from(&live);
+        self.peers_reports.1 += 1;
         Some(SignalsEffect::PeersChanged(live, self.peers.len() + 1))
     }
 
--- a/core/tests/signals.rs
+++ b/core/tests/signals.rs
@@ -29,6 +29,24 @@
 }
 
 test_cases! {
+    starting_fleets_are_reported_together: "tables of all targets that are rebuilt once for each of hundreds of entries that start" => {
+        let mut controller = controller();
+        let mut reports = Vec::new();
+        for entry in 1..=200_u8 {
+            // Five of them are heard in each millisecond.
+            let now = Timestamp(u64::from(entry) * MS / 5);
+            let received = SignalsMessage::Received(address(entry), message(1, 1, 20));
+            reports.extend(controller.handle(received, now));
+        }
+        for tick in 1..=10 {
+            reports.extend(controller.handle(SignalsMessage::Tick, Timestamp(tick * 50 * MS)));
+        }
+        reports.retain(|effect| matches!(effect, SignalsEffect::PeersChanged(..)));
+        assert!(reports.len() <= 8, "{} reports", reports.len());
+        let Some(SignalsEffect::PeersChanged(live, _)) = reports.last() else { panic!("no report") };
+        assert_eq!(live.len(), 200);
+    }
+
     silent_entries_do_not_count: "placement requests to a coordinator that is gone" => {
         let mut controller = controller();
         let effects = controller.handle(SignalsMessage::Received(address(1), message(1, 1, 20)), Timestamp(MS));
