Log the targets of a long list as one line

Cause: an entry that starts logged each target of its first list.

Change: a batch that changes more than 20 targets is logged as one line for each state, with the number of targets and the newest revision.

--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -10,6 +10,7 @@
 
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
+use indexmap::IndexMap;
 pub use relay::{BatchOrigin, DirectoryRelay, RelayHandler};
 pub use relayed::RelayedDirectory;
 pub use revisions::RevisionTracker;
@@ -31,6 +32,10 @@
 /// Time between two ticks of the controller, which drop targets whose removal is due.
 const TICK_PERIOD: Duration = Duration::from_millis(100);
 
+/// Greatest number of targets of one batch that are logged one by one. The list of an entry
+/// that starts may have hundreds, and logging them would delay its first response.
+const MAX_LOGGED_TARGETS: usize = 20;
+
 /// Whether a read of the directory may return outdated data.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReadConsistency {
@@ -114,6 +119,12 @@
     }
 
     fn apply_effects(&mut self, effects: Vec<DirectoryEffect>) {
+        let is_target_change =
+            |effect: &&DirectoryEffect| matches!(effect, DirectoryEffect::TargetChanged(_));
+        let logs_targets = effects.iter().filter(is_target_change).count() <= MAX_LOGGED_TARGETS;
+        if !logs_targets {
+            log_target_counts(&effects);
+        }
         for effect in effects {
             match effect {
                 DirectoryEffect::List(part, delay) => self.start_call(part, None, delay),
@@ -140,7 +151,9 @@
                     log::info!(part = <&str>::from(part), away_ms = away_ms; "the directory is reachable again");
                 }
                 DirectoryEffect::TargetChanged(change) => {
-                    log::info!(target_id = change.id.as_str(), revision = change.revision; "target {}", change.state);
+                    if logs_targets {
+                        log::info!(target_id = change.id.as_str(), revision = change.revision; "target {}", change.state);
+                    }
                 }
             }
         }
@@ -192,3 +205,18 @@
         }));
     }
 }
+
+/// Logs how many targets a batch changed to each state.
+fn log_target_counts(effects: &[DirectoryEffect]) {
+    let mut counts: IndexMap<&str, u64> = IndexMap::new();
+    let mut newest = 0;
+    for effect in effects {
+        if let DirectoryEffect::TargetChanged(change) = effect {
+            *counts.entry(change.state).or_default() += 1;
+            newest = newest.max(change.revision);
+        }
+    }
+    for (state, count) in counts {
+        log::info!(targets = count, newest_revision = newest; "targets {state}");
+    }
+}
