Let entries that start take the directory from each other

Change: seeds list the platform; other entries ask entries that announced that they have the directory, then the seeds, and read the platform after 0.8 to 1.6 s without success. An entry serves four others in 200 ms and refers further ones to these, so that a fleet is served as a tree; it passes on the bytes that it got. An entry that knows other seeds leads only after its first second, and an entry that does not lead refers followers to the leaders that it knows. Messages between many entries list the largest of them first. Log lines say from whom an entry got the directory, how old it was and in what time.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod routes;
 pub mod saturation;
 pub mod signals;
+pub mod startup;
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -1,6 +1,7 @@
 //! Keeps an entry in step with the platform's directory of targets and configuration.
 
 mod relay;
+mod relay_client;
 mod relayed;
 mod revisions;
 
--- a/src/directory/relay.rs
+++ b/src/directory/relay.rs
@@ -1,6 +1,7 @@
 //! Serves the directory to other entries, so that only a few of them call the platform.
 
 use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -9,13 +10,16 @@
 use flate2::read::ZlibDecoder;
 use flate2::write::ZlibEncoder;
 use futures::future::BoxFuture;
-use http::StatusCode;
+use http::{HeaderValue, StatusCode};
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 use zinniaport_core::directory::{DirectoryBatch, DirectoryChange, DirectoryPart};
+use zinniaport_core::startup::TransferTable;
 
-use crate::admin::{AdminHandler, AdminRequest, AdminResponse, query_value, text_response};
+use crate::admin::{
+    AdminHandler, AdminRequest, AdminResponse, json_response, query_value, text_response,
+};
 use crate::state::SharedState;
 
 /// URL path of the relay.
@@ -30,9 +34,16 @@
 /// in bursts, and each response is sent to every follower.
 const COALESCE_TIME: Duration = Duration::from_millis(40);
 
+/// Longest time for which a query is held.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
 /// Removals kept for each part; the oldest are dropped first.
 const MAX_REMOVED: usize = 1024;
 
+/// Header of a response that states how long ago the platform confirmed its content, in
+/// milliseconds.
+pub(super) const AGE_HEADER: &str = "x-directory-age-ms";
+
 /// Largest batch that is read from another entry, in bytes after decompression.
 const MAX_BATCH_BYTES: u64 = 64 << 20;
 
@@ -160,6 +171,40 @@
         self.changed[part as usize].notify_waiters();
     }
 
+    /// Applies the list of another entry and keeps its encoding, to pass it on as it is.
+    pub(super) fn apply_list(&self, part: DirectoryPart, batch: &DirectoryBatch, encoded: Bytes) {
+        let mut relayed = self.lock(part);
+        let is_first = relayed.complete_since.is_none();
+        relayed.apply(batch, BatchOrigin::ListedByPeer);
+        if is_first {
+            relayed.encoded = Some((u64::MAX, relayed.revision, encoded));
+        }
+        drop(relayed);
+        self.changed[part as usize].notify_waiters();
+    }
+
+    /// Returns `true` once all objects of a part are known.
+    pub(super) fn is_complete(&self, part: DirectoryPart) -> bool {
+        self.lock(part).complete_since.is_some()
+    }
+
+    /// Waits until all objects of a part are known, at most for `wait`.
+    async fn wait_until_complete(&self, part: DirectoryPart, wait: Duration) {
+        let end = Instant::now() + wait;
+        loop {
+            let changed = self.changed[part as usize].notified();
+            let mut changed = std::pin::pin!(changed);
+            changed.as_mut().enable();
+            if self.is_complete(part) || Instant::now() >= end {
+                return;
+            }
+            tokio::select! {
+                () = changed => {}
+                () = sleep_until(end) => {}
+            }
+        }
+    }
+
     /// Locks a part. Neither the request path nor a controller takes this lock.
     fn lock(&self, part: DirectoryPart) -> MutexGuard<'_, RelayedPart> {
         self.parts[part as usize].lock().unwrap_or_else(PoisonError::into_inner)
@@ -172,8 +217,11 @@
     pub(super) part: DirectoryPart,
     /// Revision after which changes are wanted; `None` for all objects.
     pub(super) after: Option<u64>,
-    /// Longest time to wait for a change.
+    /// Longest time to wait for a change, or for the first list.
     pub(super) wait: Duration,
+    /// Address of the sender if it is starting. It then takes all objects from any entry that
+    /// has them, however old they are, since it knows none.
+    pub(super) starting: Option<SocketAddr>,
 }
 
 impl RelayQuery {
@@ -181,7 +229,12 @@
         let (part, hold_ms) = (<&str>::from(self.part), self.wait.as_millis());
         match self.after {
             Some(after) => format!("{RELAY_PATH}?part={part}&after={after}&hold={hold_ms}"),
-            None => format!("{RELAY_PATH}?part={part}"),
+            None => match self.starting {
+                Some(entry) => {
+                    format!("{RELAY_PATH}?part={part}&hold={hold_ms}&starting={entry}")
+                }
+                None => format!("{RELAY_PATH}?part={part}"),
+            },
         }
     }
 
@@ -189,7 +242,8 @@
         let part = query_value(request, "part")?.parse().ok()?;
         let after = query_value(request, "after").and_then(|text| text.parse().ok());
         let wait = query_value(request, "hold").and_then(|text| text.parse().ok()).unwrap_or(0);
-        Some(Self { part, after, wait: Duration::from_millis(wait) })
+        let starting = query_value(request, "starting").and_then(|text| text.parse().ok());
+        Some(Self { part, after, wait: Duration::from_millis(wait).min(MAX_WAIT), starting })
     }
 }
 
@@ -197,17 +251,45 @@
 pub struct RelayHandler {
     state: Arc<SharedState>,
     relay: Arc<DirectoryRelay>,
+    /// Entries that start and got all objects from this one, by part.
+    transfers: [Mutex<TransferTable>; 2],
 }
 
 impl RelayHandler {
     /// Creates a handler.
     pub fn new(state: Arc<SharedState>, relay: Arc<DirectoryRelay>) -> Self {
-        Self { state, relay }
+        Self { state, relay, transfers: Default::default() }
     }
 
     async fn respond(&self, query: RelayQuery) -> AdminResponse {
+        match query.starting {
+            Some(entry) if query.after.is_none() => self.respond_to_starting(query, entry).await,
+            _ => self.respond_to_follower(query).await,
+        }
+    }
+
+    /// Sends all objects to an entry that starts, or refers it to others that have them.
+    async fn respond_to_starting(&self, query: RelayQuery, entry: SocketAddr) -> AdminResponse {
+        let part = query.part;
+        let transfers = &self.transfers[part as usize];
+        let admitted = transfers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .admit(entry, self.state.clock.now());
+        if let Err(others) = admitted {
+            return json_response(StatusCode::SERVICE_UNAVAILABLE, &others);
+        }
+        self.relay.wait_until_complete(part, query.wait).await;
+        if !self.relay.is_complete(part) {
+            return json_response(StatusCode::SERVICE_UNAVAILABLE, &Vec::<SocketAddr>::new());
+        }
+        batch_response(&mut self.relay.lock(part), None)
+    }
+
+    async fn respond_to_follower(&self, query: RelayQuery) -> AdminResponse {
         if !self.state.revisions.is_leader() {
-            return text_response(StatusCode::SERVICE_UNAVAILABLE, "another entry watches");
+            let leaders = self.state.revisions.leaders();
+            return json_response(StatusCode::SERVICE_UNAVAILABLE, &leaders);
         }
         let part = query.part;
         let Some(complete_since) = self.relay.lock(part).complete_since else {
@@ -223,13 +305,7 @@
         if relayed.fresh_until().is_none_or(|until| until <= Instant::now()) {
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "the platform does not answer");
         }
-        match relayed.encode(query.after) {
-            Ok(bytes) => text_response(StatusCode::OK, bytes),
-            Err(error) => {
-                log::error!("cannot encode the directory for a follower: {error}");
-                text_response(StatusCode::INTERNAL_SERVER_ERROR, "cannot encode")
-            }
-        }
+        batch_response(&mut relayed, query.after)
     }
 
     /// Waits until there is a change after `after`, `wait` has passed, or the platform's
@@ -260,6 +336,25 @@
     }
 }
 
+/// Returns the changes after a revision, or all objects, with their age.
+fn batch_response(relayed: &mut RelayedPart, after: Option<u64>) -> AdminResponse {
+    let age = relayed.confirmed_at.map(|confirmed_at| confirmed_at.elapsed());
+    match relayed.encode(after) {
+        Ok(bytes) => {
+            let mut response = text_response(StatusCode::OK, bytes);
+            if let Some(age) = age {
+                let age = HeaderValue::from(age.as_millis() as u64);
+                response.headers_mut().insert(AGE_HEADER, age);
+            }
+            response
+        }
+        Err(error) => {
+            log::error!("cannot encode the directory for another entry: {error}");
+            text_response(StatusCode::INTERNAL_SERVER_ERROR, "cannot encode")
+        }
+    }
+}
+
 impl AdminHandler for RelayHandler {
     fn path(&self) -> &'static str {
         RELAY_PATH
--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -6,20 +6,31 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 use zinniaport_core::directory::{DirectoryBatch, DirectoryPart};
 use zinniaport_core::policy::hash_bytes;
+use zinniaport_core::startup::{StartupPlan, StartupResponse, StartupStep};
 
-use super::relay::{BatchOrigin, DirectoryRelay, RelayQuery, decode_batch};
+use super::relay::{BatchOrigin, DirectoryRelay, RelayQuery};
+use super::relay_client::{RelayResponse, query_entry};
 use super::{DirectorySource, ReadConsistency};
 use crate::state::SharedState;
-use crate::store::{ApiClient, StoreError, no_response, refused};
+use crate::store::{ApiClient, StoreError, refused};
 
 /// Longest time that a leader waits for a change before it responds to a follower.
 const RELAY_WAIT: Duration = Duration::from_millis(600);
 
-/// Time limit of a call to a leader, in addition to the time that it waits.
-const RELAY_CALL_LIMIT: Duration = Duration::from_millis(250);
+/// Longest time that an entry which starts waits for the list of another one that is starting
+/// too.
+const STARTUP_WAIT: Duration = Duration::from_millis(300);
+
+/// Greatest number of entries that are asked for changes in turn: the leaders that this entry
+/// knows, and those that they refer it to.
+const MAX_ASKED: usize = 6;
+
+/// Time between two queries for changes while this entry has just started and knows no leader
+/// that serves it.
+const UNSETTLED_PAUSE: Duration = Duration::from_millis(100);
 
 /// Time for which a leader that did not respond is skipped.
 const UNRESPONSIVE_SKIP_TIME: Duration = Duration::from_secs(1);
@@ -48,6 +59,9 @@
     reverses_leaders: bool,
     /// This entry's own calls to the platform while it is a follower, by part.
     own_calls: Mutex<[OwnCalls; 2]>,
+    /// From whom the first list of each part is taken.
+    startup: Mutex<[StartupPlan; 2]>,
+    own_address: Option<SocketAddr>,
 }
 
 /// State of a follower's own calls to the platform for one part.
@@ -67,12 +81,18 @@
     }
 }
 
-/// Client of one leader.
+/// Client of another entry.
 struct RelayClient {
     api: Arc<ApiClient>,
     skip_until: Option<Instant>,
 }
 
+impl RelayClient {
+    fn new(address: SocketAddr) -> Self {
+        Self { api: Arc::new(ApiClient::new(address)), skip_until: None }
+    }
+}
+
 impl RelayedDirectory {
     /// Creates a directory. Responses of `source` are served to peers through `relay`.
     pub fn new(
@@ -82,14 +102,96 @@
     ) -> Self {
         let reverses_leaders = hash_bytes(state.entry_name.as_bytes()).is_multiple_of(2);
         let (clients, own_calls) = (Mutex::default(), Mutex::default());
-        Self { state, source, relay, clients, reverses_leaders, own_calls }
+        let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
+        let startup = Mutex::new(startup_plans(&state, unspecified, &[]));
+        let own_address = None;
+        Self { state, source, relay, clients, reverses_leaders, own_calls, startup, own_address }
+    }
+
+    /// Takes the first list from other entries if there are any. `seeds` are entries that may
+    /// be running, this one with `own_address` perhaps among them.
+    #[must_use]
+    pub fn with_seeds(mut self, own_address: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        self.startup = Mutex::new(startup_plans(&self.state, own_address, seeds));
+        self.own_address = Some(own_address);
+        self
+    }
+
+    /// Lists a part for the first time.
+    async fn list_first(&self, part: DirectoryPart) -> Result<DirectoryBatch, StoreError> {
+        let started = Instant::now();
+        loop {
+            let holders = self.state.revisions.holders();
+            let now = self.state.clock.now();
+            let step = self.startup()[part as usize].next_step(&holders, now);
+            match step {
+                StartupStep::Wait(time) => sleep(time).await,
+                StartupStep::ReadPlatform => {
+                    let listed = self.source.list(part).await;
+                    let took_ms = started.elapsed().as_millis() as u64;
+                    match &listed {
+                        Ok(batch) => {
+                            log::info!(part = <&str>::from(part), revision = batch.revision, objects = batch.changes.len(), took_ms = took_ms; "listed the directory from the platform");
+                            self.relay.apply(part, batch, BatchOrigin::Listed);
+                        }
+                        Err(_) => {
+                            let now = self.state.clock.now();
+                            self.startup()[part as usize].record_failed_read(now);
+                        }
+                    }
+                    return listed;
+                }
+                StartupStep::AskEntry(address) => {
+                    if let Some(batch) = self.list_from(part, address, started).await {
+                        return Ok(batch);
+                    }
+                }
+            }
+        }
     }
 
-    /// Lists a part from a leader, or from the platform. An entry that starts knows no peer
-    /// and calls the platform at once, because callers wait for it.
+    /// Asks another entry for all objects of a part.
+    async fn list_from(
+        &self,
+        part: DirectoryPart,
+        address: SocketAddr,
+        started: Instant,
+    ) -> Option<DirectoryBatch> {
+        let starting = self.own_address;
+        let query = RelayQuery { part, after: None, wait: STARTUP_WAIT, starting };
+        let response = match query_entry(&self.api(address), query).await {
+            Ok(RelayResponse::Batch { batch, encoded, age }) => {
+                let took_ms = started.elapsed().as_millis() as u64;
+                let age_ms = age.map(|age| age.as_millis() as u64);
+                log::info!(part = <&str>::from(part), from:% = address, revision = batch.revision, objects = batch.changes.len(), age_ms = age_ms, took_ms = took_ms; "got the directory from another entry");
+                self.relay.apply_list(part, &batch, encoded);
+                return Some(batch);
+            }
+            Ok(RelayResponse::Referred(others)) => StartupResponse::Referred(others),
+            // Refused connections and responses: it is starting.
+            Err(StoreError::Refused { .. }) => StartupResponse::Referred(Vec::new()),
+            Err(error) => {
+                log::debug!("cannot get the directory from {address}: {error}");
+                StartupResponse::Unresponsive
+            }
+        };
+        let now = self.state.clock.now();
+        self.startup()[part as usize].record_response(address, response, now);
+        None
+    }
+
+    fn startup(&self) -> MutexGuard<'_, [StartupPlan; 2]> {
+        self.startup.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lists a part: from any entry that has it while this entry starts, later from a leader,
+    /// and from the platform if none has it.
     async fn list_part(&self, part: DirectoryPart) -> Result<DirectoryBatch, StoreError> {
+        if self.own_address.is_some() && !self.relay.is_complete(part) {
+            return self.list_first(part).await;
+        }
         if !self.state.revisions.is_leader() {
-            let query = RelayQuery { part, after: None, wait: Duration::ZERO };
+            let query = RelayQuery { part, after: None, wait: Duration::ZERO, starting: None };
             if let Some(batch) = self.query_leaders(query).await? {
                 self.relay.apply(part, &batch, BatchOrigin::ListedByPeer);
                 return Ok(batch);
@@ -107,11 +209,18 @@
         consistency: ReadConsistency,
     ) -> Result<DirectoryBatch, StoreError> {
         if !self.state.revisions.is_leader() && consistency == ReadConsistency::Stale {
-            let query = RelayQuery { part, after: Some(revision), wait: RELAY_WAIT };
-            if let Some(batch) = self.query_leaders(query).await? {
-                self.own_calls()[part as usize].responded = false;
-                self.relay.apply(part, &batch, BatchOrigin::WatchedByPeer);
-                return Ok(batch);
+            let (after, starting) = (Some(revision), None);
+            let query = RelayQuery { part, after, wait: RELAY_WAIT, starting };
+            loop {
+                if let Some(batch) = self.query_leaders(query).await? {
+                    self.own_calls()[part as usize].responded = false;
+                    self.relay.apply(part, &batch, BatchOrigin::WatchedByPeer);
+                    return Ok(batch);
+                }
+                if self.state.revisions.is_settled() {
+                    break;
+                }
+                sleep(UNSETTLED_PAUSE).await;
             }
             self.check_own_call(part)?;
         }
@@ -140,37 +249,50 @@
         self.own_calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Queries the leaders one after the other. Returns `None` if none of them responds.
+    /// Queries the leaders one after the other, and those that they refer to. Returns `None` if
+    /// none of them responds.
     async fn query_leaders(&self, query: RelayQuery) -> Result<Option<DirectoryBatch>, StoreError> {
         let mut leaders = self.state.revisions.leaders();
         if self.reverses_leaders {
             leaders.reverse();
         }
-        for address in leaders {
+        let mut position = 0;
+        while let Some(address) = leaders.get(position).copied().filter(|_| position < MAX_ASKED) {
+            position += 1;
             let Some(api) = self.client(address) else { continue };
-            match query_leader(&api, query).await {
-                Ok(batch) => return Ok(Some(batch)),
+            let skip_time = match query_entry(&api, query).await {
+                Ok(RelayResponse::Batch { batch, .. }) => return Ok(Some(batch)),
+                Ok(RelayResponse::Referred(others)) => {
+                    // An entry that hears of few others does not know which of them lead.
+                    for other in others {
+                        if !leaders.contains(&other) && Some(other) != self.own_address {
+                            leaders.push(other);
+                        }
+                    }
+                    REFUSED_SKIP_TIME
+                }
                 // The leader's history starts after this entry's revision.
                 Err(StoreError::TooOld) => return Err(StoreError::TooOld),
                 Err(error) => {
                     log::debug!("cannot read the directory from leader {address}: {error}");
                     let was_refused = matches!(error, StoreError::Refused { .. });
-                    self.skip(
-                        address,
-                        if was_refused { REFUSED_SKIP_TIME } else { UNRESPONSIVE_SKIP_TIME },
-                    );
+                    if was_refused { REFUSED_SKIP_TIME } else { UNRESPONSIVE_SKIP_TIME }
                 }
-            }
+            };
+            self.skip(address, skip_time);
         }
         Ok(None)
     }
 
+    /// Returns the client of another entry.
+    fn api(&self, address: SocketAddr) -> Arc<ApiClient> {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        clients.entry(address).or_insert_with(|| RelayClient::new(address)).api.clone()
+    }
+
     fn client(&self, address: SocketAddr) -> Option<Arc<ApiClient>> {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
-        let client = clients.entry(address).or_insert_with(|| RelayClient {
-            api: Arc::new(ApiClient::new(address)),
-            skip_until: None,
-        });
+        let client = clients.entry(address).or_insert_with(|| RelayClient::new(address));
         let is_usable = client.skip_until.is_none_or(|until| until <= Instant::now());
         is_usable.then(|| client.api.clone())
     }
@@ -183,9 +305,14 @@
     }
 }
 
-async fn query_leader(api: &ApiClient, query: RelayQuery) -> Result<DirectoryBatch, StoreError> {
-    let response = api.get(query.to_uri(), query.wait + RELAY_CALL_LIMIT).await?;
-    decode_batch(response.body()).map_err(|error| no_response(error.to_string()))
+/// Returns the plans of an entry that starts, one for each part.
+fn startup_plans(
+    state: &SharedState,
+    own_address: SocketAddr,
+    seeds: &[SocketAddr],
+) -> [StartupPlan; 2] {
+    let (random, now) = (rand::random(), state.clock.now());
+    [(); 2].map(|()| StartupPlan::new(own_address, seeds.iter().copied(), random, now))
 }
 
 impl DirectorySource for RelayedDirectory {
--- a/src/directory/revisions.rs
+++ b/src/directory/revisions.rs
@@ -16,6 +16,10 @@
     /// `true` while peers watch for this entry. An entry without peers is a leader.
     follows: AtomicBool,
     leaders: ArcSwap<Vec<SocketAddr>>,
+    /// Peers that announced that they know the directory.
+    holders: ArcSwap<Vec<SocketAddr>>,
+    /// `true` while this entry may not have heard of the entries that lead.
+    unsettled: AtomicBool,
 }
 
 impl RevisionTracker {
@@ -44,6 +48,27 @@
         self.leaders.load().to_vec()
     }
 
+    /// Sets the peers that know the directory, the largest first.
+    pub fn set_holders(&self, holders: Vec<SocketAddr>) {
+        self.holders.store(holders.into());
+    }
+
+    /// Returns the peers that know the directory.
+    pub fn holders(&self) -> Vec<SocketAddr> {
+        self.holders.load().to_vec()
+    }
+
+    /// Sets whether this entry has been running for long enough to have heard of its leaders.
+    pub fn set_settled(&self, settled: bool) {
+        self.unsettled.store(!settled, Ordering::Release);
+    }
+
+    /// Returns `true` if this entry has been running for long enough to have heard of its
+    /// leaders.
+    pub fn is_settled(&self) -> bool {
+        !self.unsettled.load(Ordering::Acquire)
+    }
+
     /// Returns `true` if this entry watches the directory itself, with current reads.
     pub fn is_leader(&self) -> bool {
         !self.follows.load(Ordering::Acquire)
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -194,7 +194,11 @@
             let (state, targets, directory_settings) =
                 (state.clone(), targets.clone(), settings.directory);
             let source = match &settings.signals {
-                Some(_) => Arc::new(RelayedDirectory::new(state.clone(), source, relay.clone())),
+                Some(signals) => {
+                    let relayed = RelayedDirectory::new(state.clone(), source, relay.clone());
+                    state.revisions.set_settled(false);
+                    Arc::new(relayed.with_seeds(signals.listen, &signals.seeds))
+                }
                 None => source,
             };
             let directory_driver =
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -10,7 +10,7 @@
 use bincode::Options;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 use zinniaport_core::controllers::{
     SignalsController, SignalsEffect, SignalsMessage, StateController, TargetsMessage,
@@ -45,6 +45,18 @@
 /// without lag and announce changes to the others. With two, the loss of one has no effect.
 const LEADER_COUNT: usize = 2;
 
+/// Time after its start in which an entry that knows other seeds does not lead, since it may
+/// not have heard of the entries that do. All entries of a large fleet may start at once, and
+/// each would watch the platform until it has heard of two others.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// Number of peers that are kept to take the directory from.
+const MAX_HOLDERS: usize = 8;
+
+/// Number of entries with the largest capacity that each message lists first. They lead and
+/// coordinate, so an entry that starts has to find them soon.
+const LISTED_LARGEST: usize = 4;
+
 /// Share of the retry tokens of all entries that is divided among entries which place requests
 /// alone. The rest is for entries that have started but are not known yet.
 const DISTRIBUTED_SHARE: f64 = 0.5;
@@ -161,7 +173,11 @@
         let mut ticks = interval(TICK_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut datagram = vec![0; MAX_DATAGRAM];
+        let has_seeds = self.settings.seeds.iter().any(|seed| *seed != self.sender.address);
+        state.revisions.set_settled(!has_seeds);
         self.update_peers(&[], 1);
+        let settle = sleep(SETTLE_TIME);
+        tokio::pin!(settle);
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
@@ -174,6 +190,10 @@
                     self.step(SignalsMessage::CrashRecorded);
                 }
                 _ = ticks.tick() => self.step(SignalsMessage::Tick),
+                () = &mut settle, if !state.revisions.is_settled() => {
+                    state.revisions.set_settled(true);
+                    self.update_candidates(self.controller.live_peers());
+                }
             }
         }
     }
@@ -275,8 +295,12 @@
         };
         let mut higher: Vec<_> = peers.iter().filter(ranks_higher).copied().collect();
         higher.sort_by_key(|peer| (Reverse(peer.capacity), peer.address));
-        let is_leader = higher.len() < LEADER_COUNT;
+        let is_leader = higher.len() < LEADER_COUNT && self.state.revisions.is_settled();
         higher.truncate(LEADER_COUNT);
+        let mut holders: Vec<_> = peers.iter().filter(|peer| peer.capacity > 0).collect();
+        holders.sort_by_key(|peer| (Reverse(peer.capacity), peer.address));
+        let holders = holders.into_iter().map(|peer| peer.address).take(MAX_HOLDERS);
+        self.state.revisions.set_holders(holders.collect());
         let leaders = higher.into_iter().map(|peer| peer.address).collect();
         self.state.revisions.set_leaders(leaders, is_leader);
         if let Some(placement) = &self.placement {
@@ -301,13 +325,18 @@
         CrashReport::new(self.quarantine.crash_records(), self.state.clock.now())
     }
 
-    /// Returns the live entries to list in the next message: all of them, or the next few in
-    /// turn if there are many.
+    /// Returns the live entries to list in the next message: all of them, or the largest and
+    /// the next few in turn if there are many.
     fn next_members(&self) -> Vec<SocketAddr> {
         let peers = self.controller.live_peers();
+        if peers.len() <= SMALL_DEPLOYMENT {
+            return peers.iter().map(|peer| peer.address).collect();
+        }
+        let largest = self.state.revisions.holders().into_iter().take(LISTED_LARGEST);
         let start = self.sequence as usize * LISTED_MEMBERS;
-        let count = if peers.len() <= SMALL_DEPLOYMENT { peers.len() } else { LISTED_MEMBERS };
-        (0..count).map(|step| peers[(start + step) % peers.len()].address).collect()
+        let others = (0..LISTED_MEMBERS - LISTED_LARGEST)
+            .map(|step| peers[(start + step) % peers.len()].address);
+        largest.chain(others).collect()
     }
 }
 
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -18,6 +18,7 @@
 use zinniaport::store::StoreError;
 use zinniaport_core::clock::SystemClock;
 use zinniaport_core::directory::{DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart};
+use zinniaport_testing::client::get;
 use zinniaport_testing::test_cases;
 
 const PART: DirectoryPart = DirectoryPart::Targets;
@@ -109,7 +110,78 @@
     (RelayedDirectory::new(state, source.clone(), Arc::default()), source)
 }
 
+/// Starts the relay of an entry that follows these leaders, and returns its address.
+async fn relay_of_follower(leaders: Vec<SocketAddr>) -> (SocketAddr, Arc<DirectoryRelay>) {
+    let relay = Arc::new(DirectoryRelay::default());
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let state = state("other-follower");
+    state.revisions.set_leaders(leaders, false);
+    let router = AdminRouter::new(vec![Arc::new(RelayHandler::new(state, relay.clone()))]);
+    tokio::spawn(router.serve(listener, CancellationToken::new()));
+    (address, relay)
+}
+
+/// Returns the directory of an entry that starts and knows these seeds. `number` makes up its
+/// address.
+fn starting(
+    number: u16,
+    seeds: &[SocketAddr],
+) -> (RelayedDirectory, Arc<CountingSource>, Arc<DirectoryRelay>) {
+    let (state, source) = (state("starting"), Arc::new(CountingSource::default()));
+    state.revisions.set_leaders(Vec::new(), false);
+    let relay = Arc::new(DirectoryRelay::default());
+    let directory = RelayedDirectory::new(state, source.clone(), relay.clone());
+    let own_address = SocketAddr::from(([127, 0, 0, 2], number));
+    (directory.with_seeds(own_address, seeds), source, relay)
+}
+
 test_cases! {
+    async starting_entries_ask_other_entries: "a platform that each entry of a large deployment lists when it starts" => {
+        let (address, relay) = relay_of_follower(Vec::new()).await;
+        let (directory, source, _) = starting(1, &[address]);
+        // The other entry has nothing yet, and its content comes from an entry as well.
+        let list_later = async {
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            relay.apply(PART, &batch(20, &[("i-1", 10), ("i-2", 12)]), BatchOrigin::ListedByPeer);
+        };
+        let (listed, ()) = tokio::join!(directory.list(PART), list_later);
+        let listed = listed.unwrap();
+        assert_eq!((listed.revision, summarize(&listed)), (20, vec![("i-1", 10, true), ("i-2", 12, true)]));
+        assert_eq!(source.calls(), 0);
+    }
+
+    async starting_entries_are_referred: "an entry that sends the whole directory to hundreds of others at once" => {
+        let (address, relay) = relay_of_follower(Vec::new()).await;
+        relay.apply(PART, &batch(20, &[("i-1", 10)]), BatchOrigin::ListedByPeer);
+        let mut served = 0;
+        for number in 1..=12 {
+            let path = format!("/directory?part=targets&hold=0&starting=127.0.0.2:{number}");
+            served += usize::from(get(address, &path).await.unwrap().status() == 200);
+        }
+        assert!((1..=8).contains(&served), "{served} transfers");
+    }
+
+    async followers_are_referred_to_leaders: "a platform that is called by each entry that does not know the leaders yet" => {
+        let (address, relay) = leader().await;
+        relay.apply(PART, &batch(20, &[("i-1", 10)]), BatchOrigin::Listed);
+        relay.apply(PART, &batch(30, &[("i-2", 30)]), BatchOrigin::Watched);
+        let (other, _) = relay_of_follower(vec![address]).await;
+        let (directory, source) = follower(vec![other]);
+        let watched = directory.watch(PART, 20, ReadConsistency::Stale).await.unwrap();
+        assert_eq!((summarize(&watched), source.calls()), (vec![("i-2", 30, true)], 0));
+    }
+
+    async missing_entries_do_not_stop_a_start: "an entry that never serves because all others are gone, or because the platform is away" => {
+        let gone = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let (directory, source, _) = starting(1, &[gone]);
+        source.down.store(true, Ordering::SeqCst);
+        assert!(directory.list(PART).await.is_err());
+        source.down.store(false, Ordering::SeqCst);
+        assert!(directory.list(PART).await.is_ok());
+        assert_eq!(source.calls(), 2);
+    }
+
     async followers_spare_the_platform: "a platform that every entry of a large deployment calls for the same changes" => {
         let (address, relay) = leader().await;
         relay.apply(PART, &batch(20, &[("i-1", 10), ("i-2", 12)]), BatchOrigin::Listed);
