Reject responses that name another request at our own interface too

Cause: with the default headers, a response was attributed to the request in progress whatever request it named, so a second copy that a target sent late on a kept connection was passed on as the response to the next request. The users' platform was not affected: its headers were checked.

Change: a response that repeats an identity other than the one that the target received is taken for corrupt. The request may have run, so its caller gets 502 with the outcome unknown.

Result: tests/target_faults.rs late_copies_reach_no_caller failed before (request-2 got the body of request-1). The other four cases of that file, heads and bodies that break off with a close or a reset at any position and heads and bodies without end, passed before and after.

--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -124,9 +124,15 @@
 
     fn classify_response(
         &self,
-        _request_id: Option<&str>,
+        request_id: Option<&str>,
         response: &CallResponse,
     ) -> ResponseClass {
+        // Targets need not repeat the identity. One that names another request is a second copy
+        // of an earlier response on the same connection.
+        let repeated = response.headers().get(&REQUEST_ID_HEADER).and_then(|id| id.to_str().ok());
+        if repeated.is_some() && request_id.is_some() && repeated != request_id {
+            return ResponseClass::Invalid("the answer belongs to another request");
+        }
         if response.headers().contains_key(REFUSED_HEADER) {
             ResponseClass::NotRun
         } else {
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -94,9 +94,8 @@
         if let Some(report) = dialect.parse_load(response.headers()) {
             target.counters.record_report(report, self.state.clock.now());
         }
-        let caller_request_id = exchange.head.headers.get(dialect.request_id_header());
         let class =
-            dialect.classify_response(caller_request_id.and_then(|id| id.to_str().ok()), &response);
+            dialect.classify_response(sent_request_id(exchange, dialect.as_ref()), &response);
         self.record_limit(&target, class, &response);
         if is_from_target(class) && dialect.announces_drain(response.headers()) {
             guard.record_leaving();
@@ -233,6 +232,14 @@
     request
 }
 
+/// Returns the identity that the target received with the request, if any.
+fn sent_request_id<'a>(exchange: &'a Exchange, dialect: &dyn HeaderDialect) -> Option<&'a str> {
+    if dialect.adds_request_id() {
+        return Some(&exchange.request_id);
+    }
+    exchange.head.headers.get(dialect.request_id_header())?.to_str().ok()
+}
+
 /// Returns the refusal for a transport error. A fault of the caller's request body explains
 /// why the exchange failed, but not whether the request ran.
 fn refusal_of(error: &TransportError, fault: Option<BodyFault>) -> Refusal {
