Refuse requests that wait in a stopping entry before the platform ends it

Cause: a stopping entry took requests for 3.5 s after SIGTERM, half a second longer than the platform excuses, and held requests that waited for a target until their deadlines, which lie seconds behind the 6 s after which the platform kills the process: they would have been cut without a response, those that must not be repeated among them.

Requests at targets finish.

Requests in each tenth of a stop are answered or left unread (requests_in_each_part_of_a_stop_are_answered).

--- a/core/src/controllers/drain.rs
+++ b/core/src/controllers/drain.rs
@@ -30,6 +30,10 @@
     /// Time from turning readiness off until the platform's balancer opens no new
     /// connections.
     pub balancer_lag: Duration,
+    /// Time after the request to stop from which on requests that still wait for a target are
+    /// refused. The platform ends a process that takes too long, and a refused request can be
+    /// sent again to another entry.
+    pub max_wait: Duration,
     /// Longest wait for the requests in flight after the listener is closed.
     pub in_flight: Duration,
 }
@@ -54,6 +58,8 @@
     SetTimer(Timestamp),
     /// Close the listener and let the open caller connections finish.
     CloseListener,
+    /// Refuse the requests that wait for a target.
+    RefuseWaiting,
     /// Exit the process.
     Finish {
         /// Whether the wait for the requests in flight reached its limit, so that the rest
@@ -68,12 +74,15 @@
     limits: DrainLimits,
     state: DrainState,
     state_ends: Timestamp,
+    /// When waiting requests are refused; `None` once they were.
+    refuse_at: Option<Timestamp>,
 }
 
 impl DrainController {
     /// Creates the controller of a serving entry.
     pub fn new(limits: DrainLimits) -> Self {
-        Self { limits, state: DrainState::Serving, state_ends: Timestamp::default() }
+        let state_ends = Timestamp::default();
+        Self { limits, state: DrainState::Serving, state_ends, refuse_at: None }
     }
 
     /// Returns the stage of the shutdown.
@@ -87,6 +96,21 @@
         DrainEffect::SetTimer(end)
     }
 
+    /// Returns the effects of a timer while the requests in flight are finishing.
+    fn wait_for_requests(&mut self, now: Timestamp) -> Vec<DrainEffect> {
+        if now >= self.state_ends {
+            return self.finish(true);
+        }
+        match self.refuse_at {
+            Some(refuse_at) if refuse_at <= now => {
+                self.refuse_at = None;
+                vec![DrainEffect::RefuseWaiting, DrainEffect::SetTimer(self.state_ends)]
+            }
+            Some(refuse_at) => vec![DrainEffect::SetTimer(refuse_at.min(self.state_ends))],
+            None => vec![DrainEffect::SetTimer(self.state_ends)],
+        }
+    }
+
     fn finish(&mut self, timed_out: bool) -> Vec<DrainEffect> {
         self.state = DrainState::Stopped;
         vec![DrainEffect::Finish { timed_out }]
@@ -100,20 +124,21 @@
     fn handle(&mut self, message: DrainMessage, now: Timestamp) -> Vec<DrainEffect> {
         match (self.state, message) {
             (DrainState::Serving, DrainMessage::StopRequested) => {
+                self.refuse_at = Some(now + self.limits.max_wait);
                 let timer = self.enter(DrainState::Announcing, now + self.limits.balancer_lag);
                 vec![DrainEffect::PublishReadiness(false), timer]
             }
-            (DrainState::Announcing | DrainState::Closing, DrainMessage::TimerFired)
-                if now < self.state_ends =>
-            {
+            (DrainState::Announcing, DrainMessage::TimerFired) if now < self.state_ends => {
                 vec![DrainEffect::SetTimer(self.state_ends)]
             }
             (DrainState::Announcing, DrainMessage::TimerFired) => {
-                let timer = self.enter(DrainState::Closing, now + self.limits.in_flight);
-                vec![DrainEffect::CloseListener, timer]
+                self.enter(DrainState::Closing, now + self.limits.in_flight);
+                let mut effects = vec![DrainEffect::CloseListener];
+                effects.extend(self.wait_for_requests(now));
+                effects
             }
             (DrainState::Closing, DrainMessage::ConnectionsEnded) => self.finish(false),
-            (DrainState::Closing, DrainMessage::TimerFired) => self.finish(true),
+            (DrainState::Closing, DrainMessage::TimerFired) => self.wait_for_requests(now),
             _ => Vec::new(),
         }
     }
--- a/core/tests/drain.rs
+++ b/core/tests/drain.rs
@@ -9,8 +9,14 @@
 use zinniaport_testing::test_cases;
 
 fn controller() -> DrainController {
+    controller_with_max_wait(2000)
+}
+
+fn controller_with_max_wait(max_wait_us: u64) -> DrainController {
     let balancer_lag = Duration::from_micros(100);
-    DrainController::new(DrainLimits { balancer_lag, in_flight: Duration::from_micros(1000) })
+    let max_wait = Duration::from_micros(max_wait_us);
+    let in_flight = Duration::from_micros(1000);
+    DrainController::new(DrainLimits { balancer_lag, max_wait, in_flight })
 }
 
 test_cases! {
@@ -42,4 +48,23 @@
         let effects = drain.handle(DrainMessage::TimerFired, Timestamp(1100));
         assert_eq!(effects, [DrainEffect::Finish { timed_out: true }]);
     }
+
+    waiting_requests_are_refused_in_time: "requests that still wait for a target when the platform ends the process" => {
+        let mut drain = controller_with_max_wait(400);
+        drain.handle(DrainMessage::StopRequested, Timestamp(10));
+        let effects = drain.handle(DrainMessage::TimerFired, Timestamp(110));
+        assert_eq!(effects, [DrainEffect::CloseListener, DrainEffect::SetTimer(Timestamp(410))]);
+        let effects = drain.handle(DrainMessage::TimerFired, Timestamp(410));
+        assert_eq!(effects, [DrainEffect::RefuseWaiting, DrainEffect::SetTimer(Timestamp(1110))]);
+        let effects = drain.handle(DrainMessage::TimerFired, Timestamp(1110));
+        assert_eq!(effects, [DrainEffect::Finish { timed_out: true }]);
+    }
+
+    late_listeners_refuse_at_once: "a long lag of the balancer after which nothing is refused" => {
+        let mut drain = controller_with_max_wait(50);
+        drain.handle(DrainMessage::StopRequested, Timestamp(10));
+        let effects = drain.handle(DrainMessage::TimerFired, Timestamp(110));
+        let timer = DrainEffect::SetTimer(Timestamp(1110));
+        assert_eq!(effects, [DrainEffect::CloseListener, DrainEffect::RefuseWaiting, timer]);
+    }
 }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -339,6 +339,7 @@
                 DrainEffect::PublishReadiness(ready) => self.ready.store(ready, Ordering::Release),
                 DrainEffect::SetTimer(time) => timer = Some(time),
                 DrainEffect::CloseListener => self.close.cancel(),
+                DrainEffect::RefuseWaiting => self.state.refuses_waiting.cancel(),
                 DrainEffect::Finish { timed_out: false } => {}
                 DrainEffect::Finish { timed_out: true } => {
                     log::warn!(
--- a/src/settings/stop.rs
+++ b/src/settings/stop.rs
@@ -18,13 +18,21 @@
     /// closed, in milliseconds. Each response in that time closes its HTTP/1.1 connection,
     /// so that no request is sent while its connection is being closed.
     pub idle_linger_ms: u64,
-    /// Longest time to wait for requests in flight after that, in milliseconds.
+    /// Time after the request to stop from which on requests that still wait for a target are
+    /// refused, in milliseconds. They can be sent again to another entry.
+    pub max_wait_ms: u64,
+    /// Longest time to wait for requests in flight after the linger, in milliseconds.
     pub drain_limit_ms: u64,
 }
 
 impl Default for StopSettings {
     fn default() -> Self {
-        Self { balancer_lag_ms: 3000, idle_linger_ms: 500, drain_limit_ms: 60_000 }
+        Self {
+            balancer_lag_ms: 3000,
+            idle_linger_ms: 500,
+            max_wait_ms: 30_000,
+            drain_limit_ms: 60_000,
+        }
     }
 }
 
@@ -38,6 +46,7 @@
     pub fn drain_limits(&self) -> DrainLimits {
         DrainLimits {
             balancer_lag: Duration::from_millis(self.balancer_lag_ms),
+            max_wait: Duration::from_millis(self.max_wait_ms),
             in_flight: self.idle_linger() + Duration::from_millis(self.drain_limit_ms),
         }
     }
@@ -49,6 +58,7 @@
         let at = |name| field(path, name);
         violations.check_range(at("balancer_lag_ms"), self.balancer_lag_ms, 0..=600_000, time);
         violations.check_range(at("idle_linger_ms"), self.idle_linger_ms, 0..=60_000, time);
+        violations.check_range(at("max_wait_ms"), self.max_wait_ms, 0..=3_600_000, time);
         violations.check_range(at("drain_limit_ms"), self.drain_limit_ms, 0..=3_600_000, time);
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,7 @@
 use arc_swap::ArcSwap;
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 use zinniaport_core::burn::BurnReport;
 use zinniaport_core::caller::CallerTable;
 use zinniaport_core::clock::ClockSource;
@@ -59,6 +60,8 @@
     pub signal_due: Notify,
     /// Whether this entry may coordinate: it knows its configuration and is not stopping.
     pub may_coordinate: AtomicBool,
+    /// Cancelled during a planned stop, when requests that wait for a target are refused.
+    pub refuses_waiting: CancellationToken,
     /// Newest directory revisions that this entry and others know.
     pub revisions: RevisionTracker,
     /// Number of entries that may be running, this one and silent ones included.
@@ -86,6 +89,7 @@
             metrics: EntryMetrics::new(),
             signal_due: Notify::new(),
             may_coordinate: AtomicBool::new(false),
+            refuses_waiting: CancellationToken::new(),
             revisions: RevisionTracker::default(),
             entry_count: AtomicUsize::new(1),
             max_saved_retries: AtomicU64::new(MAX_SAVED_RETRIES),
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -13,10 +13,11 @@
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::{http1, http2};
 use hyper_util::rt::{TokioExecutor, TokioIo};
-use support::{FakeTarget, read_head, read_request, settings_text};
+use support::{FakeTarget, read_head, read_request, send_raw, settings_text, start_entry};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
+use zinniaport::runtime::EntryRuntime;
 use zinniaport_testing::client::get;
 use zinniaport_testing::process::{ChildProcess, ChildSignal};
 use zinniaport_testing::test_cases;
@@ -218,4 +219,66 @@
         println!("resident memory added by {SIZE} bytes in each direction: {added} bytes");
         assert!(added < 32 << 20, "{added} bytes were added");
     }
+
+    async stop_refuses_waiting_requests: "a request that still waits for a target when the platform ends the process" => {
+        let target = FakeTarget::start(|mut stream, _| async move {
+            while let Some(head) = read_request(&mut stream).await {
+                if head.contains("/running ") {
+                    sleep(Duration::from_millis(900)).await;
+                }
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
+            }
+        })
+        .await;
+        let stop = "stop: { balancer_lag_ms: 100, idle_linger_ms: 100, max_wait_ms: 300 }";
+        let text = settings_text(target.address, stop).replace("slots: 100", "slots: 1");
+        let entry = EntryRuntime::start(serde_norway::from_str(&text).unwrap()).await.unwrap();
+        let callers = entry.caller_address();
+        let running = tokio::spawn(async move { get(callers, "/pump-history/running").await.unwrap().status() });
+        sleep(Duration::from_millis(100)).await;
+        let waiting = tokio::spawn(async move {
+            send_raw(callers, b"GET /pump-history/waiting HTTP/1.1\r\nHost: a\r\n\r\n").await
+        });
+        sleep(Duration::from_millis(50)).await;
+        entry.stop().await;
+        let refusal = waiting.await.unwrap();
+        assert!(refusal.starts_with("HTTP/1.1 503 "), "{refusal}");
+        assert!(refusal.contains("x-zinniaport-outcome: not-run"), "{refusal}");
+        assert!(refusal.contains("retry-after: "), "{refusal}");
+        assert!(refusal.contains("stopping"), "{refusal}");
+        assert_eq!(running.await.unwrap(), 200);
+    }
+
+    async requests_in_each_part_of_a_stop_are_answered: "a request that a stopping entry accepts and cuts, on a kept or a new connection" => {
+        let target = FakeTarget::start(|mut stream, _| async move {
+            while read_request(&mut stream).await.is_some() {
+                sleep(Duration::from_millis(60)).await;
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").await;
+            }
+        })
+        .await;
+        let stop = "stop: { balancer_lag_ms: 400, idle_linger_ms: 200, max_wait_ms: 700 }";
+        let entry = start_entry(target.address, stop).await;
+        let callers = entry.caller_address();
+        let mut requests = tokio::task::JoinSet::new();
+        for part in 0..10 {
+            for method in ["GET", "POST"] {
+                let mut kept = TcpStream::connect(callers).await.unwrap();
+                requests.spawn(async move {
+                    sleep(Duration::from_millis(part * 80)).await;
+                    let raw = format!("{method} /pump-history/a HTTP/1.1\r\nHost: a\r\ncontent-length: 0\r\n\r\n");
+                    let sent = kept.write_all(raw.as_bytes()).await;
+                    let head = read_head(&mut kept).await.unwrap_or_default();
+                    (part, method, sent.is_ok(), head)
+                });
+            }
+        }
+        entry.stop().await;
+        while let Some(request) = requests.join_next().await {
+            let (part, method, sent, head) = request.unwrap();
+            // Once the connection is closed, nothing is read, so the caller can send it again.
+            let is_closed = part * 80 >= 600 && head.is_empty();
+            assert!(is_closed || head.starts_with("HTTP/1.1 200 "), "{method} in part {part}, sent {sent}: {head:?}");
+        }
+    }
 }
