Read no changes again that a list already reflects

Cause: an entry compared the revisions that peers announce with its newest known change. After a list whose last change was a removal, which a list does not show, that is older than what peers announce, so the entry called the platform 400 ms later for a change that it had. Every entry of a fleet that starts did so for both parts.

Change: announced revisions up to that of the last list count as known.

Result: core/tests/directory.rs listed_removals_are_not_read_again, which fails before.

--- a/core/src/controllers/directory/mod.rs
+++ b/core/src/controllers/directory/mod.rs
@@ -106,6 +106,9 @@
     revision: Option<u64>,
     /// Revision of the newest known change.
     newest_change: u64,
+    /// Revision of the last list. The list reflects all changes up to it; of those that removed
+    /// an object it does not show the revisions.
+    listed: u64,
     /// Revision of the newest change that another entry knows and this one does not, and
     /// since when.
     peer_revision: Option<(u64, Timestamp)>,
@@ -118,6 +121,13 @@
     outage_since: Option<Timestamp>,
 }
 
+impl PartFollower {
+    /// Returns the revision up to which no change can be missing.
+    fn covered(&self) -> u64 {
+        self.newest_change.max(self.listed)
+    }
+}
+
 /// Settings for following a directory, chosen by the operator of the entries.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -235,8 +245,10 @@
             follower.newest_change = newest;
             effects.push(DirectoryEffect::Revision(part, newest));
         }
-        // A list reflects all changes up to its revision, including removals.
-        let covered = if listed { revision } else { follower.newest_change };
+        if listed {
+            follower.listed = revision;
+        }
+        let covered = follower.covered();
         follower.peer_revision =
             follower.peer_revision.filter(|(peer_revision, _)| *peer_revision > covered);
         // Routes without targets, or targets without routes, would refuse requests that can
@@ -347,7 +359,7 @@
             }
             DirectoryMessage::PeerRevision(part, revision) => {
                 let follower = self.part(part);
-                if revision > follower.newest_change {
+                if revision > follower.covered() {
                     let since = follower.peer_revision.map_or(now, |(_, since)| since);
                     follower.peer_revision = Some((revision, since));
                 }
--- a/core/tests/directory.rs
+++ b/core/tests/directory.rs
@@ -161,6 +161,15 @@
         assert!(directory.send(DirectoryMessage::Tick, 2 * SECOND).is_empty());
     }
 
+    listed_removals_are_not_read_again: "entries that all call the platform after their start because the newest change before it was a removal" => {
+        let mut directory = FollowedDirectory::new(vec![target("i", 5, false)]);
+        // The list was complete up to revision 20; a peer knows a removal at revision 15.
+        directory.send(DirectoryMessage::PeerRevision(DirectoryPart::Targets, 15), SECOND);
+        assert!(directory.send(DirectoryMessage::Tick, SECOND + 500_000).is_empty());
+        directory.send(DirectoryMessage::PeerRevision(DirectoryPart::Targets, 21), 2 * SECOND);
+        assert!(!directory.send(DirectoryMessage::Tick, 2 * SECOND + 500_000).is_empty());
+    }
+
     failed_catch_up_lists: "a change that stays unknown because the platform no longer keeps the history before it" => {
         let mut directory = FollowedDirectory::new(vec![target("i", 5, false)]);
         directory.send(DirectoryMessage::PeerRevision(DirectoryPart::Targets, 30), SECOND);
