Read announced changes from a leader before the platform

Cause: a follower that had not received an announced change within 400 ms read it from the platform, although a leader had announced it. In a fleet of hundreds, whose leaders send each change to hundreds of followers, many are that late.

Change: such a read asks the leaders first, and calls the platform only if none of them knows the announced revision.

Result: tests/relay.rs announced_changes_are_read_from_leaders, which fails before.

--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -208,7 +208,14 @@
         revision: u64,
         consistency: ReadConsistency,
     ) -> Result<DirectoryBatch, StoreError> {
-        if !self.state.revisions.is_leader() && consistency == ReadConsistency::Stale {
+        let is_leader = self.state.revisions.is_leader();
+        if !is_leader
+            && consistency == ReadConsistency::Current
+            && let Some(batch) = self.read_announced(part, revision).await?
+        {
+            return Ok(batch);
+        }
+        if !is_leader && consistency == ReadConsistency::Stale {
             let (after, starting) = (Some(revision), None);
             let query = RelayQuery { part, after, wait: RELAY_WAIT, starting };
             loop {
@@ -235,6 +242,22 @@
         Ok(batch)
     }
 
+    /// Reads changes that peers announced from a leader. Returns `None` if no leader knows them.
+    async fn read_announced(
+        &self,
+        part: DirectoryPart,
+        revision: u64,
+    ) -> Result<Option<DirectoryBatch>, StoreError> {
+        let announced = self.state.revisions.announced(part);
+        let (after, wait, starting) = (Some(revision), Duration::ZERO, None);
+        let query = RelayQuery { part, after, wait, starting };
+        let batch = self.query_leaders(query).await?.filter(|batch| batch.revision >= announced);
+        if let Some(batch) = &batch {
+            self.relay.apply(part, batch, BatchOrigin::WatchedByPeer);
+        }
+        Ok(batch)
+    }
+
     /// Checks that this entry may call the platform although it is a follower.
     fn check_own_call(&self, part: DirectoryPart) -> Result<(), StoreError> {
         match self.own_calls()[part as usize].next {
--- a/src/directory/revisions.rs
+++ b/src/directory/revisions.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
+use zinniaport_core::directory::DirectoryPart;
 
 /// Newest directory revisions that this entry and its peers know, by part, and the
 /// leaders that watch the directory for the others.
@@ -28,6 +29,11 @@
         [0, 1].map(|part: usize| self.local[part].load(Ordering::Acquire))
     }
 
+    /// Returns the newest revision of a part that a peer announced.
+    pub(super) fn announced(&self, part: DirectoryPart) -> u64 {
+        self.peer[part as usize].load(Ordering::Acquire)
+    }
+
     /// Records the newest revision of each part that a peer knows.
     pub fn observe_peer(&self, revisions: [u64; 2]) {
         for (known, revision) in self.peer.iter().zip(revisions) {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -172,6 +172,24 @@
         assert_eq!((summarize(&watched), source.calls()), (vec![("i-2", 30, true)], 0));
     }
 
+    async announced_changes_are_read_from_leaders: "a platform that every follower calls for a change which its leader announced" => {
+        let (address, relay) = leader().await;
+        relay.apply(PART, &batch(20, &[("i-1", 10)]), BatchOrigin::Listed);
+        relay.apply(PART, &batch(30, &[("i-2", 30)]), BatchOrigin::Watched);
+        let state = state("follower");
+        state.revisions.set_leaders(vec![address], false);
+        state.revisions.observe_peer([30, 0]);
+        let source = Arc::new(CountingSource::default());
+        let directory = RelayedDirectory::new(state.clone(), source.clone(), Arc::default());
+        let read = directory.watch(PART, 20, ReadConsistency::Current).await.unwrap();
+        assert_eq!((summarize(&read), source.calls()), (vec![("i-2", 30, true)], 0));
+        // A change that the leader does not know is read from the platform.
+        state.revisions.observe_peer([50, 0]);
+        source.revision.store(50, Ordering::SeqCst);
+        let read = directory.watch(PART, 30, ReadConsistency::Current).await.unwrap();
+        assert_eq!((read.revision, source.calls()), (50, 1));
+    }
+
     async missing_entries_do_not_stop_a_start: "an entry that never serves because all others are gone, or because the platform is away" => {
         let gone = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
         let (directory, source, _) = starting(1, &[gone]);
