Do not wait for seeds without power in a small deployment

Cause: an entry that starts asked a seed first, and a query to a machine without power hung for 550 ms.

Change: connections to other entries are opened within 100 ms; an entry that did not respond is asked again after 150 ms. If nobody has responded after 60 to 160 ms, the platform is asked for the directory if one call returns all of it, as in the small deployments; otherwise the entry goes on asking others, as before.

--- a/core/src/startup.rs
+++ b/core/src/startup.rs
@@ -12,22 +12,27 @@
 
 use crate::clock::Timestamp;
 
-/// Time for which an entry that starts asks other entries before it reads the platform itself.
-/// Seeds that run respond within a few hundred milliseconds.
+/// Time for which an entry that starts asks other entries before it reads the whole directory
+/// from the platform itself. Seeds that run respond within a few hundred milliseconds.
 const PEER_PATIENCE: Duration = Duration::from_millis(800);
 
 /// Longest time that is added to [`PEER_PATIENCE`], by chance, so that entries without a seed
 /// do not call the platform together.
 const PATIENCE_JITTER: Duration = Duration::from_millis(800);
 
+/// Time without a response of another entry after which the platform is asked for a directory
+/// that fits one call. In a small deployment that costs less than the wait for a seed.
+const SMALL_READ_PATIENCE: Duration = Duration::from_millis(60);
+
 /// Time after a failed read of the platform in which other entries are asked again.
 const FAILED_READ_PATIENCE: Duration = Duration::from_millis(500);
 
 /// Time after which an entry that refused is asked again, such as one that is starting.
 const REFUSED_PAUSE: Duration = Duration::from_millis(30);
 
-/// Time after which an entry that did not respond is asked again.
-const UNRESPONSIVE_PAUSE: Duration = Duration::from_secs(1);
+/// Time after which an entry that did not respond is asked again. It may be starting, like this
+/// one.
+const UNRESPONSIVE_PAUSE: Duration = Duration::from_millis(150);
 
 /// Greatest number of entries that are remembered from referrals.
 const MAX_REFERRALS: usize = 16;
@@ -37,6 +42,8 @@
 pub enum StartupStep {
     /// Ask another entry.
     AskEntry(SocketAddr),
+    /// Read the platform if one call returns the whole directory.
+    ReadSmall,
     /// Read the platform.
     ReadPlatform,
     /// Wait, then decide again.
@@ -58,6 +65,8 @@
     own_address: SocketAddr,
     /// Other seeds, in the order in which this entry asks them.
     seeds: Vec<SocketAddr>,
+    /// From when on the platform is asked for a small directory; `None` once it was.
+    read_small_at: Option<Timestamp>,
     /// From when on the platform is read.
     read_at: Timestamp,
     /// When entries that failed are asked again.
@@ -81,12 +90,13 @@
         let jitter = PATIENCE_JITTER.mul_f64(f64::from(random) / f64::from(u32::MAX));
         let reads_at_once = is_seed || seeds.is_empty();
         let read_at = if reads_at_once { now } else { now + PEER_PATIENCE + jitter };
+        let read_small_at = Some(now + SMALL_READ_PATIENCE + jitter / 8);
         if !seeds.is_empty() {
             let count = seeds.len();
             seeds.rotate_left(random as usize % count);
         }
         let (paused_until, referrals) = (IndexMap::new(), Vec::new());
-        Self { own_address, seeds, read_at, paused_until, referrals, random }
+        Self { own_address, seeds, read_small_at, read_at, paused_until, referrals, random }
     }
 
     /// Returns the next step. `holders` are entries that announced that they have the directory.
@@ -94,6 +104,10 @@
         if now >= self.read_at {
             return StartupStep::ReadPlatform;
         }
+        if self.read_small_at.is_some_and(|at| at <= now) {
+            self.read_small_at = None;
+            return StartupStep::ReadSmall;
+        }
         let paused_until = &self.paused_until;
         let is_usable = |address: &&SocketAddr| {
             **address != self.own_address
@@ -120,6 +134,10 @@
     ) {
         let pause = match response {
             StartupResponse::Referred(referrals) => {
+                if !referrals.is_empty() {
+                    // The directory is about to come from other entries.
+                    self.read_small_at = None;
+                }
                 for referral in referrals {
                     let is_known = self.referrals.contains(&referral);
                     if !is_known && self.referrals.len() < MAX_REFERRALS {
--- a/core/tests/startup.rs
+++ b/core/tests/startup.rs
@@ -31,7 +31,7 @@
 const HOLD_MS: u64 = 300;
 
 /// Time until a query to an entry that does not respond fails.
-const UNRESPONSIVE_MS: u64 = 550;
+const UNRESPONSIVE_MS: u64 = 100;
 
 /// Time until another entry has heard that an entry has the directory.
 const ANNOUNCED_MS: u64 = 250;
@@ -62,6 +62,8 @@
 
 struct FleetOutcome {
     platform_reads: usize,
+    /// Entries that asked the platform for a small directory.
+    small_reads: usize,
     /// Time from the start of an entry until it has the directory, the longest of all.
     longest: Option<Duration>,
 }
@@ -97,7 +99,7 @@
             }
         })
         .collect();
-    let mut platform_reads = 0;
+    let (mut platform_reads, mut small_reads) = (0, 0);
     for now in 0..10_000 {
         let holders: Vec<_> = (0..size)
             .filter(|entry| entries[*entry].has_since.is_some_and(|at| at + ANNOUNCED_MS <= now))
@@ -106,7 +108,11 @@
             .collect();
         for entry in 0..size {
             if !entries[entry].is_silent && entries[entry].starts <= now {
-                platform_reads += step_entry(&mut entries, entry, &holders, platform_from, now);
+                match step_entry(&mut entries, entry, &holders, platform_from, now) {
+                    Some(StartupStep::ReadPlatform) => platform_reads += 1,
+                    Some(StartupStep::ReadSmall) => small_reads += 1,
+                    _ => {}
+                }
             }
         }
     }
@@ -114,27 +120,28 @@
     let times: Option<Vec<_>> =
         running.map(|entry| Some(entry.has_since? - entry.starts)).collect();
     let longest = times.and_then(|times| times.into_iter().max()).map(Duration::from_millis);
-    FleetOutcome { platform_reads, longest }
+    FleetOutcome { platform_reads, small_reads, longest }
 }
 
-/// Advances an entry by a millisecond. Returns the number of reads of the platform that it began.
+/// Advances an entry by a millisecond. Returns its step, if it took one. The directory is too
+/// large for one call.
 fn step_entry(
     entries: &mut [StartingEntry],
     entry: usize,
     holders: &[SocketAddr],
     platform_from: u64,
     now: u64,
-) -> usize {
+) -> Option<StartupStep> {
     let time = Timestamp(now * MS);
     if entries[entry].has_since.is_some() {
-        return 0;
+        return None;
     }
     match entries[entry].pending {
         PendingCall::Platform { until } if now >= until => {
             entries[entry].pending = PendingCall::None;
             if until >= platform_from + LIST_MS {
                 entries[entry].has_since = Some(now);
-                return 0;
+                return None;
             }
             entries[entry].plan.record_failed_read(time);
         }
@@ -143,10 +150,10 @@
             if admitted && server_has.is_some_and(|at| now >= at.max(until - HOLD_MS) + TRANSFER_MS)
             {
                 entries[entry].has_since = Some(now);
-                return 0;
+                return None;
             }
             if now < until || (admitted && server_has.is_some()) {
-                return 0;
+                return None;
             }
             let response = if entries[server].is_silent {
                 StartupResponse::Unresponsive
@@ -156,18 +163,18 @@
             entries[entry].plan.record_response(address(server), response, time);
             entries[entry].pending = PendingCall::None;
         }
-        PendingCall::Platform { .. } => return 0,
+        PendingCall::Platform { .. } => return None,
         PendingCall::None => {}
     }
-    match entries[entry].plan.next_step(holders, time) {
-        StartupStep::Wait(_) => {}
+    let step = entries[entry].plan.next_step(holders, time);
+    match step {
+        StartupStep::Wait(_) | StartupStep::ReadSmall => {}
         StartupStep::ReadPlatform => {
             entries[entry].pending = PendingCall::Platform { until: now + LIST_MS };
-            return 1;
         }
         StartupStep::AskEntry(server_address) => ask(entries, entry, index(server_address), now),
     }
-    0
+    Some(step)
 }
 
 fn ask(entries: &mut [StartingEntry], entry: usize, server: usize, now: u64) {
@@ -200,6 +207,8 @@
             for size in [SMALL_FLEET, LARGE_FLEET] {
                 let outcome = start_fleet(size, &[SeedState::Running; SEEDS], 0, seed);
                 assert_eq!(outcome.platform_reads, SEEDS, "size {size}, seed {seed}");
+                // Those that start before any seed. The goal is one call an entry.
+                assert!(outcome.small_reads < size, "{} small reads", outcome.small_reads);
                 // Not longer than the entries wait before they read the platform themselves.
                 let longest = outcome.longest.expect("an entry never has the directory");
                 assert!(longest < Duration::from_millis(800), "{longest:?}, size {size}, seed {seed}");
@@ -239,6 +248,12 @@
         let mut plan = StartupPlan::new(address(9), [address(0)], 7, now);
         plan.record_response(address(0), StartupResponse::Unresponsive, now);
         assert_eq!(plan.next_step(&[address(4)], now), StartupStep::AskEntry(address(4)));
+        // A small directory is read before a seed that does not respond is waited for.
+        let soon = now + Duration::from_millis(200);
+        let mut plan = StartupPlan::new(address(9), [address(0)], 7, now);
+        plan.record_response(address(0), StartupResponse::Unresponsive, now);
+        assert_eq!(plan.next_step(&[], soon), StartupStep::ReadSmall);
+        assert_eq!(plan.next_step(&[], soon), StartupStep::AskEntry(address(0)));
         // An entry without others has only the platform.
         let mut alone = StartupPlan::new(address(9), [address(9)], 7, now);
         assert_eq!(alone.next_step(&[], now), StartupStep::ReadPlatform);
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -51,6 +51,12 @@
     /// Lists all objects of a part as they are now.
     fn list(&self, part: DirectoryPart) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>>;
 
+    /// Lists all objects of a part if one call returns them, else returns `None`.
+    fn list_small(
+        &self,
+        part: DirectoryPart,
+    ) -> BoxFuture<'_, Result<Option<DirectoryBatch>, StoreError>>;
+
     /// Waits for changes of a part after `revision`. Returns an empty batch if none
     /// come before the source's time limit.
     fn watch(
--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -32,6 +32,10 @@
 /// that serves it.
 const UNSETTLED_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time limit for opening a connection to another entry. A machine without power does not
+/// respond; regions are up to 35 ms apart one way.
+const CONNECT_LIMIT: Duration = Duration::from_millis(100);
+
 /// Time for which a leader that did not respond is skipped.
 const UNRESPONSIVE_SKIP_TIME: Duration = Duration::from_secs(1);
 
@@ -89,7 +93,8 @@
 
 impl RelayClient {
     fn new(address: SocketAddr) -> Self {
-        Self { api: Arc::new(ApiClient::new(address)), skip_until: None }
+        let api = ApiClient::new(address).with_connect_limit(CONNECT_LIMIT);
+        Self { api: Arc::new(api), skip_until: None }
     }
 }
 
@@ -126,20 +131,20 @@
             let step = self.startup()[part as usize].next_step(&holders, now);
             match step {
                 StartupStep::Wait(time) => sleep(time).await,
+                StartupStep::ReadSmall => match self.source.list_small(part).await {
+                    Ok(Some(batch)) => return Ok(self.apply_first_list(part, batch, started)),
+                    Ok(None) => {}
+                    Err(error) => {
+                        log::debug!("cannot read a small directory from the platform: {error}");
+                    }
+                },
                 StartupStep::ReadPlatform => {
                     let listed = self.source.list(part).await;
-                    let took_ms = started.elapsed().as_millis() as u64;
-                    match &listed {
-                        Ok(batch) => {
-                            log::info!(part = <&str>::from(part), revision = batch.revision, objects = batch.changes.len(), took_ms = took_ms; "listed the directory from the platform");
-                            self.relay.apply(part, batch, BatchOrigin::Listed);
-                        }
-                        Err(_) => {
-                            let now = self.state.clock.now();
-                            self.startup()[part as usize].record_failed_read(now);
-                        }
+                    if listed.is_err() {
+                        let now = self.state.clock.now();
+                        self.startup()[part as usize].record_failed_read(now);
                     }
-                    return listed;
+                    return listed.map(|batch| self.apply_first_list(part, batch, started));
                 }
                 StartupStep::AskEntry(address) => {
                     if let Some(batch) = self.list_from(part, address, started).await {
@@ -150,6 +155,19 @@
         }
     }
 
+    /// Applies the first list, which comes from the platform.
+    fn apply_first_list(
+        &self,
+        part: DirectoryPart,
+        batch: DirectoryBatch,
+        started: Instant,
+    ) -> DirectoryBatch {
+        let took_ms = started.elapsed().as_millis() as u64;
+        log::info!(part = <&str>::from(part), revision = batch.revision, objects = batch.changes.len(), took_ms = took_ms; "listed the directory from the platform");
+        self.relay.apply(part, &batch, BatchOrigin::Listed);
+        batch
+    }
+
     /// Asks another entry for all objects of a part.
     async fn list_from(
         &self,
@@ -343,6 +361,13 @@
         Box::pin(self.list_part(part))
     }
 
+    fn list_small(
+        &self,
+        part: DirectoryPart,
+    ) -> BoxFuture<'_, Result<Option<DirectoryBatch>, StoreError>> {
+        self.source.list_small(part)
+    }
+
     fn watch(
         &self,
         part: DirectoryPart,
--- a/src/store/connection.rs
+++ b/src/store/connection.rs
@@ -27,6 +27,8 @@
 #[derive(Debug)]
 pub struct ApiClient {
     address: SocketAddr,
+    /// Time limit for opening a connection, within that of the call.
+    connect_limit: Duration,
     idle: Mutex<Vec<ApiConnection>>,
 }
 
@@ -58,7 +60,13 @@
 impl ApiClient {
     /// Creates a client without connections.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: Mutex::default() }
+        Self { address, connect_limit: Duration::MAX, idle: Mutex::default() }
+    }
+
+    /// Sets a time limit for opening a connection, for a server that is expected to be near.
+    #[must_use]
+    pub fn with_connect_limit(self, connect_limit: Duration) -> Self {
+        Self { connect_limit, ..self }
     }
 
     /// Sends a request and reads the whole response within `limit`. On a timeout the
@@ -106,9 +114,7 @@
     ) -> Result<Response<Bytes>, StoreError> {
         let mut connection = match self.take_idle_connection().await {
             Some(connection) => connection,
-            None => ApiConnection::open(self.address)
-                .await
-                .map_err(|cause| refused(format!("cannot connect: {cause}")))?,
+            None => self.connect().await?,
         };
         if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
             request.headers_mut().insert(header::HOST, host);
@@ -121,6 +127,16 @@
         Ok(response)
     }
 
+    async fn connect(&self) -> Result<ApiConnection, StoreError> {
+        match timeout(self.connect_limit, ApiConnection::open(self.address)).await {
+            Ok(opened) => opened.map_err(|cause| refused(format!("cannot connect: {cause}"))),
+            Err(_) => {
+                let limit_ms = self.connect_limit.as_millis();
+                Err(no_response(format!("cannot connect within {limit_ms} ms")))
+            }
+        }
+    }
+
     /// Removes an idle connection that the server has not closed.
     async fn take_idle_connection(&self) -> Option<ApiConnection> {
         loop {
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -48,6 +48,14 @@
         })
     }
 
+    fn list_small(
+        &self,
+        part: DirectoryPart,
+    ) -> BoxFuture<'_, Result<Option<DirectoryBatch>, StoreError>> {
+        let listed = self.list(part);
+        Box::pin(async move { listed.await.map(Some) })
+    }
+
     fn watch(
         &self,
         part: DirectoryPart,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -31,6 +31,8 @@
     down: AtomicBool,
     stale_reads: AtomicUsize,
     history_dropped: AtomicBool,
+    /// Whether one call returns all objects.
+    is_small: bool,
 }
 
 impl CountingSource {
@@ -58,6 +60,14 @@
         self.respond()
     }
 
+    fn list_small(
+        &self,
+        _part: DirectoryPart,
+    ) -> BoxFuture<'_, Result<Option<DirectoryBatch>, StoreError>> {
+        let listed = self.respond();
+        Box::pin(async move { listed.await.map(|batch| self.is_small.then_some(batch)) })
+    }
+
     fn watch(
         &self,
         _part: DirectoryPart,
@@ -197,7 +207,25 @@
         assert!(directory.list(PART).await.is_err());
         source.down.store(false, Ordering::SeqCst);
         assert!(directory.list(PART).await.is_ok());
-        assert_eq!(source.calls(), 2);
+        // One for a small directory, and one whole list that failed.
+        assert_eq!(source.calls(), 3);
+    }
+
+    async small_directories_are_read_at_once: "an entry of a small deployment that waits for a seed without power although the platform responds" => {
+        // An address that accepts connections and never responds.
+        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (directory, source, _) = starting(1, &[silent.local_addr().unwrap()]);
+        source.revision.store(20, Ordering::SeqCst);
+        let large = directory.list(PART);
+        assert!(timeout(Duration::from_millis(700), large).await.is_err(), "only a small one is read at once");
+        let source = Arc::new(CountingSource { is_small: true, ..CountingSource::default() });
+        let state = state("starting");
+        let directory = RelayedDirectory::new(state, source.clone(), Arc::default());
+        let gone = SocketAddr::from(([127, 0, 0, 1], 9));
+        let directory = directory.with_seeds(SocketAddr::from(([127, 0, 0, 2], 1)), &[gone]);
+        let listed = timeout(Duration::from_millis(700), directory.list(PART)).await;
+        assert!(listed.is_ok_and(|listed| listed.is_ok()), "the start waits for the seed");
+        assert_eq!(source.calls(), 1);
     }
 
     async followers_spare_the_platform: "a platform that every entry of a large deployment calls for the same changes" => {
