--- a/core/src/startup.rs
+++ b/core/src/startup.rs
@@ -21,8 +21,9 @@
 const PATIENCE_JITTER: Duration = Duration::from_millis(800);
 
 /// Time without a response of another entry after which the platform is asked for a directory
-/// that fits one call. In a small deployment that costs less than the wait for a seed.
-const SMALL_READ_PATIENCE: Duration = Duration::from_millis(60);
+/// that fits one call. In a small deployment that costs less than the wait for a seed. The
+/// seeds of a fleet start within 300 ms of each other, so most entries need not ask.
+const SMALL_READ_PATIENCE: Duration = Duration::from_millis(200);
 
 /// Time after a failed read of the platform in which other entries are asked again.
 const FAILED_READ_PATIENCE: Duration = Duration::from_millis(500);
