--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -2,6 +2,7 @@
 
 mod relay;
 mod relay_client;
+mod relay_handler;
 mod relayed;
 mod revisions;
 
@@ -12,7 +13,8 @@
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use indexmap::IndexMap;
-pub use relay::{BatchOrigin, DirectoryRelay, RelayHandler};
+pub use relay::{BatchOrigin, DirectoryRelay};
+pub use relay_handler::RelayHandler;
 pub use relayed::RelayedDirectory;
 pub use revisions::RevisionTracker;
 use strum::IntoEnumIterator;
--- a/src/directory/relay_client.rs
+++ b/src/directory/relay_client.rs
@@ -8,7 +8,8 @@
 use http_body_util::Full;
 use zinniaport_core::directory::DirectoryBatch;
 
-use super::relay::{AGE_HEADER, RelayQuery, decode_batch};
+use super::relay::decode_batch;
+use super::relay_handler::{AGE_HEADER, RelayQuery};
 use crate::store::{ApiClient, StoreError, no_response, refused};
 
 /// Time limit of a query, in addition to the time for which it may be held.
--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -11,8 +11,9 @@
 use zinniaport_core::policy::hash_bytes;
 use zinniaport_core::startup::{StartupPlan, StartupResponse, StartupStep};
 
-use super::relay::{BatchOrigin, DirectoryRelay, RelayQuery};
+use super::relay::{BatchOrigin, DirectoryRelay};
 use super::relay_client::{RelayResponse, query_entry};
+use super::relay_handler::RelayQuery;
 use super::{DirectorySource, ReadConsistency};
 use crate::state::SharedState;
 use crate::store::{ApiClient, StoreError, refused};
