--- a/core/src/startup.rs
+++ b/core/src/startup.rs
@@ -183,7 +183,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the entries to ask when [`MAX_TRANSFERS`] others were admitted recently.
+    /// Returns the entries to ask when enough others were admitted recently.
     pub fn admit(&mut self, entry: SocketAddr, now: Timestamp) -> Result<(), Vec<SocketAddr>> {
         let recent = |(_, at): &&(SocketAddr, Timestamp)| now.since(*at) < TRANSFER_PERIOD;
         if self.admitted.iter().filter(recent).count() < MAX_TRANSFERS {
