--- a/core/src/controllers/signals.rs
+++ b/core/src/controllers/signals.rs
@@ -27,11 +27,6 @@
 /// at all, as after a power failure.
 const FIRST_CONTACT_PERIOD: Duration = Duration::from_millis(100);
 
-/// Greatest number of entries without messages that are contacted in one tick of 50 ms. An entry
-/// of a fleet of hundreds that starts at once would otherwise spend its first half second on
-/// greetings, while callers wait. The first ones that are listed are the largest.
-const MAX_CONTACTS: usize = 16;
-
 /// Time without messages after which an entry that was live before is no longer contacted.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
@@ -241,12 +236,11 @@
             due.extend(self.live_peers.iter().map(|peer| peer.address));
         }
         let pause = if self.live_peers.is_empty() { FIRST_CONTACT_PERIOD } else { CONTACT_PERIOD };
-        let silent = self.peers.iter_mut().filter(|(_, peer)| {
-            !peer.is_live(max_silence, now) && now.since(peer.last_contact) >= pause
-        });
-        for (address, peer) in silent.take(MAX_CONTACTS) {
-            peer.last_contact = now;
-            due.push(*address);
+        for (address, peer) in &mut self.peers {
+            if !peer.is_live(max_silence, now) && now.since(peer.last_contact) >= pause {
+                peer.last_contact = now;
+                due.push(*address);
+            }
         }
         if !due.is_empty() {
             effects.push(SignalsEffect::Send(due));
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -244,12 +244,8 @@
         let capacity = self.capacity();
         if capacity != std::mem::replace(&mut self.sent_capacity, capacity) {
             let peers = self.controller.live_peers().to_vec();
-            let is_large = self.update_candidates(&peers);
-            // The others neither lead nor coordinate; their next messages are soon enough.
-            if is_large || peers.len() <= SMALL_DEPLOYMENT {
-                self.send_to_all();
-            }
-            return;
+            self.update_candidates(&peers);
+            return self.send_to_all();
         }
         let revisions = self.state.revisions.local();
         let newer = revisions != std::mem::replace(&mut self.sent_revisions, revisions);
@@ -291,8 +287,7 @@
     }
 
     /// Sets the leaders and the entries that may coordinate, from the live peers and this entry.
-    /// Returns `true` if this entry is, or would be when ready, among the largest.
-    fn update_candidates(&self, peers: &[CoordinatorCandidate]) -> bool {
+    fn update_candidates(&self, peers: &[CoordinatorCandidate]) {
         let own = CoordinatorCandidate { address: self.address(), capacity: self.capacity() };
         // The larger capacity ranks higher; of equal ones, the lower address.
         let ranks_higher = |peer: &&CoordinatorCandidate| {
@@ -311,9 +306,6 @@
         if let Some(placement) = &self.placement {
             placement.set_candidates(peers.iter().copied().chain([own]).collect());
         }
-        let own_capacity = self.settings.capacity();
-        let larger = peers.iter().filter(|peer| peer.capacity > own_capacity);
-        larger.count() < MAX_HOLDERS
     }
 
     fn next_message(&mut self) -> SignalMessage {
