Sort the peers once for leaders and holders of the directory

Cause: update_candidates sorted two selections of the peers by the same key, up to 20 times a second while a fleet of hundreds starts.

Change: one sorted list serves both; the selections are the same.

--- a/src/signals.rs
+++ b/src/signals.rs
@@ -290,17 +290,16 @@
     fn update_candidates(&self, peers: &[CoordinatorCandidate]) {
         let own = CoordinatorCandidate { address: self.address(), capacity: self.capacity() };
         // The larger capacity ranks higher; of equal ones, the lower address.
-        let ranks_higher = |peer: &&CoordinatorCandidate| {
+        let mut ranked = peers.to_vec();
+        ranked.sort_by_key(|peer| (Reverse(peer.capacity), peer.address));
+        let holders = ranked.iter().filter(|peer| peer.capacity > 0);
+        let holders = holders.map(|peer| peer.address).take(MAX_HOLDERS);
+        self.state.revisions.set_holders(holders.collect());
+        let ranks_higher = |peer: &CoordinatorCandidate| {
             (peer.capacity, own.address) > (own.capacity, peer.address)
         };
-        let mut higher: Vec<_> = peers.iter().filter(ranks_higher).copied().collect();
-        higher.sort_by_key(|peer| (Reverse(peer.capacity), peer.address));
+        let higher: Vec<_> = ranked.into_iter().filter(ranks_higher).take(LEADER_COUNT).collect();
         let is_leader = higher.len() < LEADER_COUNT && self.state.revisions.is_settled();
-        higher.truncate(LEADER_COUNT);
-        let mut holders: Vec<_> = peers.iter().filter(|peer| peer.capacity > 0).collect();
-        holders.sort_by_key(|peer| (Reverse(peer.capacity), peer.address));
-        let holders = holders.into_iter().map(|peer| peer.address).take(MAX_HOLDERS);
-        self.state.revisions.set_holders(holders.collect());
         let leaders = higher.into_iter().map(|peer| peer.address).collect();
         self.state.revisions.set_leaders(leaders, is_leader);
         if let Some(placement) = &self.placement {
