Say that the size of a passed directory is an estimate

Cause: the design page and a comment gave 30 KB for the encoded directory of 720 targets as if it had been measured.

Result: none measured.

--- a/core/src/startup.rs
+++ b/core/src/startup.rs
@@ -159,7 +159,8 @@
 }
 
 /// Number of entries that one entry serves the whole directory to within
-/// [`TRANSFER_PERIOD`]. At 30 KB each they take 50 ms of a link of 20 Mbit/s.
+/// [`TRANSFER_PERIOD`]. At an estimated 30 KB each, they take 50 ms of
+/// a link of 20 Mbit/s.
 const MAX_TRANSFERS: usize = 4;
 
 /// Period in which [`MAX_TRANSFERS`] counts.
