Review: unreadable bytes of another writer stop the list of servers

One entry whose content is no UTF-8 makes each list and each watch of the servers fail as a whole. Entries that start never become ready.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -5,6 +5,7 @@
 //! separate processes with the command and the settings template of `deploy/`.
 
 mod case_quarantine;
+mod case_unreadable;
 mod entries;
 mod http;
 mod json;
@@ -23,6 +24,7 @@
     world::open_record(&record);
     let result = match case.as_str() {
         "quarantine" => case_quarantine::run(trouble),
+        "unreadable" => case_unreadable::run(trouble),
         _ => Err(format!("unknown case {case:?}")),
     };
     let code = match result {
