Review: uploads are passed on after their requesters have left

While an upload in chunks waits for a server, the close of its connection is not seen behind more than 16 KiB of its body.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -4,6 +4,7 @@
 //! the users' pages describe them. The entries are the project's own program, started as
 //! separate processes with the command and the settings template of `deploy/`.
 
+mod case_gone;
 mod case_poison;
 mod case_quarantine;
 mod case_unreadable;
@@ -27,6 +28,7 @@
         "quarantine" => case_quarantine::run(trouble),
         "unreadable" => case_unreadable::run(trouble),
         "poison" => case_poison::run(trouble),
+        "gone" => case_gone::run(trouble),
         _ => Err(format!("unknown case {case:?}")),
     };
     let code = match result {
