Review: two coordinators use a request limit at the same time

While the machine that coordinates a service is slow, requests alternate between it and the next one, and each uses the whole limit.

--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -5,6 +5,7 @@
 //! separate processes with the command and the settings template of `deploy/`.
 
 mod case_gone;
+mod case_limit;
 mod case_poison;
 mod case_quarantine;
 mod case_unreadable;
@@ -27,6 +28,7 @@
     let result = match case.as_str() {
         "quarantine" => case_quarantine::run(trouble),
         "unreadable" => case_unreadable::run(trouble),
+        "limit" => case_limit::run(trouble),
         "poison" => case_poison::run(trouble),
         "gone" => case_gone::run(trouble),
         _ => Err(format!("unknown case {case:?}")),
