Review: entries with stale seeds never find each other

Entries that start with stale seeds stay alone after their settings are right, since SIGHUP changes nothing. Each then spends a retry budget of its own. It takes the place of the case on the request limit.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 REPOSITORY=$(cd ../.. && pwd) || exit 2
 export REPOSITORY
 [ -x "$REPOSITORY/target/review/harness" ] || { echo "run review/build.sh first"; exit 2; }
-exec "$REPOSITORY/target/review/harness" limit record.txt
+exec "$REPOSITORY/target/review/harness" seeds record.txt
--- a/review/harness/server.rs
+++ b/review/harness/server.rs
@@ -60,6 +60,9 @@
 /// Requests that wait for a slot.
 const QUEUE: u32 = 16;
 
+/// Share of the requests that all servers reject without running them, in percent.
+pub static SHED_PERCENT: AtomicU64 = AtomicU64::new(0);
+
 impl Server {
     /// Starts a server at a free loopback port, or at `address`, and registers it.
     pub fn start(
@@ -202,7 +205,8 @@
         }
         self.record(&id, "head");
         connection.read_body(&mut request)?;
-        let slot = self.take_slot();
+        let sheds = crate::world::random() % 100 < SHED_PERCENT.load(Ordering::Relaxed);
+        let slot = !sheds && self.take_slot();
         if !slot {
             self.record(&id, "refused");
             headers.push(("X-Zinniaport-Not-Executed", "1".to_owned()));
