--- a/review/harness/case_poison.rs
+++ b/review/harness/case_poison.rs
@@ -18,14 +18,15 @@
     let env = |name: &str, default: f64| {
         std::env::var(name).ok().and_then(|t| t.parse().ok()).unwrap_or(default)
     };
-    let count = env("SERVERS", 1.0) as usize;
+    let (count, down) = (env("SERVERS", 1.0) as usize, env("DOWN", 2.0));
+    crate::server::DARK.store(std::env::var("DARK").is_ok(), Ordering::Relaxed);
     let store = Store::start()?;
     let route = Route {
         name: "shift-signup",
         host: HOST,
         prefix: "/puka111/",
         kind: "non_idempotent",
-        timeout_ms: 4000,
+        timeout_ms: env("TIMEOUT", 4000.0) as u64,
         target_ms: 500,
         priority: 1,
         service: "roster",
@@ -59,7 +60,8 @@
                 for server in supervised.lock().unwrap().iter_mut() {
                     if !server.is_alive() {
                         let crashed = server.clone();
-                        sleep(2.0);
+                        sleep(down);
+                        crashed.end_dark();
                         let settings = crashed.settings.clone();
                         let address = Some(crashed.address);
                         match Server::start(crashed.number, settings, address, &store, &arrivals) {
--- a/review/harness/server.rs
+++ b/review/harness/server.rs
@@ -52,6 +52,7 @@
     load: Mutex<Load>,
     freed: Condvar,
     alive: AtomicBool,
+    gone: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
     arrivals: Arrivals,
     sequence: AtomicU64,
@@ -60,6 +61,9 @@
 /// Requests that wait for a slot.
 const QUEUE: u32 = 16;
 
+/// Whether a crash is silent: the server neither answers nor closes its connections.
+pub static DARK: AtomicBool = AtomicBool::new(false);
+
 /// Share of the requests that all servers reject without running them, in percent.
 pub static SHED_PERCENT: AtomicU64 = AtomicU64::new(0);
 
@@ -84,6 +88,7 @@
             load: Mutex::default(),
             freed: Condvar::new(),
             alive: AtomicBool::new(true),
+            gone: AtomicBool::new(false),
             streams: Mutex::default(),
             arrivals: arrivals.clone(),
             sequence: AtomicU64::new(1),
@@ -118,7 +123,7 @@
 
     fn accept(self: &Arc<Self>, listener: &TcpListener) {
         for stream in listener.incoming() {
-            if !self.alive.load(Ordering::SeqCst) {
+            if !self.alive.load(Ordering::SeqCst) && !self.is_dark() {
                 return;
             }
             let Ok(stream) = stream else { continue };
@@ -144,6 +149,32 @@
         ));
     }
 
+    /// Returns `true` while the server is silent after a crash.
+    fn is_dark(&self) -> bool {
+        DARK.load(Ordering::Relaxed)
+            && !self.alive.load(Ordering::SeqCst)
+            && !self.gone.load(Ordering::SeqCst)
+    }
+
+    /// Ends the server silently, until it comes back: it answers nothing and closes nothing.
+    fn go_dark(&self) {
+        self.alive.store(false, Ordering::SeqCst);
+        note(&format!("server {} ({}) goes dark", self.number, self.address));
+        while !self.gone.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Closes all connections of a server that went dark, as the start of its machine does.
+    pub fn end_dark(&self) {
+        self.gone.store(true, Ordering::SeqCst);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        let _ = TcpStream::connect_timeout(&self.address, Duration::from_millis(100));
+        std::thread::sleep(Duration::from_millis(100));
+    }
+
     /// Returns `true` until the server has crashed.
     pub fn is_alive(&self) -> bool {
         self.alive.load(Ordering::SeqCst)
@@ -162,6 +193,9 @@
 
     fn serve(&self, mut connection: Connection) {
         while let Some(request) = connection.read_head() {
+            while self.is_dark() {
+                std::thread::sleep(Duration::from_millis(20));
+            }
             if self.handle(&mut connection, request).is_none() {
                 break;
             }
@@ -219,7 +253,11 @@
             request.body.len()
         ));
         if self.settings.crash_path.as_ref().is_some_and(|crash| path.starts_with(crash)) {
-            self.crash();
+            if DARK.load(Ordering::Relaxed) {
+                self.go_dark();
+            } else {
+                self.crash();
+            }
             return None;
         }
         let whole = self.work(connection);
@@ -243,6 +281,9 @@
         let end = now() + self.settings.work_ms as f64 / 1e3;
         while now() < end {
             std::thread::sleep(Duration::from_secs_f64((end - now()).clamp(0.0, 0.01)));
+            while self.is_dark() {
+                std::thread::sleep(Duration::from_millis(20));
+            }
             if connection.is_closed() || !self.alive.load(Ordering::SeqCst) {
                 return false;
             }
