Let a response end the quarantine of a request

Cause: each lost connection counts as a crash that the request caused, and no evidence could end that suspicion. The log lines of the case show two losses at two entries in the same millisecond, and 'quarantined' with one fingerprint from then on, although lookups in flight at other targets were answered afterwards.

A response now refutes the crashes before it. Crash records carry its time, so that it reaches the other entries and the store, and old records that arrive later do not undo it. Records have a datagram of their own, which earlier versions ignore; theirs are still read.

--- a/core/src/signals.rs
+++ b/core/src/signals.rs
@@ -1,13 +1,16 @@
 //! Signals that entries send each other in datagrams: liveness, capacity, the latest known
 //! revisions of the directory and requests that crash targets.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
+use crate::call::CallFingerprint;
+use crate::clock::Timestamp;
 use crate::digest::ShortDigest;
 use crate::fleet::TargetSnapshot;
-use crate::quarantine::CrashRecord;
+use crate::quarantine::{CrashRecord, TargetCrash};
 
 /// Identifies a target in messages between entries, whose keys differ. Among 4,100 targets
 /// two have the same tag with a probability of 0.2%; each then appears to have the load of
@@ -43,6 +46,26 @@
     }
 }
 
+/// Crash record without the time of each crash. Entries of earlier versions send these; records
+/// have a datagram of their own since, which those versions ignore.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CrashSummary {
+    /// Fingerprint of the request.
+    pub fingerprint: CallFingerprint,
+    /// Targets that it crashed.
+    pub targets: BTreeSet<SocketAddr>,
+    /// When it last crashed one.
+    pub last_crash: Timestamp,
+}
+
+impl From<&CrashSummary> for CrashRecord {
+    fn from(summary: &CrashSummary) -> Self {
+        let crash =
+            |address: &SocketAddr| TargetCrash { at: summary.last_crash, address: *address };
+        Self::new(summary.fingerprint, summary.targets.iter().map(crash))
+    }
+}
+
 /// Message of an entry to the others.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SignalMessage {
@@ -55,8 +78,8 @@
     /// Latest revisions of targets and configuration that the sender knows; 0 if an earlier
     /// message contained them.
     pub revisions: [u64; 2],
-    /// Recent crash records.
-    pub crashes: Vec<CrashRecord>,
+    /// Crash records of an entry of an earlier version; otherwise empty.
+    pub crashes: Vec<CrashSummary>,
     /// Entries that the sender receives messages from; present in some messages only.
     pub members: Vec<SocketAddr>,
 }
--- a/src/gate/archive.rs
+++ b/src/gate/archive.rs
@@ -1,11 +1,12 @@
 //! Keeps crash records in an external store, for entries that hear of a crash from no other
 //! entry: those that are partitioned from it, and those that start after all others ended.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::BoxFuture;
+use strum::Display;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 use zinniaport_core::call::CallFingerprint;
@@ -25,9 +26,9 @@
 /// Time after a failed call until the next one.
 const FAILURE_DELAY: Duration = Duration::from_secs(2);
 
-/// Maximum number of records that are added in one check, as losses of responses may look like
+/// Maximum number of records that are changed in one check, as losses of responses may look like
 /// crashes.
-const MAX_ADDED: usize = 2;
+const MAX_CHANGED: usize = 2;
 
 /// Crash records of an archive.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -50,6 +51,9 @@
     /// Adds a record. Does nothing if there is one with this fingerprint.
     fn add<'a>(&'a self, record: &'a CrashRecord) -> BoxFuture<'a, Result<(), StoreError>>;
 
+    /// Replaces the record with this fingerprint. Does nothing if there is none.
+    fn replace<'a>(&'a self, record: &'a CrashRecord) -> BoxFuture<'a, Result<(), StoreError>>;
+
     /// Removes the record of a fingerprint.
     fn remove(&self, fingerprint: CallFingerprint) -> BoxFuture<'_, Result<(), StoreError>>;
 }
@@ -59,10 +63,10 @@
     state: Arc<SharedState>,
     quarantine: Arc<QuarantineGate>,
     archive: Arc<dyn CrashArchive>,
-    /// Fingerprints of the records in the archive, as far as known.
-    archived: HashSet<CallFingerprint>,
-    /// Time of the next attempt to add records after one that failed.
-    next_add: Option<Instant>,
+    /// Records in the archive, as far as known.
+    archived: HashMap<CallFingerprint, CrashRecord>,
+    /// Time of the next attempt to change the archive after one that failed.
+    next_change: Option<Instant>,
 }
 
 impl ArchiveDriver {
@@ -72,7 +76,7 @@
         quarantine: Arc<QuarantineGate>,
         archive: Arc<dyn CrashArchive>,
     ) -> Self {
-        Self { state, quarantine, archive, archived: HashSet::new(), next_add: None }
+        Self { state, quarantine, archive, archived: HashMap::new(), next_change: None }
     }
 
     /// Runs until `stop` is cancelled.
@@ -95,7 +99,7 @@
                         read = read_archive(archive.clone(), None, Duration::ZERO);
                     }
                     if is_leading {
-                        self.add_missing().await;
+                        self.update_archive().await;
                     }
                 }
             }
@@ -116,7 +120,8 @@
                         log::warn!(fingerprint:% = record.fingerprint; "cannot remove an expired crash record from the archive: {error}");
                     }
                 }
-                self.archived.extend(records.iter().map(|record| record.fingerprint));
+                let known = records.iter().map(|record| (record.fingerprint, record.clone()));
+                self.archived.extend(known);
                 if self.quarantine.merge(&records) {
                     self.quarantine.crash_recorded.notify_one();
                 }
@@ -131,25 +136,38 @@
         }
     }
 
-    /// Adds records of several targets that the archive lacks.
-    async fn add_missing(&mut self) {
-        if self.next_add.is_some_and(|at| Instant::now() < at) {
+    /// Adds records of several targets that the archive lacks, replaces those that have changed
+    /// and removes those of requests to which a target has responded since.
+    async fn update_archive(&mut self) {
+        if self.next_change.is_some_and(|at| Instant::now() < at) {
             return;
         }
-        let mut records = self.quarantine.crash_records();
-        self.archived
-            .retain(|fingerprint| records.iter().any(|record| record.fingerprint == *fingerprint));
-        records
-            .retain(|record| record.is_repeated() && !self.archived.contains(&record.fingerprint));
-        for record in records.iter().take(MAX_ADDED) {
-            match self.archive.add(record).await {
+        let records = self.quarantine.crash_records();
+        self.archived.retain(|fingerprint, _| {
+            records.iter().any(|record| record.fingerprint == *fingerprint)
+        });
+        let changes = records.iter().filter_map(|record| {
+            let change = ArchiveChange::of(record, self.archived.get(&record.fingerprint))?;
+            Some((record, change))
+        });
+        let changes: Vec<_> = changes.take(MAX_CHANGED).collect();
+        for (record, change) in changes {
+            let result = match change {
+                ArchiveChange::Add => self.archive.add(record).await,
+                ArchiveChange::Replace => self.archive.replace(record).await,
+                ArchiveChange::Remove => self.archive.remove(record.fingerprint).await,
+            };
+            match result {
                 Ok(()) => {
-                    self.archived.insert(record.fingerprint);
-                    log::info!(fingerprint:% = record.fingerprint, crashed = record.targets.len(); "archived a crash record");
+                    match change {
+                        ArchiveChange::Remove => self.archived.remove(&record.fingerprint),
+                        _ => self.archived.insert(record.fingerprint, record.clone()),
+                    };
+                    log::info!(fingerprint:% = record.fingerprint, crashed = record.crash_count(), change:% = change; "archived a crash record");
                 }
                 Err(error) => {
-                    log::warn!(fingerprint:% = record.fingerprint; "cannot archive a crash record, retrying: {error}");
-                    self.next_add = Some(Instant::now() + FAILURE_DELAY);
+                    log::warn!(fingerprint:% = record.fingerprint, change:% = change; "cannot archive a crash record, retrying: {error}");
+                    self.next_change = Some(Instant::now() + FAILURE_DELAY);
                     return;
                 }
             }
@@ -157,6 +175,30 @@
     }
 }
 
+/// How the archive differs from what this entry knows.
+#[derive(Clone, Copy, Debug, Display)]
+#[strum(serialize_all = "kebab-case")]
+enum ArchiveChange {
+    Add,
+    Replace,
+    Remove,
+}
+
+impl ArchiveChange {
+    /// Returns the change that brings the `archived` record, if any, up to date with `record`.
+    fn of(record: &CrashRecord, archived: Option<&CrashRecord>) -> Option<Self> {
+        match archived {
+            None => record.is_repeated().then_some(Self::Add),
+            Some(_) if record.crash_count() == 0 => Some(Self::Remove),
+            Some(archived) => {
+                let is_current =
+                    archived.crashes == record.crashes && archived.last_trial == record.last_trial;
+                (!is_current).then_some(Self::Replace)
+            }
+        }
+    }
+}
+
 /// Lists the archive, or watches it from `revision`, after `delay`.
 fn read_archive(
     archive: Arc<dyn CrashArchive>,
--- a/src/gate/quarantine.rs
+++ b/src/gate/quarantine.rs
@@ -31,7 +31,8 @@
 pub struct QuarantineGate {
     clock: Arc<dyn ClockSource>,
     limiter: LineLimiter,
-    /// Notified when this entry has lost a target that ran a request.
+    /// Notified when other entries must be told: this entry has lost a target that ran a
+    /// request, tries a quarantined request again, or got a response to a suspect one.
     pub crash_recorded: Notify,
     shards: [Mutex<GateTable>; SHARDS],
 }
@@ -59,9 +60,21 @@
     ) -> Result<RunPermit, ReasonCode> {
         let receiver = {
             let mut table = self.lock(call.fingerprint);
-            match table.begin(call.fingerprint, call.max_crashed_targets, self.clock.now()) {
+            let now = self.clock.now();
+            match table.begin(call.fingerprint, call.max_crashed_targets, now) {
                 RunDecision::Run => return Ok(RunPermit::new(self, call)),
-                RunDecision::Quarantined => return Err(ReasonCode::Quarantined),
+                RunDecision::Quarantined => {
+                    let is_trial =
+                        table.begin_trial(call.fingerprint, call.max_crashed_targets, now);
+                    let crashed = table.crash_count(call.fingerprint);
+                    drop(table);
+                    if !is_trial {
+                        return Err(ReasonCode::Quarantined);
+                    }
+                    self.crash_recorded.notify_one();
+                    log::info!(fingerprint:% = call.fingerprint, crashed = crashed; "trying a quarantined request again");
+                    return Ok(RunPermit::new(self, call));
+                }
                 RunDecision::Wait => {
                     let (sender, receiver) = oneshot::channel();
                     if table.enqueue(call.fingerprint, sender).is_some() {
@@ -92,21 +105,26 @@
             .collect()
     }
 
-    /// Merges the crash records of another entry. Returns `true` if they name targets that were
-    /// not known.
+    /// Merges the crash records of another entry. Returns `true` if they changed the number of
+    /// crashes of a request.
     pub fn merge(&self, records: &[CrashRecord]) -> bool {
         let now = self.clock.now();
         let mut has_news = false;
         for record in records {
-            let is_news = self.lock(record.fingerprint).merge(record, now);
+            let (is_news, crashed) = {
+                let mut table = self.lock(record.fingerprint);
+                let is_news = table.merge(record, now);
+                (is_news, table.crash_count(record.fingerprint))
+            };
             has_news |= is_news;
-            if is_news && self.limiter.try_acquire(now) {
-                log::info!(
-                    fingerprint:% = record.fingerprint,
-                    crashed = record.targets.len(),
-                    age_ms = now.since(record.last_crash).as_millis() as u64;
-                    "another entry lost targets that ran this request"
-                );
+            if !is_news || !self.limiter.try_acquire(now) {
+                continue;
+            }
+            let age_ms = now.since(record.last_event()).as_millis() as u64;
+            if crashed == 0 {
+                log::info!(fingerprint:% = record.fingerprint, age_ms = age_ms; "another entry got a response to a request that ran on lost targets");
+            } else {
+                log::info!(fingerprint:% = record.fingerprint, crashed = crashed, age_ms = age_ms; "another entry lost targets that ran this request");
             }
         }
         has_news
@@ -115,12 +133,18 @@
     fn end(self: &Arc<Self>, call: FingerprintedCall, end: RunEnd) {
         let context = (call.max_crashed_targets, self.clock.now());
         let is_live = |sender: &oneshot::Sender<PermitResult>| !sender.is_closed();
-        let (released, crashed) = {
+        let (released, crashed_before, crashed) = {
             let mut table = self.lock(call.fingerprint);
+            let crashed_before = table.crash_count(call.fingerprint);
             let released = table.end(call.fingerprint, end, context, is_live);
-            let record = table.crash_record(call.fingerprint);
-            (released, record.map_or(0, |record| record.targets.len()))
+            (released, crashed_before, table.crash_count(call.fingerprint))
         };
+        if end == RunEnd::Answered && crashed < crashed_before {
+            self.crash_recorded.notify_one();
+            if self.limiter.try_acquire(context.1) {
+                log::info!(fingerprint:% = call.fingerprint, crashed = crashed_before; "a target responded to a request that ran on lost targets");
+            }
+        }
         if let RunEnd::Crashed(target) = end {
             self.crash_recorded.notify_one();
             if self.limiter.try_acquire(context.1) {
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -17,7 +17,7 @@
 };
 use zinniaport_core::placement::{CoordinatorCandidate, PlacementMessage};
 use zinniaport_core::policy::EntryView;
-use zinniaport_core::quarantine::CrashReport;
+use zinniaport_core::quarantine::{CrashRecord, CrashReport};
 use zinniaport_core::signals::SignalMessage;
 
 use crate::gate::QuarantineGate;
@@ -68,6 +68,8 @@
     Signal(SignalMessage),
     /// Placement requests and responses.
     Placement(PlacementMessage),
+    /// Crash records.
+    Crashes(Vec<CrashRecord>),
 }
 
 /// Sends datagrams to other entries.
@@ -201,9 +203,13 @@
     fn receive(&mut self, from: SocketAddr, bytes: &[u8]) {
         match (decode_datagram(bytes), &self.placement) {
             (Ok(SignalDatagram::Signal(message)), _) => {
-                self.quarantine.merge(&message.crashes);
+                let records: Vec<_> = message.crashes.iter().map(CrashRecord::from).collect();
+                self.quarantine.merge(&records);
                 self.step(SignalsMessage::Received(from, message));
             }
+            (Ok(SignalDatagram::Crashes(records)), _) => {
+                self.quarantine.merge(&records);
+            }
             (Ok(SignalDatagram::Placement(message)), Some(placement)) => {
                 placement.receive(from, message);
             }
@@ -224,12 +230,13 @@
             SignalsEffect::Revisions(revisions) => self.state.revisions.observe_peer(revisions),
             SignalsEffect::Send(addresses) => {
                 let message = self.next_message();
-                self.sender.send(&SignalDatagram::Signal(message), &addresses);
+                let records = self.crash_report().records(self.sequence);
+                self.send(message, records, &addresses);
             }
             SignalsEffect::SendFirst(address) => {
-                let crashes = self.crash_report().first_records();
-                let message = SignalMessage { crashes, ..self.next_message() };
-                self.sender.send(&SignalDatagram::Signal(message), &[address]);
+                let message = self.next_message();
+                let records = self.crash_report().first_records();
+                self.send(message, records, &[address]);
             }
             SignalsEffect::PeersChanged(peers, entry_count) => {
                 log::info!(heard = peers.len(), entries = entry_count; "live entries changed");
@@ -257,9 +264,18 @@
     /// Sends a message to all live entries.
     fn send_to_all(&mut self) {
         let message = self.next_message();
+        let records = self.crash_report().records(self.sequence);
         let peers = self.controller.live_peers().iter().map(|peer| peer.address);
         let peers: Vec<_> = peers.collect();
-        self.sender.send(&SignalDatagram::Signal(message), &peers);
+        self.send(message, records, &peers);
+    }
+
+    /// Sends a message and, in a datagram of its own, the crash records if there are any.
+    fn send(&self, message: SignalMessage, records: Vec<CrashRecord>, addresses: &[SocketAddr]) {
+        self.sender.send(&SignalDatagram::Signal(message), addresses);
+        if !records.is_empty() {
+            self.sender.send(&SignalDatagram::Crashes(records), addresses);
+        }
     }
 
     /// Returns the capacity that this entry announces, or 0 if it may not coordinate.
@@ -309,13 +325,12 @@
 
     fn next_message(&mut self) -> SignalMessage {
         self.sequence += 1;
-        let crashes = self.crash_report().records(self.sequence);
         SignalMessage {
             incarnation: self.incarnation,
             sequence: self.sequence,
             capacity: self.capacity(),
             revisions: self.state.revisions.local(),
-            crashes,
+            crashes: Vec::new(),
             members: self.next_members(),
         }
     }
