Count crashes of targets by process, not by address

Cause: crash records held a set of addresses. In the log of the case each 'lost a target that ran this request' has crashed = 1 for one fingerprint.

Records now hold processes, the address with a digest of the instance that the directory states. Where it states none, losses at one address that are a second apart count as two. Several copies or entries that lose one process still count once, and many losses of one process displace no other.

--- a/core/src/quarantine/mod.rs
+++ b/core/src/quarantine/mod.rs
@@ -13,13 +13,12 @@
 mod report;
 
 use std::collections::{HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::call::CallFingerprint;
 use crate::clock::Timestamp;
 use record::crash_limit;
-pub use record::{CrashRecord, QUARANTINE_TIME, TargetCrash};
+pub use record::{CrashRecord, QUARANTINE_TIME, TargetCrash, TargetProcess};
 pub use report::CrashReport;
 
 /// Maximum number of crash records in one table; beyond it the oldest is dropped. An entry
@@ -52,7 +51,7 @@
     /// A target responded to it.
     Answered,
     /// The connection to this target was lost, so the target counts as crashed.
-    Crashed(SocketAddr),
+    Crashed(TargetProcess),
     /// Anything else, such as a refusal or a caller that disconnected.
     Other,
 }
@@ -182,7 +181,7 @@
         self.crash_records.values()
     }
 
-    /// Returns the number of targets that a request has crashed since the last response.
+    /// Returns the number of processes that a request has crashed since the last response.
     pub fn crash_count(&self, fingerprint: CallFingerprint) -> usize {
         self.crash_records.get(&fingerprint).map_or(0, CrashRecord::crash_count)
     }
@@ -277,8 +276,13 @@
         }
     }
 
-    fn record_crash(&mut self, fingerprint: CallFingerprint, target: SocketAddr, now: Timestamp) {
-        let crash = TargetCrash { at: now, address: target };
+    fn record_crash(
+        &mut self,
+        fingerprint: CallFingerprint,
+        process: TargetProcess,
+        now: Timestamp,
+    ) {
+        let crash = TargetCrash { at: now, process };
         self.merge(&CrashRecord::new(fingerprint, [crash]), now);
     }
 
--- a/core/src/quarantine/record.rs
+++ b/core/src/quarantine/record.rs
@@ -1,13 +1,17 @@
 //! Crash records, which entries exchange.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::call::CallFingerprint;
 use crate::clock::Timestamp;
+use crate::digest::ShortDigest;
+use crate::fleet::TargetSnapshot;
+use crate::intent::TargetInstance;
 
 /// Time after its last event for which a fingerprint is kept.
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
@@ -37,13 +41,62 @@
 /// crashes every target crashes three in the 390 s after the first trial.
 const TRIAL_DELAY_FACTOR: u32 = 3;
 
-/// A target that was lost while it ran a request.
+/// Time after which a further loss at an address counts as that of another process, if it is
+/// not known which process it was. Several copies and entries lose the same process, within
+/// milliseconds; a process takes longer than that to start again.
+const RESTART_TIME: Duration = Duration::from_secs(1);
+
+/// A process of a target. A target that crashes starts again as another process, often at the
+/// same address.
+#[derive(
+    Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[display("{address}")]
+pub struct TargetProcess {
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// Digest of the instance that the directory names; 0 if it names none.
+    pub instance: u64,
+}
+
+impl TargetProcess {
+    /// Returns the process of a target.
+    pub fn of(target: &TargetSnapshot) -> Self {
+        let digest = |instance: &TargetInstance| {
+            ShortDigest::of(&[instance.id.as_bytes(), &instance.started_ms.to_be_bytes()])
+        };
+        let instance = target.instance.as_ref().map_or(0, |instance| digest(instance).high_bits());
+        Self { address: target.address, instance }
+    }
+}
+
+impl From<SocketAddr> for TargetProcess {
+    fn from(address: SocketAddr) -> Self {
+        Self { address, instance: 0 }
+    }
+}
+
+/// A process of a target that was lost while it ran a request.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct TargetCrash {
     /// When an entry lost the connection.
     pub at: Timestamp,
-    /// Address of the target.
-    pub address: SocketAddr,
+    /// The lost process.
+    pub process: TargetProcess,
+}
+
+impl TargetCrash {
+    /// Returns `true` if both are the same event, as two entries or two copies saw it.
+    fn is_same(&self, other: &Self) -> bool {
+        let (process, earlier) = (self.process, other.process);
+        if process.address != earlier.address {
+            return false;
+        }
+        match process.instance != 0 && earlier.instance != 0 {
+            true => process.instance == earlier.instance,
+            false => self.at.since(other.at).max(other.at.since(self.at)) < RESTART_TIME,
+        }
+    }
 }
 
 /// What is known of a request that crashed targets. Entries exchange these records; merging is
@@ -81,19 +134,29 @@
         if last_success != Timestamp::default() {
             self.crashes.retain(|crash| crash.at > last_success);
         }
-        while self.crashes.len() > MAX_RECORD_CRASHES {
-            self.crashes.pop_first();
-        }
+        // Of several losses of one known process, the latest is kept, so that a process which
+        // many entries lost does not displace the others.
+        let mut known = HashSet::new();
+        let is_latest =
+            |crash: &&TargetCrash| crash.process.instance == 0 || known.insert(crash.process);
+        let latest = self.crashes.iter().rev().filter(is_latest);
+        self.crashes = latest.copied().take(MAX_RECORD_CRASHES).collect();
     }
 
     /// Returns the addresses of the crashed targets.
     pub fn targets(&self) -> BTreeSet<SocketAddr> {
-        self.crashes.iter().map(|crash| crash.address).collect()
+        self.crashes.iter().map(|crash| crash.process.address).collect()
     }
 
-    /// Returns the number of targets that the request has crashed since the last response.
+    /// Returns the number of processes that the request has crashed since the last response.
     pub fn crash_count(&self) -> usize {
-        self.targets().len()
+        let mut counted: Vec<&TargetCrash> = Vec::new();
+        for crash in &self.crashes {
+            if !counted.iter().any(|earlier| crash.is_same(earlier)) {
+                counted.push(crash);
+            }
+        }
+        counted.len()
     }
 
     /// Returns the time of the last crash, or 0 if there was none since the last response.
@@ -106,7 +169,7 @@
         self.last_crash().max(self.last_success).max(self.last_trial)
     }
 
-    /// Returns `true` if the request crashed several targets. Losing one target may have had
+    /// Returns `true` if the request crashed several processes. Losing one may have had
     /// another cause.
     pub fn is_repeated(&self) -> bool {
         self.crash_count() >= REPEATED_CRASHES
@@ -151,7 +214,8 @@
     fn from(form: RecordForm) -> Self {
         let RecordForm { fingerprint, targets, last_crash, crashes, last_success, last_trial } =
             form;
-        let of_target = |address| TargetCrash { at: last_crash, address };
+        let of_target =
+            |address: SocketAddr| TargetCrash { at: last_crash, process: address.into() };
         let crashes = match crashes.is_empty() && last_success == Timestamp::default() {
             true => targets.into_iter().map(of_target).collect(),
             false => crashes,
--- a/core/src/signals.rs
+++ b/core/src/signals.rs
@@ -60,8 +60,10 @@
 
 impl From<&CrashSummary> for CrashRecord {
     fn from(summary: &CrashSummary) -> Self {
-        let crash =
-            |address: &SocketAddr| TargetCrash { at: summary.last_crash, address: *address };
+        let crash = |address: &SocketAddr| TargetCrash {
+            at: summary.last_crash,
+            process: (*address).into(),
+        };
         Self::new(summary.fingerprint, summary.targets.iter().map(crash))
     }
 }
--- a/core/tests/crash_reports.rs
+++ b/core/tests/crash_reports.rs
@@ -176,7 +176,7 @@
         while self.begins(entry, now) {
             self.runs.push((now, now.since(started) >= STABLE_WINDOW));
             let target = SocketAddr::from(([10, 1, 0, 0], self.runs.len() as u16));
-            let end = RunEnd::Crashed(target);
+            let end = RunEnd::Crashed(target.into());
             self.entries[entry].table.end(CALL, end, (MAX_CRASHED, now), |()| true);
             self.step(entry, SignalsMessage::CrashRecorded, now);
         }
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -9,21 +9,21 @@
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::quarantine::{
     CrashRecord, MAX_CRASH_RECORDS, QUARANTINE_TIME, QuarantineTable, RunDecision, RunEnd,
-    TargetCrash,
+    TargetCrash, TargetProcess,
 };
 use zinniaport_testing::{check_property, test_cases};
 
 const CALL: CallFingerprint = CallFingerprint(7);
 
-fn target(index: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, index as u8], 80))
+fn target(index: usize) -> TargetProcess {
+    SocketAddr::from(([10, 0, 0, index as u8], 80)).into()
 }
 
 fn crash_records() -> impl Strategy<Value = Vec<CrashRecord>> {
     let crash = (0_u64..900, 0_usize..30);
     let crash = crash.prop_map(|(seconds, index)| TargetCrash {
         at: Timestamp(seconds * 1_000_000),
-        address: target(index),
+        process: TargetProcess { instance: index as u64 % 3, ..target(index) },
     });
     let crashes = proptest::collection::vec(crash, 1..20);
     let record = (0_u64..3, crashes, 0_u64..900, 0_u64..900);
@@ -196,6 +196,54 @@
         assert!(later <= 3, "{later} crashes later than 3 s after the third: {crashes:?}");
     }
 
+    crashes_at_one_address_count_each: "a request that crashes the only target of a service again and again, since the process that replaces it has the same address" => {
+        for instances in [[1, 2, 3], [0, 0, 0]] {
+            let mut table = QuarantineTable::<()>::default();
+            let mut runs = 0;
+            for (second, instance) in (0..).step_by(3).zip(instances) {
+                let now = Timestamp(second * 1_000_000);
+                if table.begin(CALL, 2, now) == RunDecision::Run {
+                    runs += 1;
+                    let crashed = TargetProcess { instance, ..target(1) };
+                    table.end(CALL, RunEnd::Crashed(crashed), (2, now), |()| true);
+                }
+            }
+            assert_eq!(runs, 2, "instances {instances:?}");
+        }
+    }
+
+    one_crash_counts_once: "a request that is quarantined because several entries or copies lost the same process" => {
+        for instance in [0, 5] {
+            let process = TargetProcess { instance, ..target(1) };
+            let mut tables = [(); 3].map(|()| QuarantineTable::<()>::default());
+            for (delay, table) in (0..).zip(&mut tables) {
+                let now = Timestamp(1_000_000 + delay * 3_000);
+                for _ in 0..2 {
+                    assert_eq!(table.begin(CALL, 2, now), RunDecision::Run);
+                }
+                for _ in 0..2 {
+                    table.end(CALL, RunEnd::Crashed(process), (2, now), |()| true);
+                }
+            }
+            exchange(&mut tables, Timestamp(1_100_000));
+            for table in &mut tables {
+                assert_eq!(table.crash_count(CALL), 1, "instance {instance}");
+                assert_eq!(table.begin(CALL, 2, Timestamp(1_200_000)), RunDecision::Run);
+            }
+        }
+    }
+
+    many_losses_of_one_process_hide_no_other: "a crash that is forgotten, since many entries lost the process that crashed after it" => {
+        let mut table = QuarantineTable::<()>::default();
+        for (index, instance) in (0..41).map(|loss| if loss == 0 { (0, 4) } else { (1, 5) }).enumerate() {
+            let (host, instance) = instance;
+            let process = TargetProcess { instance, ..target(host) };
+            let crash = TargetCrash { at: Timestamp(1 + index as u64), process };
+            table.merge(&CrashRecord::new(CALL, [crash]), Timestamp(100));
+        }
+        assert_eq!(table.crash_count(CALL), 2);
+    }
+
     merges_commute: "entries that have received the same crash records in a different order and disagree" => {
         check_property(512, &(crash_records(), any::<u64>()), |(crash_records, seed)| {
             let known = merge_all(&crash_records);
--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt of a request at a target: recording its outcome, and hedging it.
 
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +11,7 @@
 use zinniaport_core::fleet::{ServiceCounters, TargetCounters};
 use zinniaport_core::keys::TargetKey;
 use zinniaport_core::placement::AttemptKind;
-use zinniaport_core::quarantine::RunEnd;
+use zinniaport_core::quarantine::{RunEnd, TargetProcess};
 use zinniaport_core::retry::{DispatchCount, allows_hedge};
 
 use super::route::combine_refusals;
@@ -40,7 +39,7 @@
     counters: Arc<TargetCounters>,
     service: Arc<ServiceCounters>,
     permit: Option<PermitHandle>,
-    address: SocketAddr,
+    process: TargetProcess,
     started: Timestamp,
     finished: bool,
 }
@@ -57,7 +56,7 @@
             target,
             counters: snapshot.counters.clone(),
             permit: exchange.head.extensions.get().cloned(),
-            address: snapshot.address,
+            process: TargetProcess::of(snapshot),
             service: exchange.fleet.services.get(exchange.facts.service)?.counters.clone(),
             started: filter.state.clock.now(),
             finished: false,
@@ -72,7 +71,7 @@
             match result {
                 Ok(_) => permit.end(RunEnd::Answered),
                 Err(refusal) if refusal.reason == ReasonCode::TargetLost => {
-                    permit.record_crash(self.address);
+                    permit.record_crash(self.process);
                 }
                 Err(_) => {}
             }
--- a/src/gate/quarantine.rs
+++ b/src/gate/quarantine.rs
@@ -1,13 +1,14 @@
 //! The quarantine table that requests share.
 
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::{Notify, oneshot};
 use zinniaport_core::call::{CallFingerprint, ReasonCode};
 use zinniaport_core::clock::ClockSource;
-use zinniaport_core::quarantine::{CrashRecord, QuarantineTable, RunDecision, RunEnd};
+use zinniaport_core::quarantine::{
+    CrashRecord, QuarantineTable, RunDecision, RunEnd, TargetProcess,
+};
 
 use crate::telemetry::LineLimiter;
 
@@ -218,8 +219,8 @@
         }
     }
 
-    /// Ends the copy because the connection to `target` was lost.
-    pub fn record_crash(&self, target: SocketAddr) {
+    /// Ends the copy because the connection to this process was lost.
+    pub fn record_crash(&self, target: TargetProcess) {
         self.end(RunEnd::Crashed(target));
     }
 
--- a/tests/crash_archive.rs
+++ b/tests/crash_archive.rs
@@ -15,7 +15,9 @@
 use zinniaport::store::{StoreError, refused};
 use zinniaport_core::call::CallFingerprint;
 use zinniaport_core::clock::{ClockSource, ManualClock, Timestamp};
-use zinniaport_core::quarantine::{CrashRecord, QUARANTINE_TIME, RunEnd, TargetCrash};
+use zinniaport_core::quarantine::{
+    CrashRecord, QUARANTINE_TIME, RunEnd, TargetCrash, TargetProcess,
+};
 use zinniaport_testing::test_cases;
 
 const CALL: FingerprintedCall =
@@ -114,8 +116,8 @@
     Arc::new(clock)
 }
 
-fn target(index: u16) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, 1], index))
+fn target(index: u16) -> TargetProcess {
+    SocketAddr::from(([10, 0, 0, 1], index)).into()
 }
 
 /// Runs the request once at an entry and lets it crash a target. Returns `false` if the
@@ -182,7 +184,7 @@
         let first = start_entry(&archive, &clock);
         let running = PermitHandle::new(first.enter(CALL, LIMIT).await.unwrap());
         assert!(crash(&first, 1).await);
-        assert!(first.merge(&[CrashRecord::new(CALL.fingerprint, [TargetCrash { at: clock.now(), address: target(2) }])]));
+        assert!(first.merge(&[CrashRecord::new(CALL.fingerprint, [TargetCrash { at: clock.now(), process: target(2) }])]));
         sleep(Duration::from_secs(2)).await;
         assert_eq!(archive.records().len(), 1);
         running.end(RunEnd::Answered);
@@ -211,7 +213,7 @@
 
     paused expired_records_are_removed: "an archive that grows without bound" => {
         let (archive, clock) = (Arc::<MemoryArchive>::default(), clock());
-        let crashes = [1, 2].map(|index| TargetCrash { at: Timestamp(1), address: target(index) });
+        let crashes = [1, 2].map(|index| TargetCrash { at: Timestamp(1), process: target(index) });
         let expired = CrashRecord::new(CALL.fingerprint, crashes);
         archive.records.lock().unwrap().push(expired);
         let first = start_entry(&archive, &clock);
--- a/tests/quarantine_gate.rs
+++ b/tests/quarantine_gate.rs
@@ -26,7 +26,7 @@
                 tokio::task::yield_now().await;
                 let target = SocketAddr::from(([127, 0, 0, 1], port));
                 crashed.lock().unwrap().insert(target);
-                handle.record_crash(target);
+                handle.record_crash(target.into());
                 Ok::<_, ReasonCode>(())
             })
         }).collect();
@@ -46,7 +46,7 @@
 
     async disconnected_copies_do_not_block_others: "a waiting copy that is never released because the caller of an earlier one disconnected" => {
         let gate = Arc::new(QuarantineGate::new(Arc::new(SystemClock::new())));
-        PermitHandle::new(gate.enter(CALL, LIMIT).await.unwrap()).record_crash(SocketAddr::from(([127, 0, 0, 1], 1)));
+        PermitHandle::new(gate.enter(CALL, LIMIT).await.unwrap()).record_crash(SocketAddr::from(([127, 0, 0, 1], 1)).into());
         let running = PermitHandle::new(gate.try_enter(CALL).unwrap());
         assert!(running.fork().is_none(), "two copies of a request that crashed a target run at the same time");
         for _ in 0..5 {
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -32,8 +32,9 @@
 }
 
 fn crash(at: Timestamp) -> CrashRecord {
-    let addresses = [([10, 0, 0, 1], 80).into(), ([10, 0, 0, 2], 80).into()];
-    CrashRecord::new(CallFingerprint(7), addresses.map(|address| TargetCrash { at, address }))
+    let addresses = [1, 2].map(|host| SocketAddr::from(([10, 0, 0, host], 80)));
+    let crash = |address: SocketAddr| TargetCrash { at, process: address.into() };
+    CrashRecord::new(CallFingerprint(7), addresses.map(crash))
 }
 
 /// Sends the first entry a message about a second one and a crash, and returns the crash records
