Apply changed seeds while an entry runs, and save few retries without peers

Cause: the reload dropped all changes, so that no entry logged a live one.

Changed seeds now take effect at SIGHUP, and within a second without it. Until an entry hears another one, it counts its seeds as entries and saves up a single retry token.

--- a/core/src/controllers/signals.rs
+++ b/core/src/controllers/signals.rs
@@ -56,6 +56,8 @@
     Received(SocketAddr, SignalMessage),
     /// This entry lost a target that ran a request.
     CrashRecorded,
+    /// The settings name these entries to contact first, instead of those before.
+    SeedsChanged(Vec<SocketAddr>),
     /// Time passed. Due every 50 ms.
     Tick,
 }
@@ -138,6 +140,23 @@
         &self.live_peers
     }
 
+    /// Returns the number of entries that may be running, including this one and silent ones.
+    pub fn entry_count(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Contacts other seeds. Entries that never sent a message are no longer contacted: they come
+    /// from the seeds before, or will be named again by the entries that know them.
+    fn replace_seeds(&mut self, seeds: Vec<SocketAddr>) -> Vec<SignalsEffect> {
+        self.peers.retain(|_, peer| peer.last_message.is_some());
+        for seed in seeds {
+            if seed != self.own_address && self.peers.len() < MAX_PEERS {
+                self.peers.entry(seed).or_default();
+            }
+        }
+        vec![SignalsEffect::PeersChanged(self.live_peers.clone(), self.entry_count())]
+    }
+
     fn receive(
         &mut self,
         from: SocketAddr,
@@ -208,7 +227,7 @@
         }
         self.live_peers.clone_from(&live);
         self.peers_reports.1 += 1;
-        Some(SignalsEffect::PeersChanged(live, self.peers.len() + 1))
+        Some(SignalsEffect::PeersChanged(live, self.entry_count()))
     }
 
     /// Announces crashes to all live entries, if that is due.
@@ -260,6 +279,7 @@
                 self.announcements = ANNOUNCEMENTS;
                 self.announce(now).into_iter().collect()
             }
+            SignalsMessage::SeedsChanged(seeds) => self.replace_seeds(seeds),
             SignalsMessage::Tick => self.tick(now),
         }
     }
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -42,6 +42,22 @@
     }
 }
 
+/// Share of the retry tokens of all entries that is divided among entries which place requests
+/// alone. The rest is for entries that have started but are not known yet.
+const DISTRIBUTED_SHARE: f64 = 0.5;
+
+/// Returns the retry tokens that an entry which places requests alone may accumulate, of
+/// `saved_retries` of all entries. It hears `live_peers` others, of `entry_count` that may be
+/// running with itself. An entry that should hear others and hears none accumulates a single
+/// token, since it cannot know among how many the tokens are divided.
+pub fn own_retry_tokens(saved_retries: f64, live_peers: usize, entry_count: usize) -> u64 {
+    if live_peers == 0 && entry_count > 1 {
+        return 1;
+    }
+    let tokens = saved_retries * DISTRIBUTED_SHARE / entry_count.max(1) as f64;
+    (tokens as u64).max(1)
+}
+
 /// Estimate of a high quantile of recent latency, in constant space. Each sample moves it
 /// up or down by steps whose ratio determines the quantile.
 #[derive(Debug, Default)]
--- a/core/tests/retry.rs
+++ b/core/tests/retry.rs
@@ -7,6 +7,7 @@
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::retry::{
     DispatchCount, LatencyQuantile, MAX_SAVED_RETRIES, RetryBudget, allows_hedge, allows_retry,
+    own_retry_tokens,
 };
 use zinniaport_testing::{check_property, test_cases};
 
@@ -39,6 +40,16 @@
 }
 
 test_cases! {
+    entries_without_peers_save_few_retries: "a fleet whose entries cannot find each other and that together send many times the permitted retries" => {
+        for (entries, seeds) in [(8, 3), (15, 3), (19, 2)] {
+            let alone = own_retry_tokens(58.0, 0, seeds + 1);
+            assert!(alone * entries <= 29, "{entries} entries that hear none save up {}", alone * entries);
+            let known = own_retry_tokens(58.0, entries as usize - 1, entries as usize);
+            assert!(known * entries <= 29, "{entries} entries that know each other save up {}", known * entries);
+        }
+        assert_eq!(own_retry_tokens(58.0, 0, 1), 29, "a single entry without seeds has the part of all");
+    }
+
     retries_stay_within_their_share: "retries that multiply the load of a failing service" => {
         // First attempts (`false`) and retries that an entry tries to send (`true`), at three
         // entries.
--- a/core/tests/signals.rs
+++ b/core/tests/signals.rs
@@ -29,6 +29,26 @@
 }
 
 test_cases! {
+    replaced_seeds_are_contacted: "an entry whose stale seeds are contacted for ever instead of those that the settings name now" => {
+        let mut controller = controller();
+        controller.handle(SignalsMessage::Tick, Timestamp(1_000 * MS));
+        controller.handle(SignalsMessage::Received(address(2), message(1, 1, 20)), Timestamp(1_001 * MS));
+        let seeds = vec![address(0), address(3), address(4)];
+        let effects = controller.handle(SignalsMessage::SeedsChanged(seeds), Timestamp(1_002 * MS));
+        // Itself, the live entry and the two new seeds may be running.
+        assert_eq!(effects, [SignalsEffect::PeersChanged(vec![member(2, 20)], 4)]);
+        let contacted = |effects: Vec<SignalsEffect>| -> Vec<SocketAddr> {
+            let sent = effects.into_iter().filter_map(|effect| match effect {
+                SignalsEffect::Send(addresses) => Some(addresses),
+                _ => None,
+            });
+            sent.flatten().collect()
+        };
+        let contacted = contacted(controller.handle(SignalsMessage::Tick, Timestamp(1_003 * MS)));
+        assert!(contacted.contains(&address(3)) && contacted.contains(&address(4)), "{contacted:?}");
+        assert!(!contacted.contains(&address(1)), "the stale seed is still contacted");
+    }
+
     starting_fleets_are_reported_together: "tables of all targets that are rebuilt once for each of hundreds of entries that start" => {
         let mut controller = controller();
         let mut reports = Vec::new();
--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -5,7 +5,7 @@
 
 use clap::Parser;
 
-use super::{StopSignals, cannot_handle_signals};
+use super::{ReloadCause, StopSignals, cannot_handle_signals};
 use crate::runtime::{EntryDependencies, EntryRuntime};
 use crate::settings::{EntrySettings, SettingsError};
 use crate::telemetry::{flush_logs, start_logs};
@@ -40,14 +40,14 @@
 
 /// Runs an entry with these dependencies until SIGTERM or Ctrl-C and returns the exit code.
 ///
-/// Each SIGHUP calls `load` to validate the settings again; changes take effect at the next
-/// start.
+/// Each SIGHUP, and a check every second, calls `load` to read the settings again. Changed seeds
+/// take effect at once, other changes at the next start.
 pub async fn run_entry(
     settings: EntrySettings,
     dependencies: EntryDependencies,
     load: impl Fn() -> Result<EntrySettings, SettingsError>,
 ) -> ExitCode {
-    let applied_settings = settings.clone();
+    let mut known = KnownSettings { settings: settings.clone(), error: None };
     start_logs(&settings.log, &settings.name);
     let mut signals = match StopSignals::install() {
         Ok(signals) => signals,
@@ -62,17 +62,49 @@
     };
     println!("callers: {}", entry.caller_address());
     println!("admin: {}", entry.admin_address());
-    let reload = || match load() {
-        Ok(settings) => {
-            let changed = settings != applied_settings;
-            log::info!(changed = changed; "settings reloaded; changes apply at the next start");
-        }
-        Err(error) => log::error!("cannot reload the settings, keeping the current ones: {error}"),
-    };
-    signals.wait(reload).await;
+    signals.wait(|cause| known.update(load(), cause, &entry)).await;
     log::info!("stop requested, draining");
     entry.stop().await;
     log::info!("stopped");
     flush_logs();
     ExitCode::SUCCESS
 }
+
+/// Settings as they were read last.
+struct KnownSettings {
+    settings: EntrySettings,
+    /// Why they could not be read the last time.
+    error: Option<String>,
+}
+
+impl KnownSettings {
+    /// Applies settings that were read again. Logs each reload that a signal requested, and
+    /// others if they bring anything new.
+    fn update(
+        &mut self,
+        loaded: Result<EntrySettings, SettingsError>,
+        cause: ReloadCause,
+        entry: &EntryRuntime,
+    ) {
+        let is_requested = cause == ReloadCause::Hangup;
+        match loaded {
+            Ok(settings) => {
+                self.error = None;
+                let changed = settings != self.settings;
+                if !changed && !is_requested {
+                    return;
+                }
+                let new_seeds = entry.apply_settings(&settings);
+                self.settings = settings;
+                log::info!(changed = changed, new_seeds = new_seeds, cause:% = cause; "settings reloaded; changes other than seeds apply at the next start");
+            }
+            Err(error) => {
+                let error = Some(error.to_string());
+                if is_requested || error != self.error {
+                    log::error!(cause:% = cause; "cannot reload the settings, keeping the current ones: {}", error.as_deref().unwrap_or_default());
+                }
+                self.error = error;
+            }
+        }
+    }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -16,11 +16,14 @@
 mod try_out;
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::{Parser, Subcommand};
 pub use entry::{EntryArguments, run_entry};
 pub use standin::{PlatformArguments, TargetArguments};
+use strum::Display;
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::{Instant, MissedTickBehavior, interval_at};
 
 /// Operates, measures and demonstrates the zinniaport load balancer.
 #[derive(Debug, Parser)]
@@ -72,6 +75,19 @@
     }
 }
 
+/// Time between two checks of the settings file, which may change without a signal.
+const RELOAD_PERIOD: Duration = Duration::from_secs(1);
+
+/// Why settings are read again.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[strum(serialize_all = "kebab-case")]
+enum ReloadCause {
+    /// SIGHUP announced a change.
+    Hangup,
+    /// The periodic check.
+    Period,
+}
+
 /// Signals that stop a process or announce changed settings.
 struct StopSignals {
     interrupt: Signal,
@@ -94,13 +110,17 @@
         })
     }
 
-    /// Waits for SIGTERM or Ctrl-C, and calls `reload` at each SIGHUP.
-    async fn wait(&mut self, mut reload: impl FnMut()) {
+    /// Waits for SIGTERM or Ctrl-C, and calls `reload` at each SIGHUP and in every
+    /// [`RELOAD_PERIOD`].
+    async fn wait(&mut self, mut reload: impl FnMut(ReloadCause)) {
+        let mut checks = interval_at(Instant::now() + RELOAD_PERIOD, RELOAD_PERIOD);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => return,
                 _ = self.interrupt.recv() => return,
-                _ = self.hangup.recv() => reload(),
+                _ = self.hangup.recv() => reload(ReloadCause::Hangup),
+                _ = checks.tick() => reload(ReloadCause::Period),
             }
         }
     }
--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -68,7 +68,7 @@
         };
         println!("listening: {}", target.address());
         tokio::select! {
-            () = signals.wait(|| {}) => ExitCode::SUCCESS,
+            () = signals.wait(|_| {}) => ExitCode::SUCCESS,
             () = target.wait_until_stopped(), if self.restart_after_ms.is_none() => {
                 eprintln!("the target crashed on a request with the header x-crash; start it again");
                 ExitCode::FAILURE
@@ -119,7 +119,7 @@
             Err(error) => return cannot_handle_signals(&error),
         };
         println!("listening: {}", platform.address());
-        signals.wait(|| {}).await;
+        signals.wait(|_| {}).await;
         ExitCode::SUCCESS
     }
 }
--- a/src/commands/try_out/mod.rs
+++ b/src/commands/try_out/mod.rs
@@ -141,7 +141,7 @@
     let terminal = std::io::stdout().is_terminal();
     let period = Duration::from_secs(if terminal { 1 } else { 5 });
     let mut interval = tokio::time::interval(period);
-    let stop = signals.wait(|| {});
+    let stop = signals.wait(|_| {});
     tokio::pin!(stop);
     println!("press Ctrl-C to stop\n");
     loop {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -10,6 +10,7 @@
 use chain::ChainParts;
 use derive_more::{Display, Error};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 use zinniaport_core::clock::{ClockSource, SystemClock, Timestamp};
@@ -84,6 +85,9 @@
     }
 }
 
+/// Changes the entries that an entry contacts first.
+type SeedSender = watch::Sender<Vec<SocketAddr>>;
+
 /// Dependencies of placement by coordinators.
 struct CoordinatedParts {
     state: Arc<SharedState>,
@@ -98,7 +102,10 @@
 impl CoordinatedParts {
     /// Starts the signals between entries and the placement that uses them. Both keep
     /// running during a planned stop, until the last request has ended.
-    async fn start(self, settings: SignalSettings) -> Result<CoordinatedPlacement, StartError> {
+    async fn start(
+        self,
+        settings: SignalSettings,
+    ) -> Result<(CoordinatedPlacement, SeedSender), StartError> {
         let Self { state, targets, gates, quarantine, policy, transport, relay } = self;
         let (probes, capacity) = (settings.target_probes_per_second, settings.capacity());
         let saved_retries = settings.saved_retries;
@@ -114,10 +121,10 @@
         tokio::spawn(router.serve(listener, CancellationToken::new()));
         let driver = PlacementDriver::new(state, targets, gates, coordinator, sender);
         signals.set_placement(driver.handle());
-        let placement = driver.placement();
+        let (placement, seeds) = (driver.placement(), signals.seeds());
         tokio::spawn(signals.run(CancellationToken::new()));
         tokio::spawn(driver.run(CancellationToken::new()));
-        Ok(placement)
+        Ok((placement, seeds))
     }
 }
 
@@ -134,6 +141,8 @@
     control: Option<ControlPlane>,
     claims: Arc<dyn KeyClaims>,
     state: Arc<SharedState>,
+    /// `None` if the entry exchanges no signals.
+    seeds: Option<SeedSender>,
 }
 
 impl EntryRuntime {
@@ -240,8 +249,8 @@
         let EntrySettings { limits, pool, stop: stop_settings, routing, signals, .. } = settings;
         let transport = Arc::new(HttpTransport::new(pool.clone(), Arc::new(SilenceLogger)));
         let policy = routing.policy();
-        let placement: Arc<dyn CallPlacement> = match signals {
-            None => Arc::new(LocalPlacement::new(state.clone(), gates)),
+        let (placement, seeds): (Arc<dyn CallPlacement>, _) = match signals {
+            None => (Arc::new(LocalPlacement::new(state.clone(), gates)), None),
             Some(signals) => {
                 let parts = CoordinatedParts {
                     state: state.clone(),
@@ -252,7 +261,8 @@
                     transport: transport.clone(),
                     relay,
                 };
-                Arc::new(parts.start(signals).await?)
+                let (placement, seeds) = parts.start(signals).await?;
+                (Arc::new(placement), Some(seeds))
             }
         };
         let freshness: Arc<dyn IntentFreshness> = match &control {
@@ -297,6 +307,18 @@
             control,
             claims,
             state: shared_state,
+            seeds,
+        })
+    }
+
+    /// Applies those of the changed settings that can change while the entry runs: the seeds.
+    /// Returns `true` if there was such a change.
+    pub fn apply_settings(&self, settings: &EntrySettings) -> bool {
+        let (Some(sender), Some(signals)) = (&self.seeds, &settings.signals) else { return false };
+        sender.send_if_modified(|seeds| {
+            let is_changed = *seeds != signals.seeds;
+            seeds.clone_from(&signals.seeds);
+            is_changed
         })
     }
 
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -10,6 +10,7 @@
 use bincode::Options;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
+use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 use zinniaport_core::controllers::{
@@ -18,6 +19,7 @@
 use zinniaport_core::placement::{CoordinatorCandidate, PlacementMessage};
 use zinniaport_core::policy::EntryView;
 use zinniaport_core::quarantine::{CrashRecord, CrashReport};
+use zinniaport_core::retry::own_retry_tokens;
 use zinniaport_core::signals::SignalMessage;
 
 use crate::gate::QuarantineGate;
@@ -57,10 +59,6 @@
 /// coordinate, so an entry that starts has to find them soon.
 const LISTED_LARGEST: usize = 4;
 
-/// Share of the retry tokens of all entries that is divided among entries which place requests
-/// alone. The rest is for entries that have started but are not known yet.
-const DISTRIBUTED_SHARE: f64 = 0.5;
-
 /// A datagram between two entries.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum SignalDatagram {
@@ -109,6 +107,8 @@
     sender: SignalSender,
     placement: Option<PlacementHandle>,
     controller: SignalsController,
+    /// Seeds of the settings, as of the last reload.
+    seeds: watch::Sender<Vec<SocketAddr>>,
     /// Start time of this entry, in microseconds.
     incarnation: u64,
     /// Number of the last message.
@@ -136,7 +136,7 @@
         let socket = socket.map_err(|source| StartError { address, source })?;
         let address = socket.local_addr().unwrap_or(address);
         let controller = SignalsController::new(address, settings.seeds.iter().copied());
-        let incarnation = state.clock.now().0;
+        let (incarnation, seeds) = (state.clock.now().0, settings.seeds.clone());
         Ok(Self {
             state,
             targets,
@@ -145,6 +145,7 @@
             sender: SignalSender { socket: Arc::new(socket), address },
             placement: None,
             controller,
+            seeds: watch::Sender::new(seeds),
             incarnation,
             sequence: 0,
             sent_revisions: [0; 2],
@@ -162,6 +163,11 @@
         self.sender.clone()
     }
 
+    /// Returns a handle that changes the seeds.
+    pub fn seeds(&self) -> watch::Sender<Vec<SocketAddr>> {
+        self.seeds.clone()
+    }
+
     /// Sets the handle to which received placement messages and the list of entries that may
     /// coordinate are passed.
     pub fn set_placement(&mut self, placement: PlacementHandle) {
@@ -175,9 +181,10 @@
         let mut ticks = interval(TICK_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut datagram = vec![0; MAX_DATAGRAM];
-        let has_seeds = self.settings.seeds.iter().any(|seed| *seed != self.sender.address);
-        state.revisions.set_settled(!has_seeds);
-        self.update_peers(&[], 1);
+        let mut seeds = self.seeds.subscribe();
+        let entry_count = self.controller.entry_count();
+        state.revisions.set_settled(entry_count == 1);
+        self.update_peers(&[], entry_count);
         let settle = sleep(SETTLE_TIME);
         tokio::pin!(settle);
         loop {
@@ -187,6 +194,10 @@
                     Ok((length, from)) => self.receive(from, &datagram[..length]),
                     Err(error) => log::debug!("cannot receive datagram: {error}"),
                 },
+                Ok(()) = seeds.changed() => {
+                    let seeds = seeds.borrow_and_update().clone();
+                    self.step(SignalsMessage::SeedsChanged(seeds));
+                }
                 () = state.signal_due.notified() => self.send_changes(),
                 () = quarantine.crash_recorded.notified() => {
                     self.step(SignalsMessage::CrashRecorded);
@@ -298,8 +309,8 @@
         self.targets.send(TargetsMessage::View(view));
         self.update_candidates(peers);
         self.state.entry_count.store(entry_count, Ordering::Relaxed);
-        let retry_tokens = self.settings.saved_retries * DISTRIBUTED_SHARE / entry_count as f64;
-        self.state.max_saved_retries.store((retry_tokens as u64).max(1), Ordering::Relaxed);
+        let retry_tokens = own_retry_tokens(self.settings.saved_retries, peers.len(), entry_count);
+        self.state.max_saved_retries.store(retry_tokens, Ordering::Relaxed);
     }
 
     /// Sets the leaders and the entries that may coordinate, from the live peers and this entry.
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
@@ -65,6 +66,37 @@
 }
 
 test_cases! {
+    async new_seeds_are_contacted: "entries that started with stale seeds and never find each other, so that each spends the limits of all" => {
+        let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
+        let (other, other_quarantine) = start(clock.clone()).await;
+        other_quarantine.merge(&[crash(clock.now())]);
+        let unused = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let stale = unused.local_addr().unwrap();
+        drop(unused);
+        let state = Arc::new(SharedState::new(clock.clone(), "entry-1", "valle-a"));
+        let (_, targets) = TargetsDriver::new(state.clone());
+        let quarantine = Arc::new(QuarantineGate::new(clock));
+        let settings = format!("{{ listen: '127.0.0.1:0', seeds: ['{stale}'], saved_retries: 100 }}");
+        let settings: SignalSettings = serde_norway::from_str(&settings).unwrap();
+        let driver = SignalsDriver::open(state.clone(), targets, quarantine.clone(), settings);
+        let driver = driver.await.unwrap();
+        let seeds = driver.seeds();
+        tokio::spawn(driver.run(CancellationToken::new()));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(state.entry_count.load(Ordering::Relaxed), 2);
+        assert_eq!(state.max_saved_retries.load(Ordering::Relaxed), 1, "an entry that hears no other one saves up the retries of all");
+        seeds.send_replace(vec![other]);
+        for _ in 0..400 {
+            if !quarantine.crash_records().is_empty() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(quarantine.crash_records().len(), 1, "the new seed was not contacted");
+        assert_eq!(state.entry_count.load(Ordering::Relaxed), 2, "the stale seed still counts as an entry");
+        assert_eq!(state.max_saved_retries.load(Ordering::Relaxed), 25);
+    }
+
     async crashes_reach_other_entries: "a request that crashes the permitted number of targets once per entry, not once in total" => {
         let records = pass_on(|now, message| {
             vec![SignalDatagram::Crashes(vec![crash(now)]), SignalDatagram::Signal(message)]
