Notice callers that leave whatever input is unread

Cause: the end of a connection was noticed only by reading up to it, and reading ahead stops after 16 KiB while a body or pipelined requests wait. Bodies with a length are read before they wait, and were not affected.

While that much is read ahead, the kernel's news of a close or reset is awaited on a copy of the socket; the copy's readiness is discarded without touching that of the reader.

Before: callers_that_leave_behind_much_input_are_noticed and uploads_of_callers_that_left_do_not_wait fail on (a timeout of 5 s; a request behind the uploads gets 503 instead of 200).

--- a/src/front/caller_socket.rs
+++ b/src/front/caller_socket.rs
@@ -1,17 +1,21 @@
 //! Receiving side of a caller connection, which notices that the caller has left although
 //! requests are still waiting to be read.
 
+use std::future::pending;
 use std::io;
+use std::os::fd::AsFd;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
 
 use bytes::{Buf, Bytes, BytesMut};
-use tokio::io::ReadBuf;
+use tokio::io::{Interest, ReadBuf};
+use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::Notify;
 
 /// Number of bytes that are read ahead of hyper, which stops reading while it holds a
-/// pipelined request. The end of a connection behind more bytes is noticed once they are read.
+/// pipelined request or a body that waits for its target. Beyond them, the kernel tells when the
+/// connection ends.
 const READ_AHEAD_BYTES: usize = 16 << 10;
 
 /// Receiving side of a caller connection. hyper reads from it; while a request is in progress,
@@ -80,10 +84,14 @@
     /// for hyper. A caller that closes only its sending side counts as gone too, because the
     /// two cannot be told apart.
     pub(super) async fn closed(&self) {
+        let mut watch = None;
         loop {
             if self.lock().bytes.len() >= READ_AHEAD_BYTES {
-                self.drained.notified().await;
-                continue;
+                let watch = watch.get_or_insert_with(|| HangupWatch::open(&self.half));
+                tokio::select! {
+                    () = self.drained.notified() => continue,
+                    () = watch.hung_up() => return,
+                }
             }
             if self.half.readable().await.is_err() {
                 return;
@@ -113,3 +121,34 @@
         Ok(length)
     }
 }
+
+/// Notices the end of a connection that lies behind input which nobody reads yet. It registers a
+/// copy of the socket, since it discards readiness that the reader of the socket needs.
+struct HangupWatch(Option<TcpStream>);
+
+impl HangupWatch {
+    fn open(half: &OwnedReadHalf) -> Self {
+        let stream: &TcpStream = half.as_ref();
+        let copy = stream.as_fd().try_clone_to_owned();
+        let copy = copy.and_then(|socket| TcpStream::from_std(socket.into()));
+        if let Err(error) = &copy {
+            log::warn!(
+                "cannot watch a caller connection, noticing its end when its input is read: {error}"
+            );
+        }
+        Self(copy.ok())
+    }
+
+    /// Waits until the peer has closed or reset the connection, whatever input is unread.
+    async fn hung_up(&self) {
+        let Some(socket) = &self.0 else { return pending().await };
+        while let Ok(ready) = socket.ready(Interest::READABLE).await {
+            if ready.is_read_closed() {
+                return;
+            }
+            // The next event is more input or the end.
+            let discard = || -> io::Result<()> { Err(io::ErrorKind::WouldBlock.into()) };
+            let _ = socket.try_io(Interest::READABLE, discard);
+        }
+    }
+}
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use support::{FakeTarget, read_request, start_entry};
+use support::{FakeTarget, read_request, settings_text, start_entry};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -63,6 +63,9 @@
         if head.contains("/lost ") {
             return;
         }
+        if head.contains("/late ") {
+            sleep(Duration::from_secs(1)).await;
+        }
         if head.contains("/slow") {
             sleep(Duration::from_millis(100)).await;
         }
@@ -225,6 +228,44 @@
         assert_eq!(target.paths(), ["held", "fast"]);
     }
 
+    async callers_that_leave_behind_much_input_are_noticed: "work that continues after the caller closed a connection, because more input than is read ahead lies before its end" => {
+        let target = ScriptedTarget::start().await;
+        let entry = start_entry(target.target.address, "").await;
+        let behind: String = (0..2000).map(|number| request(&format!("never-{number}"))).collect();
+        let stream = send(&entry, &format!("{}{}", request("held"), &behind[..60_000])).await;
+        target.wait_for("held").await;
+        drop(stream);
+        timeout(Duration::from_secs(10), target.aborted.notified()).await.unwrap();
+        let last = request_with("fast", "Connection: close\r\n");
+        read_responses(&mut send(&entry, &last).await).await;
+        assert_eq!(target.paths(), ["held", "fast"]);
+    }
+
+    async uploads_of_callers_that_left_do_not_wait: "an upload in chunks that keeps its place, and is passed on, after its caller left while it waited" => {
+        let target = ScriptedTarget::start().await;
+        let settings = settings_text(target.target.address, "").replace("slots: 100", "slots: 1");
+        let settings = settings.replace("kinds:", "max_queue_length: 2\n  kinds:");
+        let entry = EntryRuntime::start(serde_norway::from_str(&settings).unwrap()).await.unwrap();
+        let running = request_with("late", "Connection: close\r\n");
+        let mut running = send(&entry, &running).await;
+        target.wait_for("late").await;
+        let chunk = format!("{:x}\r\n{}\r\n", 8_192, "x".repeat(8_192));
+        let mut uploads = Vec::new();
+        for number in 0..2 {
+            let head = format!("POST /pump-history/never-{number} HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+            uploads.push(send(&entry, &format!("{head}{}0\r\n\r\n", chunk.repeat(5))).await);
+        }
+        sleep(Duration::from_millis(100)).await;
+        drop(uploads);
+        sleep(Duration::from_millis(100)).await;
+        // The queue has two places, so a request finds one only if the uploads have left it.
+        let last = request_with("fast", "Connection: close\r\n");
+        let responses = read_responses(&mut send(&entry, &last).await).await;
+        assert_eq!(summary(&responses), [(200, "fast")]);
+        assert_eq!(read_responses(&mut running).await[0].status, 200);
+        assert_eq!(target.paths(), ["late", "fast"]);
+    }
+
     async deadlines_count_from_the_arrival: "a target that gets more time than the caller of a pipelined request will wait" => {
         let target = ScriptedTarget::start().await;
         let entry = start_entry(target.target.address, "").await;
