Keep bodies in one buffer

A faulty target that sends a response in chunks of one byte each makes the entry keep many times the 1 MiB that its settings permit: 84,556 KiB for 8 such requests after 10 s, in a process that needs 16 MiB. On a VM of 260 MB it may end, and the requests of all its callers with it.

Cause: the limit counts bytes, but the parts are kept, each an object of 32 bytes that also holds on to its read buffer. Other bytes without end, in heads, interim responses, chunk extensions, trailers and plain bodies, were tried and stay within the bound.

The kept start of a response, and request bodies that are kept, are now one buffer each.

--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -6,7 +6,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::future::BoxFuture;
 use futures::stream::{self, StreamExt};
 use http::{HeaderValue, Uri, header};
@@ -157,18 +157,15 @@
     if max_bytes == 0 || response.body().is_end_stream() {
         return Ok(response);
     }
-    let mut parts = Vec::new();
-    let mut length = 0;
-    while length <= max_bytes {
+    // One buffer, since a part has many times the size of its bytes if a target sends these one
+    // by one.
+    let mut first = BytesMut::new();
+    while first.len() <= max_bytes {
         match response.body_mut().frame().await {
-            None => {
-                let body = full_body(parts.concat());
-                return Ok(response.map(|_| body));
-            }
+            None => return Ok(response.map(|_| full_body(first.freeze()))),
             Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else { continue };
-                length += data.len();
-                parts.push(data);
+                first.extend_from_slice(&data);
             }
             Some(Err(BodyError::DeadlinePassed)) => {
                 let detail = "the deadline passed within the answer";
@@ -179,7 +176,7 @@
             }
         }
     }
-    let first = stream::iter(parts).map(|part| Ok(Frame::data(part)));
+    let first = stream::once(std::future::ready(Ok(Frame::data(first.freeze()))));
     Ok(response.map(|rest| BoxBody::new(StreamBody::new(first.chain(BodyStream::new(rest))))))
 }
 
--- a/src/filters/quarantine.rs
+++ b/src/filters/quarantine.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::{Bytes, BytesMut};
 use futures::future::BoxFuture;
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -10,7 +11,7 @@
 
 use super::claim::KEY_HEADER;
 use super::{FilterNext, FilterResult, RequestFilter};
-use crate::exchange::{BodyError, Exchange, full_body};
+use crate::exchange::{BodyError, CallBody, Exchange, full_body};
 use crate::gate::{BufferedBody, FingerprintedCall, PermitHandle, QuarantineGate};
 use crate::refusal::Refusal;
 use crate::state::SharedState;
@@ -58,10 +59,10 @@
         }
         let Some(body) = exchange.body.take() else { return Ok(()) };
         let limit = exchange.facts.time_left(self.state.clock.now());
-        let result = tokio::time::timeout(limit, body.collect()).await;
+        let result = tokio::time::timeout(limit, collect_body(body)).await;
         let collected =
             result.map_err(|_| slow_sender_refusal())?.map_err(|error| body_refusal(&error))?;
-        let buffered = BufferedBody(collected.to_bytes());
+        let buffered = BufferedBody(collected);
         exchange.body = Some(full_body(buffered.0.clone()));
         exchange.head.extensions.insert(buffered);
         Ok(())
@@ -87,6 +88,18 @@
     }
 }
 
+/// Reads a body into one buffer, since a part has many times the size of its bytes if a caller
+/// sends these one by one.
+async fn collect_body(mut body: CallBody) -> Result<Bytes, BodyError> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok(bytes.freeze())
+}
+
 /// Returns the fingerprint of a request: a digest of its service, method, path, idempotency
 /// key and buffered body.
 fn compute_fingerprint(service: &str, exchange: &Exchange) -> CallFingerprint {
