Divide many crash records among datagrams

An entry that starts gets up to 40 crash records at once. Since they name each crash with its process, the largest take 600 bytes each, and 32 of them exceed the 16 KiB that an entry receives, so that all were lost: a request that crashes targets ran again at that entry until the records came in turn.

--- a/core/src/quarantine/report.rs
+++ b/core/src/quarantine/report.rs
@@ -9,7 +9,7 @@
 /// Age up to which an event is news, which a message reports before older ones.
 const NEWS_AGE: Duration = Duration::from_secs(2);
 
-/// Maximum number of new crash records in one message, of about 60 bytes each.
+/// Maximum number of new crash records in one message, of about 70 bytes each.
 const MAX_NEWS: usize = 8;
 
 /// Number of older records in one message, which take turns. With a message of each peer in
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -35,6 +35,10 @@
 /// Maximum size of a received datagram, in bytes.
 const MAX_DATAGRAM: usize = 16 << 10;
 
+/// Maximum number of crash records in a datagram. Of the largest, 600 bytes each, these take
+/// 10 KB.
+const MAX_DATAGRAM_RECORDS: usize = 16;
+
 /// Number of live entries up to which each message lists all of them, so that entries find each
 /// other at once after a loss of power.
 const SMALL_DEPLOYMENT: usize = 32;
@@ -242,12 +246,12 @@
             SignalsEffect::Send(addresses) => {
                 let message = self.next_message();
                 let records = self.crash_report().records(self.sequence);
-                self.send(message, records, &addresses);
+                self.send(message, &records, &addresses);
             }
             SignalsEffect::SendFirst(address) => {
                 let message = self.next_message();
                 let records = self.crash_report().first_records();
-                self.send(message, records, &[address]);
+                self.send(message, &records, &[address]);
             }
             SignalsEffect::PeersChanged(peers, entry_count) => {
                 log::info!(heard = peers.len(), entries = entry_count; "live entries changed");
@@ -278,14 +282,14 @@
         let records = self.crash_report().records(self.sequence);
         let peers = self.controller.live_peers().iter().map(|peer| peer.address);
         let peers: Vec<_> = peers.collect();
-        self.send(message, records, &peers);
+        self.send(message, &records, &peers);
     }
 
-    /// Sends a message and, in a datagram of its own, the crash records if there are any.
-    fn send(&self, message: SignalMessage, records: Vec<CrashRecord>, addresses: &[SocketAddr]) {
+    /// Sends a message and, in datagrams of their own, the crash records if there are any.
+    fn send(&self, message: SignalMessage, records: &[CrashRecord], addresses: &[SocketAddr]) {
         self.sender.send(&SignalDatagram::Signal(message), addresses);
-        if !records.is_empty() {
-            self.sender.send(&SignalDatagram::Crashes(records), addresses);
+        for part in records.chunks(MAX_DATAGRAM_RECORDS) {
+            self.sender.send(&SignalDatagram::Crashes(part.to_vec()), addresses);
         }
     }
 
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -16,7 +16,7 @@
 use zinniaport_core::call::CallFingerprint;
 use zinniaport_core::clock::{ClockSource, SystemClock, Timestamp};
 use zinniaport_core::placement::{PlacementId, PlacementMessage};
-use zinniaport_core::quarantine::{CrashRecord, TargetCrash};
+use zinniaport_core::quarantine::{CrashRecord, TargetCrash, TargetProcess};
 use zinniaport_core::signals::{CrashSummary, SignalMessage};
 use zinniaport_testing::test_cases;
 
@@ -118,6 +118,33 @@
         assert_eq!(records[0].crash_count(), 2);
     }
 
+    async starting_entries_learn_of_many_crashes: "an entry that starts and runs requests again that crashed targets, since the records of all do not fit a datagram" => {
+        let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
+        let (known, quarantine) = start(clock.clone()).await;
+        let records: Vec<_> = (0..32).map(|call| {
+            let crashes = (1..=16).map(|host| TargetCrash {
+                at: clock.now(),
+                process: TargetProcess { instance: u64::MAX - u64::from(host), address: ([10, 0, 0, host], 65_535).into() },
+            });
+            CrashRecord::new(CallFingerprint(u64::MAX - call), crashes)
+        }).collect();
+        quarantine.merge(&records);
+        // The records are no news any more, so only the first message to an entry has them all.
+        tokio::time::sleep(Duration::from_millis(2_100)).await;
+        let (started, quarantine) = start(clock.clone()).await;
+        let third = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let message = SignalMessage { incarnation: 1, sequence: 1, members: vec![known], ..SignalMessage::default() };
+        let datagram = encode_datagram(&SignalDatagram::Signal(message)).unwrap();
+        third.send_to(&datagram, started).await.unwrap();
+        for _ in 0..100 {
+            if quarantine.crash_records().len() == records.len() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(quarantine.crash_records().len(), records.len());
+    }
+
     damaged_datagrams_are_dropped: "a malformed datagram that makes an entry panic or exhaust its memory" => {
         let signal = SignalMessage { incarnation: 1 << 50, sequence: 3, ..SignalMessage::default() };
         let placement = PlacementMessage { held_grants: Some(vec![PlacementId(1 << 50)]), ..PlacementMessage::default() };
