--- /dev/null
+++ b/src/runtime/coordinated.rs
@@ -0,0 +1,62 @@
+//! Starts the exchange of signals and the placement by coordinators.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use zinniaport_core::policy::RoutingPolicy;
+
+use super::{StartError, bind_listener};
+use crate::admin::AdminRouter;
+use crate::directory::{DirectoryRelay, RelayHandler};
+use crate::gate::{AdmissionGates, QuarantineGate};
+use crate::placement::{CoordinatedPlacement, Coordinator, PlacementDriver, TargetProber};
+use crate::pool::TargetTransport;
+use crate::settings::SignalSettings;
+use crate::signals::SignalsDriver;
+use crate::state::SharedState;
+use crate::targets::TargetsHandle;
+
+/// Changes the entries that an entry contacts first.
+pub(super) type SeedSender = watch::Sender<Vec<SocketAddr>>;
+
+/// Dependencies of placement by coordinators.
+pub(super) struct CoordinatedParts {
+    pub(super) state: Arc<SharedState>,
+    pub(super) targets: TargetsHandle,
+    pub(super) gates: Arc<AdmissionGates>,
+    pub(super) quarantine: Arc<QuarantineGate>,
+    pub(super) policy: Arc<dyn RoutingPolicy>,
+    pub(super) transport: Arc<dyn TargetTransport>,
+    pub(super) relay: Arc<DirectoryRelay>,
+}
+
+impl CoordinatedParts {
+    /// Starts the signals between entries and the placement that uses them. Both keep
+    /// running during a planned stop, until the last request has ended.
+    pub(super) async fn start(
+        self,
+        settings: SignalSettings,
+    ) -> Result<(CoordinatedPlacement, SeedSender), StartError> {
+        let Self { state, targets, gates, quarantine, policy, transport, relay } = self;
+        let (probes, capacity) = (settings.target_probes_per_second, settings.capacity());
+        let saved_retries = settings.saved_retries;
+        let prober = TargetProber::new(state.clone(), transport, probes, capacity);
+        let coordinator =
+            Coordinator::new(state.clone(), gates.clone(), policy, prober, saved_retries);
+        let mut signals =
+            SignalsDriver::open(state.clone(), targets.clone(), quarantine, settings).await?;
+        let (coordinator, sender) = (Arc::new(coordinator), signals.sender());
+        let (listener, _) = bind_listener(signals.address()).await?;
+        let handler = RelayHandler::new(state.clone(), relay);
+        let router = AdminRouter::new(vec![Arc::new(handler)]);
+        tokio::spawn(router.serve(listener, CancellationToken::new()));
+        let driver = PlacementDriver::new(state, targets, gates, coordinator, sender);
+        signals.set_placement(driver.handle());
+        let (placement, seeds) = (driver.placement(), signals.seeds());
+        tokio::spawn(signals.run(CancellationToken::new()));
+        tokio::spawn(driver.run(CancellationToken::new()));
+        Ok((placement, seeds))
+    }
+}
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,6 +1,7 @@
 //! Starts an entry: connects filters, controllers and external systems.
 
 mod chain;
+mod coordinated;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,9 +9,9 @@
 use std::time::Duration;
 
 use chain::ChainParts;
+use coordinated::{CoordinatedParts, SeedSender};
 use derive_more::{Display, Error};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 use zinniaport_core::clock::{ClockSource, SystemClock, Timestamp};
@@ -19,7 +20,7 @@
     StateController, TargetsMessage,
 };
 use zinniaport_core::intent::ServiceIntent;
-use zinniaport_core::policy::{EntryView, RoutingPolicy};
+use zinniaport_core::policy::EntryView;
 
 use crate::admin::{
     AdminHandler, AdminRouter, BurnHandler, ExplainHandler, LivenessHandler, LocalRecords,
@@ -29,24 +30,20 @@
 use crate::control::{ControlParts, ControlPlane};
 use crate::dialect::{DefaultDialect, HeaderDialect};
 use crate::directory::{
-    DirectoryDriver, DirectoryRelay, DirectorySource, RelayHandler, RelayedDirectory,
-    unconfigured_fleet,
+    DirectoryDriver, DirectoryRelay, DirectorySource, RelayedDirectory, unconfigured_fleet,
 };
 use crate::front::HttpFrontend;
 use crate::gate::{AdmissionGates, ArchiveDriver, CrashArchive, QuarantineGate};
 use crate::measuring::{
     IntentFreshness, MeasuringDriver, MeasuringParts, StaticFreshness, probe_trigger,
 };
-use crate::placement::{
-    CallPlacement, CoordinatedPlacement, Coordinator, LocalPlacement, PlacementDriver, TargetProber,
-};
-use crate::pool::{HttpTransport, SilenceLogger, TargetTransport};
+use crate::placement::{CallPlacement, LocalPlacement};
+use crate::pool::{HttpTransport, SilenceLogger};
 use crate::records::PeerRecords;
-use crate::settings::{EntrySettings, PlatformSettings, SignalSettings};
-use crate::signals::SignalsDriver;
+use crate::settings::{EntrySettings, PlatformSettings};
 use crate::state::SharedState;
 use crate::store::{HttpStore, ObjectStore, VmDirectory};
-use crate::targets::{TargetsDriver, TargetsHandle};
+use crate::targets::TargetsDriver;
 use crate::telemetry::run_burn_controller;
 
 /// An entry cannot start because it cannot listen on an address.
@@ -85,49 +82,6 @@
     }
 }
 
-/// Changes the entries that an entry contacts first.
-type SeedSender = watch::Sender<Vec<SocketAddr>>;
-
-/// Dependencies of placement by coordinators.
-struct CoordinatedParts {
-    state: Arc<SharedState>,
-    targets: TargetsHandle,
-    gates: Arc<AdmissionGates>,
-    quarantine: Arc<QuarantineGate>,
-    policy: Arc<dyn RoutingPolicy>,
-    transport: Arc<dyn TargetTransport>,
-    relay: Arc<DirectoryRelay>,
-}
-
-impl CoordinatedParts {
-    /// Starts the signals between entries and the placement that uses them. Both keep
-    /// running during a planned stop, until the last request has ended.
-    async fn start(
-        self,
-        settings: SignalSettings,
-    ) -> Result<(CoordinatedPlacement, SeedSender), StartError> {
-        let Self { state, targets, gates, quarantine, policy, transport, relay } = self;
-        let (probes, capacity) = (settings.target_probes_per_second, settings.capacity());
-        let saved_retries = settings.saved_retries;
-        let prober = TargetProber::new(state.clone(), transport, probes, capacity);
-        let coordinator =
-            Coordinator::new(state.clone(), gates.clone(), policy, prober, saved_retries);
-        let mut signals =
-            SignalsDriver::open(state.clone(), targets.clone(), quarantine, settings).await?;
-        let (coordinator, sender) = (Arc::new(coordinator), signals.sender());
-        let (listener, _) = bind_listener(signals.address()).await?;
-        let handler = RelayHandler::new(state.clone(), relay);
-        let router = AdminRouter::new(vec![Arc::new(handler)]);
-        tokio::spawn(router.serve(listener, CancellationToken::new()));
-        let driver = PlacementDriver::new(state, targets, gates, coordinator, sender);
-        signals.set_placement(driver.handle());
-        let (placement, seeds) = (driver.placement(), signals.seeds());
-        tokio::spawn(signals.run(CancellationToken::new()));
-        tokio::spawn(driver.run(CancellationToken::new()));
-        Ok((placement, seeds))
-    }
-}
-
 /// A running entry.
 pub struct EntryRuntime {
     caller_address: SocketAddr,
