--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -136,6 +136,21 @@
     line.parse().unwrap()
 }
 
+/// Closes a connection while its first request runs, with `behind` sent after it, and checks that
+/// the target is told and gets nothing else.
+async fn leave_before(behind: &str) {
+    let target = ScriptedTarget::start().await;
+    let entry = start_entry(target.target.address, "").await;
+    let stream = send(&entry, &format!("{}{behind}", request("held"))).await;
+    target.wait_for("held").await;
+    drop(stream);
+    timeout(Duration::from_secs(10), target.aborted.notified()).await.unwrap();
+    // A later request of another caller shows that the entry had time to go on.
+    let last = request_with("fast", "Connection: close\r\n");
+    read_responses(&mut send(&entry, &last).await).await;
+    assert_eq!(target.paths(), ["held", "fast"]);
+}
+
 test_cases! {
     async responses_keep_the_order: "a fast response that overtakes a slow one, or has the identity or body of another" => {
         let target = ScriptedTarget::start().await;
@@ -215,30 +230,13 @@
     }
 
     async callers_that_leave_are_noticed: "work that continues, or that begins, after the caller closed a connection on which further requests wait" => {
-        let target = ScriptedTarget::start().await;
-        let entry = start_entry(target.target.address, "").await;
         let behind: String = (0..20).map(|number| request(&format!("never-{number}"))).collect();
-        let stream = send(&entry, &format!("{}{behind}", request("held"))).await;
-        target.wait_for("held").await;
-        drop(stream);
-        timeout(Duration::from_secs(10), target.aborted.notified()).await.unwrap();
-        // A later request of another caller shows that the entry had time to go on.
-        let last = request_with("fast", "Connection: close\r\n");
-        read_responses(&mut send(&entry, &last).await).await;
-        assert_eq!(target.paths(), ["held", "fast"]);
+        leave_before(&behind).await;
     }
 
     async callers_that_leave_behind_much_input_are_noticed: "work that continues after the caller closed a connection, because more input than is read ahead lies before its end" => {
-        let target = ScriptedTarget::start().await;
-        let entry = start_entry(target.target.address, "").await;
         let behind: String = (0..2000).map(|number| request(&format!("never-{number}"))).collect();
-        let stream = send(&entry, &format!("{}{}", request("held"), &behind[..60_000])).await;
-        target.wait_for("held").await;
-        drop(stream);
-        timeout(Duration::from_secs(10), target.aborted.notified()).await.unwrap();
-        let last = request_with("fast", "Connection: close\r\n");
-        read_responses(&mut send(&entry, &last).await).await;
-        assert_eq!(target.paths(), ["held", "fast"]);
+        leave_before(&behind[..60_000]).await;
     }
 
     async uploads_of_callers_that_left_do_not_wait: "an upload in chunks that keeps its place, and is passed on, after its caller left while it waited" => {
