Read crash records of earlier versions in one place

The datagrams, gossip and the archive each turned targets without times into crashes at the time of the last one. CrashRecord::from_targets does so for all three. No change in behaviour.

--- a/core/src/quarantine/record.rs
+++ b/core/src/quarantine/record.rs
@@ -18,7 +18,7 @@
 
 /// Maximum number of crashes in one record. The latest are kept, so that a merge does not
 /// depend on the order of its operands.
-pub(super) const MAX_RECORD_CRASHES: usize = 16;
+const MAX_RECORD_CRASHES: usize = 16;
 
 /// Number of crashes from which on a crash record stays in the messages until it expires.
 const REPEATED_CRASHES: usize = 2;
@@ -125,6 +125,17 @@
         Self { fingerprint, crashes, ..Self::default() }
     }
 
+    /// Creates a record from one of an earlier version, which has the time of the last crash
+    /// only and names no processes.
+    pub fn from_targets(
+        fingerprint: CallFingerprint,
+        targets: impl IntoIterator<Item = SocketAddr>,
+        last_crash: Timestamp,
+    ) -> Self {
+        let crash = |address: SocketAddr| TargetCrash { at: last_crash, process: address.into() };
+        Self::new(fingerprint, targets.into_iter().map(crash))
+    }
+
     /// Merges the record of another entry.
     pub fn merge(&mut self, other: &Self) {
         self.last_success = self.last_success.max(other.last_success);
@@ -214,10 +225,8 @@
     fn from(form: RecordForm) -> Self {
         let RecordForm { fingerprint, targets, last_crash, crashes, last_success, last_trial } =
             form;
-        let of_target =
-            |address: SocketAddr| TargetCrash { at: last_crash, process: address.into() };
         let crashes = match crashes.is_empty() && last_success == Timestamp::default() {
-            true => targets.into_iter().map(of_target).collect(),
+            true => Self::from_targets(fingerprint, targets, last_crash).crashes,
             false => crashes,
         };
         let mut record = Self { fingerprint, last_success, last_trial, ..Self::default() };
--- a/core/src/signals.rs
+++ b/core/src/signals.rs
@@ -10,7 +10,7 @@
 use crate::clock::Timestamp;
 use crate::digest::ShortDigest;
 use crate::fleet::TargetSnapshot;
-use crate::quarantine::{CrashRecord, TargetCrash};
+use crate::quarantine::CrashRecord;
 
 /// Identifies a target in messages between entries, whose keys differ. Among 4,100 targets
 /// two have the same tag with a probability of 0.2%; each then appears to have the load of
@@ -60,11 +60,8 @@
 
 impl From<&CrashSummary> for CrashRecord {
     fn from(summary: &CrashSummary) -> Self {
-        let crash = |address: &SocketAddr| TargetCrash {
-            at: summary.last_crash,
-            process: (*address).into(),
-        };
-        Self::new(summary.fingerprint, summary.targets.iter().map(crash))
+        let targets = summary.targets.iter().copied();
+        Self::from_targets(summary.fingerprint, targets, summary.last_crash)
     }
 }
 
