Log the connection of each dispatch and its position there

Cause: the line of a refused request named neither the connection nor which response on it was taken, so a repeated refusal could not be told from a run at a second target or from a response to a check. Change: a connection has a number, counts its requests and knows their identities; request lines have the field `connections`, and zinniaport_repeated_identities_total counts requests on a connection that had carried their identity before.

--- a/src/bench/load.rs
+++ b/src/bench/load.rs
@@ -119,7 +119,8 @@
             .body(empty_body());
         let Ok(request) = request else { return LoadSample::failed(start.elapsed()) };
         let deadline = start + plan.deadline;
-        let call = TargetCall { address, request, deadline, check: None };
+        let call =
+            TargetCall::builder().address(address).request(request).deadline(deadline).build();
         let Ok(response) = self.transport.send(call).await else {
             return LoadSample::failed(start.elapsed());
         };
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -15,6 +15,7 @@
 use zinniaport_core::policy::TargetChoice;
 
 use crate::placement::{Placement, PlacementLease};
+use crate::pool::ConnectionHandle;
 
 /// Body of a request or response that passes through the entry.
 pub type CallBody = BoxBody<Bytes, BodyError>;
@@ -117,6 +118,8 @@
     pub lease: Option<Box<dyn PlacementLease>>,
     /// Targets that the request was dispatched to, the current one last.
     pub targets: Vec<TargetKey>,
+    /// Connections that the request was sent on, in the order of its dispatches.
+    pub connections: Vec<ConnectionHandle>,
     /// Decisions made for the request so far.
     pub trace: DecisionTrace,
 }
@@ -150,6 +153,7 @@
             granted_choice: None,
             lease: None,
             targets: Vec::new(),
+            connections: Vec::new(),
             trace: DecisionTrace::default(),
         }
     }
--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -169,6 +169,7 @@
             }
         };
         exchange.targets.extend(copy.targets.last());
+        exchange.connections.extend(copy.connections.pop());
         if let Some(dispatch) = copy.trace.dispatches.iter().flatten().last() {
             exchange.trace.add_dispatch(*dispatch);
         }
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -28,7 +28,9 @@
 };
 use crate::front::{OUTCOME_HEADER, strip_hop_headers};
 use crate::placement::PlacementLease;
-use crate::pool::{IdleCheck, TargetCall, TargetTransport, TransportError};
+use crate::pool::{
+    ConnectionHandle, IdentityTag, IdleCheck, TargetCall, TargetTransport, TransportError,
+};
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 use crate::targets::record_limit;
@@ -69,20 +71,25 @@
             let detail = "the deadline passed before the request was dispatched";
             return Err(Refusal::not_run(ReasonCode::DeadlineUnreachable, detail));
         }
-        let call = TargetCall {
-            address: target.address,
-            request: target_request(
-                exchange,
-                time_left,
-                target.instance.as_ref(),
-                self.state.dialect.as_ref(),
-            ),
-            deadline: Instant::now() + time_left,
-            check: idle_check(exchange),
-        };
+        let dialect = self.state.dialect.as_ref();
+        let identity = IdentityTag::of(sent_request_id(exchange, dialect).unwrap_or_default());
+        let handle = ConnectionHandle::default();
+        let call = TargetCall::builder()
+            .address(target.address)
+            .identity(identity)
+            .handle(handle.clone())
+            .maybe_check(idle_check(exchange))
+            .request(target_request(exchange, time_left, target.instance.as_ref(), dialect))
+            .deadline(Instant::now() + time_left)
+            .build();
+        exchange.connections.push(handle.clone());
         let started = self.state.clock.now();
         let mut guard = InFlightGuard::new(target.counters.clone(), exchange.lease.take());
-        let mut response = match self.transport.send(call).await {
+        let result = self.transport.send(call).await;
+        if handle.last_use().is_some_and(|last| last.repeats_identity) {
+            self.state.metrics.repeated_identities.increment(1);
+        }
+        let mut response = match result {
             Ok(response) => response,
             Err(error) => {
                 let refusal = refusal_of(&error, exchange.body_status.fault());
--- a/src/filters/record.rs
+++ b/src/filters/record.rs
@@ -9,6 +9,7 @@
 
 use super::{FilterNext, FilterResult, RequestFilter};
 use crate::exchange::Exchange;
+use crate::pool::ConnectionHandle;
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 use crate::telemetry::LineLimiter;
@@ -51,18 +52,19 @@
         let now = self.state.clock.now();
         if self.limiter.try_acquire(now) {
             log::info!(
-                request_id = exchange.request_id.as_str(),
-                config_version = exchange.facts.config_version,
-                reason = <&str>::from(refusal.reason),
-                outcome = <&str>::from(refusal.outcome),
-                status = refusal.status().as_u16(),
-                fingerprint = exchange.facts.fingerprint.map(|print| print.to_string()),
-                dispatches = format_dispatches(exchange).as_str(),
-                snapshot_age_ms = now.since(exchange.fleet.published).as_millis() as u64,
-                waited_behind_us = exchange.waited_behind.as_micros() as u64,
-                waited_us = now.since(exchange.facts.arrived).as_micros() as u64;
-                "request refused: {}", refusal.detail
-            );
+                    request_id = exchange.request_id.as_str(),
+                    config_version = exchange.facts.config_version,
+                    reason = <&str>::from(refusal.reason),
+                    outcome = <&str>::from(refusal.outcome),
+                    status = refusal.status().as_u16(),
+                    fingerprint = exchange.facts.fingerprint.map(|print| print.to_string()),
+                    dispatches = format_dispatches(exchange).as_str(),
+            connections = format_connections(exchange).as_str(),
+                    snapshot_age_ms = now.since(exchange.fleet.published).as_millis() as u64,
+                    waited_behind_us = exchange.waited_behind.as_micros() as u64,
+                    waited_us = now.since(exchange.facts.arrived).as_micros() as u64;
+                    "request refused: {}", refusal.detail
+                );
         }
     }
 }
@@ -116,6 +118,7 @@
         queued_us = queued,
         waited_behind_us = exchange.waited_behind.as_micros() as u64,
         dispatches = format_dispatches(exchange).as_str(),
+        connections = format_connections(exchange).as_str(),
         snapshot_age_ms = end.answered.since(exchange.fleet.published).as_millis() as u64,
         took_us = end.answered.since(facts.arrived).as_micros() as u64;
         "request answered"
@@ -131,6 +134,7 @@
         reason = <&str>::from(end.reason),
         outcome = <&str>::from(end.outcome),
         dispatches = format_dispatches(exchange).as_str(),
+        connections = format_connections(exchange).as_str(),
         snapshot_age_ms = end.answered.since(exchange.fleet.published).as_millis() as u64,
         waited_us = end.answered.since(facts.arrived).as_micros() as u64;
         "caller disconnected before the response"
@@ -154,6 +158,13 @@
     text
 }
 
+/// Formats the connections that a request was sent on, in the order of its dispatches: the number
+/// of each and the position of the request on it.
+fn format_connections(exchange: &Exchange) -> String {
+    let uses = exchange.connections.iter().filter_map(ConnectionHandle::last_use);
+    uses.map(|last| last.to_string()).collect::<Vec<_>>().join(", ")
+}
+
 /// A request whose record is written when dropped. If the caller disconnects before the
 /// response, the whole filter chain is dropped, and the request is recorded too.
 struct OpenRecord<'a> {
--- a/src/measuring.rs
+++ b/src/measuring.rs
@@ -139,11 +139,9 @@
             }
             let mut request = Request::new(empty_body());
             *request.uri_mut() = http::Uri::from_static(PROBE_PATH);
-            let Ok(response) =
-                transport.send(TargetCall { address, request, deadline, check: None }).await
-            else {
-                return;
-            };
+            let call =
+                TargetCall::builder().address(address).request(request).deadline(deadline).build();
+            let Ok(response) = transport.send(call).await else { return };
             if let Some(report) = state.dialect.parse_load(response.headers()) {
                 let now = state.clock.now();
                 counters.record_report(report, now);
--- a/src/placement/prober.rs
+++ b/src/placement/prober.rs
@@ -127,17 +127,16 @@
         service.counters.unanswered_probes.fetch_add(1, Ordering::Relaxed);
         let mut request = Request::new(empty_body());
         *request.uri_mut() = path;
-        let call = TargetCall {
-            address: target.address,
-            request,
-            deadline: Instant::now() + PROBE_TIMEOUT,
-            check: None,
-        };
+        let deadline = Instant::now() + PROBE_TIMEOUT;
+        let call = TargetCall::builder()
+            .address(target.address)
+            .request(request)
+            .deadline(deadline)
+            .build();
         let (target, service) = (target.clone(), service.counters.clone());
         let (state, transport, reports) =
             (self.state.clone(), self.transport.clone(), self.reports.clone());
         tokio::spawn(async move {
-            let deadline = call.deadline;
             let Ok(response) = transport.send(call).await else { return };
             if let Some(report) = state.dialect.parse_load(response.headers()) {
                 let now = state.clock.now();
--- a/src/pool/connections.rs
+++ b/src/pool/connections.rs
@@ -13,6 +13,8 @@
 use tokio::time::{Duration, Instant, sleep_until};
 use tokio_util::task::AbortOnDropHandle;
 
+use super::handle::ConnectionUse;
+use super::identities::{IdentityTag, SentIdentities};
 use crate::exchange::CallBody;
 use crate::settings::MAX_CONNECTIONS_PER_TARGET;
 
@@ -20,11 +22,19 @@
 /// within it, since the target could close the connection while a request is on its way.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(400);
 
+/// Number of the next connection of this process, for the log.
+static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(1);
+
 /// An open connection, closed when dropped.
 pub(super) struct TargetConnection {
     pub(super) sender: SendRequest<CallBody>,
     /// Whether an exchange has completed on it before.
     pub(super) reused: bool,
+    /// Number of the connection, unique within the process.
+    number: u64,
+    /// Number of requests that were sent on it, checks included.
+    exchanges: u32,
+    identities: SentIdentities,
     idle_since: Instant,
     /// Idle time up to which the connection may be used, from the target's `Keep-Alive` header.
     keep_alive: Option<Duration>,
@@ -39,6 +49,16 @@
         self.idle_since.elapsed()
     }
 
+    /// Records that a request with this identity, if it has one, is sent on the connection.
+    pub(super) fn begin_exchange(&mut self, identity: Option<IdentityTag>) -> ConnectionUse {
+        self.exchanges = self.exchanges.saturating_add(1);
+        let repeats_identity = identity.is_some_and(|tag| self.identities.contains(tag));
+        if let Some(tag) = identity.filter(|_| !repeats_identity) {
+            self.identities.record(tag);
+        }
+        ConnectionUse { connection: self.number, exchange: self.exchanges, repeats_identity }
+    }
+
     /// Sets the idle time after which the target closes the connection.
     pub(super) fn set_keep_alive(&mut self, time: Duration) {
         self.keep_alive = Some(time.saturating_sub(KEEP_ALIVE_MARGIN));
@@ -143,6 +163,9 @@
         Ok(TargetConnection {
             sender,
             reused: false,
+            number: NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed),
+            exchanges: 0,
+            identities: SentIdentities::default(),
             idle_since: Instant::now(),
             keep_alive: None,
             generation,
--- /dev/null
+++ b/src/pool/handle.rs
@@ -0,0 +1,35 @@
+//! What the sender of a request learns about the connection that it was sent on.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwapOption;
+use derive_more::Display;
+
+/// Position of a request on its connection.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[display("{connection}/{exchange}{}", if *repeats_identity { " identity repeated" } else { "" })]
+pub struct ConnectionUse {
+    /// Number of the connection, unique within the process.
+    pub connection: u64,
+    /// Position among the requests on the connection, checks included, counted from 1. Its
+    /// response must be the one at the same position.
+    pub exchange: u32,
+    /// Whether a request with the same identity was sent on the connection before.
+    pub repeats_identity: bool,
+}
+
+/// Shared between the sender of a request and the transport. The sender keeps a copy, so that it
+/// can log the connection of a request that got no response.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionHandle(Arc<ArcSwapOption<ConnectionUse>>);
+
+impl ConnectionHandle {
+    /// Returns the connection that the request was last sent on, if any.
+    pub fn last_use(&self) -> Option<ConnectionUse> {
+        self.0.load().as_deref().copied()
+    }
+
+    pub(super) fn record_use(&self, connection_use: ConnectionUse) {
+        self.0.store(Some(Arc::new(connection_use)));
+    }
+}
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -1,6 +1,8 @@
 //! Connection pools for targets.
 
 mod connections;
+mod handle;
+mod identities;
 mod leased_body;
 mod progress;
 mod silence;
@@ -10,7 +12,9 @@
 
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
+pub use handle::{ConnectionHandle, ConnectionUse};
 use http::{Request, Uri};
+pub use identities::IdentityTag;
 pub use silence::{SilenceCause, SilenceLogger, SilenceObserver};
 use tokio::time::Instant;
 pub use transport::HttpTransport;
@@ -58,7 +62,7 @@
 }
 
 /// One dispatch to a target.
-#[derive(Debug)]
+#[derive(Debug, bon::Builder)]
 pub struct TargetCall {
     /// Address of the target.
     pub address: SocketAddr,
@@ -68,6 +72,11 @@
     pub deadline: Instant,
     /// Check of an idle connection before the request is sent on it.
     pub check: Option<IdleCheck>,
+    /// Identity that the target repeats in its response. Probes have none.
+    pub identity: Option<IdentityTag>,
+    /// Handle by which the sender learns about the connection.
+    #[builder(default)]
+    pub handle: ConnectionHandle,
 }
 
 /// Check of a connection that was idle for a while, by a request that the target answers at
--- a/src/pool/transport.rs
+++ b/src/pool/transport.rs
@@ -72,7 +72,7 @@
     }
 
     async fn exchange(&self, call: TargetCall) -> Result<CallResponse, TransportError> {
-        let TargetCall { address, request, deadline, check } = call;
+        let TargetCall { address, request, deadline, check, identity, handle } = call;
         let pool = self.pool(address);
         let not_sent = |cause: String| TransportError::NotSent { address, cause };
         let mut lease =
@@ -98,6 +98,7 @@
                 observer: self.observer.clone(),
                 connect_timeout: self.settings.connect_timeout(),
             };
+            handle.record_use(connection.begin_exchange(identity));
             let limits = HeadLimits { address, deadline, silence: self.settings.head_silence() };
             match response_head(&mut connection, request, &progress, limits).await {
                 Ok(response) => {
@@ -163,6 +164,7 @@
         let mut request = Request::new(empty_body());
         *request.uri_mut() = check.path;
         let request = prepare_request(request, address, &Arc::default());
+        connection.begin_exchange(None);
         let exchange = async {
             let response = connection.sender.send_request(request).await.ok()?;
             Limited::new(response.into_body(), MAX_CHECK_RESPONSE_BYTES).collect().await.ok()?;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -24,6 +24,7 @@
 const RECORDS_COPIED: &str = "zinniaport_records_copied_total";
 const RECORDS_NOT_COPIED: &str = "zinniaport_records_not_copied_total";
 const RECORD_COPY_BYTES: &str = "zinniaport_record_copy_bytes_total";
+const REPEATED_IDENTITIES: &str = "zinniaport_repeated_identities_total";
 const IN_FLIGHT: &str = "zinniaport_in_flight";
 /// Exported as a gauge that only rises, like the next one, because counters of the
 /// library cannot hold fractions of a second.
@@ -61,6 +62,8 @@
     recorder: PrometheusRecorder,
     in_flight: Gauge,
     unclassified: KindMetrics,
+    /// Requests that were sent on a connection which had carried their identity before.
+    pub repeated_identities: Counter,
     /// Metrics of placement.
     pub placement: PlacementMetrics,
     services: ArcSwap<SecondaryMap<ServiceKey, Arc<ServiceMetrics>>>,
@@ -81,9 +84,17 @@
             .expect("the histograms have bounds")
             .build_recorder();
         let in_flight = with_local_recorder(&recorder, || gauge!(IN_FLIGHT));
+        let repeated_identities = with_local_recorder(&recorder, || counter!(REPEATED_IDENTITIES));
         let unclassified = KindMetrics::new(&recorder, "unknown", "unknown");
         let placement = PlacementMetrics::new(&recorder);
-        Self { recorder, in_flight, unclassified, placement, services: ArcSwap::default() }
+        Self {
+            recorder,
+            in_flight,
+            unclassified,
+            repeated_identities,
+            placement,
+            services: ArcSwap::default(),
+        }
     }
 
     /// Counts a new request as in flight.
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -32,7 +32,8 @@
 
 fn call(address: SocketAddr, path: &str, body: CallBody, time_left: Duration) -> TargetCall {
     let request = http::Request::post(path).body(body).unwrap();
-    TargetCall { address, request, deadline: Instant::now() + time_left, check: None }
+    let deadline = Instant::now() + time_left;
+    TargetCall::builder().address(address).request(request).deadline(deadline).build()
 }
 
 async fn read_text(response: CallResponse) -> Option<String> {
