Send no identity twice on a connection to a target

Callers saw: 503 and "not-run" for requests that their target ran. Cause: a response is matched to its request by the order on the connection and by the identity that it repeats. The identity of a request that comes again is not unique there, so a late copy of its refusal is taken for the response to the second arrival. Change: a connection remembers digests of the identities that it carried and carries none twice. Another connection of the pool takes the request; only if all vacant ones have carried its identity, one is replaced. This is independent of what the first response was, when a copy comes and how often.

--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -86,7 +86,7 @@
         let started = self.state.clock.now();
         let mut guard = InFlightGuard::new(target.counters.clone(), exchange.lease.take());
         let result = self.transport.send(call).await;
-        if handle.last_use().is_some_and(|last| last.repeats_identity) {
+        if handle.last_use().is_some_and(|last| last.avoids_copy) {
             self.state.metrics.repeated_identities.increment(1);
         }
         let mut response = match result {
--- a/src/pool/connections.rs
+++ b/src/pool/connections.rs
@@ -49,14 +49,22 @@
         self.idle_since.elapsed()
     }
 
+    /// Returns `true` if a request with this identity may be sent on the connection.
+    fn accepts(&self, identity: Option<IdentityTag>) -> bool {
+        identity.is_none_or(|tag| !self.identities.contains(tag))
+    }
+
     /// Records that a request with this identity, if it has one, is sent on the connection.
-    pub(super) fn begin_exchange(&mut self, identity: Option<IdentityTag>) -> ConnectionUse {
+    pub(super) fn begin_exchange(
+        &mut self,
+        identity: Option<IdentityTag>,
+        avoids_copy: bool,
+    ) -> ConnectionUse {
         self.exchanges = self.exchanges.saturating_add(1);
-        let repeats_identity = identity.is_some_and(|tag| self.identities.contains(tag));
-        if let Some(tag) = identity.filter(|_| !repeats_identity) {
+        if let Some(tag) = identity {
             self.identities.record(tag);
         }
-        ConnectionUse { connection: self.number, exchange: self.exchanges, repeats_identity }
+        ConnectionUse { connection: self.number, exchange: self.exchanges, avoids_copy }
     }
 
     /// Sets the idle time after which the target closes the connection.
@@ -103,10 +111,26 @@
         }
     }
 
-    /// Waits for a slot. Dropping the future ends the wait.
-    pub(super) async fn lease(self: &Arc<Self>) -> Option<ConnectionLease> {
+    /// Waits for a slot whose connection has not carried a request with this identity. If all
+    /// vacant ones have, the connection of one of them is closed. Dropping the future ends the
+    /// wait.
+    pub(super) async fn lease(
+        self: &Arc<Self>,
+        identity: Option<IdentityTag>,
+    ) -> Option<ConnectionLease> {
         let permit = self.permits.clone().acquire_owned().await.ok()?;
-        self.take_slot(permit)
+        let mut lease = self.take_slot(permit)?;
+        // Held until a slot is found, so that none of them is taken twice.
+        let mut passed_over = Vec::new();
+        while !lease.accepts(identity) {
+            let permit = self.permits.clone().try_acquire_owned();
+            match permit.ok().and_then(|permit| self.take_slot(permit)) {
+                Some(next) => passed_over.push(std::mem::replace(&mut lease, next)),
+                None => lease.connection = None,
+            }
+            lease.avoids_copy = true;
+        }
+        Some(lease)
     }
 
     /// Closes the connections that have been idle for `idle_limit` or longer.
@@ -145,7 +169,13 @@
             .ok()?;
         let slot = vacant.trailing_zeros() as usize;
         let connection = self.slots[slot].swap(None).and_then(Arc::into_inner);
-        Some(ConnectionLease { pool: self.clone(), slot, connection, _permit: permit })
+        Some(ConnectionLease {
+            pool: self.clone(),
+            slot,
+            connection,
+            avoids_copy: false,
+            _permit: permit,
+        })
     }
 
     async fn connect(&self) -> std::io::Result<TargetConnection> {
@@ -179,10 +209,19 @@
     pool: Arc<TargetPool>,
     slot: usize,
     connection: Option<TargetConnection>,
+    /// Whether the connection of another slot was passed over, or one of this slot was closed,
+    /// because it had carried the identity of the request.
+    pub(super) avoids_copy: bool,
     _permit: OwnedSemaphorePermit,
 }
 
 impl ConnectionLease {
+    /// Returns `true` if a request with this identity may be sent on the connection of the slot, or
+    /// if there is none.
+    fn accepts(&self, identity: Option<IdentityTag>) -> bool {
+        self.connection.as_ref().is_none_or(|connection| connection.accepts(identity))
+    }
+
     /// Returns the idle connection of the slot if it may still be used, else closes it.
     pub(super) fn take_usable(&mut self, idle_limit: Duration) -> Option<TargetConnection> {
         let generation = self.pool.generation.load(Ordering::Acquire);
@@ -198,8 +237,12 @@
         tokio::time::timeout(limit, self.pool.connect()).await?
     }
 
-    /// Returns a connection whose exchange is complete to the pool.
+    /// Returns a connection whose exchange is complete to the pool, or closes it if it can carry no
+    /// further request.
     pub(super) fn release(self, mut connection: TargetConnection) {
+        if connection.identities.is_full() {
+            return;
+        }
         connection.reused = true;
         connection.idle_since = Instant::now();
         self.put_back(connection);
--- a/src/pool/handle.rs
+++ b/src/pool/handle.rs
@@ -7,15 +7,16 @@
 
 /// Position of a request on its connection.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-#[display("{connection}/{exchange}{}", if *repeats_identity { " identity repeated" } else { "" })]
+#[display("{connection}/{exchange}{}", if *avoids_copy { " identity repeated" } else { "" })]
 pub struct ConnectionUse {
     /// Number of the connection, unique within the process.
     pub connection: u64,
     /// Position among the requests on the connection, checks included, counted from 1. Its
     /// response must be the one at the same position.
     pub exchange: u32,
-    /// Whether a request with the same identity was sent on the connection before.
-    pub repeats_identity: bool,
+    /// Whether another connection was passed over, since it had carried the identity before and a
+    /// late copy of the first response could come on it.
+    pub avoids_copy: bool,
 }
 
 /// Shared between the sender of a request and the transport. The sender keeps a copy, so that it
--- a/src/pool/transport.rs
+++ b/src/pool/transport.rs
@@ -76,7 +76,7 @@
         let pool = self.pool(address);
         let not_sent = |cause: String| TransportError::NotSent { address, cause };
         let mut lease =
-            timeout_at(deadline, pool.lease()).await.ok().flatten().ok_or_else(|| {
+            timeout_at(deadline, pool.lease(identity)).await.ok().flatten().ok_or_else(|| {
                 not_sent("all connections stayed busy until the deadline".to_owned())
             })?;
         let progress = Arc::new(SendProgress::default());
@@ -98,7 +98,7 @@
                 observer: self.observer.clone(),
                 connect_timeout: self.settings.connect_timeout(),
             };
-            handle.record_use(connection.begin_exchange(identity));
+            handle.record_use(connection.begin_exchange(identity, lease.avoids_copy));
             let limits = HeadLimits { address, deadline, silence: self.settings.head_silence() };
             match response_head(&mut connection, request, &progress, limits).await {
                 Ok(response) => {
@@ -164,7 +164,7 @@
         let mut request = Request::new(empty_body());
         *request.uri_mut() = check.path;
         let request = prepare_request(request, address, &Arc::default());
-        connection.begin_exchange(None);
+        connection.begin_exchange(None, false);
         let exchange = async {
             let response = connection.sender.send_request(request).await.ok()?;
             Limited::new(response.into_body(), MAX_CHECK_RESPONSE_BYTES).collect().await.ok()?;
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -62,7 +62,7 @@
     recorder: PrometheusRecorder,
     in_flight: Gauge,
     unclassified: KindMetrics,
-    /// Requests that were sent on a connection which had carried their identity before.
+    /// Requests that were sent on another connection because one had carried their identity.
     pub repeated_identities: Counter,
     /// Metrics of placement.
     pub placement: PlacementMetrics,
--- a/tests/refusal_promises.rs
+++ b/tests/refusal_promises.rs
@@ -12,6 +12,7 @@
 use support::{FakeTarget, read_head, read_request, settings_text, start_entry};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use zinniaport_testing::process::ChildProcess;
 use zinniaport_testing::test_cases;
@@ -22,10 +23,10 @@
 }
 
 /// Returns a response to the request of `head` that states that it was not run.
-fn refusal(head: &str, body: &str) -> String {
+fn refusal(head: &str, status: &str, body: &str) -> String {
     let (id, length) = (request_id(head), body.len());
     format!(
-        "HTTP/1.1 503 Service Unavailable\r\nx-zinniaport-refused: shed\r\nx-request-id: {id}\r\n\
+        "HTTP/1.1 {status}\r\nx-zinniaport-refused: shed\r\nx-request-id: {id}\r\n\
          content-length: {length}\r\n\r\n{body}"
     )
 }
@@ -56,32 +57,98 @@
     matches!(status, "408" | "421" | "429" | "503") || head.contains("outcome: not-run")
 }
 
-/// Refuses the first request with the identity `twice`. Runs its second one, but sends the refusal
-/// once more before the response, `delay` after the arrival. Counts what it runs of it.
-async fn repeat_refusal(mut stream: TcpStream, runs: Arc<AtomicUsize>, delay: Duration) {
-    let mut earlier: Option<String> = None;
-    while let Some(head) = read_request(&mut stream).await {
-        let response = match (request_id(&head), &earlier) {
-            ("twice", None) => {
-                let refusal = refusal(&head, "full");
-                earlier = Some(refusal.clone());
-                refusal
-            }
-            ("twice", Some(copy)) => {
-                runs.fetch_add(1, Ordering::SeqCst);
-                sleep(delay).await;
-                let _ = stream.write_all(copy.as_bytes()).await;
-                sleep(Duration::from_millis(5)).await;
-                answer(&head)
+/// When a target sends the copy of a refusal.
+#[derive(Clone, Copy, Debug)]
+enum CopyMoment {
+    /// So long after the refusal, on an idle connection.
+    Idle(Duration),
+    /// Twice, so long after the second arrival of the request, before its response.
+    Running(Duration),
+    /// After the response to the second arrival of the request.
+    Answered,
+}
+
+/// A target that refuses the first request with the identity `twice`, runs its second one, and
+/// sends copies of the refusal on the connection that carried it.
+#[derive(Clone)]
+struct RepeatingTarget {
+    status: &'static str,
+    body: &'static str,
+    moment: CopyMoment,
+    arrivals: Arc<AtomicUsize>,
+    /// Notified when a copy is due on another connection than that of the second arrival.
+    copy_due: Arc<Notify>,
+}
+
+impl RepeatingTarget {
+    fn new(moment: CopyMoment) -> Self {
+        let status = "503 Service Unavailable";
+        Self { status, body: "full", moment, arrivals: Arc::default(), copy_due: Arc::default() }
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        let mut refused: Option<String> = None;
+        loop {
+            let head = tokio::select! {
+                head = read_request(&mut stream) => head,
+                () = self.copy_due.notified(), if refused.is_some() => {
+                    let copy = refused.clone().unwrap_or_default();
+                    let _ = stream.write_all(copy.repeat(2).as_bytes()).await;
+                    continue;
+                }
+            };
+            let Some(head) = head else { return };
+            if request_id(&head) != "twice" {
+                let _ = stream.write_all(answer(&head).as_bytes()).await;
+            } else if self.arrivals.fetch_add(1, Ordering::SeqCst) == 0 {
+                let refusal = refusal(&head, self.status, self.body);
+                let _ = stream.write_all(refusal.as_bytes()).await;
+                if let CopyMoment::Idle(pause) = self.moment {
+                    sleep(pause).await;
+                    let _ = stream.write_all(refusal.as_bytes()).await;
+                }
+                refused = Some(refusal);
+            } else {
+                self.run(&mut stream, &head, refused.as_deref()).await;
             }
-            _ => answer(&head),
-        };
-        if stream.write_all(response.as_bytes()).await.is_err() {
-            return;
+        }
+    }
+
+    /// Responds to the second arrival, with the copies of the refusal before or behind it.
+    async fn run(&self, stream: &mut TcpStream, head: &str, refused: Option<&str>) {
+        if let CopyMoment::Running(pause) = self.moment {
+            sleep(pause).await;
+            self.send_copies(stream, refused).await;
+            sleep(Duration::from_millis(5)).await;
+        }
+        let _ = stream.write_all(answer(head).as_bytes()).await;
+        if let CopyMoment::Answered = self.moment {
+            self.send_copies(stream, refused).await;
+        }
+    }
+
+    async fn send_copies(&self, stream: &mut TcpStream, refused: Option<&str>) {
+        match refused {
+            Some(copy) => drop(stream.write_all(copy.repeat(2).as_bytes()).await),
+            None => self.copy_due.notify_waiters(),
         }
     }
 }
 
+/// Returns all combinations of moments, statuses, bodies, and numbers of requests between the two
+/// arrivals.
+fn copy_cases<'a>(
+    moments: &'a [CopyMoment],
+    statuses: &'a [&'static str],
+) -> impl Iterator<Item = (CopyMoment, &'static str, &'static str, usize)> + 'a {
+    moments.iter().flat_map(move |moment| {
+        statuses.iter().flat_map(move |status| {
+            let variants = [("", 0), ("full", 0), ("full", 2)];
+            variants.map(|(body, between)| (*moment, *status, body, between))
+        })
+    })
+}
+
 /// Waits for the log line of a request and returns its fields.
 async fn logged_fields(entry: &mut ChildProcess, id: &str) -> Value {
     loop {
@@ -96,7 +163,7 @@
 
 test_cases! {
     async logs_name_the_connections_of_a_request: "a promise whose log line does not show which response on which connection it was taken from" => {
-        let target = FakeTarget::start(|stream, _| repeat_refusal(stream, Arc::default(), Duration::ZERO)).await;
+        let target = FakeTarget::start(|stream, _| RepeatingTarget::new(CopyMoment::Answered).serve(stream)).await;
         let settings = Path::new(env!("CARGO_TARGET_TMPDIR")).join("connections.yaml");
         let text = settings_text(target.address, "log: { level: info, output: stdout }");
         std::fs::write(&settings, text).unwrap();
@@ -112,28 +179,38 @@
         }
         let number = connections[0].strip_suffix("/1").unwrap();
         assert_eq!(connections[1], format!("{number}/2"));
-        assert_eq!(connections[2], format!("{number}/3 identity repeated"));
+        let other = connections[2].strip_suffix("/1 identity repeated").unwrap();
+        assert_ne!(other, number);
     }
 
     async repeated_refusals_promise_nothing: "a copy of a refusal that is passed on as a promise for the same request, which runs on its second arrival" => {
+        let moments = [
+            CopyMoment::Idle(Duration::ZERO),
+            CopyMoment::Idle(Duration::from_millis(5)),
+            CopyMoment::Running(Duration::ZERO),
+            CopyMoment::Running(Duration::from_millis(1)),
+            CopyMoment::Running(Duration::from_millis(20)),
+            CopyMoment::Answered,
+        ];
+        let statuses = ["503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request", "400 Bad Request"];
         let mut broken = Vec::new();
-        for delay in [0, 1, 20].map(Duration::from_millis) {
-            for requests_between in [0, 2] {
-                let runs = Arc::new(AtomicUsize::new(0));
-                let counter = runs.clone();
-                let target = FakeTarget::start(move |stream, _| repeat_refusal(stream, counter.clone(), delay)).await;
-                let entry = start_entry(target.address, "").await;
-                let mut caller = TcpStream::connect(entry.caller_address()).await.unwrap();
-                let first = post(&mut caller, "twice").await;
-                assert!(promises_not_run(&first), "{first}");
-                for number in 0..requests_between {
-                    let other = post(&mut caller, &format!("other-{number}")).await;
-                    assert!(other.starts_with("HTTP/1.1 200 "), "{other}");
-                }
-                let second = post(&mut caller, "twice").await;
-                if runs.load(Ordering::SeqCst) > 0 && promises_not_run(&second) {
-                    broken.push(format!("{delay:?}, {requests_between} requests between: {second}"));
-                }
+        for (moment, status, body, requests_between) in copy_cases(&moments, &statuses) {
+            let script = RepeatingTarget { status, body, ..RepeatingTarget::new(moment) };
+            let arrivals = script.arrivals.clone();
+            let target = FakeTarget::start(move |stream, _| script.clone().serve(stream)).await;
+            let entry = start_entry(target.address, "").await;
+            let mut caller = TcpStream::connect(entry.caller_address()).await.unwrap();
+            let first = post(&mut caller, "twice").await;
+            assert!(promises_not_run(&first), "{first}");
+            for number in 0..requests_between {
+                let other = post(&mut caller, &format!("other-{number}")).await;
+                // One that meets the copy itself may have run.
+                assert!(!promises_not_run(&other), "{moment:?}: {other}");
+            }
+            let second = post(&mut caller, "twice").await;
+            assert_eq!(arrivals.load(Ordering::SeqCst), 2, "{moment:?}: the second one did not arrive");
+            if promises_not_run(&second) {
+                broken.push(format!("{moment:?}, {status}, body {body:?}, {requests_between} requests between: {second}"));
             }
         }
         assert!(broken.is_empty(), "promised not to have run, but ran: {broken:#?}");
