Derive status, remedy and Retry-After from the outcome

Cause: the status of a refusal was chosen by its reason alone and the outcome header by its outcome, so a stalled upload that may have run got 408, which promises that it was not run. Remedies had the same fault: a large or stalled upload that may have run was told to be sent anew. Change: the outcome of a refusal is private and decides status, remedy and Retry-After. 408 and 503 need the outcome not-run; a slow sender whose request may have run gets 504, other reasons 502. Statuses that promise nothing stay.

--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -14,7 +14,6 @@
 use zinniaport_core::quarantine::{RunEnd, TargetProcess};
 use zinniaport_core::retry::{DispatchCount, allows_hedge};
 
-use super::route::combine_refusals;
 use super::{FilterNext, FilterResult, RouteFilter};
 use crate::exchange::{CallResponse, Exchange, empty_body};
 use crate::gate::PermitHandle;
@@ -28,7 +27,7 @@
 
 /// Returns the time for which a target that refused a request counts as shedding load.
 pub(super) fn shedding_time(refusal: &Refusal) -> Duration {
-    refusal.retry_after.unwrap_or(DEFAULT_SHEDDING_TIME)
+    refusal.retry_delay().unwrap_or(DEFAULT_SHEDDING_TIME)
 }
 
 /// Records the outcome of an attempt in the counters of its target.
@@ -112,7 +111,7 @@
             }
             ReasonCode::TargetRefused => {
                 self.counters.record_shedding(shedding_time(refusal), now);
-                if let Some(period) = refusal.retry_after {
+                if let Some(period) = refusal.retry_delay() {
                     self.counters.record_pause(period, now);
                 }
             }
@@ -161,10 +160,10 @@
             match select(first, second).await {
                 Either::Left((Ok(response), _)) | Either::Right((Ok(response), _)) => Ok(response),
                 Either::Left((Err(refusal), second)) => {
-                    second.await.map_err(|later| combine_refusals(Some(refusal), later))
+                    second.await.map_err(|later| Refusal::combine(Some(refusal), later))
                 }
                 Either::Right((Err(refusal), first)) => {
-                    first.await.map_err(|later| combine_refusals(Some(refusal), later))
+                    first.await.map_err(|later| Refusal::combine(Some(refusal), later))
                 }
             }
         };
--- a/src/filters/claim.rs
+++ b/src/filters/claim.rs
@@ -6,7 +6,7 @@
 use futures::future::BoxFuture;
 use http::HeaderMap;
 use tokio::time::timeout;
-use zinniaport_core::call::{CallOutcome, ReasonCode};
+use zinniaport_core::call::ReasonCode;
 use zinniaport_core::claims::{ClaimState, IdempotencyKey, KeyError};
 use zinniaport_core::controllers::ClaimResult;
 
@@ -78,7 +78,7 @@
         let result = next.run(&mut *open.exchange).await;
         open.settle(match &result {
             Ok(response) => ClaimState::Done(response.status().as_u16()),
-            Err(refusal) if refusal.outcome == CallOutcome::NotRun => ClaimState::NotRun,
+            Err(refusal) if refusal.promises_not_run() => ClaimState::NotRun,
             Err(_) => ClaimState::Unknown,
         });
         result
--- a/src/filters/record.rs
+++ b/src/filters/record.rs
@@ -55,7 +55,7 @@
                     request_id = exchange.request_id.as_str(),
                     config_version = exchange.facts.config_version,
                     reason = <&str>::from(refusal.reason),
-                    outcome = <&str>::from(refusal.outcome),
+                    outcome = <&str>::from(refusal.outcome()),
                     status = refusal.status().as_u16(),
                     fingerprint = exchange.facts.fingerprint.map(|print| print.to_string()),
                     dispatches = format_dispatches(exchange).as_str(),
@@ -91,7 +91,7 @@
                 Ok(response) => {
                     (CallOutcome::Ran, ReasonCode::Answered, response.status().as_u16())
                 }
-                Err(refusal) => (refusal.outcome, refusal.reason, refusal.status().as_u16()),
+                Err(refusal) => (refusal.outcome(), refusal.reason, refusal.status().as_u16()),
             });
             if let Err(refusal) = &result {
                 self.log_refusal(open.exchange, refusal);
--- a/src/filters/route.rs
+++ b/src/filters/route.rs
@@ -5,7 +5,7 @@
 
 use futures::future::BoxFuture;
 use http_body::Body;
-use zinniaport_core::call::{CallOutcome, ReasonCode};
+use zinniaport_core::call::ReasonCode;
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::decision::DispatchTrace;
 use zinniaport_core::placement::AttemptKind;
@@ -48,7 +48,7 @@
         loop {
             let rule = earlier.as_ref().map(|_| ReasonCode::Retried);
             if let Err(refusal) = self.pick(exchange, rule) {
-                return Err(combine_refusals(earlier, refusal));
+                return Err(Refusal::combine(earlier, refusal));
             }
             dispatches.begin();
             let result = match &body {
@@ -57,9 +57,9 @@
             };
             let refusal = match result {
                 Ok(response) => return Ok(response),
-                Err(refusal) => combine_refusals(earlier.take(), refusal),
+                Err(refusal) => Refusal::combine(earlier.take(), refusal),
             };
-            dispatches.end(refusal.outcome);
+            dispatches.end(refusal.outcome());
             if !self.may_retry(exchange, dispatches, &refusal, &body)
                 || !self.place_again(exchange, AttemptKind::Retry).await
             {
@@ -144,7 +144,7 @@
         if permit.is_some_and(|permit| !permit.renew()) {
             return false;
         }
-        let failure = (refusal.reason, refusal.outcome);
+        let failure = (refusal.reason, refusal.outcome());
         let now = self.state.clock.now();
         allows_retry(&exchange.facts, dispatches, failure, body.is_resendable(exchange), now)
     }
@@ -223,19 +223,6 @@
         .min(MAX_REMOTE_COST)
 }
 
-/// Returns the refusal to report for two attempts. A request must not be reported as not run
-/// if one of its attempts may have run.
-pub(super) fn combine_refusals(earlier: Option<Refusal>, later: Refusal) -> Refusal {
-    match earlier {
-        Some(earlier)
-            if earlier.outcome != CallOutcome::NotRun && later.outcome == CallOutcome::NotRun =>
-        {
-            earlier
-        }
-        _ => later,
-    }
-}
-
 /// Whether the body of a request can be sent again, and how.
 enum ResendBody {
     Empty,
--- a/src/front/problem.rs
+++ b/src/front/problem.rs
@@ -42,18 +42,18 @@
         detail: &refusal.detail,
         remedy: refusal.remedy(),
         request_id,
-        outcome: refusal.outcome,
+        outcome: refusal.outcome(),
     };
     let content = serde_json::to_vec(&problem).unwrap_or_default();
     let mut response = Response::new(full_body(content));
     *response.status_mut() = refusal.status();
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
-    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(refusal.outcome.into()));
-    if let Some(state) = refusal.key_state {
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static(refusal.outcome().into()));
+    if let Some(state) = refusal.key_state() {
         headers.insert(KEY_STATE_HEADER, key_state_value(state));
     }
-    if let Some(delay) = refusal.retry_after {
+    if let Some(delay) = refusal.retry_delay() {
         headers.insert(header::RETRY_AFTER, dialect.retry_after(delay));
     }
     response
