Replace a connection whose check gets a response to a request

Cause: the check of an idle connection took any complete response as its own. After a late copy of an earlier response, the response to the check was still due and became the response to the next request. Change: a check has no identity, so a response with the identity header of the dialect is a copy; the connection is closed and the request sent on a new one. It does not count as a dead idle connection, which would make other requests check theirs. A target that adds an identity to the responses to checks costs a new connection for each check.

--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -78,7 +78,7 @@
             .address(target.address)
             .identity(identity)
             .handle(handle.clone())
-            .maybe_check(idle_check(exchange))
+            .maybe_check(idle_check(exchange, dialect))
             .request(target_request(exchange, time_left, target.instance.as_ref(), dialect))
             .deadline(Instant::now() + time_left)
             .build();
@@ -290,10 +290,11 @@
 }
 
 /// Returns the check of idle connections that the service of a request allows, if any.
-fn idle_check(exchange: &Exchange) -> Option<IdleCheck> {
+fn idle_check(exchange: &Exchange, dialect: &dyn HeaderDialect) -> Option<IdleCheck> {
     let service = exchange.fleet.services.get(exchange.facts.service)?;
     let path = Uri::try_from(service.intent.measuring.probe_path.as_deref()?).ok()?;
-    Some(IdleCheck { path, always: !exchange.facts.idempotent })
+    let identity_header = dialect.request_id_header().clone();
+    Some(IdleCheck { path, always: !exchange.facts.idempotent, identity_header })
 }
 
 /// Returns how an attempt without a response ended, for the placement.
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -13,7 +13,7 @@
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
 pub use handle::{ConnectionHandle, ConnectionUse};
-use http::{Request, Uri};
+use http::{HeaderName, Request, Uri};
 pub use identities::IdentityTag;
 pub use silence::{SilenceCause, SilenceLogger, SilenceObserver};
 use tokio::time::Instant;
@@ -89,6 +89,9 @@
     /// If `true`, the check is always made, because the request must not be sent again. If
     /// `false`, it is made only while a dead idle connection was found recently.
     pub always: bool,
+    /// Response header with the identity of a request. The check has none, so a response that
+    /// has this header belongs to an earlier request on the connection.
+    pub identity_header: HeaderName,
 }
 
 /// Sends requests to targets.
--- a/src/pool/transport.rs
+++ b/src/pool/transport.rs
@@ -154,7 +154,8 @@
     }
 
     /// Checks a connection with a request. Returns the connection, or `None` if no complete
-    /// response arrives in time.
+    /// response arrives in time, or one that names a request. The latter is a late copy; the
+    /// response to the check would follow and be taken for that to the next request.
     async fn check_connection(
         &self,
         mut connection: TargetConnection,
@@ -167,14 +168,18 @@
         connection.begin_exchange(None);
         let exchange = async {
             let response = connection.sender.send_request(request).await.ok()?;
+            if response.headers().contains_key(&check.identity_header) {
+                return Some(false);
+            }
             Limited::new(response.into_body(), MAX_CHECK_RESPONSE_BYTES).collect().await.ok()?;
-            connection.sender.ready().await.ok()
+            connection.sender.ready().await.ok()?;
+            Some(true)
         };
         let result = timeout(CHECK_TIMEOUT, exchange).await.ok().flatten();
         if result.is_none() {
             self.record_dead_idle();
         }
-        result.map(|()| connection)
+        (result == Some(true)).then_some(connection)
     }
 
     async fn connect(
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout};
+use zinniaport::dialect::REQUEST_ID_HEADER;
 use zinniaport::exchange::{CallBody, CallResponse, empty_body, full_body};
 use zinniaport::pool::{
     HttpTransport, IdleCheck, SilenceCause, SilenceLogger, SilenceObserver, TargetCall,
@@ -117,6 +118,29 @@
     }
 }
 
+/// Responds to each request with its path and an identity. Sends a copy of the first response in
+/// place of the response to a check, which it sends before the next response.
+async fn copy_before_check(mut stream: TcpStream) {
+    let (mut first, mut late) = (None, String::new());
+    while let Some(head) = read_request(&mut stream).await {
+        let path = head.split(' ').nth(1).unwrap();
+        let identity = if path == "/health" { "" } else { "x-request-id: 7\r\n" };
+        let length = path.len();
+        let answer = format!("HTTP/1.1 200 OK\r\n{identity}content-length: {length}\r\n\r\n{path}");
+        let first = first.get_or_insert_with(|| answer.clone());
+        let sent = match path {
+            "/health" => {
+                late = answer;
+                first.clone()
+            }
+            _ => std::mem::take(&mut late) + &answer,
+        };
+        if stream.write_all(sent.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
 test_cases! {
     responses_reach_their_callers: "a late response that reaches another caller" => {
         let modes = prop_oneof![3 => Just("w"), 2 => Just("p"), 1 => Just("c"), 1 => Just("n")];
@@ -289,7 +313,7 @@
         let target = FakeTarget::start(move |stream, _| drop_idle(stream, recorded.clone())).await;
         let transport = transport(3);
         let send = async |path: &str, check: Option<bool>| {
-            let check = check.map(|always| IdleCheck { path: "/health".try_into().unwrap(), always });
+            let check = check.map(|always| IdleCheck { path: "/health".try_into().unwrap(), always, identity_header: REQUEST_ID_HEADER.clone() });
             let call = TargetCall { check, ..call(target.address, path, empty_body(), LONG_TIMEOUT) };
             read_text(transport.send(call).await.ok()?).await
         };
@@ -314,6 +338,22 @@
         assert_eq!(send("/7", Some(false)).await.unwrap(), "ok");
     }
 
+    async late_copies_answer_no_check: "a request that gets the response to a check because a late copy was taken for the latter" => {
+        let target = FakeTarget::start(|stream, _| copy_before_check(stream)).await;
+        let transport = transport(3);
+        let send = async |path: &str| {
+            let identity_header = REQUEST_ID_HEADER.clone();
+            let check = IdleCheck { path: "/health".try_into().unwrap(), always: true, identity_header };
+            let check = Some(check);
+            let call = TargetCall { check, ..call(target.address, path, empty_body(), LONG_TIMEOUT) };
+            read_text(transport.send(call).await.ok()?).await
+        };
+        assert_eq!(send("/1").await.unwrap(), "/1");
+        sleep(Duration::from_millis(250)).await;
+        assert_eq!(send("/2").await.unwrap(), "/2");
+        assert_eq!(target.connections(), 2, "the connection with the copy was used again");
+    }
+
     async keep_alive_timeout_is_respected: "a request that is sent on a connection which its target is about to close" => {
         let target = FakeTarget::start(|mut stream, _| async move {
             while read_request(&mut stream).await.is_some() {
