Replace a target's own promise that its request was not run

Cause: on the platform callers have the status alone, and a target may answer 408, 429 or 503 of its own after it ran a request. The response was passed on, so a request that must not run twice had a promise that nobody made. Change: the dialect says which statuses promise that a request was not run. Such a response without that statement is replaced, for requests that are not idempotent, by a refusal with reason target-error and an unknown outcome: 502, no signature, no Retry-After, no retry, and the claim of a key ends as unknown. The attempt counts for its target as the response would have. Idempotent requests and other statuses are passed on unchanged, and everything at our own interface, where the outcome header says that the request ran.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -206,9 +206,9 @@
 }
 
 impl ReasonCode {
-    /// Returns `true` if a request can end for this reason without a response from a target.
-    /// The other reasons state how a target responded, or why a request was admitted or a
-    /// target picked.
+    /// Returns `true` if the entry can respond to a request for this reason in place of a target.
+    /// The other reasons state that a target responded, or why a request was admitted or a target
+    /// picked.
     pub fn can_refuse(self) -> bool {
         !matches!(
             self,
@@ -228,7 +228,6 @@
                 | Self::HomeSlot
                 | Self::Retried
                 | Self::Hedged
-                | Self::TargetError
                 | Self::ShortestWait
         )
     }
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::StatusCode;
 use http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use zinniaport_core::fleet::LoadReport;
 use zinniaport_core::intent::TargetInstance;
@@ -47,6 +48,10 @@
     fn classify_response(&self, request_id: Option<&str>, response: &CallResponse)
     -> ResponseClass;
 
+    /// Returns `true` if callers read a status as a promise that the request was not run, whatever
+    /// the headers of the response state.
+    fn status_promises_not_run(&self, status: StatusCode) -> bool;
+
     /// Returns `true` if a response announces that its target drains.
     fn announces_drain(&self, headers: &HeaderMap) -> bool;
 
@@ -140,6 +145,11 @@
         }
     }
 
+    /// Returns `false`: callers read the outcome header.
+    fn status_promises_not_run(&self, _status: StatusCode) -> bool {
+        false
+    }
+
     fn announces_drain(&self, headers: &HeaderMap) -> bool {
         headers.get(DRAIN_HEADER).is_some_and(|value| value == "1")
     }
--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::future::{Either, select};
+use http::StatusCode;
 use zinniaport_core::call::ReasonCode;
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::TargetsMessage;
@@ -72,6 +73,7 @@
                 Err(refusal) if refusal.reason == ReasonCode::TargetLost => {
                     permit.record_crash(self.process);
                 }
+                Err(refusal) if refusal.replaced_status.is_some() => permit.end(RunEnd::Answered),
                 Err(_) => {}
             }
         }
@@ -82,14 +84,18 @@
     }
 
     fn record_response(&self, response: &CallResponse, now: Timestamp) {
-        let latency = now.since(self.started);
         if self.state.dialect.announces_drain(response.headers()) {
             self.targets.try_send(TargetsMessage::DrainStarted(self.target));
         }
-        if response.status().is_server_error() {
+        self.record_status(response.status(), now);
+    }
+
+    fn record_status(&self, status: StatusCode, now: Timestamp) {
+        if status.is_server_error() {
             self.record_failure();
             return;
         }
+        let latency = now.since(self.started);
         self.counters.record_success(latency);
         self.service.latency_quantile.record(latency);
         if let Some(load) = self.counters.report_since(self.started) {
@@ -101,6 +107,10 @@
         if refusal.target_drains {
             self.targets.try_send(TargetsMessage::DrainStarted(self.target));
         }
+        if let Some(status) = refusal.replaced_status {
+            self.record_status(status, now);
+            return;
+        }
         match refusal.reason {
             ReasonCode::TargetLost | ReasonCode::TargetUnreachable | ReasonCode::SpoiledAnswer => {
                 self.record_failure();
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -129,6 +129,12 @@
                 return Err(refusal);
             }
         }
+        // The caller would take such a status for a promise that the target has not made.
+        if !exchange.facts.idempotent && dialect.status_promises_not_run(response.status()) {
+            let refusal = replacing_refusal(&response, dialect.as_ref());
+            tokio::spawn(discard_body(response));
+            return Err(refusal);
+        }
         strip_hop_headers(response.headers_mut());
         // Only the entry may set the outcome.
         response.headers_mut().remove(OUTCOME_HEADER);
@@ -283,6 +289,17 @@
     }
 }
 
+/// Returns the refusal that replaces a response whose status promises that the request was not
+/// run although the target does not state it.
+fn replacing_refusal(response: &CallResponse, dialect: &dyn HeaderDialect) -> Refusal {
+    let status = response.status();
+    let detail = format!("the target answered {status} without stating that it did not run it");
+    let mut refusal = Refusal::unknown(ReasonCode::TargetError, detail);
+    refusal.target_drains = dialect.announces_drain(response.headers());
+    refusal.replaced_status = Some(status);
+    refusal
+}
+
 /// Reads the body of a target's refusal to its end, so that the connection can be reused.
 async fn discard_body(response: CallResponse) {
     let body = Limited::new(response.into_body(), MAX_REFUSAL_BODY_BYTES);
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -24,6 +24,8 @@
     pub detail: String,
     /// Whether the target that refused the request announced that it drains.
     pub target_drains: bool,
+    /// Status of the target's response, if there is one that the refusal replaces.
+    pub replaced_status: Option<StatusCode>,
     outcome: CallOutcome,
     retry_after: Option<Duration>,
     key_state: Option<ClaimState>,
@@ -53,8 +55,15 @@
 
     /// Creates a refusal of a request with a known outcome.
     pub fn new(reason: ReasonCode, outcome: CallOutcome, detail: impl Into<String>) -> Self {
-        let detail = detail.into();
-        Self { reason, outcome, detail, retry_after: None, target_drains: false, key_state: None }
+        Self {
+            reason,
+            detail: detail.into(),
+            target_drains: false,
+            replaced_status: None,
+            outcome,
+            retry_after: None,
+            key_state: None,
+        }
     }
 
     /// Returns the refusal to report for two attempts. A request must not be reported as not run
@@ -108,7 +117,9 @@
             ReasonCode::KeyUsed => StatusCode::CONFLICT,
             ReasonCode::KeyExpired => StatusCode::UNPROCESSABLE_ENTITY,
             ReasonCode::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
-            ReasonCode::TargetLost | ReasonCode::SpoiledAnswer => StatusCode::BAD_GATEWAY,
+            ReasonCode::TargetLost | ReasonCode::SpoiledAnswer | ReasonCode::TargetError => {
+                StatusCode::BAD_GATEWAY
+            }
             ReasonCode::SlowSender if self.promises_not_run() => StatusCode::REQUEST_TIMEOUT,
             ReasonCode::SlowSender => StatusCode::GATEWAY_TIMEOUT,
             _ if self.promises_not_run() => StatusCode::SERVICE_UNAVAILABLE,
@@ -143,6 +154,7 @@
                 "send a UUIDv7 as Idempotency-Key"
             }
             ReasonCode::TargetLost
+            | ReasonCode::TargetError
             | ReasonCode::SpoiledAnswer
             | ReasonCode::DeadlinePassed
             | ReasonCode::CallerLeft => LOOK_UP_REMEDY,
--- a/tests/support/coordinated_entry.rs
+++ b/tests/support/coordinated_entry.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
+use http::StatusCode;
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use tokio_util::sync::CancellationToken;
 use zinniaport::dialect::{
@@ -99,6 +100,10 @@
         DefaultDialect.classify_response(request_id, response)
     }
 
+    fn status_promises_not_run(&self, status: StatusCode) -> bool {
+        DefaultDialect.status_promises_not_run(status)
+    }
+
     fn announces_drain(&self, headers: &HeaderMap) -> bool {
         DefaultDialect.announces_drain(headers)
     }
