--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::future::{Either, select};
+use http::StatusCode;
 use zinniaport_core::call::ReasonCode;
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::TargetsMessage;
@@ -14,7 +15,6 @@
 use zinniaport_core::quarantine::{RunEnd, TargetProcess};
 use zinniaport_core::retry::{DispatchCount, allows_hedge};
 
-use super::route::combine_refusals;
 use super::{FilterNext, FilterResult, RouteFilter};
 use crate::exchange::{CallResponse, Exchange, empty_body};
 use crate::gate::PermitHandle;
@@ -28,7 +28,7 @@
 
 /// Returns the time for which a target that refused a request counts as shedding load.
 pub(super) fn shedding_time(refusal: &Refusal) -> Duration {
-    refusal.retry_after.unwrap_or(DEFAULT_SHEDDING_TIME)
+    refusal.retry_delay().unwrap_or(DEFAULT_SHEDDING_TIME)
 }
 
 /// Records the outcome of an attempt in the counters of its target.
@@ -73,6 +73,7 @@
                 Err(refusal) if refusal.reason == ReasonCode::TargetLost => {
                     permit.record_crash(self.process);
                 }
+                Err(refusal) if refusal.replaced_status.is_some() => permit.end(RunEnd::Answered),
                 Err(_) => {}
             }
         }
@@ -83,14 +84,18 @@
     }
 
     fn record_response(&self, response: &CallResponse, now: Timestamp) {
-        let latency = now.since(self.started);
         if self.state.dialect.announces_drain(response.headers()) {
             self.targets.try_send(TargetsMessage::DrainStarted(self.target));
         }
-        if response.status().is_server_error() {
+        self.record_status(response.status(), now);
+    }
+
+    fn record_status(&self, status: StatusCode, now: Timestamp) {
+        if status.is_server_error() {
             self.record_failure();
             return;
         }
+        let latency = now.since(self.started);
         self.counters.record_success(latency);
         self.service.latency_quantile.record(latency);
         if let Some(load) = self.counters.report_since(self.started) {
@@ -102,6 +107,10 @@
         if refusal.target_drains {
             self.targets.try_send(TargetsMessage::DrainStarted(self.target));
         }
+        if let Some(status) = refusal.replaced_status {
+            self.record_status(status, now);
+            return;
+        }
         match refusal.reason {
             ReasonCode::TargetLost | ReasonCode::TargetUnreachable | ReasonCode::SpoiledAnswer => {
                 self.record_failure();
@@ -112,7 +121,7 @@
             }
             ReasonCode::TargetRefused => {
                 self.counters.record_shedding(shedding_time(refusal), now);
-                if let Some(period) = refusal.retry_after {
+                if let Some(period) = refusal.retry_delay() {
                     self.counters.record_pause(period, now);
                 }
             }
@@ -161,10 +170,10 @@
             match select(first, second).await {
                 Either::Left((Ok(response), _)) | Either::Right((Ok(response), _)) => Ok(response),
                 Either::Left((Err(refusal), second)) => {
-                    second.await.map_err(|later| combine_refusals(Some(refusal), later))
+                    second.await.map_err(|later| Refusal::combine(Some(refusal), later))
                 }
                 Either::Right((Err(refusal), first)) => {
-                    first.await.map_err(|later| combine_refusals(Some(refusal), later))
+                    first.await.map_err(|later| Refusal::combine(Some(refusal), later))
                 }
             }
         };
