Exclude targets of a request by process instead of by key

Cause: the targets that a request was sent to are excluded from its retries by key. A target that is removed from the directory and added again between a refusal and the retry has a new key, as have two registrations of one address, so the retry went to the process that had just refused.

Change: an exchange also records the processes (address and instance) that it was dispatched to, and excludes every target of the service that may be one of them, in the routing policy, in placement requests and when a grant is used. Another instance at the same address is still tried.

--- a/core/src/quarantine/record.rs
+++ b/core/src/quarantine/record.rs
@@ -68,6 +68,13 @@
         let instance = target.instance.as_ref().map_or(0, |instance| digest(instance).high_bits());
         Self { address: target.address, instance }
     }
+
+    /// Returns `true` if both may be the same process. A directory that does not name the process
+    /// may have been read before or after one that does.
+    pub fn may_equal(&self, other: &Self) -> bool {
+        let is_unnamed = self.instance == 0 || other.instance == 0;
+        self.address == other.address && (is_unnamed || self.instance == other.instance)
+    }
 }
 
 impl From<SocketAddr> for TargetProcess {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -10,9 +10,10 @@
 use http_body_util::{BodyExt, Empty, Full};
 use zinniaport_core::call::CallFacts;
 use zinniaport_core::decision::DecisionTrace;
-use zinniaport_core::fleet::FleetSnapshot;
+use zinniaport_core::fleet::{FleetSnapshot, ServiceSnapshot, TargetSnapshot};
 use zinniaport_core::keys::TargetKey;
 use zinniaport_core::policy::TargetChoice;
+use zinniaport_core::quarantine::TargetProcess;
 
 use crate::placement::{Placement, PlacementLease};
 use crate::pool::ConnectionHandle;
@@ -118,6 +119,8 @@
     pub lease: Option<Box<dyn PlacementLease>>,
     /// Targets that the request was dispatched to, the current one last.
     pub targets: Vec<TargetKey>,
+    /// Processes of these targets. A target that was removed and added again has another key.
+    pub processes: Vec<TargetProcess>,
     /// Connections that the request was sent on, in the order of its dispatches.
     pub connections: Vec<ConnectionHandle>,
     /// Decisions made for the request so far.
@@ -134,6 +137,31 @@
         self.lease = placement.lease;
     }
 
+    /// Records that the request is dispatched to a target.
+    pub fn add_target(&mut self, key: TargetKey) {
+        self.targets.push(key);
+        self.processes.extend(self.fleet.targets.get(key).map(TargetProcess::of));
+    }
+
+    /// Returns `true` if the request was dispatched to the process of this target, under this key
+    /// or another one.
+    pub fn was_sent_to(&self, target: &TargetSnapshot) -> bool {
+        // Addresses are compared first, because the digest of an instance is dear.
+        let mut same_address = self.processes.iter().filter(|sent| sent.address == target.address);
+        same_address.any(|sent| sent.may_equal(&TargetProcess::of(target)))
+    }
+
+    /// Returns the targets of a service that the request was dispatched to.
+    pub fn sent_targets(&self, fleet: &FleetSnapshot, service: &ServiceSnapshot) -> Vec<TargetKey> {
+        if self.processes.is_empty() {
+            return Vec::new();
+        }
+        let is_sent = |key: &TargetKey| {
+            fleet.targets.get(*key).is_some_and(|target| self.was_sent_to(target))
+        };
+        service.targets.iter().copied().filter(is_sent).collect()
+    }
+
     /// Creates an exchange from the head and body of a request.
     pub fn new(
         request_id: String,
@@ -153,6 +181,7 @@
             granted_choice: None,
             lease: None,
             targets: Vec::new(),
+            processes: Vec::new(),
             connections: Vec::new(),
             trace: DecisionTrace::default(),
         }
--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -169,6 +169,7 @@
             }
         };
         exchange.targets.extend(copy.targets.last());
+        exchange.processes.extend(copy.processes.last());
         exchange.connections.extend(copy.connections.pop());
         if let Some(dispatch) = copy.trace.dispatches.iter().flatten().last() {
             exchange.trace.add_dispatch(*dispatch);
@@ -209,6 +210,7 @@
     let mut copy = Exchange::new(request_id, fleet, request);
     copy.facts = exchange.facts;
     copy.targets = exchange.targets.clone();
+    copy.processes = exchange.processes.clone();
     copy.trace = exchange.trace;
     Some((delay, copy))
 }
--- a/src/filters/route.rs
+++ b/src/filters/route.rs
@@ -84,7 +84,7 @@
         if let Some(choice) = exchange.granted_choice.take() {
             let dispatch = dispatch_trace(exchange, choice, rule, self.state.clock.now());
             exchange.trace.add_dispatch(dispatch);
-            exchange.targets.push(choice.target);
+            exchange.add_target(choice.target);
             return Ok(());
         }
         if exchange.targets.is_empty() {
@@ -99,7 +99,7 @@
             affinity: None,
             assumed_slowdown: MEAN_SLOWDOWN,
             members: &exchange.fleet.view.members,
-            excluded: &exchange.targets,
+            excluded: &exchange.sent_targets(&exchange.fleet, service),
             remote_cost: remote_cost(exchange),
             now: self.state.clock.now(),
         };
@@ -115,7 +115,7 @@
         }
         let dispatch = dispatch_trace(exchange, choice, rule, now);
         exchange.trace.add_dispatch(dispatch);
-        exchange.targets.push(choice.target);
+        exchange.add_target(choice.target);
         Ok(())
     }
 
--- a/src/placement/coordinated.rs
+++ b/src/placement/coordinated.rs
@@ -165,8 +165,9 @@
         let part = PartKey { service: facts.service, part: index };
         let service = fleet.services.get(part.service).map(|service| service.part(index));
         let table = self.tags.table_for(fleet);
-        let excluded =
-            service.map(|service| excluded_targets(service, exchange, now)).unwrap_or_default();
+        let excluded = service
+            .map(|service| excluded_targets(fleet, service, exchange, now))
+            .unwrap_or_default();
         let request = PlacementRequest {
             service: table.tag_of_part(part).unwrap_or_default(),
             data_centre: self.state.data_centre.to_string(),
@@ -196,7 +197,7 @@
             facts: exchange.facts,
             attempt,
             excluded: service
-                .map(|service| excluded_targets(service, exchange, now))
+                .map(|service| excluded_targets(&fleet, service, exchange, now))
                 .unwrap_or_default(),
             data_centre: self.state.data_centre.to_string(),
             affinity: self.affinity,
@@ -226,7 +227,7 @@
         let target = fleet.targets.get(key)?;
         let is_leaving = matches!(target.state, TargetState::Draining | TargetState::Leaving);
         let is_paused = target.counters.pause_left(self.state.clock.now()).is_some();
-        if is_leaving || is_paused || exchange.targets.contains(&key) {
+        if is_leaving || is_paused || exchange.was_sent_to(target) {
             return None;
         }
         let TargetGrant { target_reason: reason, candidates, .. } = grant;
@@ -344,14 +345,18 @@
 /// Returns the targets that a request must not be sent to: those that it was sent to before, and
 /// those that asked this entry for no requests.
 fn excluded_targets(
+    fleet: &FleetSnapshot,
     service: &ServiceSnapshot,
     exchange: &Exchange,
     now: Timestamp,
 ) -> Vec<TargetKey> {
-    let paused = service.table.available.iter().filter(|target| {
-        target.counters.pause_left(now).is_some() && !exchange.targets.contains(&target.key)
-    });
-    exchange.targets.iter().copied().chain(paused.map(|target| target.key)).collect()
+    let mut excluded = exchange.sent_targets(fleet, service);
+    let available = service.table.available.iter();
+    let paused = available.filter(|target| target.counters.pause_left(now).is_some());
+    let paused: Vec<_> =
+        paused.map(|target| target.key).filter(|key| !excluded.contains(key)).collect();
+    excluded.extend(paused);
+    excluded
 }
 
 /// Returns the time until the first target of a service takes requests of this entry again, or
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -13,6 +13,7 @@
 use zinniaport::placement::{CallPlacement, PlacementCall};
 use zinniaport_core::call::ReasonCode;
 use zinniaport_core::placement::AttemptKind;
+use zinniaport_core::quarantine::TargetProcess;
 use zinniaport_testing::test_cases;
 
 test_cases! {
@@ -108,6 +109,25 @@
         assert!((least..=most).contains(&refusal.retry_after), "{:?}", refusal.retry_after);
     }
 
+    async retries_avoid_processes_with_another_key: "a retry that is placed at the process that refused the request and was registered again since" => {
+        let targets = targets([(1, 100), (2, 100)]);
+        let entry = Entry::start(&targets, 1.0, &[]).await;
+        let fleet = entry.state.fleet.load_full();
+        let request = http::Request::new(empty_body());
+        let mut exchange = Exchange::new("request-1".to_owned(), fleet, request);
+        exchange.facts = entry.facts(10_000);
+        exchange.processes = vec![TargetProcess::from(address(1)), TargetProcess::from(address(200))];
+        // Each first attempt adds a fifth of a retry to the budget.
+        for _ in 0..100 {
+            drop(entry.coordinator.place(&entry.call(5_000)).await.unwrap());
+        }
+        for _ in 0..10 {
+            let placement = entry.placement.place_again(&exchange, AttemptKind::Retry).await.unwrap();
+            let target = placement.choice.unwrap().target;
+            assert_eq!(entry.state.fleet.load().targets[target].address, address(2));
+        }
+    }
+
     async hedges_need_a_free_slot: "hedges that take slots while first attempts wait" => {
         let targets = targets([(1, 100)]);
         let entry = Entry::start(&targets, 1.0, &[]).await;
--- a/tests/route_filter.rs
+++ b/tests/route_filter.rs
@@ -23,7 +23,7 @@
 use zinniaport_core::clock::SystemClock;
 use zinniaport_core::controllers::TargetsMessage;
 use zinniaport_core::fleet::FleetSnapshot;
-use zinniaport_core::intent::ServiceIntent;
+use zinniaport_core::intent::{ServiceIntent, TargetInstance};
 use zinniaport_core::keys::TargetKey;
 use zinniaport_core::policy::TwoChoices;
 use zinniaport_core::retry::MAX_SAVED_RETRIES;
@@ -35,12 +35,16 @@
     Answer,
     AnswerDraining,
     Refuse,
+    /// Refuses the request while the target leaves the intent and comes back.
+    RefuseAndReturn,
     Lose,
     Hang,
 }
 
 /// Replaces the forward filter and records the target of each dispatch.
 struct ScriptedForward {
+    state: Arc<SharedState>,
+    intent: ServiceIntent,
     steps: Mutex<Vec<ScriptedStep>>,
     sent: Arc<Mutex<Vec<TargetKey>>>,
 }
@@ -57,6 +61,7 @@
     ) -> BoxFuture<'a, FilterResult> {
         self.sent.lock().unwrap().extend(exchange.targets.last());
         exchange.body = None;
+        let fleet = exchange.fleet.clone();
         let step = self.steps.lock().unwrap().remove(0);
         Box::pin(async move {
             match step {
@@ -66,6 +71,10 @@
                     Ok(response.body(empty_body()).unwrap())
                 }
                 ScriptedStep::Refuse => Err(Refusal::not_run(ReasonCode::TargetRefused, "refused")),
+                ScriptedStep::RefuseAndReturn => {
+                    self.return_targets(&fleet);
+                    Err(Refusal::not_run(ReasonCode::TargetRefused, "refused"))
+                }
                 ScriptedStep::Lose => Err(Refusal::unknown(ReasonCode::TargetLost, "lost")),
                 ScriptedStep::Hang => std::future::pending().await,
             }
@@ -73,6 +82,17 @@
     }
 }
 
+impl ScriptedForward {
+    /// Publishes an intent without targets and then the previous one, so that each target has
+    /// another key.
+    fn return_targets(&self, fleet: &FleetSnapshot) {
+        let (mut fleet, now) = (fleet.clone(), self.state.clock.now());
+        fleet.apply(ServiceIntent { targets: Vec::new(), ..self.intent.clone() }, 2, now);
+        fleet.apply(self.intent.clone(), 3, now);
+        self.state.fleet.store(Arc::new(fleet));
+    }
+}
+
 struct Outcome {
     result: Result<(), (ReasonCode, CallOutcome)>,
     sent: Vec<TargetKey>,
@@ -80,27 +100,37 @@
     state: Arc<SharedState>,
 }
 
-fn intent() -> ServiceIntent {
+/// Returns the intent of a service with targets at these ports.
+fn intent(ports: impl IntoIterator<Item = u16>) -> ServiceIntent {
     let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
     ServiceIntent {
         max_queue_length: 10,
         retry_percent: 100.0,
-        ..service_intent((1..=5).map(address))
+        ..service_intent(ports.into_iter().map(address))
     }
 }
 
-fn start() -> (Arc<SharedState>, TargetsHandle) {
+fn start(intent: ServiceIntent) -> (Arc<SharedState>, TargetsHandle) {
     let state = Arc::new(SharedState::new(Arc::new(SystemClock::new()), "entry-1", "valle-a"));
     let (mut driver, handle) = TargetsDriver::new(state.clone());
     let mut fleet = FleetSnapshot::default();
-    fleet.apply(intent(), 1, state.clock.now());
+    fleet.apply(intent, 1, state.clock.now());
     driver.deliver(TargetsMessage::Intents(Arc::new(fleet)));
     tokio::spawn(driver.run(CancellationToken::new()));
     (state, handle)
 }
 
 async fn run(idempotent: bool, body: CallBody, steps: &[ScriptedStep]) -> Outcome {
-    let (state, handle) = start();
+    run_at(intent(1..=5), idempotent, body, steps).await
+}
+
+async fn run_at(
+    intent: ServiceIntent,
+    idempotent: bool,
+    body: CallBody,
+    steps: &[ScriptedStep],
+) -> Outcome {
+    let (state, handle) = start(intent.clone());
     let fleet = state.fleet.load_full();
     let (service, snapshot) = fleet.find("pump-history").unwrap();
     for _ in 0..100 {
@@ -114,7 +144,12 @@
     exchange.facts.max_runs = 2;
     exchange.facts.deadline = state.clock.now() + Duration::from_secs(60);
     let sent = Arc::new(Mutex::new(Vec::new()));
-    let forward = ScriptedForward { steps: Mutex::new(steps.to_vec()), sent: sent.clone() };
+    let forward = ScriptedForward {
+        state: state.clone(),
+        intent,
+        steps: Mutex::new(steps.to_vec()),
+        sent: sent.clone(),
+    };
     let gates = Arc::new(AdmissionGates::new(state.clock.clone()));
     let placement = Arc::new(LocalPlacement::new(state.clone(), gates));
     let route = RouteFilter::new(state.clone(), Arc::new(TwoChoices), handle, placement);
@@ -142,6 +177,26 @@
         assert_ne!(outcome.sent[0], outcome.sent[1]);
     }
 
+    async processes_are_not_tried_twice: "a request that is sent again to the process that refused it, under another key" => {
+        let (refused, answered) = (ScriptedStep::RefuseAndReturn, ScriptedStep::Answer);
+        let returned = run_at(intent([1]), false, empty_body(), &[refused, answered]).await;
+        assert_eq!((returned.result, returned.unused_steps), (Err((ReasonCode::NoTarget, CallOutcome::NotRun)), 1));
+        let twice = run_at(intent([1, 1]), false, empty_body(), &[ScriptedStep::Refuse, answered]).await;
+        assert_eq!((twice.result, twice.unused_steps), (Err((ReasonCode::NoTarget, CallOutcome::NotRun)), 1));
+        let other = run_at(intent([1, 2]), false, empty_body(), &[refused, answered]).await;
+        assert_eq!(other.result, Ok(()));
+    }
+
+    async replaced_processes_are_tried: "a request that is not sent to a new process at the address of one that refused it" => {
+        let named = |id: &str| TargetInstance { id: id.into(), started_ms: 1 };
+        let mut intent = intent([1, 1]);
+        for (target, id) in intent.targets.iter_mut().zip(["i-1", "i-2"]) {
+            target.instance = Some(named(id));
+        }
+        let outcome = run_at(intent, false, empty_body(), &[ScriptedStep::RefuseAndReturn, ScriptedStep::Answer]).await;
+        assert_eq!(outcome.result, Ok(()));
+    }
+
     async lost_non_idempotent_requests_are_not_retried: "a non-idempotent request that runs twice" => {
         let outcome = run(false, empty_body(), &[ScriptedStep::Lose, ScriptedStep::Answer]).await;
         assert_eq!(outcome.result, Err((ReasonCode::TargetLost, CallOutcome::Unknown)));
