Reject responses without an identity from targets that repeat it

Cause: checks of idle connections and probes have no identity, so the response to one has none either. A target that sent it a second time, when the next request was under way, had the copy taken for the response to that request: a refused check became a promise for a request that ran, and the body of a health check reached a caller. The platform's dialect requires the identity in every response; our own interface does not, since targets need not repeat it there.

Change: the first response on a connection cannot be a copy, so it shows whether the target repeats identities. Later responses without the identity are invalid if it does. The state is renewed with each connection, so that a program that repeats none may follow at the same address.

Targets that repeat no identity stay unprotected.

--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -29,7 +29,8 @@
 use crate::front::{OUTCOME_HEADER, strip_hop_headers};
 use crate::placement::PlacementLease;
 use crate::pool::{
-    ConnectionHandle, IdentityTag, IdleCheck, TargetCall, TargetTransport, TransportError,
+    ConnectionHandle, ConnectionUse, IdentityTag, IdleCheck, TargetCall, TargetTransport,
+    TransportError,
 };
 use crate::refusal::Refusal;
 use crate::state::SharedState;
@@ -101,8 +102,11 @@
         if let Some(report) = dialect.parse_load(response.headers()) {
             target.counters.record_report(report, self.state.clock.now());
         }
-        let class =
-            dialect.classify_response(sent_request_id(exchange, dialect.as_ref()), &response);
+        let request_id = sent_request_id(exchange, dialect.as_ref());
+        let class = dialect.classify_response(request_id, &response);
+        let is_named = response.headers().contains_key(dialect.request_id_header());
+        let last_use = handle.last_use().filter(|_| request_id.is_some());
+        let class = check_identity(class, &target.counters, last_use, is_named);
         self.record_limit(&target, class, &response);
         if is_from_target(class) && dialect.announces_drain(response.headers()) {
             guard.record_leaving();
@@ -137,6 +141,28 @@
     }
 }
 
+/// Returns the class of a response, which is invalid if it does not repeat the identity although
+/// its target does. It may be a late copy of the response to a probe or to a check of the
+/// connection, which have no identity. The first response on a connection cannot be a copy, so it
+/// shows whether the target repeats identities.
+fn check_identity(
+    class: ResponseClass,
+    counters: &TargetCounters,
+    last_use: Option<ConnectionUse>,
+    is_named: bool,
+) -> ResponseClass {
+    let Some(last_use) = last_use.filter(|_| !matches!(class, ResponseClass::Invalid(_))) else {
+        return class;
+    };
+    if last_use.exchange == 1 {
+        counters.repeats_identities.store(is_named, Ordering::Relaxed);
+    }
+    if is_named || !counters.repeats_identities.load(Ordering::Relaxed) {
+        return class;
+    }
+    ResponseClass::Invalid("the answer does not name its request, as its target's first one did")
+}
+
 /// Returns `true` if a response comes from the target that the request was sent to.
 fn is_from_target(class: ResponseClass) -> bool {
     matches!(class, ResponseClass::Answered | ResponseClass::NotRun)
