--- a/tests/paused_entries.rs
+++ b/tests/paused_entries.rs
@@ -7,13 +7,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use outcomes::{
     ReceivedRequests, answer, post, promises_not_run, record, refusal, request_id, start_recording,
     status_and_outcome,
 };
-use support::{FakeTarget, read_request, settings_text};
+use support::{FakeTarget, read_request, settings_text, start_entry};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -184,4 +185,29 @@
             }
         }
     }
+
+    async waiting_requests_state_the_time_left: "a target that is allowed the time that the request spent waiting for a connection" => {
+        let stated = Arc::new(Mutex::new(Vec::new()));
+        let recorded = stated.clone();
+        let target = FakeTarget::start(move |mut stream, _| {
+            let recorded = recorded.clone();
+            async move {
+                while let Some(head) = read_request(&mut stream).await {
+                    let stated = head.lines().find_map(|line| line.strip_prefix("x-deadline-ms: "));
+                    recorded.lock().unwrap().push(stated.unwrap().parse::<u64>().unwrap());
+                    sleep(Duration::from_millis(600)).await;
+                    let _ = stream.write_all(answer(&head).as_bytes()).await;
+                }
+            }
+        })
+        .await;
+        let entry = start_entry(target.address, "pool: { max_connections_per_target: 1 }").await;
+        let address = entry.caller_address();
+        tokio::join!(
+            post(address, "first", "X-Deadline-Ms: 2000\r\n"),
+            post(address, "second", "X-Deadline-Ms: 2000\r\n"),
+        );
+        let stated = stated.lock().unwrap();
+        assert!(stated[0] > 1500 && stated[1] < 1500, "the targets were allowed {stated:?} ms");
+    }
 }
