State the time that is left when a request is sent

Cause: the deadline header was written before the request waited for a connection, so a target was allowed time that had passed, and a request whose deadline passed while its entry was paused was still sent. Change: the transport writes the header just before it sends the request and sends none whose deadline has passed.

--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -80,8 +80,9 @@
             .identity(identity)
             .handle(handle.clone())
             .maybe_check(idle_check(exchange, dialect))
-            .request(target_request(exchange, time_left, target.instance.as_ref(), dialect))
+            .request(target_request(exchange, target.instance.as_ref(), dialect))
             .deadline(Instant::now() + time_left)
+            .deadline_header(dialect.deadline_header().clone())
             .build();
         exchange.connections.push(handle.clone());
         let started = self.state.clock.now();
@@ -239,10 +240,9 @@
     }
 }
 
-/// Builds the request for the target, with the time that is left until the deadline.
+/// Builds the request for the target. The transport adds the time that is left.
 fn target_request(
     exchange: &mut Exchange,
-    time_left: Duration,
     instance: Option<&TargetInstance>,
     dialect: &dyn HeaderDialect,
 ) -> http::Request<CallBody> {
@@ -261,8 +261,6 @@
     if let Some(host) = host {
         headers.insert(header::HOST, host);
     }
-    headers
-        .insert(dialect.deadline_header(), HeaderValue::from(time_left.as_millis().max(1) as u64));
     if dialect.adds_request_id()
         && let Ok(request_id) = HeaderValue::from_str(&exchange.request_id)
     {
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -70,6 +70,8 @@
     pub request: Request<CallBody>,
     /// Time by which the response and its body must have arrived.
     pub deadline: Instant,
+    /// Header in which the time that is left until the deadline is stated, in milliseconds.
+    pub deadline_header: Option<HeaderName>,
     /// Check of an idle connection before the request is sent on it.
     pub check: Option<IdleCheck>,
     /// Identity that the target repeats in its response. Probes have none.
--- a/src/pool/transport.rs
+++ b/src/pool/transport.rs
@@ -72,7 +72,8 @@
     }
 
     async fn exchange(&self, call: TargetCall) -> Result<CallResponse, TransportError> {
-        let TargetCall { address, request, deadline, check, identity, handle } = call;
+        let TargetCall { address, request, deadline, deadline_header, check, identity, handle } =
+            call;
         let pool = self.pool(address);
         let not_sent = |cause: String| TransportError::NotSent { address, cause };
         let mut lease =
@@ -93,6 +94,15 @@
                 Some(connection) => connection,
                 None => self.connect(&lease, deadline).await.map_err(not_sent)?,
             };
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            if time_left.is_zero() {
+                return Err(not_sent("the deadline passed before it was sent".to_owned()));
+            }
+            // Stated last, since the request may have waited for a connection.
+            if let Some(name) = &deadline_header {
+                let millis = time_left.as_millis().max(1) as u64;
+                request.headers_mut().insert(name, HeaderValue::from(millis));
+            }
             let silence = SilenceReport {
                 pool: pool.clone(),
                 observer: self.observer.clone(),
