--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -29,7 +29,8 @@
 use crate::front::{OUTCOME_HEADER, strip_hop_headers};
 use crate::placement::PlacementLease;
 use crate::pool::{
-    ConnectionHandle, IdentityTag, IdleCheck, TargetCall, TargetTransport, TransportError,
+    ConnectionHandle, ConnectionUse, IdentityTag, IdleCheck, TargetCall, TargetTransport,
+    TransportError,
 };
 use crate::refusal::Refusal;
 use crate::state::SharedState;
@@ -78,9 +79,10 @@
             .address(target.address)
             .identity(identity)
             .handle(handle.clone())
-            .maybe_check(idle_check(exchange))
-            .request(target_request(exchange, time_left, target.instance.as_ref(), dialect))
+            .maybe_check(idle_check(exchange, dialect))
+            .request(target_request(exchange, target.instance.as_ref(), dialect))
             .deadline(Instant::now() + time_left)
+            .deadline_header(dialect.deadline_header().clone())
             .build();
         exchange.connections.push(handle.clone());
         let started = self.state.clock.now();
@@ -101,8 +103,11 @@
         if let Some(report) = dialect.parse_load(response.headers()) {
             target.counters.record_report(report, self.state.clock.now());
         }
-        let class =
-            dialect.classify_response(sent_request_id(exchange, dialect.as_ref()), &response);
+        let request_id = sent_request_id(exchange, dialect.as_ref());
+        let class = dialect.classify_response(request_id, &response);
+        let is_named = response.headers().contains_key(dialect.request_id_header());
+        let last_use = handle.last_use().filter(|_| request_id.is_some());
+        let class = check_identity(class, &target.counters, last_use, is_named);
         self.record_limit(&target, class, &response);
         if is_from_target(class) && dialect.announces_drain(response.headers()) {
             guard.record_leaving();
@@ -135,6 +140,12 @@
                 return Err(refusal);
             }
         }
+        // The caller would take such a status for a promise that the target has not made.
+        if !exchange.facts.idempotent && dialect.status_promises_not_run(response.status()) {
+            let refusal = replacing_refusal(&response, dialect.as_ref());
+            tokio::spawn(discard_body(response));
+            return Err(refusal);
+        }
         strip_hop_headers(response.headers_mut());
         // Only the entry may set the outcome.
         response.headers_mut().remove(OUTCOME_HEADER);
@@ -143,6 +154,28 @@
     }
 }
 
+/// Returns the class of a response, which is invalid if it does not repeat the identity although
+/// its target does. It may be a late copy of the response to a probe or to a check of the
+/// connection, which have no identity. The first response on a connection cannot be a copy, so it
+/// shows whether the target repeats identities.
+fn check_identity(
+    class: ResponseClass,
+    counters: &TargetCounters,
+    last_use: Option<ConnectionUse>,
+    is_named: bool,
+) -> ResponseClass {
+    let Some(last_use) = last_use.filter(|_| !matches!(class, ResponseClass::Invalid(_))) else {
+        return class;
+    };
+    if last_use.exchange == 1 {
+        counters.repeats_identities.store(is_named, Ordering::Relaxed);
+    }
+    if is_named || !counters.repeats_identities.load(Ordering::Relaxed) {
+        return class;
+    }
+    ResponseClass::Invalid("the answer does not name its request, as its target's first one did")
+}
+
 /// Returns `true` if a response comes from the target that the request was sent to.
 fn is_from_target(class: ResponseClass) -> bool {
     matches!(class, ResponseClass::Answered | ResponseClass::NotRun)
@@ -207,10 +240,9 @@
     }
 }
 
-/// Builds the request for the target, with the time that is left until the deadline.
+/// Builds the request for the target. The transport adds the time that is left.
 fn target_request(
     exchange: &mut Exchange,
-    time_left: Duration,
     instance: Option<&TargetInstance>,
     dialect: &dyn HeaderDialect,
 ) -> http::Request<CallBody> {
@@ -229,8 +261,6 @@
     if let Some(host) = host {
         headers.insert(header::HOST, host);
     }
-    headers
-        .insert(dialect.deadline_header(), HeaderValue::from(time_left.as_millis().max(1) as u64));
     if dialect.adds_request_id()
         && let Ok(request_id) = HeaderValue::from_str(&exchange.request_id)
     {
@@ -289,6 +319,17 @@
     }
 }
 
+/// Returns the refusal that replaces a response whose status promises that the request was not
+/// run although the target does not state it.
+fn replacing_refusal(response: &CallResponse, dialect: &dyn HeaderDialect) -> Refusal {
+    let status = response.status();
+    let detail = format!("the target answered {status} without stating that it did not run it");
+    let mut refusal = Refusal::unknown(ReasonCode::TargetError, detail);
+    refusal.target_drains = dialect.announces_drain(response.headers());
+    refusal.replaced_status = Some(status);
+    refusal
+}
+
 /// Reads the body of a target's refusal to its end, so that the connection can be reused.
 async fn discard_body(response: CallResponse) {
     let body = Limited::new(response.into_body(), MAX_REFUSAL_BODY_BYTES);
@@ -296,10 +337,11 @@
 }
 
 /// Returns the check of idle connections that the service of a request allows, if any.
-fn idle_check(exchange: &Exchange) -> Option<IdleCheck> {
+fn idle_check(exchange: &Exchange, dialect: &dyn HeaderDialect) -> Option<IdleCheck> {
     let service = exchange.fleet.services.get(exchange.facts.service)?;
     let path = Uri::try_from(service.intent.measuring.probe_path.as_deref()?).ok()?;
-    Some(IdleCheck { path, always: !exchange.facts.idempotent })
+    let identity_header = dialect.request_id_header().clone();
+    Some(IdleCheck { path, always: !exchange.facts.idempotent, identity_header })
 }
 
 /// Returns how an attempt without a response ended, for the placement.
--- a/src/pool/transport.rs
+++ b/src/pool/transport.rs
@@ -72,7 +72,8 @@
     }
 
     async fn exchange(&self, call: TargetCall) -> Result<CallResponse, TransportError> {
-        let TargetCall { address, request, deadline, check, identity, handle } = call;
+        let TargetCall { address, request, deadline, deadline_header, check, identity, handle } =
+            call;
         let pool = self.pool(address);
         let not_sent = |cause: String| TransportError::NotSent { address, cause };
         let mut lease =
@@ -93,6 +94,15 @@
                 Some(connection) => connection,
                 None => self.connect(&lease, deadline).await.map_err(not_sent)?,
             };
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            if time_left.is_zero() {
+                return Err(not_sent("the deadline passed before it was sent".to_owned()));
+            }
+            // Stated last, since the request may have waited for a connection.
+            if let Some(name) = &deadline_header {
+                let millis = time_left.as_millis().max(1) as u64;
+                request.headers_mut().insert(name, HeaderValue::from(millis));
+            }
             let silence = SilenceReport {
                 pool: pool.clone(),
                 observer: self.observer.clone(),
@@ -155,7 +165,8 @@
     }
 
     /// Checks a connection with a request. Returns the connection, or `None` if no complete
-    /// response arrives in time.
+    /// response arrives in time, or one that names a request. The latter is a late copy; the
+    /// response to the check would follow and be taken for that to the next request.
     async fn check_connection(
         &self,
         mut connection: TargetConnection,
@@ -168,14 +179,18 @@
         connection.begin_exchange(None, false);
         let exchange = async {
             let response = connection.sender.send_request(request).await.ok()?;
+            if response.headers().contains_key(&check.identity_header) {
+                return Some(false);
+            }
             Limited::new(response.into_body(), MAX_CHECK_RESPONSE_BYTES).collect().await.ok()?;
-            connection.sender.ready().await.ok()
+            connection.sender.ready().await.ok()?;
+            Some(true)
         };
         let result = timeout(CHECK_TIMEOUT, exchange).await.ok().flatten();
         if result.is_none() {
             self.record_dead_idle();
         }
-        result.map(|()| connection)
+        (result == Some(true)).then_some(connection)
     }
 
     async fn connect(
