--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -23,6 +23,13 @@
     Invalid(&'static str),
 }
 
+impl ResponseClass {
+    /// Returns `true` if a response comes from the target that the request was sent to.
+    pub fn is_from_target(self) -> bool {
+        matches!(self, Self::Answered | Self::NotRun)
+    }
+}
+
 /// Names, reads and writes the headers of one environment.
 pub trait HeaderDialect: Send + Sync {
     /// Returns the header with the identifier of a request.
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -1,36 +1,32 @@
 //! Sends a request to the picked target and passes its response back.
 
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use futures::future::BoxFuture;
 use futures::stream::{self, StreamExt};
 use http::{HeaderValue, Uri, header};
-use http_body::{Body, Frame, SizeHint};
+use http_body::{Body, Frame};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, BodyStream, Limited, StreamBody};
 use tokio::time::{Instant, timeout};
 use zinniaport_core::call::ReasonCode;
-use zinniaport_core::fleet::{MAX_PAUSE, TargetCounters, TargetSnapshot};
+use zinniaport_core::fleet::{TargetCounters, TargetSnapshot};
 use zinniaport_core::intent::TargetInstance;
 use zinniaport_core::placement::AttemptEnd;
 use zinniaport_core::request_limit::LimitStatement;
 
 use super::attempt::shedding_time;
+use super::in_flight::{CountedBody, InFlightGuard, attempt_end};
+use super::target_refusals::{refusal_of, replacing_refusal, target_refusal};
 use super::{FilterNext, FilterResult, RequestFilter};
-use crate::dialect::{HeaderDialect, ResponseClass, parse_retry_after};
-use crate::exchange::{
-    BodyError, BodyFault, CallBody, CallResponse, Exchange, empty_body, full_body,
-};
+use crate::dialect::{HeaderDialect, ResponseClass};
+use crate::exchange::{BodyError, CallBody, CallResponse, Exchange, empty_body, full_body};
 use crate::front::{OUTCOME_HEADER, strip_hop_headers};
-use crate::placement::PlacementLease;
 use crate::pool::{
     ConnectionHandle, ConnectionUse, IdentityTag, IdleCheck, TargetCall, TargetTransport,
-    TransportError,
 };
 use crate::refusal::Refusal;
 use crate::state::SharedState;
@@ -109,7 +105,7 @@
         let last_use = handle.last_use().filter(|_| request_id.is_some());
         let class = check_identity(class, &target.counters, last_use, is_named);
         self.record_limit(&target, class, &response);
-        if is_from_target(class) && dialect.announces_drain(response.headers()) {
+        if class.is_from_target() && dialect.announces_drain(response.headers()) {
             guard.record_leaving();
         }
         match class {
@@ -176,11 +172,6 @@
     ResponseClass::Invalid("the answer does not name its request, as its target's first one did")
 }
 
-/// Returns `true` if a response comes from the target that the request was sent to.
-fn is_from_target(class: ResponseClass) -> bool {
-    matches!(class, ResponseClass::Answered | ResponseClass::NotRun)
-}
-
 impl ForwardFilter {
     /// Records what a response states about the limit of its target. A response of another
     /// process states nothing, and one that is not a success may lack the header.
@@ -189,7 +180,7 @@
         let is_success = class == ResponseClass::Answered && response.status().is_success();
         let counts = match statement {
             LimitStatement::Unlimited => is_success,
-            _ => is_from_target(class),
+            _ => class.is_from_target(),
         };
         if counts {
             record_limit(target, statement, self.state.clock.now());
@@ -280,56 +271,6 @@
     exchange.head.headers.get(dialect.request_id_header())?.to_str().ok()
 }
 
-/// Returns the refusal for a transport error. A fault of the caller's request body explains
-/// why the exchange failed, but not whether the request ran.
-fn refusal_of(error: &TransportError, fault: Option<BodyFault>) -> Refusal {
-    let reason = match (fault, error) {
-        (_, TransportError::NotSent { .. }) => {
-            return Refusal::not_run(ReasonCode::TargetUnreachable, error.to_string());
-        }
-        (Some(BodyFault::TooLarge), _) => ReasonCode::BodyTooLarge,
-        (Some(BodyFault::Stalled), _) => ReasonCode::SlowSender,
-        (Some(BodyFault::Broken), _) => ReasonCode::CallerLeft,
-        (None, TransportError::DeadlinePassed { .. }) => ReasonCode::DeadlinePassed,
-        (None, _) => ReasonCode::TargetLost,
-    };
-    Refusal::unknown(reason, error.to_string())
-}
-
-/// Returns the refusal for a target that refused the request.
-fn target_refusal(
-    class: ResponseClass,
-    response: &CallResponse,
-    dialect: &dyn HeaderDialect,
-) -> Refusal {
-    let mut refusal = match class {
-        ResponseClass::WrongInstance => {
-            let detail = "another process has the address of the target";
-            Refusal::not_run(ReasonCode::WrongInstance, detail)
-        }
-        _ => {
-            let detail = "the target refused the request before running it";
-            Refusal::not_run(ReasonCode::TargetRefused, detail)
-        }
-    };
-    refusal.target_drains = is_from_target(class) && dialect.announces_drain(response.headers());
-    match parse_retry_after(response.headers()) {
-        Some(delay) => refusal.retry_after(delay.min(MAX_PAUSE)),
-        None => refusal,
-    }
-}
-
-/// Returns the refusal that replaces a response whose status promises that the request was not
-/// run although the target does not state it.
-fn replacing_refusal(response: &CallResponse, dialect: &dyn HeaderDialect) -> Refusal {
-    let status = response.status();
-    let detail = format!("the target answered {status} without stating that it did not run it");
-    let mut refusal = Refusal::unknown(ReasonCode::TargetError, detail);
-    refusal.target_drains = dialect.announces_drain(response.headers());
-    refusal.replaced_status = Some(status);
-    refusal
-}
-
 /// Reads the body of a target's refusal to its end, so that the connection can be reused.
 async fn discard_body(response: CallResponse) {
     let body = Limited::new(response.into_body(), MAX_REFUSAL_BODY_BYTES);
@@ -343,68 +284,3 @@
     let identity_header = dialect.request_id_header().clone();
     Some(IdleCheck { path, always: !exchange.facts.idempotent, identity_header })
 }
-
-/// Returns how an attempt without a response ended, for the placement.
-fn attempt_end(reason: ReasonCode) -> AttemptEnd {
-    match reason {
-        ReasonCode::TargetLost | ReasonCode::TargetUnreachable => AttemptEnd::Failed,
-        _ => AttemptEnd::Unknown,
-    }
-}
-
-/// Counts a request as in flight and holds its lease of the target until dropped.
-struct InFlightGuard {
-    counters: Arc<TargetCounters>,
-    lease: Option<Box<dyn PlacementLease>>,
-}
-
-impl InFlightGuard {
-    fn new(counters: Arc<TargetCounters>, lease: Option<Box<dyn PlacementLease>>) -> Self {
-        counters.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self { counters, lease }
-    }
-
-    fn record_end(&mut self, end: AttemptEnd) {
-        if let Some(lease) = &mut self.lease {
-            lease.record_end(end);
-        }
-    }
-
-    fn record_leaving(&mut self) {
-        if let Some(lease) = &mut self.lease {
-            lease.record_leaving();
-        }
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.counters.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Response body whose request counts as in flight until the body is dropped.
-struct CountedBody {
-    inner: CallBody,
-    _guard: InFlightGuard,
-}
-
-impl Body for CountedBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.inner).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-    }
-}
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -6,9 +6,11 @@
 mod classify;
 mod forward;
 mod identify;
+mod in_flight;
 mod quarantine;
 mod record;
 mod route;
+mod target_refusals;
 
 use std::sync::Arc;
 
