Revert "Reject responses without an identity from targets that repeat it"

Cause: whether a target repeats identities was learned from the first response on a connection. If probes opened the connections it was never learned, or never unlearned: all responses of a target that stopped repeating identities became 502. Failures without an identity of a target that names its successes were lost.

--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -1,6 +1,6 @@
 //! Counters of targets and services, which the request path updates without locks.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use crate::clock::Timestamp;
@@ -100,9 +100,6 @@
     pub paused_until: AtomicU64,
     /// Limit on requests per second that the target stated.
     pub limit: LimitState,
-    /// Whether the last response that was the first on its connection repeated the identity of
-    /// its request.
-    pub repeats_identities: AtomicBool,
 }
 
 impl TargetCounters {
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, BodyStream, Limited, StreamBody};
 use tokio::time::{Instant, timeout};
 use zinniaport_core::call::ReasonCode;
-use zinniaport_core::fleet::{TargetCounters, TargetSnapshot};
+use zinniaport_core::fleet::TargetSnapshot;
 use zinniaport_core::intent::TargetInstance;
 use zinniaport_core::placement::AttemptEnd;
 use zinniaport_core::request_limit::LimitStatement;
@@ -25,9 +25,7 @@
 use crate::dialect::{HeaderDialect, ResponseClass};
 use crate::exchange::{BodyError, CallBody, CallResponse, Exchange, empty_body, full_body};
 use crate::front::{OUTCOME_HEADER, strip_hop_headers};
-use crate::pool::{
-    ConnectionHandle, ConnectionUse, IdentityTag, IdleCheck, TargetCall, TargetTransport,
-};
+use crate::pool::{ConnectionHandle, IdentityTag, IdleCheck, TargetCall, TargetTransport};
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 use crate::targets::record_limit;
@@ -99,11 +97,8 @@
         if let Some(report) = dialect.parse_load(response.headers()) {
             target.counters.record_report(report, self.state.clock.now());
         }
-        let request_id = sent_request_id(exchange, dialect.as_ref());
-        let class = dialect.classify_response(request_id, &response);
-        let is_named = response.headers().contains_key(dialect.request_id_header());
-        let last_use = handle.last_use().filter(|_| request_id.is_some());
-        let class = check_identity(class, &target.counters, last_use, is_named);
+        let class =
+            dialect.classify_response(sent_request_id(exchange, dialect.as_ref()), &response);
         self.record_limit(&target, class, &response);
         if class.is_from_target() && dialect.announces_drain(response.headers()) {
             guard.record_leaving();
@@ -150,28 +145,6 @@
     }
 }
 
-/// Returns the class of a response, which is invalid if it does not repeat the identity although
-/// its target does. It may be a late copy of the response to a probe or to a check of the
-/// connection, which have no identity. The first response on a connection cannot be a copy, so it
-/// shows whether the target repeats identities.
-fn check_identity(
-    class: ResponseClass,
-    counters: &TargetCounters,
-    last_use: Option<ConnectionUse>,
-    is_named: bool,
-) -> ResponseClass {
-    let Some(last_use) = last_use.filter(|_| !matches!(class, ResponseClass::Invalid(_))) else {
-        return class;
-    };
-    if last_use.exchange == 1 {
-        counters.repeats_identities.store(is_named, Ordering::Relaxed);
-    }
-    if is_named || !counters.repeats_identities.load(Ordering::Relaxed) {
-        return class;
-    }
-    ResponseClass::Invalid("the answer does not name its request, as its target's first one did")
-}
-
 impl ForwardFilter {
     /// Records what a response states about the limit of its target. A response of another
     /// process states nothing, and one that is not a success may lack the header.
