Keep the connections of responses in chunks

Cause: a connection was released once its response body reported its end, which a body in chunks never does before it is read to the end. So each such response, refusals under overload included, cost a connection. Change: reading the end of a body releases the connection as well.

--- a/src/pool/leased_body.rs
+++ b/src/pool/leased_body.rs
@@ -49,13 +49,16 @@
         Self { inner, held: Some(held), deadline, silence_limit, timer: None }
     }
 
-    /// Returns the connection to the pool once the response body is complete. Closes it if the
-    /// request body is not, since its remaining bytes would precede the next request, or if the
-    /// sender has retired it.
     fn release_if_complete(&mut self) {
-        if !self.inner.is_end_stream() {
-            return;
+        if self.inner.is_end_stream() {
+            self.release();
         }
+    }
+
+    /// Returns the connection to the pool, whose response body is complete. Closes it if the
+    /// request body is not, since its remaining bytes would precede the next request, or if the
+    /// sender has retired it.
+    fn release(&mut self) {
         let Some(held) = self.held.take() else { return };
         let HeldConnection { connection, lease, progress, handle, closer, .. } = held;
         // The closer acts only after the deadline. Dropping it before then ensures that it
@@ -117,8 +120,9 @@
                 self.held = None;
                 Poll::Ready(Some(Err(error.into())))
             }
+            // A body in chunks shows its end only here.
             Poll::Ready(None) => {
-                self.release_if_complete();
+                self.release();
                 Poll::Ready(None)
             }
         }
--- a/tests/pool_identities.rs
+++ b/tests/pool_identities.rs
@@ -139,6 +139,23 @@
         assert_eq!(target.connections(), 3);
     }
 
+    async chunked_responses_keep_their_connection: "a new connection for each response in chunks" => {
+        let target = FakeTarget::start(|mut stream, _| async move {
+            while read_request(&mut stream).await.is_some() {
+                let response = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n";
+                if stream.write_all(response.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        })
+        .await;
+        let transport = transport(4);
+        for number in 0..10 {
+            exchange(&transport, call(target.address, &number.to_string(), 0)).await;
+        }
+        assert_eq!(target.connections(), 1);
+    }
+
     async probes_share_a_connection: "a new connection for each probe, which has no identity" => {
         let probes = Arc::new(AtomicUsize::new(0));
         let counter = probes.clone();
