Reject a response head that another one was joined to

Cause: a target that cuts off the copy of a refusal within its reason phrase or a header value, and then sends the response that is due, gives that response the status and the mark of the refusal, with the right identity: 503 and not-run for a request that ran, on the platform too. Change: a head whose reason phrase or header values contain a status line is invalid, so its connection is closed and the outcome unknown.

--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -19,6 +19,7 @@
 
 use super::attempt::shedding_time;
 use super::in_flight::{CountedBody, InFlightGuard, attempt_end};
+use super::joined_heads::has_joined_heads;
 use super::target_refusals::{refusal_of, replacing_refusal, target_refusal};
 use super::{FilterNext, FilterResult, RequestFilter};
 use crate::dialect::{HeaderDialect, ResponseClass};
@@ -97,8 +98,11 @@
         if let Some(report) = dialect.parse_load(response.headers()) {
             target.counters.record_report(report, self.state.clock.now());
         }
-        let class =
-            dialect.classify_response(sent_request_id(exchange, dialect.as_ref()), &response);
+        let class = if has_joined_heads(&response) {
+            ResponseClass::Invalid("the answer begins within another one")
+        } else {
+            dialect.classify_response(sent_request_id(exchange, dialect.as_ref()), &response)
+        };
         self.record_limit(&target, class, &response);
         if class.is_from_target() && dialect.announces_drain(response.headers()) {
             guard.record_leaving();
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod identify;
 mod in_flight;
+mod joined_heads;
 mod quarantine;
 mod record;
 mod route;
