Close a connection to a target before its successor is opened

Cause: a connection that had carried an identity was dropped and its successor opened at once, so a target could see more connections than max_connections_per_target for a moment; a connection that had carried 1,024 identities was closed on release in the same way. Change: the wait for a slot includes the end of the connection that is replaced.

--- a/src/pool/connections.rs
+++ b/src/pool/connections.rs
@@ -51,7 +51,7 @@
 
     /// Returns `true` if a request with this identity may be sent on the connection.
     fn accepts(&self, identity: Option<IdentityTag>) -> bool {
-        identity.is_none_or(|tag| !self.identities.contains(tag))
+        identity.is_none_or(|tag| !self.identities.is_full() && !self.identities.contains(tag))
     }
 
     /// Records that a request with this identity, if it has one, is sent on the connection.
@@ -77,6 +77,13 @@
         self.idle_time() >= limit
     }
 
+    /// Closes the connection and waits until its socket is closed, so that a target does not see
+    /// its successor beside it.
+    async fn close(self) {
+        self.driver.abort();
+        let _ = self.driver.await;
+    }
+
     /// Closes the connection at `deadline` unless the returned handle is dropped before. This
     /// works even if the caller has stopped reading, so that the response body is not polled.
     pub(super) fn close_at(&self, deadline: Instant) -> AbortOnDropHandle<()> {
@@ -126,7 +133,11 @@
             let permit = self.permits.clone().try_acquire_owned();
             match permit.ok().and_then(|permit| self.take_slot(permit)) {
                 Some(next) => passed_over.push(std::mem::replace(&mut lease, next)),
-                None => lease.connection = None,
+                None => {
+                    if let Some(connection) = lease.connection.take() {
+                        connection.close().await;
+                    }
+                }
             }
             lease.avoids_copy = true;
         }
@@ -237,12 +248,8 @@
         tokio::time::timeout(limit, self.pool.connect()).await?
     }
 
-    /// Returns a connection whose exchange is complete to the pool, or closes it if it can carry no
-    /// further request.
+    /// Returns a connection whose exchange is complete to the pool.
     pub(super) fn release(self, mut connection: TargetConnection) {
-        if connection.identities.is_full() {
-            return;
-        }
         connection.reused = true;
         connection.idle_since = Instant::now();
         self.put_back(connection);
