Describe the identity of a probe's call

Cause: the comment said that probes have no identity; they have one of their own since they were given one. Change: the comment. Measured: text only.

--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -75,7 +75,8 @@
     pub deadline_header: Option<HeaderName>,
     /// Check of an idle connection before the request is sent on it.
     pub check: Option<IdleCheck>,
-    /// Identity that the target repeats in its response. Probes have none.
+    /// Identity that the target repeats in its response. `None` for probes, whose identities come
+    /// only once.
     pub identity: Option<IdentityTag>,
     /// Handle by which the sender learns about the connection.
     #[builder(default)]
