Indent the log line of a refusal

Cause: an edit left its fields at mixed depths; rustfmt does not format inside the macro. Change: white space. Measured: formatter and linter pass.

--- a/src/filters/record.rs
+++ b/src/filters/record.rs
@@ -52,19 +52,19 @@
         let now = self.state.clock.now();
         if self.limiter.try_acquire(now) {
             log::info!(
-                    request_id = exchange.request_id.as_str(),
-                    config_version = exchange.facts.config_version,
-                    reason = <&str>::from(refusal.reason),
-                    outcome = <&str>::from(refusal.outcome()),
-                    status = refusal.status().as_u16(),
-                    fingerprint = exchange.facts.fingerprint.map(|print| print.to_string()),
-                    dispatches = format_dispatches(exchange).as_str(),
-            connections = format_connections(exchange).as_str(),
-                    snapshot_age_ms = now.since(exchange.fleet.published).as_millis() as u64,
-                    waited_behind_us = exchange.waited_behind.as_micros() as u64,
-                    waited_us = now.since(exchange.facts.arrived).as_micros() as u64;
-                    "request refused: {}", refusal.detail
-                );
+                request_id = exchange.request_id.as_str(),
+                config_version = exchange.facts.config_version,
+                reason = <&str>::from(refusal.reason),
+                outcome = <&str>::from(refusal.outcome()),
+                status = refusal.status().as_u16(),
+                fingerprint = exchange.facts.fingerprint.map(|print| print.to_string()),
+                dispatches = format_dispatches(exchange).as_str(),
+                connections = format_connections(exchange).as_str(),
+                snapshot_age_ms = now.since(exchange.fleet.published).as_millis() as u64,
+                waited_behind_us = exchange.waited_behind.as_micros() as u64,
+                waited_us = now.since(exchange.facts.arrived).as_micros() as u64;
+                "request refused: {}", refusal.detail
+            );
         }
     }
 }
