Send both kinds of probe in one place

Cause: the placement prober and the measuring driver each built the call of a probe, gave it an identity and retired its connection. Change: both use send_probe. No behaviour changes.

--- a/src/measuring.rs
+++ b/src/measuring.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use http::Request;
 use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, MissedTickBehavior, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -15,9 +14,7 @@
 use zinniaport_core::fleet::FleetSnapshot;
 use zinniaport_core::policy::{ProbePolicy, RoutingPolicy};
 
-use crate::exchange::empty_body;
-use crate::own_identity::OwnIdentity;
-use crate::pool::{ConnectionHandle, TargetCall, TargetTransport};
+use crate::pool::{TargetTransport, send_probe};
 use crate::propagation::PropagationStatus;
 use crate::state::SharedState;
 
@@ -138,22 +135,10 @@
             if sent >= permit.arrive_before {
                 return;
             }
-            let mut request = Request::new(empty_body());
-            *request.uri_mut() = http::Uri::from_static(PROBE_PATH);
-            let identity = OwnIdentity::new(state.dialect.as_ref());
-            identity.insert(request.headers_mut());
-            let handle = ConnectionHandle::default();
-            let call = TargetCall::builder()
-                .address(address)
-                .request(request)
-                .deadline(deadline)
-                .handle(handle.clone())
-                .build();
-            let Ok(response) = transport.send(call).await else { return };
-            if !identity.matches(response.headers()) {
-                handle.retire();
-                return;
-            }
+            let (transport, dialect) = (transport.as_ref(), state.dialect.as_ref());
+            let path = http::Uri::from_static(PROBE_PATH);
+            let response = send_probe(transport, dialect, address, path, deadline).await;
+            let Some(response) = response else { return };
             if let Some(report) = state.dialect.parse_load(response.headers()) {
                 let now = state.clock.now();
                 counters.record_report(report, now);
--- a/src/placement/prober.rs
+++ b/src/placement/prober.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use http::{Request, Uri};
+use http::Uri;
 use http_body_util::{BodyExt, Limited};
 use slotmap::Key;
 use tokio::sync::Notify;
@@ -14,9 +14,7 @@
 use zinniaport_core::fleet::{FleetSnapshot, ServiceSnapshot};
 use zinniaport_core::keys::TargetKey;
 
-use crate::exchange::empty_body;
-use crate::own_identity::OwnIdentity;
-use crate::pool::{ConnectionHandle, TargetCall, TargetTransport};
+use crate::pool::{TargetTransport, send_probe};
 use crate::state::SharedState;
 use crate::targets::record_limit;
 
@@ -126,27 +124,14 @@
         }
         target.counters.record_probe(now);
         service.counters.unanswered_probes.fetch_add(1, Ordering::Relaxed);
-        let mut request = Request::new(empty_body());
-        *request.uri_mut() = path;
-        let identity = OwnIdentity::new(self.state.dialect.as_ref());
-        identity.insert(request.headers_mut());
-        let handle = ConnectionHandle::default();
         let deadline = Instant::now() + PROBE_TIMEOUT;
-        let call = TargetCall::builder()
-            .address(target.address)
-            .request(request)
-            .deadline(deadline)
-            .handle(handle.clone())
-            .build();
         let (target, service) = (target.clone(), service.counters.clone());
         let (state, transport, reports) =
             (self.state.clone(), self.transport.clone(), self.reports.clone());
         tokio::spawn(async move {
-            let Ok(response) = transport.send(call).await else { return };
-            if !identity.matches(response.headers()) {
-                handle.retire();
-                return;
-            }
+            let (transport, dialect) = (transport.as_ref(), state.dialect.as_ref());
+            let response = send_probe(transport, dialect, target.address, path, deadline).await;
+            let Some(response) = response else { return };
             if let Some(report) = state.dialect.parse_load(response.headers()) {
                 let now = state.clock.now();
                 target.counters.record_report(report, now);
