Choose the port of messages and relay among free TCP ports

Cause: with port 0 the system chose a free UDP port, and the relay then listened on the same TCP port, which a connection may occupy, also one that ended in the last minute (3,549 of these after a run of the tests). Change: the TCP port is chosen first. Settings that name a port are not affected. No further test.

--- a/src/runtime/coordinated.rs
+++ b/src/runtime/coordinated.rs
@@ -37,7 +37,7 @@
     /// running during a planned stop, until the last request has ended.
     pub(super) async fn start(
         self,
-        settings: SignalSettings,
+        mut settings: SignalSettings,
     ) -> Result<(CoordinatedPlacement, SeedSender), StartError> {
         let Self { state, targets, gates, quarantine, policy, transport, relay } = self;
         let (probes, capacity) = (settings.target_probes_per_second, settings.capacity());
@@ -45,10 +45,13 @@
         let prober = TargetProber::new(state.clone(), transport, probes, capacity);
         let coordinator =
             Coordinator::new(state.clone(), gates.clone(), policy, prober, saved_retries);
+        // Messages and the relay share a port number. TCP ports are scarcer, since connections that
+        // have ended occupy theirs for a minute, so a free one is chosen among these.
+        let (listener, address) = bind_listener(settings.listen).await?;
+        settings.listen = address;
         let mut signals =
             SignalsDriver::open(state.clone(), targets.clone(), quarantine, settings).await?;
         let (coordinator, sender) = (Arc::new(coordinator), signals.sender());
-        let (listener, _) = bind_listener(signals.address()).await?;
         let handler = RelayHandler::new(state.clone(), relay);
         let router = AdminRouter::new(vec![Arc::new(handler)]);
         tokio::spawn(router.serve(listener, CancellationToken::new()));
