--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -6,7 +6,7 @@
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
 use crate::clock::Timestamp;
-use crate::keys::{CallerKey, ServiceKey};
+use crate::keys::{CallerKey, ServiceKey, TenantKey};
 
 /// Digest over the service, method, path, first part of the body and idempotency key of a
 /// request. Copies of the same request have the same fingerprint.
@@ -34,6 +34,8 @@
     pub service: ServiceKey,
     /// Caller, for fair queueing.
     pub caller: CallerKey,
+    /// Tenant that the request belongs to; the null key if there is none.
+    pub tenant: TenantKey,
     /// Index of the request's kind in the service's intent.
     pub kind: usize,
     /// Rank of the kind; a lower rank is served first.
@@ -203,6 +205,10 @@
     WrongInstance,
     /// Shortest expected time until the response among all targets.
     ShortestWait,
+    /// The request carries no API key of a known tenant.
+    UnknownApiKey,
+    /// This version cannot serve the route of the request.
+    UnsupportedRoute,
 }
 
 impl ReasonCode {
--- a/core/src/controllers/directory/fleet.rs
+++ b/core/src/controllers/directory/fleet.rs
@@ -51,6 +51,8 @@
             services: services.collect(),
             routes: configuration.routes.clone(),
             limits: configuration.limits,
+            tenants: configuration.tenants.clone(),
+            unused_items: configuration.unused_items.clone(),
         };
         self.fleet.apply_directory(directory, self.initial_cursor, now);
         Some(DirectoryEffect::Publish(Arc::new(self.fleet.clone())))
--- a/core/src/decision/words.rs
+++ b/core/src/decision/words.rs
@@ -66,5 +66,7 @@
         ReasonCode::SpoiledAnswer => "the answer of the target was cut, damaged or not its own",
         ReasonCode::WrongInstance => "another process had the address of the target",
         ReasonCode::ShortestWait => "it had the shortest expected wait of all that could take it",
+        ReasonCode::UnknownApiKey => "it carried no API key of a known tenant",
+        ReasonCode::UnsupportedRoute => "this version cannot serve its route",
     }
 }
--- a/core/src/directory.rs
+++ b/core/src/directory.rs
@@ -2,6 +2,7 @@
 //! configuration of the operator.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -9,6 +10,7 @@
 
 use crate::intent::TargetInstance;
 use crate::routes::{CallerLimits, RouteIntent};
+use crate::tenants::TenantIntent;
 
 /// Part of a directory that is listed and watched separately.
 #[derive(Clone, Copy, Debug, Display, EnumIter, EnumString, Eq, Hash, IntoStaticStr, PartialEq)]
@@ -61,6 +63,12 @@
     pub services: Vec<ServiceDefinition>,
     /// Limits on callers.
     pub limits: Option<CallerLimits>,
+    /// Tenants; `None` if requests need no API key.
+    #[serde(default)]
+    pub tenants: Option<Arc<[TenantIntent]>>,
+    /// Items that this version does not use because it does not know them, by their place.
+    #[serde(default)]
+    pub unused_items: Vec<String>,
 }
 
 /// Object of a directory.
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -19,6 +19,7 @@
 use crate::placement::{part_count, part_of};
 use crate::policy::{EntryView, TargetTable, hash_address};
 use crate::routes::{RouteDestination, RouteIntent, RouteRule, RoutingTable};
+use crate::tenants::{TenantIntent, TenantTable};
 
 /// State of a target as this entry sees it.
 #[derive(Clone, Copy, Debug, Display, EnumString, Eq, Hash, PartialEq, Serialize, Deserialize)]
@@ -145,6 +146,10 @@
     pub routes: Vec<RouteIntent>,
     /// Limits on callers.
     pub limits: Option<crate::routes::CallerLimits>,
+    /// Tenants; `None` if requests need no API key.
+    pub tenants: Option<Arc<[TenantIntent]>>,
+    /// Items of the configuration that this version does not use.
+    pub unused_items: Vec<String>,
 }
 
 /// Services and targets at one point in time.
@@ -163,6 +168,8 @@
     /// Routes by host and path; `None` if the first segment of the path is the name of the
     /// service.
     pub routes: Option<Arc<RoutingTable>>,
+    /// Tenants; `None` if requests need no API key.
+    pub tenants: Option<Arc<TenantTable>>,
 }
 
 impl FleetSnapshot {
@@ -238,7 +245,7 @@
         initial_cursor: u32,
         now: Timestamp,
     ) {
-        let DirectoryState { version, services, routes, limits } = directory;
+        let DirectoryState { version, services, routes, limits, tenants, unused_items } = directory;
         let removed: Vec<_> = self
             .service_keys
             .iter()
@@ -261,6 +268,7 @@
             }
         }
         let mut routing_table = RoutingTable::new(version, limits);
+        routing_table.unused_items = unused_items;
         for route in routes {
             let parts = route.parts.iter().filter_map(|part| {
                 let (service, snapshot) = self.find(&part.service)?;
@@ -269,8 +277,13 @@
                 Some((RouteDestination { service, kind }, part.weight))
             });
             let parts = parts.collect();
-            routing_table
-                .add(&route.host, RouteRule::new(route.path_prefix, parts, initial_cursor));
+            let rule = RouteRule::new(route.path_prefix, parts, initial_cursor);
+            routing_table.add(&route.host, rule.with_public(route.is_public));
+        }
+        // Publishing a change of targets does not build the table of API keys again.
+        if self.routes.as_ref().is_none_or(|routes| routes.version != version) {
+            let known = self.tenants.take().unwrap_or_default();
+            self.tenants = tenants.map(|intents| Arc::new(known.next(&intents)));
         }
         self.routes = Some(Arc::new(routing_table));
         self.published = now;
--- a/core/src/keys.rs
+++ b/core/src/keys.rs
@@ -11,6 +11,9 @@
     /// Identifies a caller in the table of this entry.
     pub struct CallerKey;
 
+    /// Identifies a tenant in the configuration.
+    pub struct TenantKey;
+
     /// Identifies a VM in the platform's list.
     pub struct VmKey;
 }
--- a/core/src/routes.rs
+++ b/core/src/routes.rs
@@ -30,8 +30,11 @@
     pub path_prefix: String,
     /// Kind of all requests of the route; its name is the name of the route.
     pub kind: KindIntent,
-    /// Services that share the requests.
+    /// Services that share the requests; empty if this version cannot serve the route.
     pub parts: Vec<WeightedService>,
+    /// Whether requests need no API key although there are tenants.
+    #[serde(default)]
+    pub is_public: bool,
 }
 
 /// Service and kind that a route leads to.
@@ -48,6 +51,7 @@
 pub struct RouteRule {
     path_prefix: String,
     parts: Vec<(RouteDestination, u32)>,
+    is_public: bool,
     total_weight: u64,
     cursor: AtomicU32,
 }
@@ -61,7 +65,19 @@
         initial_cursor: u32,
     ) -> Self {
         let total_weight = parts.iter().map(|(_, weight)| u64::from(*weight)).sum();
-        Self { path_prefix, parts, total_weight, cursor: AtomicU32::new(initial_cursor) }
+        let cursor = AtomicU32::new(initial_cursor);
+        Self { path_prefix, parts, is_public: false, total_weight, cursor }
+    }
+
+    /// Sets whether requests need no API key.
+    #[must_use]
+    pub fn with_public(self, is_public: bool) -> Self {
+        Self { is_public, ..self }
+    }
+
+    /// Returns `true` if requests need no API key.
+    pub fn is_public(&self) -> bool {
+        self.is_public
     }
 
     /// Picks a service by weight.
@@ -102,13 +118,15 @@
     pub version: u64,
     /// Limits on callers, if the configuration states them.
     pub limits: Option<CallerLimits>,
+    /// Items of the configuration that this version does not use.
+    pub unused_items: Vec<String>,
     hosts: IndexMap<String, Vec<RouteRule>>,
 }
 
 impl RoutingTable {
     /// Creates a table without routes.
     pub fn new(version: u64, limits: Option<CallerLimits>) -> Self {
-        Self { version, limits, hosts: IndexMap::new() }
+        Self { version, limits, ..Self::default() }
     }
 
     /// Adds a route.
--- a/core/tests/directory.rs
+++ b/core/tests/directory.rs
@@ -46,6 +46,8 @@
         routes: Vec::new(),
         services: vec![service],
         limits: None,
+        tenants: None,
+        unused_items: Vec::new(),
     };
     let item = Some(DirectoryItem::Configuration(configuration));
     DirectoryChange { name: "main".to_owned(), revision, item }
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -41,6 +41,16 @@
     /// Returns the header with the time that is left for a request, in milliseconds.
     fn deadline_header(&self) -> &HeaderName;
 
+    /// Returns the request header with the API key of the caller's tenant.
+    fn api_key_header(&self) -> &HeaderName {
+        &API_KEY_HEADER
+    }
+
+    /// Returns the header in which a target receives the name of the tenant.
+    fn tenant_header(&self) -> &HeaderName {
+        &TENANT_HEADER
+    }
+
     /// Adds the headers that identify the process that the request is addressed to.
     fn insert_instance(&self, headers: &mut HeaderMap, instance: &TargetInstance);
 
@@ -76,6 +86,12 @@
 /// Header with the time that is left for a request, in milliseconds.
 pub static DEADLINE_HEADER: HeaderName = HeaderName::from_static("x-deadline-ms");
 
+/// Request header with the API key of the caller's tenant.
+static API_KEY_HEADER: HeaderName = HeaderName::from_static("x-api-key");
+
+/// Header in which a target receives the name of the tenant.
+static TENANT_HEADER: HeaderName = HeaderName::from_static("x-tenant");
+
 /// Response header with the number of running and queued requests of a target.
 pub const LOAD_HEADER: HeaderName = HeaderName::from_static("x-load");
 
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -113,6 +113,8 @@
     pub waited_behind: Duration,
     /// Index of the request's kind in its service, if a route set it.
     pub routed_kind: Option<usize>,
+    /// Whether its route needs no API key.
+    pub is_public: bool,
     /// Target for the next dispatch, if the placement picked it.
     pub granted_choice: Option<TargetChoice>,
     /// Lease of that target.
@@ -178,6 +180,7 @@
             body_status: BodyStatus::default(),
             waited_behind: Duration::ZERO,
             routed_kind: None,
+            is_public: false,
             granted_choice: None,
             lease: None,
             targets: Vec::new(),
--- a/src/filters/identify.rs
+++ b/src/filters/identify.rs
@@ -9,7 +9,6 @@
 use http::{HeaderMap, header};
 use zinniaport_core::call::ReasonCode;
 use zinniaport_core::keys::CallerKey;
-use zinniaport_core::routes::RouteRule;
 
 use super::{FilterNext, FilterResult, RequestFilter};
 use crate::exchange::Exchange;
@@ -115,10 +114,15 @@
         return Err(refusal.retry_after(CONFIGURATION_RETRY_AFTER));
     }
     let host = host_of(&exchange.head).unwrap_or_default();
-    let Some(choice) = routes.find(host, path).and_then(RouteRule::pick) else {
+    let Some(rule) = routes.find(host, path) else {
         let detail = format!("no route fits {host:?} and {path:?}");
         return Err(Refusal::not_run(ReasonCode::UnknownService, detail));
     };
+    exchange.is_public = rule.is_public();
+    let Some(choice) = rule.pick() else {
+        let detail = "this version does not know the kind or the services of the route";
+        return Err(Refusal::not_run(ReasonCode::UnsupportedRoute, detail));
+    };
     exchange.facts.service = choice.service;
     exchange.routed_kind = Some(choice.kind);
     Ok(())
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod attempt;
+mod authenticate;
 mod claim;
 mod classify;
 mod forward;
@@ -16,6 +17,7 @@
 use std::sync::Arc;
 
 pub use admit::AdmitFilter;
+pub use authenticate::AuthenticateFilter;
 pub use claim::ClaimFilter;
 pub use classify::ClassifyFilter;
 pub use forward::ForwardFilter;
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -112,6 +112,7 @@
             | ReasonCode::BadRequest
             | ReasonCode::BadKey
             | ReasonCode::KeyRequired => StatusCode::BAD_REQUEST,
+            ReasonCode::UnknownApiKey => StatusCode::UNAUTHORIZED,
             ReasonCode::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             ReasonCode::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             ReasonCode::KeyUsed => StatusCode::CONFLICT,
@@ -148,6 +149,7 @@
             ReasonCode::HeadTooLarge => "send fewer or shorter headers",
             ReasonCode::BodyTooLarge => "send a smaller body, or in parts",
             ReasonCode::SlowSender => "send the request without long pauses",
+            ReasonCode::UnknownApiKey => "send the API key of a tenant, once",
             ReasonCode::KeyRequired => "send an Idempotency-Key header, a UUIDv7 if possible",
             ReasonCode::BadKey => "send an Idempotency-Key of 1 to 128 visible ASCII characters",
             ReasonCode::ClaimUnavailable if self.retry_after.is_none() => {
--- a/src/runtime/chain.rs
+++ b/src/runtime/chain.rs
@@ -7,8 +7,8 @@
 
 use crate::claims::KeyClaims;
 use crate::filters::{
-    AdmitFilter, ClaimFilter, ClassifyFilter, FilterChain, ForwardFilter, IdentifyFilter,
-    QuarantineFilter, RecordFilter, RouteFilter,
+    AdmitFilter, AuthenticateFilter, ClaimFilter, ClassifyFilter, FilterChain, ForwardFilter,
+    IdentifyFilter, QuarantineFilter, RecordFilter, RouteFilter,
 };
 use crate::gate::QuarantineGate;
 use crate::placement::CallPlacement;
@@ -43,6 +43,7 @@
         FilterChain::new(vec![
             Arc::new(RecordFilter::new(state.clone())),
             Arc::new(IdentifyFilter::new(state.clone())),
+            Arc::new(AuthenticateFilter::new(state.clone())),
             Arc::new(ClassifyFilter::new(state.clone(), caller_path)),
             Arc::new(QuarantineFilter::new(state.clone(), quarantine, buffered_body_bytes)),
             Arc::new(ClaimFilter::new(state.clone(), claims)),
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -95,6 +95,7 @@
             path_prefix: "/h/".to_owned(),
             kind,
             parts,
+            is_public: false,
         }],
         services: vec![ServiceDefinition {
             name: "history".to_owned(),
@@ -102,6 +103,8 @@
             max_connections: 200,
         }],
         limits: None,
+        tenants: None,
+        unused_items: Vec::new(),
     };
     let item = Some(DirectoryItem::Configuration(definition));
     let change = DirectoryChange { name: "main".to_owned(), revision: 1, item };
