--- a/src/admin/observe.rs
+++ b/src/admin/observe.rs
@@ -106,6 +106,9 @@
     pub taken: Timestamp,
     /// When services or targets last changed at this entry.
     pub changed: Timestamp,
+    /// Items of the configuration that this version does not know and does not use.
+    #[serde(default)]
+    pub unused_items: Vec<String>,
     /// Services by name.
     pub services: Vec<ServiceStatus>,
 }
@@ -171,6 +174,11 @@
             data_centre: state.data_centre.to_string(),
             taken: now,
             changed: fleet.published,
+            unused_items: fleet
+                .routes
+                .as_ref()
+                .map(|table| table.unused_items.clone())
+                .unwrap_or_default(),
             services: fleet
                 .service_keys
                 .values()
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -83,6 +83,8 @@
     targets: TargetsHandle,
     ready: Arc<AtomicBool>,
     controller: DirectoryController,
+    /// Version of the configuration that was published last.
+    published_version: u64,
     calls: FuturesUnordered<BoxFuture<'static, DirectoryMessage>>,
 }
 
@@ -96,7 +98,8 @@
         settings: DirectorySettings,
     ) -> Self {
         let controller = DirectoryController::new(settings, rand::random());
-        Self { state, source, targets, ready, controller, calls: FuturesUnordered::new() }
+        let calls = FuturesUnordered::new();
+        Self { state, source, targets, ready, controller, published_version: 0, calls }
     }
 
     /// Follows the directory until `stop` is cancelled.
@@ -148,6 +151,9 @@
                 DirectoryEffect::Publish(fleet) => {
                     let version = fleet.routes.as_ref().map_or(0, |table| table.version);
                     log::info!(config_version = version, targets = fleet.targets.len(); "applied the directory");
+                    if version != std::mem::replace(&mut self.published_version, version) {
+                        self.report_unused_items(&fleet);
+                    }
                     self.targets.send(TargetsMessage::Intents(fleet));
                 }
                 DirectoryEffect::Ready => {
@@ -168,6 +174,15 @@
         }
     }
 
+    /// Reports what this version does not use of a new configuration.
+    fn report_unused_items(&self, fleet: &FleetSnapshot) {
+        let Some(table) = &fleet.routes else { return };
+        self.state.metrics.unused_items.set(table.unused_items.len() as f64);
+        for item in &table.unused_items {
+            log::warn!(config_version = table.version; "this version does not know and does not use: {item}; update zinniaport or correct the configuration");
+        }
+    }
+
     /// Reads changes that a peer already knows.
     fn catch_up(&self, part: DirectoryPart, revision: Option<u64>) {
         let source = self.source.clone();
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -25,6 +25,7 @@
 const RECORDS_NOT_COPIED: &str = "zinniaport_records_not_copied_total";
 const RECORD_COPY_BYTES: &str = "zinniaport_record_copy_bytes_total";
 const REPEATED_IDENTITIES: &str = "zinniaport_repeated_identities_total";
+const UNUSED_ITEMS: &str = "zinniaport_unused_configuration_items";
 const IN_FLIGHT: &str = "zinniaport_in_flight";
 /// Exported as a gauge that only rises, like the next one, because counters of the
 /// library cannot hold fractions of a second.
@@ -64,6 +65,8 @@
     unclassified: KindMetrics,
     /// Requests that were sent on another connection because one had carried their identity.
     pub repeated_identities: Counter,
+    /// Items of the configuration in force that this version does not use.
+    pub unused_items: Gauge,
     /// Metrics of placement.
     pub placement: PlacementMetrics,
     services: ArcSwap<SecondaryMap<ServiceKey, Arc<ServiceMetrics>>>,
@@ -85,6 +88,7 @@
             .build_recorder();
         let in_flight = with_local_recorder(&recorder, || gauge!(IN_FLIGHT));
         let repeated_identities = with_local_recorder(&recorder, || counter!(REPEATED_IDENTITIES));
+        let unused_items = with_local_recorder(&recorder, || gauge!(UNUSED_ITEMS));
         let unclassified = KindMetrics::new(&recorder, "unknown", "unknown");
         let placement = PlacementMetrics::new(&recorder);
         Self {
@@ -92,6 +96,7 @@
             in_flight,
             unclassified,
             repeated_identities,
+            unused_items,
             placement,
             services: ArcSwap::default(),
         }
