Let further entries serve the directory while the platform refuses the leaders

Change: in a deployment of more than 32 entries the four entries ranked next serve in the place of leaders that do not reach the platform.

--- a/src/directory/relay.rs
+++ b/src/directory/relay.rs
@@ -54,6 +54,12 @@
 }
 
 impl RelayedPart {
+    /// Returns `true` if the last response of the platform is recent enough to rule out newer
+    /// changes.
+    pub(super) fn is_fresh(&self) -> bool {
+        self.fresh_until().is_some_and(|until| until > Instant::now())
+    }
+
     fn apply(&mut self, batch: &DirectoryBatch, origin: BatchOrigin) {
         let listed = matches!(origin, BatchOrigin::Listed | BatchOrigin::ListedByPeer);
         if listed {
--- a/src/directory/relay_handler.rs
+++ b/src/directory/relay_handler.rs
@@ -106,11 +106,12 @@
     }
 
     async fn respond_to_follower(&self, query: RelayQuery) -> AdminResponse {
-        if !self.state.revisions.is_leader() {
+        let part = query.part;
+        // An entry that reaches the platform while the leaders do not serves in their place.
+        if !self.state.revisions.is_leader() && !self.relay.lock(part).is_fresh() {
             let leaders = self.state.revisions.leaders();
             return json_response(StatusCode::SERVICE_UNAVAILABLE, &leaders);
         }
-        let part = query.part;
         let Some(complete_since) = self.relay.lock(part).complete_since else {
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "nothing is known yet");
         };
@@ -121,7 +122,7 @@
             self.wait_for_changes(part, after, query.wait).await;
         }
         let mut relayed = self.relay.lock(part);
-        if relayed.fresh_until().is_none_or(|until| until <= Instant::now()) {
+        if !relayed.is_fresh() {
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "the platform does not answer");
         }
         batch_response(&mut relayed, query.after)
--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -43,6 +43,10 @@
 /// Time for which a leader that refused is skipped, such as one that is starting.
 const REFUSED_SKIP_TIME: Duration = Duration::from_millis(15);
 
+/// Time for which an entry is skipped that does not reach the platform while another one does, or
+/// while none does. A large fleet would otherwise ask the leaders hundreds of times a second.
+const OUTAGE_SKIP_TIME: Duration = Duration::from_millis(500);
+
 /// Time between two calls of a follower to the platform while neither it nor its leaders
 /// get a response. The leaders call more often and usually notice first that the platform
 /// is back; a follower's own calls help if the platform refuses fewer of them than of theirs.
@@ -298,12 +302,23 @@
         if self.reverses_leaders {
             leaders.reverse();
         }
+        let substitutes = self.state.revisions.substitutes();
+        leaders.extend(&substitutes);
+        let mut refused = Vec::new();
         let mut position = 0;
         while let Some(address) = leaders.get(position).copied().filter(|_| position < MAX_ASKED) {
             position += 1;
             let Some(api) = self.client(address) else { continue };
             let skip_time = match query_entry(&api, query).await {
-                Ok(RelayResponse::Batch { batch, .. }) => return Ok(Some(batch)),
+                Ok(RelayResponse::Batch { batch, .. }) => {
+                    if substitutes.contains(&address) {
+                        refused.into_iter().for_each(|other| self.skip(other, OUTAGE_SKIP_TIME));
+                    }
+                    return Ok(Some(batch));
+                }
+                Ok(RelayResponse::Referred(_)) if substitutes.contains(&address) => {
+                    OUTAGE_SKIP_TIME
+                }
                 Ok(RelayResponse::Referred(others)) => {
                     // An entry that hears of few others does not know which of them lead.
                     for other in others {
@@ -318,7 +333,12 @@
                 Err(error) => {
                     log::debug!("cannot read the directory from leader {address}: {error}");
                     let was_refused = matches!(error, StoreError::Refused { .. });
-                    if was_refused { REFUSED_SKIP_TIME } else { UNRESPONSIVE_SKIP_TIME }
+                    if was_refused {
+                        refused.push(address);
+                        REFUSED_SKIP_TIME
+                    } else {
+                        UNRESPONSIVE_SKIP_TIME
+                    }
                 }
             };
             self.skip(address, skip_time);
--- a/src/directory/revisions.rs
+++ b/src/directory/revisions.rs
@@ -17,6 +17,8 @@
     /// `true` while peers watch for this entry. An entry without peers is a leader.
     follows: AtomicBool,
     leaders: ArcSwap<Vec<SocketAddr>>,
+    /// Peers that serve the directory in the order given while no leader reaches the platform.
+    substitutes: ArcSwap<Vec<SocketAddr>>,
     /// Peers that announced that they know the directory.
     holders: ArcSwap<Vec<SocketAddr>>,
     /// `true` while this entry may not have heard of the entries that lead.
@@ -54,6 +56,16 @@
         self.leaders.load().to_vec()
     }
 
+    /// Sets the peers to read from, in this order, while no leader reaches the platform.
+    pub fn set_substitutes(&self, substitutes: Vec<SocketAddr>) {
+        self.substitutes.store(substitutes.into());
+    }
+
+    /// Returns the peers to read from while no leader reaches the platform.
+    pub(super) fn substitutes(&self) -> Vec<SocketAddr> {
+        self.substitutes.load().to_vec()
+    }
+
     /// Sets the peers that know the directory, the largest first.
     pub fn set_holders(&self, holders: Vec<SocketAddr>) {
         self.holders.store(holders.into());
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -56,6 +56,11 @@
 /// each would watch the platform until it has heard of two others.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
+/// Number of live entries behind the leaders that serve the directory in their place while no
+/// leader reaches the platform, in a deployment of more than [`SMALL_DEPLOYMENT`] entries. If the
+/// platform refuses a third of the entries, all six are refused once in 700 outages.
+const SUBSTITUTE_COUNT: usize = 4;
+
 /// Number of peers that are kept to take the directory from.
 const MAX_HOLDERS: usize = 8;
 
@@ -329,9 +334,16 @@
         let ranks_higher = |peer: &CoordinatorCandidate| {
             (peer.capacity, own.address) > (own.capacity, peer.address)
         };
-        let higher: Vec<_> = ranked.into_iter().filter(ranks_higher).take(LEADER_COUNT).collect();
-        let is_leader = higher.len() < LEADER_COUNT && self.state.revisions.is_settled();
-        let leaders = higher.into_iter().map(|peer| peer.address).collect();
+        let higher = ranked.iter().filter(|peer| ranks_higher(peer)).map(|peer| peer.address);
+        let mut leaders: Vec<_> = higher.take(LEADER_COUNT + SUBSTITUTE_COUNT).collect();
+        let substitutes = leaders.split_off(leaders.len().min(LEADER_COUNT));
+        let has_substitutes = ranked.len() > SMALL_DEPLOYMENT;
+        self.state.revisions.set_substitutes(if has_substitutes {
+            substitutes
+        } else {
+            Vec::new()
+        });
+        let is_leader = leaders.len() < LEADER_COUNT && self.state.revisions.is_settled();
         self.state.revisions.set_leaders(leaders, is_leader);
         if let Some(placement) = &self.placement {
             placement.set_candidates(peers.iter().copied().chain([own]).collect());
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -298,6 +298,27 @@
         assert_eq!(stale_reads, 0, "an entry without a reachable leader must not use stale reads");
     }
 
+    async substitutes_serve_for_refused_leaders: "every entry of a large deployment that calls a platform which refuses the leaders only" => {
+        let (refused, _) = leader().await;
+        // An entry that follows, whose own calls get responses.
+        let (substitute, relay) = relay_of_follower(vec![refused]).await;
+        let state = state("follower");
+        state.revisions.set_leaders(vec![refused], false);
+        state.revisions.set_substitutes(vec![substitute]);
+        let source = Arc::new(CountingSource::default());
+        let directory = RelayedDirectory::new(state, source.clone(), Arc::default());
+        relay.apply(PART, &batch(20, &[("i-1", 10)]), BatchOrigin::Listed);
+        relay.apply(PART, &batch(30, &[("i-2", 30)]), BatchOrigin::Watched);
+        let watched = directory.watch(PART, 20, ReadConsistency::Stale).await.unwrap();
+        assert_eq!((summarize(&watched), source.calls()), (vec![("i-2", 30, true)], 0));
+        // One that only heard from another entry cannot rule out newer changes.
+        let (stale, relay) = relay_of_follower(vec![refused]).await;
+        relay.apply(PART, &batch(20, &[("i-1", 10)]), BatchOrigin::ListedByPeer);
+        let (directory, source) = follower(vec![stale]);
+        directory.watch(PART, 20, ReadConsistency::Stale).await.unwrap();
+        assert_eq!(source.calls(), 1);
+    }
+
     async outage_limits_calls: "entries that each call a platform several times a second while it is down" => {
         // The leader has no response of the platform, as in a long outage.
         let (address, relay) = leader().await;
