Divide services by data centre where these are far apart

Cause: with one coordinator for each service, most placement requests of a fleet in four data centres cross data centres. Each adds two round trips and datagrams that are paid for by the byte.

Change: where the lowest round trip between data centres is at least 4 ms, each service has a part for each data centre with targets, coordinated there. A request leaves its data centre when the announced wait costs it more than the transfer; the overflow is spread at random by announced free slots and their age. Retry tokens, request limits and ejections are limited for these parts too. A gate whose counters belong to an earlier division is replaced.

--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod grants;
 mod intents;
+mod locations;
 mod measuring;
 mod membership;
 mod plans;
@@ -29,6 +30,7 @@
     ConfigMessage, ConfigSummary, EntryLocation, IntentsController, IntentsEffect, IntentsMessage,
     StoreBatch, VersionedIntent, WATCHERS_PER_REGION, choose_watchers,
 };
+pub use locations::{LocationsController, LocationsEffect, LocationsMessage};
 pub use measuring::{MeasuringController, MeasuringEffect, MeasuringMessage, ProbeTrigger};
 pub use membership::{
     GONE_AFTER, Heartbeat, MemberEntry, MemberGossip, MemberInfo, MemberState,
--- a/core/src/controllers/requester.rs
+++ b/core/src/controllers/requester.rs
@@ -11,8 +11,8 @@
 use crate::call::ReasonCode;
 use crate::clock::Timestamp;
 use crate::placement::{
-    AttemptKind, CoordinatorCandidate, EndedPlacement, PlacementId, PlacementMessage,
-    PlacementRequest, PlacementResponse, TargetGrant, rank_coordinators,
+    AttemptKind, CoordinatorCandidate, EndedPlacement, PartLocations, PlacementId,
+    PlacementMessage, PlacementRequest, PlacementResponse, TargetGrant, rank_coordinators,
 };
 use crate::signals::ServiceTag;
 
@@ -53,6 +53,8 @@
 pub enum RequesterMessage {
     /// The entries that may coordinate changed; this entry is among them.
     Candidates(Vec<CoordinatorCandidate>),
+    /// The data centres of entries or parts changed.
+    Locations(PartLocations),
     /// A request needs a target.
     Requested(PlacementId, PlacementRequest),
     /// A request no longer needs its target or its place in the queue.
@@ -139,6 +141,7 @@
 pub struct RequesterController {
     own_address: SocketAddr,
     candidates: Vec<CoordinatorCandidate>,
+    locations: PartLocations,
     /// Ranked coordinators of each service requested since the candidates changed.
     ranked: HashMap<ServiceTag, Vec<SocketAddr>>,
     suspected_until: HashMap<SocketAddr, Timestamp>,
@@ -154,6 +157,7 @@
         Self {
             own_address,
             candidates: Vec::new(),
+            locations: PartLocations::default(),
             ranked: HashMap::new(),
             suspected_until: HashMap::new(),
             busy_until: HashMap::new(),
@@ -170,9 +174,12 @@
     /// Returns the first coordinator of a service that is neither suspected nor busy, or this
     /// entry if all are.
     pub fn coordinator(&mut self, service: ServiceTag, now: Timestamp) -> SocketAddr {
-        let candidates = &self.candidates;
-        let ranked =
-            self.ranked.entry(service).or_insert_with(|| rank_coordinators(service, candidates));
+        let (candidates, locations) = (&self.candidates, &self.locations);
+        let ranked = self.ranked.entry(service).or_insert_with(|| {
+            let mut ranked = rank_coordinators(service, candidates);
+            locations.prefer_home(service, &mut ranked);
+            ranked
+        });
         let has_passed = |times: &HashMap<SocketAddr, Timestamp>, address: &SocketAddr| {
             times.get(address).is_none_or(|until| *until <= now)
         };
@@ -370,6 +377,11 @@
                 self.ranked.clear();
                 Vec::new()
             }
+            RequesterMessage::Locations(locations) => {
+                self.locations = locations;
+                self.ranked.clear();
+                Vec::new()
+            }
             RequesterMessage::Requested(id, request) => {
                 vec![self.send_request(id, request, now, now)]
             }
--- a/core/src/controllers/targets.rs
+++ b/core/src/controllers/targets.rs
@@ -23,6 +23,8 @@
     Intents(Arc<FleetSnapshot>),
     /// The member list or this entry's position in it changed.
     View(EntryView),
+    /// Services that coordinators place are divided by data centre from now on, or no longer.
+    DivideByDataCentre(bool),
     /// A target announced in a response that it drains, or must not get requests until a
     /// health check succeeds.
     DrainStarted(TargetKey),
@@ -129,6 +131,12 @@
                     self.fleet.set_view(view);
                 }
             }
+            TargetsMessage::DivideByDataCentre(is_divided) => {
+                changed = self.fleet.is_divided_by_data_centre != is_divided;
+                if changed {
+                    self.fleet.divide_by_data_centre(is_divided);
+                }
+            }
             TargetsMessage::DrainStarted(target) => self.set_drained(target, true, now),
             TargetsMessage::DrainEnded(target) => self.set_drained(target, false, now),
             TargetsMessage::LeavingVms(addresses) => {
@@ -153,6 +161,7 @@
         let view = std::mem::take(&mut self.fleet.view);
         let old = std::mem::replace(&mut self.fleet, intents.clone());
         self.fleet.view = view;
+        self.fleet.is_divided_by_data_centre = old.is_divided_by_data_centre;
         self.services.clear();
         for (service, snapshot) in &self.fleet.services {
             for (target, intent) in snapshot.targets.iter().zip(&snapshot.intent.targets) {
@@ -182,6 +191,7 @@
             let service = &mut self.fleet.services[key];
             if let Some(old) = old {
                 service.parts = old.parts.clone();
+                service.part_data_centres = old.part_data_centres.clone();
             }
             match old {
                 Some(old) if Arc::ptr_eq(&old.intent, &service.intent) => {
@@ -228,7 +238,7 @@
     /// that coordinates one part observes that part alone.
     fn eject(&mut self, service: ServiceKey, target: TargetKey, now: Timestamp) {
         let record = self.records[target];
-        let group = self.fleet.services[service].group_of(self.fleet.targets[target].address);
+        let group = self.fleet.services[service].group_of(&self.fleet.targets[target]);
         let below_limit = self.ejected(group).count() < self.max_ejected(group);
         if below_limit && record.is_eligible() && record.ejections.ejected_until().is_none() {
             self.records[target].ejections.eject(now);
--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::clock::Timestamp;
+use crate::placement::HeadroomGauge;
 use crate::policy::ProbePool;
 use crate::request_limit::LimitState;
 use crate::retry::{LatencyQuantile, RetryBudget};
@@ -262,6 +263,8 @@
     pub saturation: SaturationMonitor,
     /// When a request of this entry last waited for a target or was refused, in microseconds.
     pub pressed_at: AtomicU64,
+    /// Headroom that the coordinator announced last, if this is a part of a data centre.
+    pub headroom: HeadroomGauge,
 }
 
 impl ServiceCounters {
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -16,8 +16,7 @@
 };
 use crate::intent::{DesiredState, ServiceIntent, TargetInstance, TargetIntent};
 use crate::keys::{ServiceKey, TargetKey};
-use crate::placement::{part_count, part_of};
-use crate::policy::{EntryView, TargetTable, hash_address};
+use crate::policy::{EntryView, TargetTable};
 use crate::routes::{RouteDestination, RouteIntent, RouteRule, RoutingTable};
 
 /// State of a target as this entry sees it.
@@ -59,8 +58,10 @@
     /// Available targets for the routing policies, computed when the snapshot is made.
     pub table: Arc<TargetTable>,
     /// Parts of the service with their own counters, targets and tables, if it is placed by
-    /// coordinators and has too many targets for one.
+    /// coordinators and has too many targets for one, or is divided by data centre.
     pub parts: Arc<[Self]>,
+    /// Data centre of each part; empty unless the service is divided by data centre.
+    pub part_data_centres: Arc<[Arc<str>]>,
 }
 
 impl ServiceSnapshot {
@@ -69,50 +70,11 @@
         part.and_then(|part| self.parts.get(usize::from(part))).unwrap_or(self)
     }
 
-    /// Returns the groups of targets that are compared with each other: its parts, or the whole
-    /// service if it has none.
-    pub fn groups(&self) -> &[Self] {
-        if self.parts.is_empty() { std::slice::from_ref(self) } else { &self.parts }
-    }
-
-    /// Returns the group that the target with this address belongs to.
-    pub fn group_of(&self, address: SocketAddr) -> &Self {
-        let count = self.parts.len() as u16;
-        self.parts.get(usize::from(part_of(hash_address(address), count))).unwrap_or(self)
-    }
-
     /// Recomputes the median latencies of the targets.
     pub fn update_medians(&self) {
         self.table.update_median();
         self.parts.iter().for_each(|part| part.table.update_median());
     }
-
-    /// Divides the service into parts. Keeps the counters of those before, unless their number
-    /// changes.
-    fn divide(&self, targets: &SlotMap<TargetKey, TargetSnapshot>) -> Arc<[Self]> {
-        let count = part_count(self.targets.len());
-        if count == 1 || !self.table.is_coordinated {
-            return Arc::default();
-        }
-        let part_of_target = |key: &TargetKey| part_of(hash_address(targets[*key].address), count);
-        let keeps_counters = self.parts.len() == usize::from(count);
-        let parts = self.table.split(count).into_iter().zip(0..).map(|(table, part)| Self {
-            targets: self
-                .targets
-                .iter()
-                .copied()
-                .filter(|key| part_of_target(key) == part)
-                .collect(),
-            counters: match keeps_counters {
-                true => self.parts[usize::from(part)].counters.clone(),
-                false => Arc::default(),
-            },
-            table: Arc::new(table),
-            parts: Arc::default(),
-            ..self.clone()
-        });
-        parts.collect()
-    }
 }
 
 /// A target with its state.
@@ -163,6 +125,8 @@
     /// Routes by host and path; `None` if the first segment of the path is the name of the
     /// service.
     pub routes: Option<Arc<RoutingTable>>,
+    /// Whether services that coordinators place are divided by data centre.
+    pub is_divided_by_data_centre: bool,
 }
 
 impl FleetSnapshot {
@@ -212,10 +176,19 @@
             .unwrap_or_default();
         let targets = self.merge_targets(old_targets, &intent.targets, now);
         let name = intent.service.clone();
-        let counters = existing.map(|key| self.services[key].counters.clone()).unwrap_or_default();
-        let parts = existing.map(|key| self.services[key].parts.clone()).unwrap_or_default();
-        let (intent, table) = (Arc::new(intent), Arc::default());
-        let service = ServiceSnapshot { intent, version, targets, counters, table, parts };
+        let before = existing.map(|key| &self.services[key]);
+        let counters = before.map(|service| service.counters.clone()).unwrap_or_default();
+        let parts = before.map(|service| service.parts.clone()).unwrap_or_default();
+        let part_data_centres = before.map(|service| service.part_data_centres.clone());
+        let service = ServiceSnapshot {
+            intent: Arc::new(intent),
+            version,
+            targets,
+            counters,
+            table: Arc::default(),
+            parts,
+            part_data_centres: part_data_centres.unwrap_or_default(),
+        };
         let key = match existing {
             Some(key) => {
                 self.services[key] = service;
@@ -279,10 +252,18 @@
     /// Sets the view of this entry and the other live entries.
     pub fn set_view(&mut self, view: EntryView) {
         self.view = view;
+        self.update_tables();
+    }
+
+    /// Sets whether services that coordinators place are divided by data centre.
+    pub fn divide_by_data_centre(&mut self, is_divided: bool) {
+        self.is_divided_by_data_centre = is_divided;
+        self.update_tables();
+    }
+
+    fn update_tables(&mut self) {
         let keys: Vec<_> = self.services.keys().collect();
-        for key in keys {
-            self.update_table(key);
-        }
+        keys.into_iter().for_each(|key| self.update_table(key));
     }
 
     /// Recomputes the target table of a service after its targets changed.
@@ -292,7 +273,7 @@
         let table = Arc::new(TargetTable::new(targets, &self.view));
         let service = &mut self.services[key];
         service.table = table;
-        service.parts = service.divide(&self.targets);
+        service.divide(&self.targets, self.is_divided_by_data_centre);
     }
 
     /// Applies the targets of an intent. Targets whose address and instance are unchanged
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -7,14 +7,21 @@
 //! it is about to use. Its state is soft state, lost when its process ends. An entry that gets
 //! no response sends its request to the next candidate and finally places it itself.
 
+mod data_centres;
+mod distance;
+mod division;
 mod intake;
 mod load;
+mod overflow;
 mod parts;
 mod ranking;
 mod share;
 
+pub use data_centres::{DataCentreParts, PartLocations, PartSenders, part_data_centres};
+pub use distance::{DistanceMonitor, FAR_ROUND_TRIP, RoundTripReport};
 pub use intake::PlacementIntake;
 pub use load::{LoadChange, LoadMonitor, LoadSummary};
+pub use overflow::{HeadroomGauge, MAX_HEADROOM_AGE, PartChooser, PartHeadroom};
 pub use parts::{
     HOME_PARTS, MAX_PART_TARGETS, PartKey, choose_part, count_part_senders, home_parts, other_home,
     part_count, part_of, part_tag,
--- a/core/src/placement/share.rs
+++ b/core/src/placement/share.rs
@@ -31,10 +31,14 @@
     /// Returns the part of all entries that this one places requests for, itself included.
     /// `entry_count` is the number of entries that may be running.
     pub fn share(&mut self, service: ServiceTag, entry_count: usize, now: Timestamp) -> f64 {
-        let served = self.last_requests.get_mut(&service).map_or(0, |entries| {
-            entries.retain(|_, at| now.since(*at) < SERVED_PERIOD);
-            entries.len()
-        });
+        let served = self.served(service, now).len();
         ((1 + served) as f64 / entry_count.max(1) as f64).min(1.0)
     }
+
+    /// Returns the other entries that this one places requests for.
+    pub fn served(&mut self, service: ServiceTag, now: Timestamp) -> Vec<SocketAddr> {
+        let Some(entries) = self.last_requests.get_mut(&service) else { return Vec::new() };
+        entries.retain(|_, at| now.since(*at) < SERVED_PERIOD);
+        entries.keys().copied().collect()
+    }
 }
--- a/core/src/policy/table.rs
+++ b/core/src/policy/table.rs
@@ -160,20 +160,25 @@
         });
     }
 
-    /// Divides the table into tables of `count` parts, without home slots.
-    pub fn split(&self, count: u16) -> Vec<Self> {
+    /// Divides the table into tables of `count` parts, without home slots: one for each of
+    /// `data_centres`, or, if there are none, by the hash of the addresses.
+    pub fn split(&self, data_centres: &[Arc<str>], count: u16) -> Vec<Self> {
         let (entry_count, is_coordinated) = (self.entry_count, self.is_coordinated);
         let empty = || Self { entry_count, is_coordinated, ..Self::default() };
         let mut parts: Vec<_> = (0..count).map(|_| empty()).collect();
         for target in &self.available {
-            let part = &mut parts[usize::from(part_of(target.address_hash, count))];
+            let by_address = || usize::from(part_of(target.address_hash, count));
+            let position = data_centres.iter().position(|name| *name == target.data_centre);
+            let part = &mut parts[position.unwrap_or_else(by_address)];
             if target.local {
                 part.local.push(part.available.len() as u32);
             }
             part.available.push(AvailableTarget { home_slots: 0, ..target.clone() });
         }
+        // An entry uses one part by data centre for nearly all of its requests.
+        let tables = if data_centres.is_empty() { HOME_PARTS as u32 } else { 1 };
         for part in &mut parts {
-            part.count_data_centre_targets(HOME_PARTS as u32);
+            part.count_data_centre_targets(tables);
             part.update_median();
         }
         parts
--- a/core/src/signals.rs
+++ b/core/src/signals.rs
@@ -10,6 +10,7 @@
 use crate::clock::Timestamp;
 use crate::digest::ShortDigest;
 use crate::fleet::TargetSnapshot;
+use crate::placement::{PartHeadroom, RoundTripReport};
 use crate::quarantine::CrashRecord;
 
 /// Identifies a target in messages between entries, whose keys differ. Among 4,100 targets
@@ -45,6 +46,13 @@
         Self(ShortDigest::of(&[name.as_bytes()]).high_bits() as u32)
     }
 
+    /// Derives the tag of the part of a service in a data centre. It depends on nothing else, so
+    /// that entries that see different live entries have the same tag.
+    pub fn of_data_centre(name: &str, data_centre: &str) -> Self {
+        let parts = [name.as_bytes(), b"data-centre", data_centre.as_bytes()];
+        Self(ShortDigest::of(&parts).high_bits() as u32)
+    }
+
     /// Derives the tag of one of `count` parts of a service.
     pub fn of_part(name: &str, part: u16, count: u16) -> Self {
         let parts = [name.as_bytes(), &part.to_be_bytes(), &count.to_be_bytes()];
@@ -88,3 +96,26 @@
     /// Entries that the sender receives messages from; present in some messages only.
     pub members: Vec<SocketAddr>,
 }
+
+/// Message in which an entry tells another one where it is. A request for the same is answered;
+/// the sender measures the round trip with it.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct LocationMessage {
+    /// Data centre of the sender.
+    pub data_centre: String,
+    /// Clock reading of the entry that sent the request, in microseconds.
+    pub sent: u64,
+    /// Whether this is the response to a request.
+    pub is_response: bool,
+    /// Lowest round trip between data centres that the sender knows.
+    pub lowest: RoundTripReport,
+}
+
+/// Headroom of the parts that the sender coordinates.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct HeadroomMessage {
+    /// Headroom of each part.
+    pub parts: Vec<PartHeadroom>,
+    /// Whether the receiver passes the message on to the entries of its own data centre.
+    pub is_relayed: bool,
+}
--- a/core/tests/support/mod.rs
+++ b/core/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Fleets for tests.
 #![allow(dead_code)]
 
+pub mod waves;
+
 use std::net::SocketAddr;
 
 use zinniaport_core::clock::Timestamp;
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -56,14 +56,14 @@
 /// least one of them sees the other and no wakeup is lost.
 pub struct AdmissionGate {
     clock: Arc<dyn ClockSource>,
-    counters: Arc<ServiceCounters>,
+    pub(super) counters: Arc<ServiceCounters>,
     admissions: Arc<AtomicU64>,
     /// Concurrency window of this entry, in requests.
     window: AtomicU32,
     /// Time at which the window was computed last, in microseconds, or 0.
     window_updated_at: AtomicU64,
     /// Length of the queue, readable without its mutex.
-    waiting: AtomicU32,
+    pub(super) waiting: AtomicU32,
     /// Moving average of the service time, in microseconds.
     service_time_us: AtomicU64,
     run_quantile: RunQuantile,
@@ -157,14 +157,14 @@
         waiting as f32 > usable as f32 * OVERLOAD_RATIO
     }
 
-    fn headroom(&self, table: &TargetTable, admitted: u32) -> ServiceHeadroom {
+    pub(super) fn headroom(&self, table: &TargetTable, admitted: u32) -> ServiceHeadroom {
         let service = HeadroomInput { table, saturation: &self.counters.saturation };
         service_headroom(&service, admitted, self.clock.now())
     }
 
     /// Returns the service time at a target that is not slowed, or the average one if that is
     /// not known yet.
-    fn nominal_service_time(&self) -> Duration {
+    pub(super) fn nominal_service_time(&self) -> Duration {
         self.counters.saturation.nominal_service_time().unwrap_or_else(|| self.service_time())
     }
 
--- a/src/gate/gates.rs
+++ b/src/gate/gates.rs
@@ -24,16 +24,21 @@
         Self { clock, admissions: Arc::default(), gates: ArcSwap::default() }
     }
 
-    /// Returns the gate of a service or a part, which the first request for it creates.
+    /// Returns the gate of a service or a part, which the first request for it creates. If the
+    /// service has been divided otherwise since, a new gate takes the place of the one before,
+    /// whose requests leave it as its slots become free.
     pub fn get_or_create(&self, key: PartKey, service: &ServiceSnapshot) -> Arc<AdmissionGate> {
-        if let Some(gate) = self.gates.load().get(&key) {
+        let is_current = |gate: &Arc<AdmissionGate>| gate.has_counters(&service.counters);
+        if let Some(gate) = self.gates.load().get(&key).filter(|gate| is_current(gate)) {
             return gate.clone();
         }
         let (clock, counters) = (self.clock.clone(), service.counters.clone());
         let created = Arc::new(AdmissionGate::new(clock, counters, self.admissions.clone()));
         self.gates.rcu(|gates| {
             let mut gates = HashMap::clone(gates);
-            gates.entry(key).or_insert_with(|| created.clone());
+            if !gates.get(&key).is_some_and(is_current) {
+                gates.insert(key, created.clone());
+            }
             gates
         });
         self.gates.load().get(&key).cloned().unwrap_or(created)
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -2,6 +2,7 @@
 //! behind a mutex that is held briefly and never by a controller.
 
 mod admission;
+mod announced;
 mod archive;
 mod gates;
 mod quarantine;
--- a/src/placement/coordinated.rs
+++ b/src/placement/coordinated.rs
@@ -1,6 +1,7 @@
 //! Placement by the coordinator of each service, or by this entry if no coordinator responds.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::future::BoxFuture;
@@ -11,14 +12,14 @@
 use zinniaport_core::controllers::PlacementDecision;
 use zinniaport_core::decision::AdmissionTrace;
 use zinniaport_core::fleet::{FleetSnapshot, ServiceSnapshot, TargetCounters, TargetState};
-use zinniaport_core::keys::TargetKey;
 use zinniaport_core::placement::{
-    AttemptEnd, AttemptKind, EndedPlacement, PartKey, PlacementId, PlacementRequest, TargetGrant,
-    choose_part, other_home,
+    AttemptEnd, AttemptKind, EndedPlacement, PartChooser, PartKey, PlacementId, PlacementRequest,
+    TargetGrant,
 };
 use zinniaport_core::policy::TargetChoice;
 
 use super::coordinator::{Coordinator, PlacementCall, TargetReservation};
+use super::exclusions::{excluded_targets, has_usable_target, time_until_open};
 use super::handle::PlacementHandle;
 use super::tags::TagCache;
 use super::{CallPlacement, Placement, PlacementLease};
@@ -35,6 +36,10 @@
 /// requests wait there too. Probes before use take up to 12 ms.
 const PRESSED_WAIT: Duration = Duration::from_millis(30);
 
+/// Round trips to another data centre that a request placed there takes: one for its placement and
+/// one for the request itself.
+const ROUND_TRIPS_ELSEWHERE: u32 = 2;
+
 /// Sends a placement request to the coordinator of the service for each attempt.
 pub struct CoordinatedPlacement {
     state: Arc<SharedState>,
@@ -72,13 +77,19 @@
             let retry_after = add_jitter(retry_after);
             return Err(GateRefusal { reason: ReasonCode::NoTarget, retry_after });
         }
-        let index = choose_part(service, self.affinity, now, &mut rand::rng());
+        let chooser = self.part_chooser(service, exchange);
+        let mut index = chooser.first(now, &mut rand::rng());
+        let is_divided = !service.part_data_centres.is_empty();
+        if is_divided && !has_usable_target(&fleet, service.part(index), exchange, now) {
+            index = chooser.next(index, now, &mut rand::rng()).or(index);
+        }
+        if chooser.is_elsewhere(index) {
+            self.state.metrics.placement.sent_elsewhere.increment(1);
+        }
         let open = self.open_placement(exchange, attempt, &fleet, index);
-        let (mut open, decision) = match other_home(service, self.affinity, index) {
-            Some(other) if attempt.is_first() => {
-                self.decide_in_either(exchange, &fleet, open, other).await
-            }
-            _ => (open, None),
+        let (mut open, decision) = match attempt.is_first() && service.parts.len() > 1 {
+            true => self.decide_in_either(exchange, &fleet, open, &chooser).await,
+            false => (open, None),
         };
         let decision = match decision {
             Some(decision) => Some(decision),
@@ -118,35 +129,56 @@
         }
     }
 
-    /// Waits for the decision on a request in one of its home parts. While it waits there, or if
-    /// it is refused, places it in `other` as soon as no request waits in that one. Returns the
-    /// open placement, and the decision if there is one.
+    fn part_chooser<'a>(
+        &'a self,
+        service: &'a ServiceSnapshot,
+        exchange: &Exchange,
+    ) -> PartChooser<'a> {
+        let round_trip_us = self.state.data_centre_round_trip_us.load(Ordering::Relaxed);
+        let nominal = service
+            .groups()
+            .iter()
+            .find_map(|part| part.counters.saturation.nominal_service_time());
+        let transfer = Duration::from_micros(round_trip_us) * ROUND_TRIPS_ELSEWHERE
+            + nominal.unwrap_or_default().mul_f32(remote_cost(exchange));
+        let (data_centre, affinity) = (&*self.state.data_centre, self.affinity);
+        let soft_left = exchange.facts.soft_deadline().since(self.state.clock.now());
+        PartChooser { service, data_centre, affinity, transfer, soft_left }
+    }
+
+    /// Waits for the decision on a request in one of the parts of its service. While it waits
+    /// there, or if it is refused, places it in another part as soon as no request waits in that
+    /// one. Returns the open placement, and the decision if there is one.
     async fn decide_in_either(
         &self,
         exchange: &Exchange,
         fleet: &Arc<FleetSnapshot>,
         mut open: OpenPlacement,
-        other: u16,
+        chooser: &PartChooser<'_>,
     ) -> (OpenPlacement, Option<PlacementDecision>) {
         let facts = &exchange.facts;
-        let Some(service) = fleet.services.get(facts.service) else { return (open, None) };
+        let patience = chooser.patience(PRESSED_WAIT, self.state.clock.now());
+        let mut moves = 0;
         loop {
             let time_left = facts.time_left(self.state.clock.now());
             if time_left.is_zero() {
                 return (open, None);
             }
-            let decision = open.wait(PRESSED_WAIT.min(time_left)).await;
+            let decision = open.wait(patience.min(time_left)).await;
             if !matches!(decision, None | Some(PlacementDecision::Refused { .. })) {
                 return (open, decision);
             }
             let now = self.state.clock.now();
-            service.part(open.part.part).counters.record_pressure(now);
-            if !service.part(Some(other)).counters.is_pressed(now) {
+            chooser.service.part(open.part.part).counters.record_pressure(now);
+            if let Some(other) = chooser.next(open.part.part, now, &mut rand::rng()) {
+                self.state.metrics.placement.moved.increment(1);
                 // Dropping the first one gives up its place in the queue.
-                return (
-                    self.open_placement(exchange, AttemptKind::Resent, fleet, Some(other)),
-                    None,
-                );
+                open = self.open_placement(exchange, AttemptKind::Resent, fleet, Some(other));
+                moves += 1;
+                if moves == chooser.max_moves() {
+                    return (open, None);
+                }
+                continue;
             }
             if decision.is_some() {
                 return (open, decision);
@@ -344,30 +376,6 @@
     }
 }
 
-/// Returns the targets that a request must not be sent to: those that it was sent to before, and
-/// those that asked this entry for no requests.
-fn excluded_targets(
-    fleet: &FleetSnapshot,
-    service: &ServiceSnapshot,
-    exchange: &Exchange,
-    now: Timestamp,
-) -> Vec<TargetKey> {
-    let mut excluded = exchange.sent_targets(fleet, service);
-    let available = service.table.available.iter();
-    let paused = available.filter(|target| target.counters.pause_left(now).is_some());
-    let paused: Vec<_> =
-        paused.map(|target| target.key).filter(|key| !excluded.contains(key)).collect();
-    excluded.extend(paused);
-    excluded
-}
-
-/// Returns the time until the first target of a service takes requests of this entry again, or
-/// `None` if one does now or there is none.
-fn time_until_open(service: &ServiceSnapshot, now: Timestamp) -> Option<Duration> {
-    let pauses = service.table.available.iter().map(|target| target.counters.pause_left(now));
-    pauses.collect::<Option<Vec<_>>>()?.into_iter().min()
-}
-
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/src/placement/driver.rs
+++ b/src/placement/driver.rs
@@ -24,8 +24,8 @@
 use super::coordinated::CoordinatedPlacement;
 use super::coordinator::Coordinator;
 use super::handle::{PlacementEvent, PlacementHandle, ReceivedMessage};
+use super::headroom::PartState;
 use super::served::ServedRequest;
-use super::shares::update_limit_shares;
 use super::tags::TagCache;
 use crate::gate::AdmissionGates;
 use crate::signals::{SignalDatagram, SignalSender};
@@ -39,6 +39,9 @@
 /// Number of ticks between two checks for entries that went silent.
 const TICKS_PER_SWEEP: u32 = 10;
 
+/// Number of ticks between two announcements of the headroom of parts.
+const TICKS_PER_ANNOUNCEMENT: u32 = 20;
+
 /// Maximum number of messages of other entries that wait. An entry of half a core handles about
 /// 10,000 per second; older ones have been repeated or have ended.
 const MAX_MESSAGES: usize = 2_048;
@@ -61,6 +64,7 @@
     pub(super) served_entries: ServedEntries,
     /// Affinities of the live entries, this one included.
     pub(super) affinities: Vec<u64>,
+    pub(super) parts: PartState,
     pub(super) tags: Arc<TagCache>,
     /// When the message that is being handled arrived.
     pub(super) received: Timestamp,
@@ -103,6 +107,7 @@
             served: HashMap::new(),
             served_entries: ServedEntries::default(),
             affinities: Vec::new(),
+            parts: PartState::default(),
             tags: Arc::default(),
             received: Timestamp::default(),
             load: LoadMonitor::default(),
@@ -146,6 +151,9 @@
                 _ = ticks.tick() => {
                     ticked = ticked.wrapping_add(1);
                     self.tick(ticked.is_multiple_of(TICKS_PER_SWEEP));
+                    if ticked.is_multiple_of(TICKS_PER_ANNOUNCEMENT) {
+                        self.announce_headroom();
+                    }
                 }
             }
             self.decide_next();
@@ -160,8 +168,8 @@
         if is_sweep {
             self.report_load();
             self.step_grants(GrantsMessage::Tick);
-            let served = &mut self.served_entries;
-            update_limit_shares(&self.state, &self.tags, &self.affinities, served);
+            self.refresh_locations();
+            self.update_limit_shares();
         }
     }
 
@@ -206,9 +214,12 @@
             }
             PlacementEvent::Candidates(candidates) => {
                 let addresses = candidates.iter().map(|candidate| candidate.address);
-                self.affinities = addresses.map(affinity_of).collect();
+                self.parts.live = addresses.collect();
+                self.affinities = self.parts.live.iter().copied().map(affinity_of).collect();
                 self.step_requester(RequesterMessage::Candidates(candidates));
             }
+            PlacementEvent::Locations(entries) => self.set_locations(entries),
+            PlacementEvent::Headroom(message) => self.receive_headroom(message),
             PlacementEvent::Decided(key, decision) => self.handle_decision(key, decision),
         }
     }
--- a/src/placement/handle.rs
+++ b/src/placement/handle.rs
@@ -1,5 +1,6 @@
 //! Events that requests of this entry and messages of others send to the placement driver.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -11,6 +12,7 @@
     AttemptEnd, CoordinatorCandidate, EndedPlacement, PlacementId, PlacementMessage,
     PlacementRequest,
 };
+use zinniaport_core::signals::HeadroomMessage;
 
 use super::coordinated::RemoteLease;
 use super::coordinator::PlacedCall;
@@ -22,6 +24,8 @@
     Requested(PlacementId, PlacementRequest, oneshot::Sender<PlacementDecision>),
     Ended(EndedPlacement),
     Candidates(Vec<CoordinatorCandidate>),
+    Locations(Arc<HashMap<SocketAddr, Arc<str>>>),
+    Headroom(HeadroomMessage),
     Decided(GrantKey, Result<PlacedCall, GateRefusal>),
 }
 
@@ -74,6 +78,16 @@
         self.send_event(PlacementEvent::Candidates(candidates));
     }
 
+    /// Sets the data centres of entries, this one included.
+    pub fn set_locations(&self, entries: Arc<HashMap<SocketAddr, Arc<str>>>) {
+        self.send_event(PlacementEvent::Locations(entries));
+    }
+
+    /// Handles the headroom that another entry announced.
+    pub fn receive_headroom(&self, message: HeadroomMessage) {
+        self.send_event(PlacementEvent::Headroom(message));
+    }
+
     /// Sends an event. The driver runs as long as the process, so a failure to send only
     /// occurs while the process ends and is ignored.
     pub(super) fn send_event(&self, event: PlacementEvent) {
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -4,7 +4,9 @@
 mod coordinated;
 mod coordinator;
 mod driver;
+mod exclusions;
 mod handle;
+mod headroom;
 mod local;
 mod prober;
 mod served;
--- a/src/placement/shares.rs
+++ b/src/placement/shares.rs
@@ -3,43 +3,60 @@
 use std::sync::atomic::Ordering;
 
 use zinniaport_core::fleet::{FleetSnapshot, ServiceSnapshot};
-use zinniaport_core::placement::{PartKey, ServedEntries, count_part_senders};
+use zinniaport_core::placement::{PartKey, PartSenders, count_part_senders};
+use zinniaport_core::signals::ServiceTag;
 
-use super::tags::TagCache;
-use crate::state::SharedState;
+use super::driver::PlacementDriver;
 
-/// Sets the part of each request limit from the entries that sent placement requests.
-/// `affinities` are those of the live entries.
-pub(super) fn update_limit_shares(
-    state: &SharedState,
-    tags: &TagCache,
-    affinities: &[u64],
-    served: &mut ServedEntries,
-) {
-    let fleet = state.fleet.load_full();
-    let entry_count = state.entry_count.load(Ordering::Relaxed);
-    for (key, service) in &fleet.services {
-        if !has_limits(&fleet, service) {
-            continue;
+impl PlacementDriver {
+    /// Sets the part of each request limit from the entries that sent placement requests.
+    pub(super) fn update_limit_shares(&mut self) {
+        let fleet = self.state.fleet.load_full();
+        let entry_count = self.state.entry_count.load(Ordering::Relaxed);
+        for (key, service) in &fleet.services {
+            if !has_limits(&fleet, service) {
+                continue;
+            }
+            let table = self.tags.table_for(&fleet);
+            if let Some(tag) = table.tag_of_part(key.into()).filter(|_| service.parts.is_empty()) {
+                let share = self.served_entries.share(tag, entry_count, self.state.clock.now());
+                set_share(&fleet, service, share);
+            }
+            for (part, index) in service.parts.iter().zip(0..) {
+                let Some(tag) = table.tag_of_part(PartKey { service: key, part: Some(index) })
+                else {
+                    continue;
+                };
+                let share = self.share_of_part(service, tag, index, entry_count);
+                set_share(&fleet, part, share);
+            }
         }
-        let table = tags.table_for(&fleet);
-        let mut update = |part: PartKey, service: &ServiceSnapshot, senders: usize| {
-            let Some(tag) = table.tag_of_part(part) else { return };
-            let share = served.share(tag, senders, state.clock.now());
-            let targets = service.targets.iter().filter_map(|key| fleet.targets.get(*key));
-            targets.for_each(|target| target.counters.limit.set_share(share));
+    }
+
+    fn share_of_part(
+        &mut self,
+        service: &ServiceSnapshot,
+        tag: ServiceTag,
+        index: u16,
+        entry_count: usize,
+    ) -> f64 {
+        let now = self.state.clock.now();
+        let Some(home) = service.part_data_centres.get(usize::from(index)) else {
+            let count = service.parts.len() as u16;
+            let senders = count_part_senders(index, count, &self.affinities, entry_count);
+            return self.served_entries.share(tag, senders, now);
         };
-        if service.parts.is_empty() {
-            update(key.into(), service, entry_count);
-        }
-        let count = service.parts.len() as u16;
-        for (part, index) in service.parts.iter().zip(0..) {
-            let senders = count_part_senders(index, count, affinities, entry_count);
-            update(PartKey { service: key, part: Some(index) }, part, senders);
-        }
+        let served = self.served_entries.served(tag, now);
+        let live = (self.sender.address(), &*self.parts.live, entry_count);
+        PartSenders::count(home, &self.parts.entries, live, &served).limit_share()
     }
 }
 
+fn set_share(fleet: &FleetSnapshot, service: &ServiceSnapshot, share: f64) {
+    let targets = service.targets.iter().filter_map(|key| fleet.targets.get(*key));
+    targets.for_each(|target| target.counters.limit.set_share(share));
+}
+
 fn has_limits(fleet: &FleetSnapshot, service: &ServiceSnapshot) -> bool {
     let mut targets = service.targets.iter().filter_map(|key| fleet.targets.get(*key));
     targets.any(|target| target.counters.limit.limit().is_some())
--- a/src/placement/tags.rs
+++ b/src/placement/tags.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use zinniaport_core::fleet::FleetSnapshot;
+use indexmap::IndexSet;
+use zinniaport_core::fleet::{FleetSnapshot, ServiceSnapshot};
 use zinniaport_core::keys::{ServiceKey, TargetKey};
 use zinniaport_core::placement::{PartKey, part_tag};
 use zinniaport_core::signals::{ServiceTag, TargetTag};
@@ -26,9 +27,11 @@
         let targets = tags.iter().map(|(key, tag)| (*tag, *key)).collect();
         let mut table = Self { targets, tags, ..Self::default() };
         for (name, service) in &fleet.service_keys {
-            let count =
-                fleet.services.get(*service).map_or(0, |service| service.parts.len() as u16);
+            let Some(snapshot) = fleet.services.get(*service) else { continue };
+            let divided_by_address = snapshot.part_data_centres.is_empty();
+            let count = if divided_by_address { snapshot.parts.len() as u16 } else { 0 };
             table.add_service(name, *service, count);
+            table.add_data_centres(name, *service, snapshot, &fleet);
         }
         Self { fleet, ..table }
     }
@@ -54,6 +57,31 @@
         }
     }
 
+    /// Adds the tags of the parts by data centre. While an entry does not divide a service by data
+    /// centre and another one does, requests of the latter for a part are placed in the service
+    /// or in one of its parts by address.
+    fn add_data_centres(
+        &mut self,
+        name: &str,
+        service: ServiceKey,
+        snapshot: &ServiceSnapshot,
+        fleet: &FleetSnapshot,
+    ) {
+        let targets = snapshot.targets.iter().filter_map(|key| fleet.targets.get(*key));
+        let names: IndexSet<_> = targets.map(|target| &target.data_centre).collect();
+        for (data_centre, position) in names.into_iter().zip(0_u16..) {
+            let tag = ServiceTag::of_data_centre(name, data_centre);
+            let own = snapshot.part_data_centres.iter().position(|own| own == data_centre);
+            let by_address =
+                (!snapshot.parts.is_empty()).then(|| position % snapshot.parts.len().max(1) as u16);
+            let part = PartKey { service, part: own.map(|own| own as u16).or(by_address) };
+            self.parts.insert(tag, part);
+            if own.is_some() {
+                self.part_tags.insert(part, tag);
+            }
+        }
+    }
+
     /// Returns the service or part that a request with this tag is for.
     pub(super) fn part(&self, tag: ServiceTag) -> Option<PartKey> {
         self.parts.get(&tag).copied()
--- a/src/runtime/coordinated.rs
+++ b/src/runtime/coordinated.rs
@@ -5,12 +5,14 @@
 
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
+use zinniaport_core::placement::DataCentreParts;
 use zinniaport_core::policy::RoutingPolicy;
 
 use super::{StartError, bind_listener};
 use crate::admin::AdminRouter;
 use crate::directory::{DirectoryRelay, RelayHandler};
 use crate::gate::{AdmissionGates, QuarantineGate};
+use crate::locations::LocationsDriver;
 use crate::placement::{CoordinatedPlacement, Coordinator, PlacementDriver, TargetProber};
 use crate::pool::TargetTransport;
 use crate::settings::SignalSettings;
@@ -30,6 +32,7 @@
     pub(super) policy: Arc<dyn RoutingPolicy>,
     pub(super) transport: Arc<dyn TargetTransport>,
     pub(super) relay: Arc<DirectoryRelay>,
+    pub(super) data_centre_parts: DataCentreParts,
 }
 
 impl CoordinatedParts {
@@ -39,7 +42,8 @@
         self,
         mut settings: SignalSettings,
     ) -> Result<(CoordinatedPlacement, SeedSender), StartError> {
-        let Self { state, targets, gates, quarantine, policy, transport, relay } = self;
+        let Self { state, targets, gates, quarantine, policy, transport, relay, data_centre_parts } =
+            self;
         let (probes, capacity) = (settings.target_probes_per_second, settings.capacity());
         let saved_retries = settings.saved_retries;
         let prober = TargetProber::new(state.clone(), transport, probes, capacity);
@@ -55,8 +59,19 @@
         let handler = RelayHandler::new(state.clone(), relay);
         let router = AdminRouter::new(vec![Arc::new(handler)]);
         tokio::spawn(router.serve(listener, CancellationToken::new()));
-        let driver = PlacementDriver::new(state, targets, gates, coordinator, sender);
+        let (placement_state, placement_targets) = (state.clone(), targets.clone());
+        let driver = PlacementDriver::new(
+            placement_state,
+            placement_targets,
+            gates,
+            coordinator,
+            sender.clone(),
+        );
         signals.set_placement(driver.handle());
+        let locations =
+            LocationsDriver::new(state, targets, driver.handle(), sender, data_centre_parts);
+        signals.set_locations(locations.handle());
+        tokio::spawn(locations.run(CancellationToken::new()));
         let (placement, seeds) = (driver.placement(), signals.seeds());
         tokio::spawn(signals.run(CancellationToken::new()));
         tokio::spawn(driver.run(CancellationToken::new()));
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -200,7 +200,9 @@
         let router = AdminRouter::new(handlers(&state, checks, control.as_ref()));
         tokio::spawn(router.serve(admin_listener, stop.clone()));
         tokio::spawn(run_burn_controller(state.clone(), stop.clone()));
-        let EntrySettings { limits, pool, stop: stop_settings, routing, signals, .. } = settings;
+        let EntrySettings {
+            limits, pool, stop: stop_settings, routing, signals, placement, ..
+        } = settings;
         let transport = Arc::new(HttpTransport::new(pool.clone(), Arc::new(SilenceLogger)));
         let policy = routing.policy();
         let (placement, seeds): (Arc<dyn CallPlacement>, _) = match signals {
@@ -214,6 +216,7 @@
                     policy: policy.clone(),
                     transport: transport.clone(),
                     relay,
+                    data_centre_parts: placement.data_centre_parts,
                 };
                 let (placement, seeds) = parts.start(signals).await?;
                 (Arc::new(placement), Some(seeds))
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod log;
 mod peers;
+mod placement;
 mod platform;
 mod pool;
 mod routing;
@@ -18,6 +19,7 @@
 pub use limits::LimitSettings;
 pub use log::{LogLevel, LogOutput, LogSettings};
 pub use peers::PeerSettings;
+pub use placement::PlacementSettings;
 pub use platform::{PlatformSettings, TeamSettings, TokenSettings};
 pub use pool::{MAX_CONNECTIONS_PER_TARGET, PoolSettings};
 pub use routing::RoutingSettings;
@@ -78,6 +80,10 @@
     /// estimates the load of the others.
     #[serde(default)]
     pub signals: Option<SignalSettings>,
+    /// Placement of requests by coordinators.
+    #[serde(default)]
+    #[builder(default)]
+    pub placement: PlacementSettings,
     /// Use of a directory of targets and configuration.
     #[serde(default)]
     #[builder(default)]
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -7,8 +7,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bincode::Options;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -16,13 +14,16 @@
 use zinniaport_core::controllers::{
     SignalsController, SignalsEffect, SignalsMessage, StateController, TargetsMessage,
 };
-use zinniaport_core::placement::{CoordinatorCandidate, PlacementMessage};
+use zinniaport_core::placement::CoordinatorCandidate;
 use zinniaport_core::policy::EntryView;
 use zinniaport_core::quarantine::{CrashRecord, CrashReport};
 use zinniaport_core::retry::own_retry_tokens;
 use zinniaport_core::signals::SignalMessage;
 
+use crate::datagrams::MAX_DATAGRAM;
+pub use crate::datagrams::{SignalDatagram, SignalSender, decode_datagram, encode_datagram};
 use crate::gate::QuarantineGate;
+use crate::locations::LocationsHandle;
 use crate::placement::PlacementHandle;
 use crate::runtime::StartError;
 use crate::settings::SignalSettings;
@@ -32,9 +33,6 @@
 /// Time between ticks.
 const TICK_PERIOD: Duration = Duration::from_millis(50);
 
-/// Maximum size of a received datagram, in bytes.
-const MAX_DATAGRAM: usize = 16 << 10;
-
 /// Maximum number of crash records in a datagram. Of the largest, 600 bytes each, these take
 /// 10 KB.
 const MAX_DATAGRAM_RECORDS: usize = 16;
@@ -63,45 +61,6 @@
 /// coordinate, so an entry that starts has to find them soon.
 const LISTED_LARGEST: usize = 4;
 
-/// A datagram between two entries.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum SignalDatagram {
-    /// State of the sender.
-    Signal(SignalMessage),
-    /// Placement requests and responses.
-    Placement(PlacementMessage),
-    /// Crash records.
-    Crashes(Vec<CrashRecord>),
-}
-
-/// Sends datagrams to other entries.
-#[derive(Clone)]
-pub struct SignalSender {
-    socket: Arc<UdpSocket>,
-    address: SocketAddr,
-}
-
-impl SignalSender {
-    /// Returns the address of the socket.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Sends a datagram to each address. Datagrams may be lost, so the sender repeats what must
-    /// arrive.
-    pub fn send(&self, datagram: &SignalDatagram, addresses: &[SocketAddr]) {
-        let bytes = match encode_datagram(datagram) {
-            Ok(bytes) => bytes,
-            Err(error) => return log::error!("cannot encode datagram: {error}"),
-        };
-        for address in addresses {
-            if let Err(error) = self.socket.try_send_to(&bytes, *address) {
-                log::debug!("cannot send datagram to {address}: {error}");
-            }
-        }
-    }
-}
-
 /// Owns the signals controller and receives all datagrams from other entries.
 pub struct SignalsDriver {
     state: Arc<SharedState>,
@@ -110,6 +69,7 @@
     settings: SignalSettings,
     sender: SignalSender,
     placement: Option<PlacementHandle>,
+    locations: Option<LocationsHandle>,
     controller: SignalsController,
     /// Seeds of the settings, as of the last reload.
     seeds: watch::Sender<Vec<SocketAddr>>,
@@ -146,8 +106,9 @@
             targets,
             quarantine,
             settings,
-            sender: SignalSender { socket: Arc::new(socket), address },
+            sender: SignalSender::new(Arc::new(socket), address),
             placement: None,
+            locations: None,
             controller,
             seeds: watch::Sender::new(seeds),
             incarnation,
@@ -159,7 +120,7 @@
 
     /// Returns the address of the socket.
     pub fn address(&self) -> SocketAddr {
-        self.sender.address
+        self.sender.address()
     }
 
     /// Returns a sender that uses the socket.
@@ -178,9 +139,14 @@
         self.placement = Some(placement);
     }
 
+    /// Sets the handle to which the live entries and what they say of their location are passed.
+    pub fn set_locations(&mut self, locations: LocationsHandle) {
+        self.locations = Some(locations);
+    }
+
     /// Exchanges signals until `stop` is cancelled.
     pub async fn run(mut self, stop: CancellationToken) {
-        let (state, socket) = (self.state.clone(), self.sender.socket.clone());
+        let (state, socket) = (self.state.clone(), self.sender.socket());
         let quarantine = self.quarantine.clone();
         let mut ticks = interval(TICK_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -228,7 +194,15 @@
             (Ok(SignalDatagram::Placement(message)), Some(placement)) => {
                 placement.receive(from, message);
             }
-            (Ok(SignalDatagram::Placement(_)), None) => {}
+            (Ok(SignalDatagram::Headroom(message)), Some(placement)) => {
+                placement.receive_headroom(message);
+            }
+            (Ok(SignalDatagram::Placement(_) | SignalDatagram::Headroom(_)), None) => {}
+            (Ok(SignalDatagram::Location(message)), _) => {
+                self.locations
+                    .iter()
+                    .for_each(|locations| locations.receive(from, message.clone()));
+            }
             (Err(error), _) => log::debug!("cannot decode datagram from {from}: {error}"),
         }
     }
@@ -336,6 +310,9 @@
         if let Some(placement) = &self.placement {
             placement.set_candidates(peers.iter().copied().chain([own]).collect());
         }
+        if let Some(locations) = &self.locations {
+            locations.set_live(peers.iter().map(|peer| peer.address).collect());
+        }
     }
 
     fn next_message(&mut self) -> SignalMessage {
@@ -368,22 +345,3 @@
         largest.chain(others).collect()
     }
 }
-
-/// Encodes a datagram. Numbers have a variable length, since most are small and traffic between
-/// data centres is paid for by the byte.
-///
-/// # Errors
-///
-/// Returns an error if the datagram is too large to encode.
-pub fn encode_datagram(datagram: &SignalDatagram) -> bincode::Result<Vec<u8>> {
-    bincode::DefaultOptions::new().serialize(datagram)
-}
-
-/// Decodes a datagram.
-///
-/// # Errors
-///
-/// Returns an error if the bytes are not a complete datagram.
-pub fn decode_datagram(bytes: &[u8]) -> bincode::Result<SignalDatagram> {
-    bincode::DefaultOptions::new().with_limit(MAX_DATAGRAM as u64).deserialize(bytes)
-}
--- a/src/state.rs
+++ b/src/state.rs
@@ -69,6 +69,9 @@
     /// Maximum number of retry tokens that this entry accumulates for one service. Retries and
     /// hedges spend them.
     pub max_saved_retries: AtomicU64,
+    /// Lowest round trip between data centres while services are divided by data centre, in
+    /// microseconds; else 0.
+    pub data_centre_round_trip_us: AtomicU64,
 }
 
 impl SharedState {
@@ -93,6 +96,7 @@
             revisions: RevisionTracker::default(),
             entry_count: AtomicUsize::new(1),
             max_saved_retries: AtomicU64::new(MAX_SAVED_RETRIES),
+            data_centre_round_trip_us: AtomicU64::new(0),
         }
     }
 
--- a/src/telemetry/placement.rs
+++ b/src/telemetry/placement.rs
@@ -31,6 +31,13 @@
     pub dropped: Counter,
     /// Requests of this entry that it placed by itself.
     pub local: Counter,
+    /// Requests of this entry whose placement was first requested in another data centre.
+    pub sent_elsewhere: Counter,
+    /// Requests of this entry that left the part of a service in which they waited, or were
+    /// refused, for another part.
+    pub moved: Counter,
+    /// 1 while services are divided by data centre, else 0.
+    pub divided: Gauge,
     /// Targets compared so far.
     compared: AtomicU64,
 }
@@ -46,6 +53,9 @@
             turned_away: counter!("zinniaport_placement_turned_away_total"),
             dropped: counter!("zinniaport_placement_messages_dropped_total"),
             local: counter!("zinniaport_local_placements_total"),
+            sent_elsewhere: counter!("zinniaport_placements_sent_elsewhere_total"),
+            moved: counter!("zinniaport_placements_moved_total"),
+            divided: gauge!("zinniaport_data_centre_parts"),
             compared: AtomicU64::new(0),
         })
     }
--- a/tests/support/coordinated_entry.rs
+++ b/tests/support/coordinated_entry.rs
@@ -18,6 +18,7 @@
 };
 use zinniaport::exchange::{CallResponse, Exchange, empty_body};
 use zinniaport::gate::AdmissionGates;
+use zinniaport::locations::LocationsDriver;
 use zinniaport::placement::{
     CallPlacement, CoordinatedPlacement, Coordinator, Placement, PlacementCall, PlacementDriver,
     TargetProber,
@@ -32,7 +33,7 @@
 use zinniaport_core::fleet::{FleetSnapshot, LoadReport};
 use zinniaport_core::intent::{MeasuringIntent, ServiceIntent, TargetInstance};
 use zinniaport_core::keys::ServiceKey;
-use zinniaport_core::placement::{AttemptKind, PartKey, choose_part};
+use zinniaport_core::placement::{AttemptKind, DataCentreParts, PartKey, choose_part};
 use zinniaport_core::policy::ShortestWait;
 use zinniaport_core::request_limit::LimitStatement;
 
@@ -128,6 +129,11 @@
     }
 }
 
+/// Returns `true` if the number of a target is odd.
+pub fn is_odd(target: SocketAddr) -> bool {
+    matches!(target, SocketAddr::V4(address) if address.ip().octets()[3] % 2 == 1)
+}
+
 /// An entry that knows the service and exchanges signals with its seeds.
 pub struct Entry {
     pub state: Arc<SharedState>,
@@ -143,8 +149,20 @@
         cpu_share: f64,
         seeds: &[SocketAddr],
     ) -> Self {
-        let name = format!("entry-{cpu_share}");
-        let state = SharedState::new(Arc::new(SystemClock::new()), &name, "valle-a");
+        Self::start_in("valle-a", targets, cpu_share, seeds, DataCentreParts::Never).await
+    }
+
+    /// Starts an entry of a data centre. Targets with even numbers are in `valle-a`, and the others
+    /// too, unless services are divided by data centre, when they are in `valle-b`.
+    pub async fn start_in(
+        data_centre: &str,
+        targets: &Arc<ScriptedTargets>,
+        cpu_share: f64,
+        seeds: &[SocketAddr],
+        mode: DataCentreParts,
+    ) -> Self {
+        let name = format!("entry-{data_centre}-{cpu_share}");
+        let state = SharedState::new(Arc::new(SystemClock::new()), &name, data_centre);
         let state = Arc::new(state.with_dialect(Arc::new(SlowdownDialect)));
         state.set_may_coordinate(true);
         let (mut driver, handle) = TargetsDriver::new(state.clone());
@@ -157,7 +175,12 @@
             }
             SocketAddr::V6(_) => unreachable!(),
         });
-        fleet.apply(intent(numbers), 1, state.clock.now());
+        let mut intent = intent(numbers);
+        if mode == DataCentreParts::Always {
+            let odd = intent.targets.iter_mut().filter(|target| is_odd(target.address));
+            odd.for_each(|target| target.data_centre = "valle-b".to_owned());
+        }
+        fleet.apply(intent, 1, state.clock.now());
         driver.deliver(TargetsMessage::Intents(Arc::new(fleet)));
         let stop = CancellationToken::new();
         tokio::spawn(driver.run(stop.clone()));
@@ -173,8 +196,12 @@
             SignalsDriver::open(state.clone(), handle.clone(), quarantine, settings).await.unwrap();
         let (address, sender) = (signals.address(), signals.sender());
         let driver =
-            PlacementDriver::new(state.clone(), handle, gates, coordinator.clone(), sender);
+            PlacementDriver::new(state.clone(), handle.clone(), gates, coordinator.clone(), sender);
         signals.set_placement(driver.handle());
+        let (placement, sender) = (driver.handle(), signals.sender());
+        let locations = LocationsDriver::new(state.clone(), handle, placement, sender, mode);
+        signals.set_locations(locations.handle());
+        tokio::spawn(locations.run(stop.clone()));
         let placement = driver.placement();
         tokio::spawn(signals.run(stop.clone()));
         tokio::spawn(driver.run(stop.clone()));
