Count and save bytes between data centres

Cause: bytes between data centres are the largest cost of a deployment whose data centres are far apart, and nothing showed what they are spent on.

Change: zinniaport_data_centre_bytes_total counts requests, responses, placement datagrams, other signals, directory relay and probes. While services are divided by data centre, three of four signals to other data centres list no members, and followers read from a leader of their own data centre first.

Result: in tests/signals.rs the entry of another data centre gets more than twice as many signals without a list as with one.

--- a/src/datagrams.rs
+++ b/src/datagrams.rs
@@ -10,6 +10,9 @@
 use zinniaport_core::quarantine::CrashRecord;
 use zinniaport_core::signals::{HeadroomMessage, LocationMessage, SignalMessage};
 
+use crate::state::SharedState;
+use crate::telemetry::TrafficKind;
+
 /// Maximum size of a received datagram, in bytes.
 pub(crate) const MAX_DATAGRAM: usize = 16 << 10;
 
@@ -28,17 +31,27 @@
     Headroom(HeadroomMessage),
 }
 
+impl SignalDatagram {
+    fn traffic_kind(&self) -> TrafficKind {
+        match self {
+            Self::Placement(_) | Self::Headroom(_) => TrafficKind::Placement,
+            Self::Signal(_) | Self::Crashes(_) | Self::Location(_) => TrafficKind::Signals,
+        }
+    }
+}
+
 /// Sends datagrams to other entries.
 #[derive(Clone)]
 pub struct SignalSender {
     socket: Arc<UdpSocket>,
     address: SocketAddr,
+    state: Arc<SharedState>,
 }
 
 impl SignalSender {
     /// Creates a sender that uses a socket with this address.
-    pub fn new(socket: Arc<UdpSocket>, address: SocketAddr) -> Self {
-        Self { socket, address }
+    pub fn new(socket: Arc<UdpSocket>, address: SocketAddr, state: Arc<SharedState>) -> Self {
+        Self { socket, address, state }
     }
 
     /// Returns the socket.
@@ -58,7 +71,11 @@
             Ok(bytes) => bytes,
             Err(error) => return log::error!("cannot encode datagram: {error}"),
         };
+        let kind = datagram.traffic_kind();
         for address in addresses {
+            if self.state.is_elsewhere(*address) {
+                self.state.metrics.traffic.count(kind, bytes.len());
+            }
             if let Err(error) = self.socket.try_send_to(&bytes, *address) {
                 log::debug!("cannot send datagram to {address}: {error}");
             }
--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -17,6 +17,7 @@
 use super::{DirectorySource, ReadConsistency};
 use crate::state::SharedState;
 use crate::store::{ApiClient, StoreError, refused};
+use crate::telemetry::TrafficKind;
 
 /// Longest time that a leader waits for a change before it responds to a follower.
 const RELAY_WAIT: Duration = Duration::from_millis(600);
@@ -180,6 +181,7 @@
         let query = RelayQuery { part, after: None, wait: STARTUP_WAIT, starting };
         let response = match query_entry(&self.api(address), query).await {
             Ok(RelayResponse::Batch { batch, encoded, age }) => {
+                self.count_bytes(address, encoded.len());
                 let took_ms = started.elapsed().as_millis() as u64;
                 let age_ms = age.map(|age| age.as_millis() as u64);
                 log::info!(part = <&str>::from(part), from:% = address, revision = batch.revision, objects = batch.changes.len(), age_ms = age_ms, took_ms = took_ms; "got the directory from another entry");
@@ -298,12 +300,17 @@
         if self.reverses_leaders {
             leaders.reverse();
         }
+        // Bytes between data centres are paid for.
+        leaders.sort_by_key(|leader| self.state.is_elsewhere(*leader));
         let mut position = 0;
         while let Some(address) = leaders.get(position).copied().filter(|_| position < MAX_ASKED) {
             position += 1;
             let Some(api) = self.client(address) else { continue };
             let skip_time = match query_entry(&api, query).await {
-                Ok(RelayResponse::Batch { batch, .. }) => return Ok(Some(batch)),
+                Ok(RelayResponse::Batch { batch, encoded, .. }) => {
+                    self.count_bytes(address, encoded.len());
+                    return Ok(Some(batch));
+                }
                 Ok(RelayResponse::Referred(others)) => {
                     // An entry that hears of few others does not know which of them lead.
                     for other in others {
@@ -326,6 +333,13 @@
         Ok(None)
     }
 
+    /// Counts directory content that came from another entry.
+    fn count_bytes(&self, from: SocketAddr, bytes: usize) {
+        if self.state.is_elsewhere(from) {
+            self.state.metrics.traffic.count(TrafficKind::Relay, bytes);
+        }
+    }
+
     /// Returns the client of another entry.
     fn api(&self, address: SocketAddr) -> Arc<ApiClient> {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -30,6 +30,7 @@
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 use crate::targets::record_limit;
+use crate::telemetry::TrafficKind;
 
 /// Maximum size of a target's refusal body that is read so that the connection can be reused,
 /// in bytes.
@@ -70,12 +71,20 @@
         let dialect = self.state.dialect.as_ref();
         let identity = IdentityTag::of(sent_request_id(exchange, dialect).unwrap_or_default());
         let handle = ConnectionHandle::default();
+        let mut request = target_request(exchange, target.instance.as_ref(), dialect);
+        let is_remote = target.data_centre != self.state.data_centre;
+        if is_remote {
+            let (head, body) = request.into_parts();
+            let traffic = &self.state.metrics.traffic;
+            let body = traffic.meter(TrafficKind::Requests, &head.headers, body).boxed();
+            request = http::Request::from_parts(head, body);
+        }
         let call = TargetCall::builder()
             .address(target.address)
             .identity(identity)
             .handle(handle.clone())
             .maybe_check(idle_check(exchange, dialect))
-            .request(target_request(exchange, target.instance.as_ref(), dialect))
+            .request(request)
             .deadline(Instant::now() + time_left)
             .deadline_header(dialect.deadline_header().clone())
             .build();
@@ -87,6 +96,12 @@
             self.state.metrics.repeated_identities.increment(1);
         }
         let mut response = match result {
+            Ok(response) if is_remote => {
+                let (head, body) = response.into_parts();
+                let traffic = &self.state.metrics.traffic;
+                let body = traffic.meter(TrafficKind::Responses, &head.headers, body).boxed();
+                http::Response::from_parts(head, body)
+            }
             Ok(response) => response,
             Err(error) => {
                 let refusal = refusal_of(&error, exchange.body_status.fault());
--- a/src/locations.rs
+++ b/src/locations.rs
@@ -96,7 +96,10 @@
             LocationsEffect::Send(to, message) => {
                 self.sender.send(&SignalDatagram::Location(message), &[to]);
             }
-            LocationsEffect::Located(entries) => self.placement.set_locations(entries),
+            LocationsEffect::Located(entries) => {
+                self.state.entry_locations.store(entries.clone());
+                self.placement.set_locations(entries);
+            }
             LocationsEffect::Divided(is_divided, round_trip) => {
                 let round_trip_us = round_trip.map_or(0, |time| time.as_micros() as u64);
                 log::info!(
--- a/src/placement/prober.rs
+++ b/src/placement/prober.rs
@@ -17,6 +17,7 @@
 use crate::pool::{TargetTransport, send_probe};
 use crate::state::SharedState;
 use crate::targets::record_limit;
+use crate::telemetry::{TrafficKind, head_bytes};
 
 /// Timeout of a probe. Its result is useful for a few milliseconds only; the longer timeout
 /// keeps the connection from being closed.
@@ -128,10 +129,13 @@
         let (target, service) = (target.clone(), service.counters.clone());
         let (state, transport, reports) =
             (self.state.clone(), self.transport.clone(), self.reports.clone());
+        let is_remote = target.data_centre != self.state.data_centre;
         tokio::spawn(async move {
+            let request_bytes = path.path().len();
             let (transport, dialect) = (transport.as_ref(), state.dialect.as_ref());
             let response = send_probe(transport, dialect, target.address, path, deadline).await;
             let Some(response) = response else { return };
+            let head = request_bytes + head_bytes(response.headers());
             if let Some(report) = state.dialect.parse_load(response.headers()) {
                 let now = state.clock.now();
                 target.counters.record_report(report, now);
@@ -140,7 +144,12 @@
                 reports[signal_index(key)].notify_waiters();
             }
             let body = Limited::new(response.into_body(), MAX_PROBE_BYTES);
-            let _ = timeout_at(deadline, body.collect()).await;
+            let body = timeout_at(deadline, body.collect()).await;
+            if is_remote {
+                let body = body.ok().and_then(Result::ok);
+                let bytes = head + body.map_or(0, |body| body.to_bytes().len());
+                state.metrics.traffic.count(TrafficKind::Probes, bytes);
+            }
         });
         true
     }
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -57,6 +57,11 @@
 /// Number of peers that are kept to take the directory from.
 const MAX_HOLDERS: usize = 8;
 
+/// Number of messages to an entry of another data centre of which one lists members, where bytes
+/// between data centres are saved. The list is most of a message, and entries also learn of others
+/// within their data centre.
+const LISTING_PERIOD: u64 = 4;
+
 /// Number of entries with the largest capacity that each message lists first. They lead and
 /// coordinate, so an entry that starts has to find them soon.
 const LISTED_LARGEST: usize = 4;
@@ -101,12 +106,13 @@
         let address = socket.local_addr().unwrap_or(address);
         let controller = SignalsController::new(address, settings.seeds.iter().copied());
         let (incarnation, seeds) = (state.clock.now().0, settings.seeds.clone());
+        let sender = SignalSender::new(Arc::new(socket), address, state.clone());
         Ok(Self {
             state,
             targets,
             quarantine,
             settings,
-            sender: SignalSender::new(Arc::new(socket), address),
+            sender,
             placement: None,
             locations: None,
             controller,
@@ -223,9 +229,10 @@
                 self.send(message, &records, &addresses);
             }
             SignalsEffect::SendFirst(address) => {
+                // Complete, since the entry may know no others yet.
                 let message = self.next_message();
-                let records = self.crash_report().first_records();
-                self.send(message, &records, &[address]);
+                self.sender.send(&SignalDatagram::Signal(message), &[address]);
+                self.send_records(&self.crash_report().first_records(), &[address]);
             }
             SignalsEffect::PeersChanged(peers, entry_count) => {
                 log::info!(heard = peers.len(), entries = entry_count; "live entries changed");
@@ -261,12 +268,32 @@
 
     /// Sends a message and, in datagrams of their own, the crash records if there are any.
     fn send(&self, message: SignalMessage, records: &[CrashRecord], addresses: &[SocketAddr]) {
-        self.sender.send(&SignalDatagram::Signal(message), addresses);
+        let (near, far) = self.by_distance(message.sequence, addresses);
+        self.sender.send(&SignalDatagram::Signal(message.clone()), &near);
+        let short = SignalMessage { members: Vec::new(), ..message };
+        self.sender.send(&SignalDatagram::Signal(short), &far);
+        self.send_records(records, addresses);
+    }
+
+    fn send_records(&self, records: &[CrashRecord], addresses: &[SocketAddr]) {
         for part in records.chunks(MAX_DATAGRAM_RECORDS) {
             self.sender.send(&SignalDatagram::Crashes(part.to_vec()), addresses);
         }
     }
 
+    /// Divides entries into those that get a complete message and those in other data centres that
+    /// get one without members this time. While services are not divided by data centre, or as long
+    /// as an entry has not said where it is, its messages are complete.
+    fn by_distance(
+        &self,
+        sequence: u64,
+        addresses: &[SocketAddr],
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let is_divided = self.state.data_centre_round_trip_us.load(Ordering::Relaxed) > 0;
+        let is_short = is_divided && !sequence.is_multiple_of(LISTING_PERIOD);
+        addresses.iter().partition(|address| !is_short || !self.state.is_elsewhere(**address))
+    }
+
     /// Returns the capacity that this entry announces, or 0 if it may not coordinate.
     fn capacity(&self) -> u16 {
         let may_coordinate = self.state.may_coordinate.load(Ordering::Acquire);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,7 @@
 //! State that filters and controllers share: snapshots that are replaced by read-copy-update.
 
+use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -72,6 +74,8 @@
     /// Lowest round trip between data centres while services are divided by data centre, in
     /// microseconds; else 0.
     pub data_centre_round_trip_us: AtomicU64,
+    /// Data centre of each entry whose data centre is known.
+    pub entry_locations: ArcSwap<HashMap<SocketAddr, Arc<str>>>,
 }
 
 impl SharedState {
@@ -97,9 +101,15 @@
             entry_count: AtomicUsize::new(1),
             max_saved_retries: AtomicU64::new(MAX_SAVED_RETRIES),
             data_centre_round_trip_us: AtomicU64::new(0),
+            entry_locations: ArcSwap::default(),
         }
     }
 
+    /// Returns `true` if the entry with this address is known to be in another data centre.
+    pub fn is_elsewhere(&self, entry: SocketAddr) -> bool {
+        self.entry_locations.load().get(&entry).is_some_and(|at| *at != self.data_centre)
+    }
+
     /// Sets whether this entry may coordinate, and notifies the other entries.
     pub fn set_may_coordinate(&self, able: bool) {
         self.may_coordinate.store(able, Ordering::Release);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -182,6 +182,23 @@
         assert_eq!((summarize(&watched), source.calls()), (vec![("i-2", 30, true)], 0));
     }
 
+    async leaders_of_the_own_data_centre_come_first: "directory content that every entry of a data centre gets from another one although a leader is near" => {
+        let [(far, far_relay), (near, near_relay)] = [leader().await, leader().await];
+        for (relay, revision) in [(&far_relay, 30), (&near_relay, 40)] {
+            relay.apply(PART, &batch(20, &[("i-1", 10)]), BatchOrigin::Listed);
+            relay.apply(PART, &batch(revision, &[("i-2", revision)]), BatchOrigin::Watched);
+        }
+        for name in ["follower-1", "follower-2", "follower-3", "follower-4"] {
+            let state = state(name);
+            state.revisions.set_leaders(vec![far, near], false);
+            let centres = [(far, "valle-b".into()), (near, "valle-a".into())];
+            state.entry_locations.store(Arc::new(centres.into()));
+            let directory = RelayedDirectory::new(state, Arc::new(CountingSource::default()), Arc::default());
+            let read = directory.watch(PART, 20, ReadConsistency::Stale).await.unwrap();
+            assert_eq!(read.revision, 40, "{name}");
+        }
+    }
+
     async announced_changes_are_read_from_leaders: "a platform that every follower calls for a change which its leader announced" => {
         let (address, relay) = leader().await;
         relay.apply(PART, &batch(20, &[("i-1", 10)]), BatchOrigin::Listed);
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -97,6 +97,41 @@
         assert_eq!(state.max_saved_retries.load(Ordering::Relaxed), 25);
     }
 
+    async members_are_listed_rarely_elsewhere: "lists of members that make up most of the bytes between data centres, or entries of one data centre that do not learn of others" => {
+        let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
+        let state = Arc::new(SharedState::new(clock.clone(), "entry-1", "valle-a"));
+        let (_, targets) = TargetsDriver::new(state.clone());
+        let quarantine = Arc::new(QuarantineGate::new(clock));
+        let settings: SignalSettings = serde_norway::from_str("listen: 127.0.0.1:0").unwrap();
+        let driver = SignalsDriver::open(state.clone(), targets, quarantine, settings).await.unwrap();
+        let address = driver.address();
+        tokio::spawn(driver.run(CancellationToken::new()));
+        let near = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let far = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let centres = [(near.local_addr().unwrap(), "valle-a".into()), (far.local_addr().unwrap(), "valle-b".into())];
+        state.entry_locations.store(Arc::new(centres.into()));
+        state.data_centre_round_trip_us.store(7_000, Ordering::Relaxed);
+        let exchange = async |socket: &UdpSocket| {
+            let (mut listed, mut short) = (0, 0);
+            for sequence in 1..=16 {
+                let message = SignalMessage { incarnation: 1, sequence, ..SignalMessage::default() };
+                socket.send_to(&encode_datagram(&SignalDatagram::Signal(message)).unwrap(), address).await.unwrap();
+                let mut bytes = [0; 2_048];
+                let (length, _) = socket.recv_from(&mut bytes).await.unwrap();
+                let Ok(SignalDatagram::Signal(message)) = decode_datagram(&bytes[..length]) else { continue };
+                if message.members.is_empty() { short += 1 } else { listed += 1 }
+            }
+            (listed, short)
+        };
+        let ((listed, short), (far_listed, far_short)) = tokio::join!(exchange(&near), exchange(&far));
+        assert!(listed > 10 && short < 4, "near: {listed} with members, {short} without");
+        assert!(far_listed > 0 && far_short > 2 * far_listed, "far: {far_listed} with members, {far_short} without");
+        let metrics = state.metrics.render();
+        let counted = metrics.lines().find(|line| line.contains("zinniaport_data_centre_bytes_total{type=\"signals\"}"));
+        let bytes: u64 = counted.unwrap().rsplit_once(' ').unwrap().1.parse().unwrap();
+        assert!(bytes >= 8 * far_short, "{bytes} bytes");
+    }
+
     async crashes_reach_other_entries: "a request that crashes the permitted number of targets once per entry, not once in total" => {
         let records = pass_on(|now, message| {
             vec![SignalDatagram::Crashes(vec![crash(now)]), SignalDatagram::Signal(message)]
