--- a/src/signals.rs
+++ b/src/signals.rs
@@ -7,8 +7,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bincode::Options;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -16,13 +14,16 @@
 use zinniaport_core::controllers::{
     SignalsController, SignalsEffect, SignalsMessage, StateController, TargetsMessage,
 };
-use zinniaport_core::placement::{CoordinatorCandidate, PlacementMessage};
+use zinniaport_core::placement::CoordinatorCandidate;
 use zinniaport_core::policy::EntryView;
 use zinniaport_core::quarantine::{CrashRecord, CrashReport};
 use zinniaport_core::retry::own_retry_tokens;
 use zinniaport_core::signals::SignalMessage;
 
+use crate::datagrams::MAX_DATAGRAM;
+pub use crate::datagrams::{SignalDatagram, SignalSender, decode_datagram, encode_datagram};
 use crate::gate::QuarantineGate;
+use crate::locations::LocationsHandle;
 use crate::placement::PlacementHandle;
 use crate::runtime::StartError;
 use crate::settings::SignalSettings;
@@ -32,9 +33,6 @@
 /// Time between ticks.
 const TICK_PERIOD: Duration = Duration::from_millis(50);
 
-/// Maximum size of a received datagram, in bytes.
-const MAX_DATAGRAM: usize = 16 << 10;
-
 /// Maximum number of crash records in a datagram. Of the largest, 600 bytes each, these take
 /// 10 KB.
 const MAX_DATAGRAM_RECORDS: usize = 16;
@@ -64,49 +62,15 @@
 /// Number of peers that are kept to take the directory from.
 const MAX_HOLDERS: usize = 8;
 
+/// Number of messages to an entry of another data centre of which one lists members, where bytes
+/// between data centres are saved. The list is most of a message, and entries also learn of others
+/// within their data centre.
+const LISTING_PERIOD: u64 = 4;
+
 /// Number of entries with the largest capacity that each message lists first. They lead and
 /// coordinate, so an entry that starts has to find them soon.
 const LISTED_LARGEST: usize = 4;
 
-/// A datagram between two entries.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum SignalDatagram {
-    /// State of the sender.
-    Signal(SignalMessage),
-    /// Placement requests and responses.
-    Placement(PlacementMessage),
-    /// Crash records.
-    Crashes(Vec<CrashRecord>),
-}
-
-/// Sends datagrams to other entries.
-#[derive(Clone)]
-pub struct SignalSender {
-    socket: Arc<UdpSocket>,
-    address: SocketAddr,
-}
-
-impl SignalSender {
-    /// Returns the address of the socket.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Sends a datagram to each address. Datagrams may be lost, so the sender repeats what must
-    /// arrive.
-    pub fn send(&self, datagram: &SignalDatagram, addresses: &[SocketAddr]) {
-        let bytes = match encode_datagram(datagram) {
-            Ok(bytes) => bytes,
-            Err(error) => return log::error!("cannot encode datagram: {error}"),
-        };
-        for address in addresses {
-            if let Err(error) = self.socket.try_send_to(&bytes, *address) {
-                log::debug!("cannot send datagram to {address}: {error}");
-            }
-        }
-    }
-}
-
 /// Owns the signals controller and receives all datagrams from other entries.
 pub struct SignalsDriver {
     state: Arc<SharedState>,
@@ -115,6 +79,7 @@
     settings: SignalSettings,
     sender: SignalSender,
     placement: Option<PlacementHandle>,
+    locations: Option<LocationsHandle>,
     controller: SignalsController,
     /// Seeds of the settings, as of the last reload.
     seeds: watch::Sender<Vec<SocketAddr>>,
@@ -146,13 +111,15 @@
         let address = socket.local_addr().unwrap_or(address);
         let controller = SignalsController::new(address, settings.seeds.iter().copied());
         let (incarnation, seeds) = (state.clock.now().0, settings.seeds.clone());
+        let sender = SignalSender::new(Arc::new(socket), address, state.clone());
         Ok(Self {
             state,
             targets,
             quarantine,
             settings,
-            sender: SignalSender { socket: Arc::new(socket), address },
+            sender,
             placement: None,
+            locations: None,
             controller,
             seeds: watch::Sender::new(seeds),
             incarnation,
@@ -164,7 +131,7 @@
 
     /// Returns the address of the socket.
     pub fn address(&self) -> SocketAddr {
-        self.sender.address
+        self.sender.address()
     }
 
     /// Returns a sender that uses the socket.
@@ -183,9 +150,14 @@
         self.placement = Some(placement);
     }
 
+    /// Sets the handle to which the live entries and what they say of their location are passed.
+    pub fn set_locations(&mut self, locations: LocationsHandle) {
+        self.locations = Some(locations);
+    }
+
     /// Exchanges signals until `stop` is cancelled.
     pub async fn run(mut self, stop: CancellationToken) {
-        let (state, socket) = (self.state.clone(), self.sender.socket.clone());
+        let (state, socket) = (self.state.clone(), self.sender.socket());
         let quarantine = self.quarantine.clone();
         let mut ticks = interval(TICK_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -233,7 +205,15 @@
             (Ok(SignalDatagram::Placement(message)), Some(placement)) => {
                 placement.receive(from, message);
             }
-            (Ok(SignalDatagram::Placement(_)), None) => {}
+            (Ok(SignalDatagram::Headroom(message)), Some(placement)) => {
+                placement.receive_headroom(message);
+            }
+            (Ok(SignalDatagram::Placement(_) | SignalDatagram::Headroom(_)), None) => {}
+            (Ok(SignalDatagram::Location(message)), _) => {
+                self.locations
+                    .iter()
+                    .for_each(|locations| locations.receive(from, message.clone()));
+            }
             (Err(error), _) => log::debug!("cannot decode datagram from {from}: {error}"),
         }
     }
@@ -254,9 +234,10 @@
                 self.send(message, &records, &addresses);
             }
             SignalsEffect::SendFirst(address) => {
+                // Complete, since the entry may know no others yet.
                 let message = self.next_message();
-                let records = self.crash_report().first_records();
-                self.send(message, &records, &[address]);
+                self.sender.send(&SignalDatagram::Signal(message), &[address]);
+                self.send_records(&self.crash_report().first_records(), &[address]);
             }
             SignalsEffect::PeersChanged(peers, entry_count) => {
                 log::info!(heard = peers.len(), entries = entry_count; "live entries changed");
@@ -292,12 +273,32 @@
 
     /// Sends a message and, in datagrams of their own, the crash records if there are any.
     fn send(&self, message: SignalMessage, records: &[CrashRecord], addresses: &[SocketAddr]) {
-        self.sender.send(&SignalDatagram::Signal(message), addresses);
+        let (near, far) = self.by_distance(message.sequence, addresses);
+        self.sender.send(&SignalDatagram::Signal(message.clone()), &near);
+        let short = SignalMessage { members: Vec::new(), ..message };
+        self.sender.send(&SignalDatagram::Signal(short), &far);
+        self.send_records(records, addresses);
+    }
+
+    fn send_records(&self, records: &[CrashRecord], addresses: &[SocketAddr]) {
         for part in records.chunks(MAX_DATAGRAM_RECORDS) {
             self.sender.send(&SignalDatagram::Crashes(part.to_vec()), addresses);
         }
     }
 
+    /// Divides entries into those that get a complete message and those in other data centres that
+    /// get one without members this time. While services are not divided by data centre, or as long
+    /// as an entry has not said where it is, its messages are complete.
+    fn by_distance(
+        &self,
+        sequence: u64,
+        addresses: &[SocketAddr],
+    ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let is_divided = self.state.data_centre_round_trip_us.load(Ordering::Relaxed) > 0;
+        let is_short = is_divided && !sequence.is_multiple_of(LISTING_PERIOD);
+        addresses.iter().partition(|address| !is_short || !self.state.is_elsewhere(**address))
+    }
+
     /// Returns the capacity that this entry announces, or 0 if it may not coordinate.
     fn capacity(&self) -> u16 {
         let may_coordinate = self.state.may_coordinate.load(Ordering::Acquire);
@@ -348,6 +349,9 @@
         if let Some(placement) = &self.placement {
             placement.set_candidates(peers.iter().copied().chain([own]).collect());
         }
+        if let Some(locations) = &self.locations {
+            locations.set_live(peers.iter().map(|peer| peer.address).collect());
+        }
     }
 
     fn next_message(&mut self) -> SignalMessage {
@@ -380,22 +384,3 @@
         largest.chain(others).collect()
     }
 }
-
-/// Encodes a datagram. Numbers have a variable length, since most are small and traffic between
-/// data centres is paid for by the byte.
-///
-/// # Errors
-///
-/// Returns an error if the datagram is too large to encode.
-pub fn encode_datagram(datagram: &SignalDatagram) -> bincode::Result<Vec<u8>> {
-    bincode::DefaultOptions::new().serialize(datagram)
-}
-
-/// Decodes a datagram.
-///
-/// # Errors
-///
-/// Returns an error if the bytes are not a complete datagram.
-pub fn decode_datagram(bytes: &[u8]) -> bincode::Result<SignalDatagram> {
-    bincode::DefaultOptions::new().with_limit(MAX_DATAGRAM as u64).deserialize(bytes)
-}
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -15,6 +15,7 @@
 use zinniaport_core::probe::MeasuringAccount;
 
 use super::placement::{AGE_BOUNDS, EVENT_AGE, PlacementMetrics};
+use super::traffic::TrafficMetrics;
 
 const REQUESTS: &str = "zinniaport_requests_total";
 const REFUSALS: &str = "zinniaport_refusals_total";
@@ -69,6 +70,8 @@
     pub unused_items: Gauge,
     /// Metrics of placement.
     pub placement: PlacementMetrics,
+    /// Bytes exchanged with other data centres.
+    pub traffic: TrafficMetrics,
     services: ArcSwap<SecondaryMap<ServiceKey, Arc<ServiceMetrics>>>,
 }
 
@@ -91,6 +94,7 @@
         let unused_items = with_local_recorder(&recorder, || gauge!(UNUSED_ITEMS));
         let unclassified = KindMetrics::new(&recorder, "unknown", "unknown");
         let placement = PlacementMetrics::new(&recorder);
+        let traffic = TrafficMetrics::new(&recorder);
         Self {
             recorder,
             in_flight,
@@ -98,6 +102,7 @@
             repeated_identities,
             unused_items,
             placement,
+            traffic,
             services: ArcSwap::default(),
         }
     }
