Limit the requests per second of cold targets

A cold target got a ramp by time alone, and more requests per second than the operator states for it. WarmupPerS, WarmupLeft and the header of health responses are read now; while a target is cold, LimitState holds the rate that this entry may use, also of two coordinators and of entries that place alone.

--- a/core/src/admission/window.rs
+++ b/core/src/admission/window.rs
@@ -70,7 +70,7 @@
         let counters = &target.counters;
         placed += counters.placed.load(Ordering::Relaxed);
         let usable = service.saturation.usable_slots(target.slots);
-        concurrency += match (counters.limit.own_rate(), service_time) {
+        concurrency += match (counters.limit.own_rate(now), service_time) {
             (Some(rate), Some(time)) => (rate as f32 * time.as_secs_f32()).min(usable as f32),
             _ => usable as f32,
         };
--- a/core/src/controllers/directory/fleet.rs
+++ b/core/src/controllers/directory/fleet.rs
@@ -21,8 +21,8 @@
 const MAX_CRASHED_TARGETS: u8 = 2;
 
 impl DirectoryController {
-    pub(super) fn publish(&mut self, now: Timestamp) -> Option<DirectoryEffect> {
-        let configuration = self.configuration.as_ref()?;
+    pub(super) fn publish(&mut self, now: Timestamp) -> Vec<DirectoryEffect> {
+        let Some(configuration) = &self.configuration else { return Vec::new() };
         let mut targets: IndexMap<&str, Vec<TargetIntent>> = IndexMap::new();
         for target in self.targets.values().filter_map(|record| record.target.as_ref()) {
             targets.entry(&target.service).or_default().push(target_intent(target));
@@ -53,7 +53,9 @@
             limits: configuration.limits,
         };
         self.fleet.apply_directory(directory, self.initial_cursor, now);
-        Some(DirectoryEffect::Publish(Arc::new(self.fleet.clone())))
+        let mut effects = self.update_cold_targets(now);
+        effects.push(DirectoryEffect::Publish(Arc::new(self.fleet.clone())));
+        effects
     }
 }
 
--- a/core/src/controllers/directory/mod.rs
+++ b/core/src/controllers/directory/mod.rs
@@ -6,6 +6,7 @@
 
 mod fleet;
 mod records;
+mod warm_up;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use strum::IntoEnumIterator;
 
 use records::TargetRecord;
+use warm_up::registered_period;
 
 use super::StateController;
 use crate::backoff::BackoffBounds;
@@ -25,6 +27,7 @@
     DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, OperatorConfiguration,
 };
 use crate::fleet::FleetSnapshot;
+use crate::warm_up::{WarmUpBound, WarmUpSource};
 
 /// Delay of a removal after an outage of the store: live targets register again within
 /// about 2 s.
@@ -86,6 +89,8 @@
     Recovered(DirectoryPart, Duration),
     /// A target was added, changed, removed or dropped.
     TargetChanged(TargetChange),
+    /// So many targets with a limit for cold ones are known to be cold from now on.
+    ColdTargets(WarmUpSource, usize),
 }
 
 /// A change of one target, for the log.
@@ -134,11 +139,13 @@
 pub struct DirectorySettings {
     /// Retries and hedges allowed, as a ratio of the first attempts.
     pub retry_ratio: f64,
+    /// Requests that a cold target may get from all entries together.
+    pub warm_up: WarmUpBound,
 }
 
 impl Default for DirectorySettings {
     fn default() -> Self {
-        Self { retry_ratio: 0.1 }
+        Self { retry_ratio: 0.1, warm_up: WarmUpBound::default() }
     }
 }
 
@@ -236,7 +243,7 @@
             changed |= self.remove_unlisted(&batch, now, &mut effects);
         }
         for change in batch.changes {
-            changed |= self.apply_change(change, now, &mut effects);
+            changed |= self.apply_change(change, listed, now, &mut effects);
         }
         let follower = self.part(part);
         let revision = batch.revision.max(follower.revision.unwrap_or(0));
@@ -264,6 +271,7 @@
     fn apply_change(
         &mut self,
         change: DirectoryChange,
+        listed: bool,
         now: Timestamp,
         effects: &mut Vec<DirectoryEffect>,
     ) -> bool {
@@ -277,10 +285,11 @@
                 newer
             }
             Some(DirectoryItem::Target(target)) => {
-                self.apply_target(change.name, change.revision, Some(target), effects)
+                let cold = registered_period(&target, listed, now);
+                self.apply_target(change.name, change.revision, Some(target), cold, effects)
             }
             Some(DirectoryItem::Unusable) => {
-                self.apply_target(change.name, change.revision, None, effects)
+                self.apply_target(change.name, change.revision, None, None, effects)
             }
             None => self.apply_removal(&change.name, change.revision, now, effects),
         }
--- a/core/src/controllers/directory/records.rs
+++ b/core/src/controllers/directory/records.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use super::warm_up::ColdPeriod;
 use super::{DirectoryController, DirectoryEffect, TargetChange};
 use crate::clock::Timestamp;
 use crate::directory::{DirectoryBatch, RegisteredTarget};
@@ -23,6 +24,8 @@
     pub(super) target: Option<RegisteredTarget>,
     /// When the target is dropped after an unannounced removal.
     pub(super) drop_at: Option<Timestamp>,
+    /// When the target was last cold, if it was.
+    pub(super) cold: Option<ColdPeriod>,
 }
 
 impl DirectoryController {
@@ -31,6 +34,7 @@
         name: String,
         revision: u64,
         target: Option<RegisteredTarget>,
+        cold: Option<ColdPeriod>,
         effects: &mut Vec<DirectoryEffect>,
     ) -> bool {
         let known = self.targets.get(&name).map(|record| record.revision);
@@ -45,7 +49,7 @@
         };
         effects.push(target_changed(&name, revision, state));
         self.removed.shift_remove(&name);
-        self.targets.insert(name, TargetRecord { revision, target, drop_at: None });
+        self.targets.insert(name, TargetRecord { revision, target, drop_at: None, cold });
         true
     }
 
--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -131,6 +131,16 @@
         self.placed.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Counts a request that this entry places at the target, unless the target is cold and takes
+    /// none now. Returns `true` if it was counted.
+    pub fn try_record_placement(&self, now: Timestamp) -> bool {
+        let is_taken = self.limit.try_take(now);
+        if is_taken {
+            self.placed.fetch_add(1, Ordering::SeqCst);
+        }
+        is_taken
+    }
+
     /// Returns the service time that the target last reported, in percent of its nominal one
     /// (0 before the first report), and the age of that report.
     pub fn slowdown_report(&self, now: Timestamp) -> (u32, Duration) {
--- a/core/src/directory.rs
+++ b/core/src/directory.rs
@@ -40,7 +40,7 @@
 }
 
 /// A service as the operator defines it.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ServiceDefinition {
     /// Name of the service.
     pub name: String,
@@ -48,6 +48,13 @@
     pub health_path: String,
     /// Maximum number of connections that a target accepts from all entries together.
     pub max_connections: u32,
+    /// Time for which a target is cold after its start or after an evacuation.
+    #[serde(default)]
+    pub warm_up: Duration,
+    /// Requests per second that a cold target takes from all entries together; `None` for no
+    /// limit.
+    #[serde(default)]
+    pub warm_up_per_second: Option<f64>,
 }
 
 /// Complete configuration of the operator.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -31,3 +31,4 @@
 pub mod saturation;
 pub mod signals;
 pub mod startup;
+pub mod warm_up;
--- a/core/src/request_limit.rs
+++ b/core/src/request_limit.rs
@@ -1,4 +1,5 @@
-//! Limits on the requests per second that targets state in their responses.
+//! Limits on the requests per second that targets state in their responses, and those of cold
+//! targets.
 
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Timestamp;
+use crate::warm_up::WarmUpLimit;
 
 /// Lowest limit that is told apart from zero, in thousandths of a request per second. A target
 /// that states zero gets a request in 100 s, which shows whether it still does.
@@ -96,6 +98,8 @@
     /// Time up to which this entry has used up its part, in microseconds. Each request moves it
     /// by the interval of the requests.
     used_until: AtomicU64,
+    /// Limit while the target is cold, which the operator states. It holds in addition.
+    pub warm_up: WarmUpLimit,
 }
 
 impl LimitState {
@@ -131,7 +135,13 @@
     }
 
     /// Returns the requests per second that this entry may send, if there is a limit.
-    pub fn own_rate(&self) -> Option<f64> {
+    pub fn own_rate(&self, now: Timestamp) -> Option<f64> {
+        let cold = self.warm_up.rate(self.known_share(), now);
+        [self.stated_rate(), cold].into_iter().flatten().reduce(f64::min)
+    }
+
+    /// Returns the part of the stated limit that this entry may send in a second.
+    fn stated_rate(&self) -> Option<f64> {
         let share = match self.share.load(Ordering::Relaxed) {
             0 => WHOLE_SHARE,
             share => share,
@@ -139,15 +149,25 @@
         Some(self.limit()?.per_second() * f64::from(share) / f64::from(WHOLE_SHARE))
     }
 
+    /// Returns the part of a limit that this entry may use, 0.0 until it is set. Many targets
+    /// become cold at once, also while an entry starts, so an unset part must not be the whole.
+    fn known_share(&self) -> f64 {
+        f64::from(self.share.load(Ordering::Relaxed)) / f64::from(WHOLE_SHARE)
+    }
+
     /// Returns the time between two requests at the own rate and the time for which unused
     /// requests accumulate, both in microseconds.
     fn intervals_us(&self) -> Option<(u64, u64)> {
-        let interval = ((1e6 / self.own_rate()?) as u64).max(1);
+        let interval = ((1e6 / self.stated_rate()?) as u64).max(1);
         Some((interval, interval.max(BURST_TIME.as_micros() as u64)))
     }
 
     /// Returns the number of requests that this entry may send now.
     pub fn permits(&self, now: Timestamp) -> u32 {
+        self.stated_permits(now).min(self.warm_up.permits(self.known_share(), now))
+    }
+
+    fn stated_permits(&self, now: Timestamp) -> u32 {
         let Some((interval, burst)) = self.intervals_us() else { return u32::MAX };
         let used_until = self.used_until.load(Ordering::Relaxed);
         let unused = now.0.saturating_sub(used_until).min(burst) / interval;
@@ -159,7 +179,17 @@
         self.permits(now) == 0
     }
 
-    /// Counts a request that this entry sends, also if it exceeds the limit.
+    /// Counts a request that this entry is about to send. Returns `false`, and counts nothing, if
+    /// another request took the last one that a cold target takes now.
+    pub fn try_take(&self, now: Timestamp) -> bool {
+        let is_taken = self.warm_up.try_take(self.known_share(), now);
+        if is_taken {
+            self.take(now);
+        }
+        is_taken
+    }
+
+    /// Counts a request against the stated limit, also if it exceeds the limit.
     pub fn take(&self, now: Timestamp) {
         let Some((interval, burst)) = self.intervals_us() else { return };
         let earliest = now.0.saturating_sub(burst);
--- a/core/tests/directory.rs
+++ b/core/tests/directory.rs
@@ -40,6 +40,7 @@
         name: "history".to_owned(),
         health_path: "/health".to_owned(),
         max_connections: 220,
+        ..ServiceDefinition::default()
     };
     let configuration = OperatorConfiguration {
         version,
@@ -95,7 +96,55 @@
     }
 }
 
+/// Requests per second that a cold target takes from the tests' entry, all of which it places.
+fn cold_limits(fleet: &FleetSnapshot, now: u64) -> Vec<Option<f64>> {
+    let targets = fleet.targets.values();
+    targets.map(|target| target.counters.limit.warm_up.rate(1.0, Timestamp(now))).collect()
+}
+
+/// A configuration whose cold targets take 6 requests per second for 3 s.
+fn cold_configuration(version: u64, revision: u64) -> DirectoryChange {
+    let mut change = configuration(version, revision);
+    let Some(DirectoryItem::Configuration(configuration)) = &mut change.item else {
+        unreachable!()
+    };
+    configuration.services[0].warm_up = Duration::from_secs(3);
+    configuration.services[0].warm_up_per_second = Some(2.0);
+    change
+}
+
+/// A target that started at `started` seconds and stays cold for 3 s.
+fn cold_target(name: &str, revision: u64, started: u64) -> DirectoryChange {
+    let mut change = target(name, revision, false);
+    let Some(DirectoryItem::Target(target)) = &mut change.item else { unreachable!() };
+    target.instance.started_ms = started * 1_000;
+    target.warm_up_left = Duration::from_secs(3);
+    change
+}
+
 test_cases! {
+    cold_targets_are_limited_until_they_are_warm: "a cold target that gets as many requests as any other" => {
+        let mut directory = FollowedDirectory::new(vec![target("i", 5, false)]);
+        let part = DirectoryPart::Configuration;
+        directory.send(DirectoryMessage::Watched(part, batch(30, vec![cold_configuration(4, 30)])), 100 * SECOND);
+        assert_eq!(cold_limits(&directory.fleet, 100 * SECOND), [None]);
+        directory.targets_changed(31, vec![cold_target("ii", 31, 100)], 101 * SECOND);
+        assert_eq!(cold_limits(&directory.fleet, 103 * SECOND), [None, Some(2.0)]);
+        assert_eq!(cold_limits(&directory.fleet, 104 * SECOND), [None, None]);
+        // Later changes do not prolong it.
+        directory.targets_changed(32, vec![target("iii", 32, false)], 103 * SECOND);
+        assert_eq!(cold_limits(&directory.fleet, 104 * SECOND), [None; 3]);
+    }
+
+    old_registrations_are_not_cold: "a restarted fleet that takes all targets for cold, because their registrations say so since they started" => {
+        let mut directory = FollowedDirectory::new(Vec::new());
+        let part = DirectoryPart::Configuration;
+        directory.send(DirectoryMessage::Watched(part, batch(30, vec![cold_configuration(4, 30)])), 100 * SECOND);
+        let targets = vec![cold_target("i", 5, 50), cold_target("ii", 6, 99)];
+        directory.send(DirectoryMessage::Listed(DirectoryPart::Targets, batch(31, targets)), 100 * SECOND);
+        assert_eq!(cold_limits(&directory.fleet, 101 * SECOND), [None, Some(2.0)]);
+    }
+
     announced_removals_take_effect_at_once: "requests to a target that announced its removal" => {
         let mut directory = FollowedDirectory::new(vec![target("i", 5, false), target("ii", 6, false)]);
         assert_eq!(directory.available(), 2);
--- a/src/dialect.rs
+++ b/src/dialect.rs
@@ -50,6 +50,10 @@
     /// Returns what a response states about the limit of its target on requests per second.
     fn parse_limit(&self, headers: &HeaderMap) -> LimitStatement;
 
+    /// Returns the time for which a target is still cold that it states in the response to a
+    /// health check, if it states one.
+    fn parse_warm_up(&self, headers: &HeaderMap) -> Option<Duration>;
+
     /// Classifies the head of a response. `request_id` is the identifier that the caller sent,
     /// if any.
     fn classify_response(&self, request_id: Option<&str>, response: &CallResponse)
@@ -82,6 +86,10 @@
 /// Response header with the requests per second that a target takes from all entries together.
 pub const LIMIT_HEADER: &str = "x-request-limit";
 
+/// Response header of a health check with the time for which the target is still cold, in
+/// milliseconds.
+pub const WARM_UP_HEADER: &str = "x-warm-up-ms";
+
 /// Response header by which a target states that it refused the request before running it.
 pub const REFUSED_HEADER: HeaderName = HeaderName::from_static("x-zinniaport-refused");
 
@@ -106,6 +114,12 @@
     }
 }
 
+/// Parses the milliseconds in the header `name`, which may have a fraction.
+pub fn parse_millis_header(headers: &HeaderMap, name: &str) -> Option<Duration> {
+    let millis: f64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(millis / 1e3).ok()
+}
+
 impl HeaderDialect for DefaultDialect {
     fn request_id_header(&self) -> &HeaderName {
         &REQUEST_ID_HEADER
@@ -134,6 +148,10 @@
         parse_limit_header(headers, LIMIT_HEADER)
     }
 
+    fn parse_warm_up(&self, headers: &HeaderMap) -> Option<Duration> {
+        parse_millis_header(headers, WARM_UP_HEADER)
+    }
+
     fn classify_response(
         &self,
         request_id: Option<&str>,
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -159,6 +159,9 @@
                     let away_ms = outage.as_millis() as u64;
                     log::info!(part = <&str>::from(part), away_ms = away_ms; "the directory is reachable again");
                 }
+                DirectoryEffect::ColdTargets(source, count) => {
+                    log::info!(targets = count, source = <&str>::from(source); "targets are cold");
+                }
                 DirectoryEffect::TargetChanged(change) => {
                     if logs_targets {
                         log::info!(target_id = change.id.as_str(), revision = change.revision; "target {}", change.state);
--- a/src/filters/route.rs
+++ b/src/filters/route.rs
@@ -21,6 +21,10 @@
 use crate::state::SharedState;
 use crate::targets::TargetsHandle;
 
+/// Greatest number of targets that are picked for one attempt: a cold target may have got its
+/// last request for now after it was compared with the others.
+const MAX_PICKS: u32 = 4;
+
 /// Sends a request to the target that the placement or the routing policy picked, and to
 /// another one after a failure that allows a retry.
 pub struct RouteFilter {
@@ -103,16 +107,19 @@
             remote_cost: remote_cost(exchange),
             now: self.state.clock.now(),
         };
-        let Some(choice) = self.policy.pick(&query, &mut rand::rng()) else {
+        let now = query.now;
+        let share = 1.0 / service.table.entry_count.max(1) as f64;
+        let mut picks = (0..MAX_PICKS).map_while(|_| self.policy.pick(&query, &mut rand::rng()));
+        let choice = picks.find(|choice| {
+            let Some(target) = exchange.fleet.targets.get(choice.target) else { return true };
+            // Without a coordinator each entry uses an equal part of a request limit.
+            target.counters.limit.set_share(share);
+            target.counters.limit.try_take(now)
+        });
+        let Some(choice) = choice else {
             let detail = format!("no target of {} takes requests", service.intent.service);
             return Err(Refusal::not_run(ReasonCode::NoTarget, detail));
         };
-        let now = query.now;
-        if let Some(target) = exchange.fleet.targets.get(choice.target) {
-            // Without a coordinator each entry uses an equal part of a request limit.
-            target.counters.limit.set_share(1.0 / service.table.entry_count.max(1) as f64);
-            target.counters.limit.take(now);
-        }
         let dispatch = dispatch_trace(exchange, choice, rule, now);
         exchange.trace.add_dispatch(dispatch);
         exchange.add_target(choice.target);
--- a/src/measuring.rs
+++ b/src/measuring.rs
@@ -17,6 +17,7 @@
 use crate::pool::{TargetTransport, send_probe};
 use crate::propagation::PropagationStatus;
 use crate::state::SharedState;
+use crate::targets::record_warm_up;
 
 /// Path at which targets answer the probes of this driver. Probes just before a dispatch use
 /// the `probe_path` of the intent.
@@ -139,6 +140,11 @@
             let path = http::Uri::from_static(PROBE_PATH);
             let response = send_probe(transport, dialect, address, path, deadline).await;
             let Some(response) = response else { return };
+            if let Some(left) = state.dialect.parse_warm_up(response.headers())
+                && let Some(target) = state.fleet.load().targets.get(target)
+            {
+                record_warm_up(target, left, sent, state.clock.now());
+            }
             if let Some(report) = state.dialect.parse_load(response.headers()) {
                 let now = state.clock.now();
                 counters.record_report(report, now);
--- a/src/placement/coordinator.rs
+++ b/src/placement/coordinator.rs
@@ -87,19 +87,22 @@
 }
 
 impl TargetReservation {
+    /// Reserves a target, or gives the slot back if the target is cold and takes no request now.
     fn new(
         target: &TargetSnapshot,
         service: Arc<ServiceCounters>,
         slot: SlotGuard,
         now: Timestamp,
-    ) -> Self {
+    ) -> Result<Self, SlotGuard> {
         let counters = target.counters.clone();
         let before = counters.estimated_requests(now);
-        counters.record_placement(now);
+        if !counters.try_record_placement(now) {
+            return Err(slot);
+        }
         let (slowdown, age) = counters.slowdown_report(now);
         let slowdown_percent = (slowdown > 0 && age <= FRESH_SLOWDOWN_AGE).then_some(slowdown);
         let fills_target = before + 1 >= target.slots;
-        Self { target: counters, service, fills_target, slowdown_percent, _slot: slot }
+        Ok(Self { target: counters, service, fills_target, slowdown_percent, _slot: slot })
     }
 
     /// Records how the attempt ended, and from a response whether full targets are slower.
@@ -176,7 +179,7 @@
         let service = whole.part(call.part.part);
         let gate = self.gates.get_or_create(call.part, service);
         let budget = &whole.counters.retry_budget;
-        let (trace, slot) = match call.attempt {
+        let (trace, mut slot) = match call.attempt {
             AttemptKind::First => {
                 let percent = service.intent.retry_percent;
                 budget.record_first_attempt(percent, self.max_retry_tokens(whole.parts.len()));
@@ -198,15 +201,20 @@
                 return Err(GateRefusal::with_default_delay(ReasonCode::NoTarget));
             }
         };
-        let choice = self.choose_target(call).await;
-        let choice = choice.ok_or_else(|| GateRefusal::with_default_delay(ReasonCode::NoTarget))?;
-        let fleet = self.state.fleet.load();
-        let Some(target) = fleet.targets.get(choice.target) else {
-            return Err(GateRefusal::with_default_delay(ReasonCode::NoTarget));
-        };
-        let service = service.counters.clone();
-        let reservation = TargetReservation::new(target, service, slot, self.state.clock.now());
-        Ok(PlacedCall { trace, choice, reservation })
+        loop {
+            let no_target = || GateRefusal::with_default_delay(ReasonCode::NoTarget);
+            let choice = self.choose_target(call).await.ok_or_else(no_target)?;
+            let fleet = self.state.fleet.load();
+            let target = fleet.targets.get(choice.target).ok_or_else(no_target)?;
+            let (service, now) = (service.counters.clone(), self.state.clock.now());
+            match TargetReservation::new(target, service, slot, now) {
+                Ok(reservation) => return Ok(PlacedCall { trace, choice, reservation }),
+                // Another request took the last one that the target takes now. The target is no
+                // longer a choice, so this ends.
+                Err(unused) => slot = unused,
+            }
+            self.state.metrics.placement.cold_conflicts.increment(1);
+        }
     }
 
     /// Returns the maximum number of retry tokens that this entry accumulates for a service with
--- a/src/placement/driver.rs
+++ b/src/placement/driver.rs
@@ -161,7 +161,13 @@
             self.report_load();
             self.step_grants(GrantsMessage::Tick);
             let served = &mut self.served_entries;
-            update_limit_shares(&self.state, &self.tags, &self.affinities, served);
+            update_limit_shares(
+                &self.state,
+                &self.tags,
+                &self.affinities,
+                affinity_of(self.sender.address()),
+                served,
+            );
         }
     }
 
--- a/src/placement/prober.rs
+++ b/src/placement/prober.rs
@@ -16,7 +16,7 @@
 
 use crate::pool::{TargetTransport, send_probe};
 use crate::state::SharedState;
-use crate::targets::record_limit;
+use crate::targets::{record_limit, record_warm_up};
 
 /// Timeout of a probe. Its result is useful for a few milliseconds only; the longer timeout
 /// keeps the connection from being closed.
@@ -132,6 +132,9 @@
             let (transport, dialect) = (transport.as_ref(), state.dialect.as_ref());
             let response = send_probe(transport, dialect, target.address, path, deadline).await;
             let Some(response) = response else { return };
+            if let Some(left) = state.dialect.parse_warm_up(response.headers()) {
+                record_warm_up(&target, left, now, state.clock.now());
+            }
             if let Some(report) = state.dialect.parse_load(response.headers()) {
                 let now = state.clock.now();
                 target.counters.record_report(report, now);
--- a/src/targets.rs
+++ b/src/targets.rs
@@ -14,6 +14,7 @@
 use zinniaport_core::fleet::{FleetSnapshot, TargetSnapshot, TargetState};
 use zinniaport_core::keys::TargetKey;
 use zinniaport_core::request_limit::{LimitChange, LimitStatement};
+use zinniaport_core::warm_up::WarmUpChange;
 
 use crate::state::SharedState;
 
@@ -66,6 +67,22 @@
     }
 }
 
+/// Records the cold time that is left according to the response to a health check, which was
+/// sent at `asked`.
+pub fn record_warm_up(target: &TargetSnapshot, left: Duration, asked: Timestamp, now: Timestamp) {
+    let Some(change) = target.counters.limit.warm_up.record(left, asked, now) else { return };
+    let target_id = target.instance.as_ref().map_or("", |instance| &instance.id);
+    match change {
+        WarmUpChange::Started(left) => {
+            let left_ms = left.as_millis() as u64;
+            log::info!(target_id = target_id, target:% = target.address, left_ms; "target states that it is cold");
+        }
+        WarmUpChange::Ended => {
+            log::info!(target_id = target_id, target:% = target.address; "target states that it is no longer cold");
+        }
+    }
+}
+
 /// Logs how many targets of each service have been ejected and have returned.
 fn log_ejections(old: &FleetSnapshot, new: &FleetSnapshot) {
     let is_ejected = |fleet: &FleetSnapshot, key: &TargetKey| {
@@ -91,6 +108,20 @@
     }
 }
 
+/// Gives each entry an equal part of the limits of cold targets where no coordinator places
+/// requests. The entries order the members differently, so their turns differ by chance.
+fn set_equal_shares(fleet: &FleetSnapshot) {
+    let view = &fleet.view;
+    if view.is_coordinated {
+        return;
+    }
+    let position = view.members.iter().filter(|member| **member < view.name).count();
+    for target in fleet.targets.values() {
+        target.counters.limit.set_share(1.0 / view.entry_count() as f64);
+        target.counters.limit.warm_up.set_position(position, view.entry_count());
+    }
+}
+
 impl TargetsDriver {
     /// Creates a driver and its handle.
     pub fn new(state: Arc<SharedState>) -> (Self, TargetsHandle) {
@@ -105,11 +136,24 @@
         for effect in self.controller.handle(message, self.state.clock.now()) {
             let TargetsEffect::Publish(fleet) = effect;
             log_ejections(&self.state.fleet.load(), &fleet);
+            set_equal_shares(&fleet);
             self.state.fleet.store(fleet);
             self.state.fleet_changed.notify_waiters();
         }
     }
 
+    /// Updates the number of cold targets and logs how many have become warm.
+    fn report_cold_targets(&self) {
+        let (fleet, now) = (self.state.fleet.load(), self.state.clock.now());
+        let limits = fleet.targets.values().map(|target| &target.counters.limit.warm_up);
+        let cold = limits.clone().filter(|limit| limit.is_cold(now)).count();
+        self.state.metrics.placement.cold_targets.set(cold as f64);
+        let warm = limits.filter(|limit| limit.take_end(now)).count();
+        if warm > 0 {
+            log::info!(targets = warm, cold = cold; "targets are warm");
+        }
+    }
+
     /// Handles messages and ticks until `stop` is cancelled.
     pub async fn run(mut self, stop: CancellationToken) {
         let mut ticks = tokio::time::interval(TICK_PERIOD);
@@ -117,7 +161,10 @@
         loop {
             tokio::select! {
                 () = stop.cancelled() => return,
-                _ = ticks.tick() => self.deliver(TargetsMessage::Tick),
+                _ = ticks.tick() => {
+                    self.deliver(TargetsMessage::Tick);
+                    self.report_cold_targets();
+                }
                 Some(message) = self.changes.recv() => self.deliver(message),
                 message = self.messages.recv() => match message {
                     Some(message) => self.deliver(message),
--- a/src/telemetry/placement.rs
+++ b/src/telemetry/placement.rs
@@ -29,6 +29,10 @@
     pub turned_away: Counter,
     /// Messages of other entries that were dropped because too many waited.
     pub dropped: Counter,
+    /// Targets that are cold and limited.
+    pub cold_targets: Gauge,
+    /// Picks of a cold target that another request had just used up.
+    pub cold_conflicts: Counter,
     /// Requests of this entry that it placed by itself.
     pub local: Counter,
     /// Targets compared so far.
@@ -45,6 +49,8 @@
             wasted: counter!("zinniaport_placement_wasted_total"),
             turned_away: counter!("zinniaport_placement_turned_away_total"),
             dropped: counter!("zinniaport_placement_messages_dropped_total"),
+            cold_targets: gauge!("zinniaport_cold_targets"),
+            cold_conflicts: counter!("zinniaport_cold_target_conflicts_total"),
             local: counter!("zinniaport_local_placements_total"),
             compared: AtomicU64::new(0),
         })
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -100,6 +100,7 @@
             name: "history".to_owned(),
             health_path: "/health".to_owned(),
             max_connections: 200,
+            ..ServiceDefinition::default()
         }],
         limits: None,
     };
--- a/tests/support/coordinated_entry.rs
+++ b/tests/support/coordinated_entry.rs
@@ -92,6 +92,10 @@
         DefaultDialect.parse_limit(headers)
     }
 
+    fn parse_warm_up(&self, headers: &HeaderMap) -> Option<Duration> {
+        DefaultDialect.parse_warm_up(headers)
+    }
+
     fn classify_response(
         &self,
         request_id: Option<&str>,
