Send nothing to evacuated data centres

The operator could not take a data centre out of use. Evacuations are a third part of the directory, read only with directory.evacuations: targets of an evacuated data centre leave the tables that requests are placed by, grants for them are rejected, and a request that waited for a connection is not sent. On the return they count as cold. Messages between entries have a third revision.

--- a/core/src/controllers/directory/fleet.rs
+++ b/core/src/controllers/directory/fleet.rs
@@ -25,7 +25,7 @@
         let Some(configuration) = &self.configuration else { return Vec::new() };
         let mut targets: IndexMap<&str, Vec<TargetIntent>> = IndexMap::new();
         for target in self.targets.values().filter_map(|record| record.target.as_ref()) {
-            targets.entry(&target.service).or_default().push(target_intent(target));
+            targets.entry(&target.service).or_default().push(self.target_intent(target));
         }
         let services = configuration.services.iter().map(|service| {
             let routes = configuration.routes.iter();
@@ -53,23 +53,25 @@
             limits: configuration.limits,
         };
         self.fleet.apply_directory(directory, self.initial_cursor, now);
+        self.mark_evacuated();
         let mut effects = self.update_cold_targets(now);
         effects.push(DirectoryEffect::Publish(Arc::new(self.fleet.clone())));
         effects
     }
-}
 
-fn target_intent(target: &RegisteredTarget) -> TargetIntent {
-    let state = match (target.leaving, target.warm_up_left.is_zero()) {
-        (true, _) => DesiredState::Leaving,
-        (false, true) => DesiredState::Serving,
-        (false, false) => DesiredState::Joining,
-    };
-    TargetIntent {
-        address: target.address,
-        data_centre: target.data_centre.clone(),
-        slots: target.slots,
-        state,
-        instance: Some(target.instance.clone()),
+    fn target_intent(&self, target: &RegisteredTarget) -> TargetIntent {
+        let takes_none = target.leaving || self.evacuations.is_evacuated(&target.data_centre);
+        let state = match (takes_none, target.warm_up_left.is_zero()) {
+            (true, _) => DesiredState::Leaving,
+            (false, true) => DesiredState::Serving,
+            (false, false) => DesiredState::Joining,
+        };
+        TargetIntent {
+            address: target.address,
+            data_centre: target.data_centre.clone(),
+            slots: target.slots,
+            state,
+            instance: Some(target.instance.clone()),
+        }
     }
 }
--- a/core/src/controllers/directory/mod.rs
+++ b/core/src/controllers/directory/mod.rs
@@ -4,8 +4,10 @@
 //! ended; a list replaces it only if the platform no longer keeps the changes in between.
 //! Objects and versions never go back, whatever a stale read returns.
 
+mod evacuations;
 mod fleet;
 mod records;
+mod settings;
 mod warm_up;
 
 use std::sync::Arc;
@@ -14,10 +16,10 @@
 use indexmap::IndexMap;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use serde::Deserialize;
 use strum::IntoEnumIterator;
 
 use records::TargetRecord;
+pub use settings::DirectorySettings;
 use warm_up::registered_period;
 
 use super::StateController;
@@ -26,8 +28,9 @@
 use crate::directory::{
     DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, OperatorConfiguration,
 };
+use crate::evacuation::{EvacuationChange, EvacuationTable};
 use crate::fleet::FleetSnapshot;
-use crate::warm_up::{WarmUpBound, WarmUpSource};
+use crate::warm_up::WarmUpSource;
 
 /// Delay of a removal after an outage of the store: live targets register again within
 /// about 2 s.
@@ -91,6 +94,8 @@
     TargetChanged(TargetChange),
     /// So many targets with a limit for cold ones are known to be cold from now on.
     ColdTargets(WarmUpSource, usize),
+    /// The evacuation of a data centre started or ended.
+    Evacuation(EvacuationChange),
 }
 
 /// A change of one target, for the log.
@@ -133,22 +138,6 @@
     }
 }
 
-/// Settings for following a directory, chosen by the operator of the entries.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct DirectorySettings {
-    /// Retries and hedges allowed, as a ratio of the first attempts.
-    pub retry_ratio: f64,
-    /// Requests that a cold target may get from all entries together.
-    pub warm_up: WarmUpBound,
-}
-
-impl Default for DirectorySettings {
-    fn default() -> Self {
-        Self { retry_ratio: 0.1, warm_up: WarmUpBound::default() }
-    }
-}
-
 /// Owns the targets and the configuration in the directory.
 #[derive(Debug)]
 pub struct DirectoryController {
@@ -156,7 +145,8 @@
     /// Revisions of removals, so that a stale list does not bring a target back.
     removed: IndexMap<String, u64>,
     configuration: Option<OperatorConfiguration>,
-    parts: [PartFollower; 2],
+    evacuations: EvacuationTable,
+    parts: [PartFollower; DirectoryPart::COUNT],
     /// When the last response for either part arrived.
     last_response: Timestamp,
     /// Until when removals are delayed after an outage of the store.
@@ -177,6 +167,7 @@
             targets: IndexMap::new(),
             removed: IndexMap::new(),
             configuration: None,
+            evacuations: EvacuationTable::default(),
             parts: Default::default(),
             random: SmallRng::seed_from_u64(seed),
             last_response: Timestamp::default(),
@@ -190,7 +181,19 @@
 
     /// Returns the calls to start with.
     pub fn start(&self) -> Vec<DirectoryEffect> {
-        DirectoryPart::iter().map(|part| DirectoryEffect::List(part, Duration::ZERO)).collect()
+        let parts = self.followed_parts();
+        parts.map(|part| DirectoryEffect::List(part, Duration::ZERO)).collect()
+    }
+
+    fn followed_parts(&self) -> impl Iterator<Item = DirectoryPart> + use<> {
+        let evacuations = self.settings.evacuations;
+        DirectoryPart::iter().filter(move |part| evacuations || *part != DirectoryPart::Evacuations)
+    }
+
+    /// Returns `true` once all parts that are followed are known.
+    fn is_complete(&self) -> bool {
+        let mut parts = self.followed_parts();
+        parts.all(|part| self.parts[part as usize].revision.is_some())
     }
 
     fn part(&mut self, part: DirectoryPart) -> &mut PartFollower {
@@ -242,6 +245,13 @@
         if listed && part == DirectoryPart::Targets {
             changed |= self.remove_unlisted(&batch, now, &mut effects);
         }
+        let batch = match part {
+            DirectoryPart::Evacuations => {
+                changed |= self.apply_evacuations(&batch, listed, now, &mut effects);
+                DirectoryBatch { changes: Vec::new(), ..batch }
+            }
+            _ => batch,
+        };
         for change in batch.changes {
             changed |= self.apply_change(change, listed, now, &mut effects);
         }
@@ -260,7 +270,7 @@
             follower.peer_revision.filter(|(peer_revision, _)| *peer_revision > covered);
         // Routes without targets, or targets without routes, would refuse requests that can
         // be served as soon as both are known.
-        let complete = self.parts.iter().all(|part| part.revision.is_some());
+        let complete = self.is_complete();
         if complete && (changed || !self.ready) {
             effects.extend(self.publish(now));
         }
@@ -288,6 +298,7 @@
                 let cold = registered_period(&target, listed, now);
                 self.apply_target(change.name, change.revision, Some(target), cold, effects)
             }
+            Some(DirectoryItem::Evacuation) => false,
             Some(DirectoryItem::Unusable) => {
                 self.apply_target(change.name, change.revision, None, None, effects)
             }
--- a/core/src/controllers/signals.rs
+++ b/core/src/controllers/signals.rs
@@ -8,6 +8,7 @@
 
 use super::StateController;
 use crate::clock::Timestamp;
+use crate::directory::DirectoryPart;
 use crate::placement::CoordinatorCandidate;
 use crate::signals::SignalMessage;
 
@@ -67,7 +68,7 @@
 pub enum SignalsEffect {
     /// Another entry knows newer revisions of targets or configuration. Holds the newest
     /// known revision of each.
-    Revisions([u64; 2]),
+    Revisions([u64; DirectoryPart::COUNT]),
     /// Send a message to these entries.
     Send(Vec<SocketAddr>),
     /// Send a message to this entry, which has just started or was silent.
@@ -102,7 +103,7 @@
     live_peers: Vec<CoordinatorCandidate>,
     /// When the current [`PEERS_REPORT_PERIOD`] began, and the number of reports in it.
     peers_reports: (Timestamp, u32),
-    revisions: [u64; 2],
+    revisions: [u64; DirectoryPart::COUNT],
     last_sent: Timestamp,
     /// Number of messages that are still to announce the last crash.
     announcements: u32,
@@ -118,7 +119,7 @@
             peers: seeds.map(|seed| (seed, PeerRecord::default())).collect(),
             live_peers: Vec::new(),
             peers_reports: (Timestamp::default(), 0),
-            revisions: [0; 2],
+            revisions: [0; DirectoryPart::COUNT],
             last_sent: Timestamp::default(),
             announcements: 0,
             last_announced: Timestamp::default(),
--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -1,6 +1,6 @@
 //! Counters of targets and services, which the request path updates without locks.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use crate::clock::Timestamp;
@@ -100,9 +100,21 @@
     pub paused_until: AtomicU64,
     /// Limit on requests per second that the target stated.
     pub limit: LimitState,
+    /// Whether the data centre of the target is evacuated.
+    evacuated: AtomicBool,
 }
 
 impl TargetCounters {
+    /// Sets whether the data centre of the target is evacuated.
+    pub fn set_evacuated(&self, evacuated: bool) {
+        self.evacuated.store(evacuated, Ordering::Release);
+    }
+
+    /// Returns `true` if the data centre of the target is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuated.load(Ordering::Acquire)
+    }
+
     /// Records a load report that arrived at `now`.
     pub fn record_report(&self, report: LoadReport, now: Timestamp) {
         let in_flight = self.in_flight.load(Ordering::Relaxed);
--- a/core/src/directory.rs
+++ b/core/src/directory.rs
@@ -5,19 +5,28 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+use strum::{Display, EnumCount, EnumIter, EnumString, IntoStaticStr};
 
 use crate::intent::TargetInstance;
 use crate::routes::{CallerLimits, RouteIntent};
 
 /// Part of a directory that is listed and watched separately.
-#[derive(Clone, Copy, Debug, Display, EnumIter, EnumString, Eq, Hash, IntoStaticStr, PartialEq)]
+#[derive(
+    Clone, Copy, Debug, Display, EnumCount, EnumIter, EnumString, Eq, Hash, IntoStaticStr, PartialEq,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum DirectoryPart {
     /// Targets.
     Targets,
     /// Configuration of the operator.
     Configuration,
+    /// Evacuated data centres. Followed only if the settings ask for it.
+    Evacuations,
+}
+
+impl DirectoryPart {
+    /// Number of parts.
+    pub const COUNT: usize = <Self as EnumCount>::COUNT;
 }
 
 /// A target as it registered itself.
@@ -77,6 +86,8 @@
     Target(RegisteredTarget),
     /// Configuration of the operator.
     Configuration(OperatorConfiguration),
+    /// Evacuation of the data centre that the object is named after.
+    Evacuation,
     /// Object without usable content.
     Unusable,
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod decision;
 pub mod digest;
 pub mod directory;
+pub mod evacuation;
 pub mod fleet;
 pub mod intent;
 pub mod keys;
--- a/core/src/signals.rs
+++ b/core/src/signals.rs
@@ -9,6 +9,7 @@
 use crate::call::CallFingerprint;
 use crate::clock::Timestamp;
 use crate::digest::ShortDigest;
+use crate::directory::DirectoryPart;
 use crate::fleet::TargetSnapshot;
 use crate::quarantine::CrashRecord;
 
@@ -80,9 +81,9 @@
     pub sequence: u64,
     /// CPU share that the sender can use, in percent of a core; 0 while it starts or stops.
     pub capacity: u16,
-    /// Latest revisions of targets and configuration that the sender knows; 0 if an earlier
+    /// Latest revision of each part of the directory that the sender knows; 0 if an earlier
     /// message contained them.
-    pub revisions: [u64; 2],
+    pub revisions: [u64; DirectoryPart::COUNT],
     /// Crash records of an entry of an earlier version; otherwise empty.
     pub crashes: Vec<CrashSummary>,
     /// Entries that the sender receives messages from; present in some messages only.
--- a/src/admin/observe.rs
+++ b/src/admin/observe.rs
@@ -154,6 +154,9 @@
     /// Requests per second that the target takes from all entries, if it states a limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub request_limit: Option<f64>,
+    /// Time for which the target is still cold and limited, in milliseconds, if it is.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub cold_left_ms: Option<u64>,
     /// Time for which the target still wants no requests of this entry, in milliseconds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub pause_left_ms: Option<u64>,
@@ -216,6 +219,7 @@
                 TargetState::Starting => "starts cold".to_owned(),
                 TargetState::Serving => "intent".to_owned(),
                 TargetState::Draining => "the target drains".to_owned(),
+                TargetState::Leaving if counters.is_evacuated() => "evacuated".to_owned(),
                 TargetState::Leaving => "intent or platform".to_owned(),
                 TargetState::Ejected => format!("{failures} failures in a row"),
             },
@@ -225,6 +229,7 @@
             reported_load: (reported_at > Timestamp::default()).then_some(load),
             reported_at,
             request_limit: counters.limit.limit().map(RequestLimit::per_second),
+            cold_left_ms: counters.limit.warm_up.time_left(now).map(|left| left.as_millis() as u64),
             pause_left_ms: counters.pause_left(now).map(|left| left.as_millis() as u64),
         }
     }
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -25,6 +25,7 @@
     TargetsMessage,
 };
 use zinniaport_core::directory::{DirectoryBatch, DirectoryPart};
+use zinniaport_core::evacuation::EvacuationChange;
 use zinniaport_core::fleet::FleetSnapshot;
 use zinniaport_core::routes::RoutingTable;
 
@@ -159,6 +160,7 @@
                     let away_ms = outage.as_millis() as u64;
                     log::info!(part = <&str>::from(part), away_ms = away_ms; "the directory is reachable again");
                 }
+                DirectoryEffect::Evacuation(change) => self.report_evacuation(&change),
                 DirectoryEffect::ColdTargets(source, count) => {
                     log::info!(targets = count, source = <&str>::from(source); "targets are cold");
                 }
@@ -171,6 +173,18 @@
         }
     }
 
+    fn report_evacuation(&self, change: &EvacuationChange) {
+        let EvacuationChange { data_centre, revision, is_evacuated } = change;
+        let evacuated = &self.state.metrics.placement.evacuated_data_centres;
+        evacuated.increment(if *is_evacuated { 1.0 } else { -1.0 });
+        let data_centre = data_centre.as_str();
+        if *is_evacuated {
+            log::warn!(data_centre, revision; "a data centre is evacuated: its targets take no new requests");
+        } else {
+            log::info!(data_centre, revision; "the evacuation of a data centre ended");
+        }
+    }
+
     /// Reads changes that a peer already knows.
     fn catch_up(&self, part: DirectoryPart, revision: Option<u64>) {
         let source = self.source.clone();
--- a/src/directory/relay.rs
+++ b/src/directory/relay.rs
@@ -18,6 +18,10 @@
 /// seconds.
 const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(1_300);
 
+/// The same for evacuations. A leader's watch for them may return after 1.5 s only, and an
+/// evacuation must be known to all entries after 5 s.
+const MAX_EVACUATIONS_AGE: Duration = Duration::from_millis(1_800);
+
 /// Removals kept for each part; the oldest are dropped first.
 const MAX_REMOVED: usize = 1024;
 
@@ -100,8 +104,13 @@
         self.complete_since = self.complete_since.map(|since| since.max(oldest));
     }
 
-    pub(super) fn fresh_until(&self) -> Option<Instant> {
-        self.confirmed_at.map(|confirmed_at| confirmed_at + MAX_CONFIRMED_AGE)
+    /// Returns until when this part, which is `part`, may be served.
+    pub(super) fn fresh_until(&self, part: DirectoryPart) -> Option<Instant> {
+        let max_age = match part {
+            DirectoryPart::Targets | DirectoryPart::Configuration => MAX_CONFIRMED_AGE,
+            DirectoryPart::Evacuations => MAX_EVACUATIONS_AGE,
+        };
+        self.confirmed_at.map(|confirmed_at| confirmed_at + max_age)
     }
 
     pub(super) fn has_changes(&self, after: u64) -> bool {
@@ -137,8 +146,8 @@
 /// This entry's copy of the directory, which the entry serves to its peers.
 #[derive(Debug, Default)]
 pub struct DirectoryRelay {
-    parts: [Mutex<RelayedPart>; 2],
-    pub(super) changed: [Notify; 2],
+    parts: [Mutex<RelayedPart>; DirectoryPart::COUNT],
+    pub(super) changed: [Notify; DirectoryPart::COUNT],
 }
 
 impl DirectoryRelay {
--- a/src/directory/relay_handler.rs
+++ b/src/directory/relay_handler.rs
@@ -71,7 +71,7 @@
     state: Arc<SharedState>,
     relay: Arc<DirectoryRelay>,
     /// Entries that start and got all objects from this one, by part.
-    transfers: [Mutex<TransferTable>; 2],
+    transfers: [Mutex<TransferTable>; DirectoryPart::COUNT],
 }
 
 impl RelayHandler {
@@ -121,7 +121,7 @@
             self.wait_for_changes(part, after, query.wait).await;
         }
         let mut relayed = self.relay.lock(part);
-        if relayed.fresh_until().is_none_or(|until| until <= Instant::now()) {
+        if relayed.fresh_until(part).is_none_or(|until| until <= Instant::now()) {
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "the platform does not answer");
         }
         batch_response(&mut relayed, query.after)
@@ -137,7 +137,7 @@
             changed.as_mut().enable();
             let (has_changes, fresh_until) = {
                 let relayed = self.relay.lock(part);
-                (relayed.has_changes(after), relayed.fresh_until())
+                (relayed.has_changes(after), relayed.fresh_until(part))
             };
             if has_changes {
                 return tokio::time::sleep(COALESCE_TIME).await;
--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -21,6 +21,10 @@
 /// Longest time that a leader waits for a change before it responds to a follower.
 const RELAY_WAIT: Duration = Duration::from_millis(600);
 
+/// The same for evacuations, which are rare. Each query and its response are paid for by the
+/// byte between data centres.
+const EVACUATIONS_RELAY_WAIT: Duration = Duration::from_millis(900);
+
 /// Longest time that an entry which starts waits for the list of another one that is starting
 /// too.
 const STARTUP_WAIT: Duration = Duration::from_millis(300);
@@ -63,9 +67,9 @@
     /// followers.
     reverses_leaders: bool,
     /// This entry's own calls to the platform while it is a follower, by part.
-    own_calls: Mutex<[OwnCalls; 2]>,
+    own_calls: Mutex<[OwnCalls; DirectoryPart::COUNT]>,
     /// From whom the first list of each part is taken.
-    startup: Mutex<[StartupPlan; 2]>,
+    startup: Mutex<[StartupPlan; DirectoryPart::COUNT]>,
     own_address: Option<SocketAddr>,
 }
 
@@ -199,7 +203,7 @@
         None
     }
 
-    fn startup(&self) -> MutexGuard<'_, [StartupPlan; 2]> {
+    fn startup(&self) -> MutexGuard<'_, [StartupPlan; DirectoryPart::COUNT]> {
         self.startup.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -236,7 +240,7 @@
         }
         if !is_leader && consistency == ReadConsistency::Stale {
             let (after, starting) = (Some(revision), None);
-            let query = RelayQuery { part, after, wait: RELAY_WAIT, starting };
+            let query = RelayQuery { part, after, wait: relay_wait(part), starting };
             loop {
                 if let Some(batch) = self.query_leaders(query).await? {
                     self.own_calls()[part as usize].responded = false;
@@ -287,7 +291,7 @@
         }
     }
 
-    fn own_calls(&self) -> MutexGuard<'_, [OwnCalls; 2]> {
+    fn own_calls(&self) -> MutexGuard<'_, [OwnCalls; DirectoryPart::COUNT]> {
         self.own_calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -347,14 +351,22 @@
     }
 }
 
+/// Returns the longest time that a leader waits for a change of a part.
+fn relay_wait(part: DirectoryPart) -> Duration {
+    match part {
+        DirectoryPart::Targets | DirectoryPart::Configuration => RELAY_WAIT,
+        DirectoryPart::Evacuations => EVACUATIONS_RELAY_WAIT,
+    }
+}
+
 /// Returns the plans of an entry that starts, one for each part.
 fn startup_plans(
     state: &SharedState,
     own_address: SocketAddr,
     seeds: &[SocketAddr],
-) -> [StartupPlan; 2] {
+) -> [StartupPlan; DirectoryPart::COUNT] {
     let (random, now) = (rand::random(), state.clock.now());
-    [(); 2].map(|()| StartupPlan::new(own_address, seeds.iter().copied(), random, now))
+    std::array::from_fn(|_| StartupPlan::new(own_address, seeds.iter().copied(), random, now))
 }
 
 impl DirectorySource for RelayedDirectory {
--- a/src/directory/revisions.rs
+++ b/src/directory/revisions.rs
@@ -11,8 +11,8 @@
 /// leaders that watch the directory for the others.
 #[derive(Debug, Default)]
 pub struct RevisionTracker {
-    pub(super) local: [AtomicU64; 2],
-    pub(super) peer: [AtomicU64; 2],
+    pub(super) local: [AtomicU64; DirectoryPart::COUNT],
+    pub(super) peer: [AtomicU64; DirectoryPart::COUNT],
     pub(super) peer_changed: Notify,
     /// `true` while peers watch for this entry. An entry without peers is a leader.
     follows: AtomicBool,
@@ -25,8 +25,8 @@
 
 impl RevisionTracker {
     /// Returns the newest revision of each part that this entry knows.
-    pub fn local(&self) -> [u64; 2] {
-        [0, 1].map(|part: usize| self.local[part].load(Ordering::Acquire))
+    pub fn local(&self) -> [u64; DirectoryPart::COUNT] {
+        std::array::from_fn(|part| self.local[part].load(Ordering::Acquire))
     }
 
     /// Returns the newest revision of a part that a peer announced.
@@ -35,7 +35,7 @@
     }
 
     /// Records the newest revision of each part that a peer knows.
-    pub fn observe_peer(&self, revisions: [u64; 2]) {
+    pub fn observe_peer(&self, revisions: [u64; DirectoryPart::COUNT]) {
         for (known, revision) in self.peer.iter().zip(revisions) {
             known.fetch_max(revision, Ordering::AcqRel);
         }
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -26,7 +26,9 @@
 use crate::exchange::{BodyError, CallBody, CallResponse, Exchange, empty_body, full_body};
 use crate::front::{OUTCOME_HEADER, strip_hop_headers};
 use crate::own_identity::OwnIdentity;
-use crate::pool::{ConnectionHandle, IdentityTag, IdleCheck, TargetCall, TargetTransport};
+use crate::pool::{
+    ConnectionHandle, IdentityTag, IdleCheck, TargetCall, TargetTransport, TransportError,
+};
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 use crate::targets::record_limit;
@@ -75,6 +77,7 @@
             .identity(identity)
             .handle(handle.clone())
             .maybe_check(idle_check(exchange, dialect))
+            .guard(target.counters.clone())
             .request(target_request(exchange, target.instance.as_ref(), dialect))
             .deadline(Instant::now() + time_left)
             .deadline_header(dialect.deadline_header().clone())
@@ -89,6 +92,10 @@
         let mut response = match result {
             Ok(response) => response,
             Err(error) => {
+                let is_unsent = matches!(error, TransportError::NotSent { .. });
+                if is_unsent && target.counters.is_evacuated() {
+                    self.state.metrics.placement.evacuated_dispatches.increment(1);
+                }
                 let refusal = refusal_of(&error, exchange.body_status.fault());
                 guard.record_end(attempt_end(refusal.reason));
                 return Err(refusal);
--- a/src/pool/mod.rs
+++ b/src/pool/mod.rs
@@ -9,7 +9,9 @@
 mod silence;
 mod transport;
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use derive_more::{Display, Error};
 use futures::future::BoxFuture;
@@ -20,6 +22,7 @@
 pub use silence::{SilenceCause, SilenceLogger, SilenceObserver};
 use tokio::time::Instant;
 pub use transport::HttpTransport;
+use zinniaport_core::fleet::TargetCounters;
 
 use crate::exchange::{CallBody, CallResponse};
 use crate::own_identity::OwnIdentity;
@@ -80,11 +83,26 @@
     /// Identity that the target repeats in its response. `None` for probes, whose identities come
     /// only once.
     pub identity: Option<IdentityTag>,
+    /// Asked just before the request is sent, since it may have waited for a connection.
+    pub guard: Option<Arc<dyn DispatchGuard>>,
     /// Handle by which the sender learns about the connection.
     #[builder(default)]
     pub handle: ConnectionHandle,
 }
 
+/// Decides just before a request is sent whether its target still takes it.
+pub trait DispatchGuard: fmt::Debug + Send + Sync {
+    /// Returns `true` if the request may be sent.
+    fn allows_dispatch(&self) -> bool;
+}
+
+impl DispatchGuard for TargetCounters {
+    /// Returns `false` while the data centre of the target is evacuated.
+    fn allows_dispatch(&self) -> bool {
+        !self.is_evacuated()
+    }
+}
+
 /// Check of a connection that was idle for a while, by a request that the target answers at
 /// once. Targets and middleboxes drop idle connections without closing them, and a request
 /// sent on such a connection is lost.
--- a/src/pool/transport.rs
+++ b/src/pool/transport.rs
@@ -72,8 +72,16 @@
     }
 
     async fn exchange(&self, call: TargetCall) -> Result<CallResponse, TransportError> {
-        let TargetCall { address, request, deadline, deadline_header, check, identity, handle } =
-            call;
+        let TargetCall {
+            address,
+            request,
+            deadline,
+            deadline_header,
+            check,
+            identity,
+            guard,
+            handle,
+        } = call;
         let pool = self.pool(address);
         let not_sent = |cause: String| TransportError::NotSent { address, cause };
         let mut lease =
@@ -98,6 +106,9 @@
             if time_left.is_zero() {
                 return Err(not_sent("the deadline passed before it was sent".to_owned()));
             }
+            if guard.as_ref().is_some_and(|guard| !guard.allows_dispatch()) {
+                return Err(not_sent("the target no longer takes requests".to_owned()));
+            }
             // Stated last, since the request may have waited for a connection.
             if let Some(name) = &deadline_header {
                 let millis = time_left.as_millis().max(1) as u64;
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -16,6 +16,7 @@
 use zinniaport_core::controllers::{
     SignalsController, SignalsEffect, SignalsMessage, StateController, TargetsMessage,
 };
+use zinniaport_core::directory::DirectoryPart;
 use zinniaport_core::placement::{CoordinatorCandidate, PlacementMessage};
 use zinniaport_core::policy::EntryView;
 use zinniaport_core::quarantine::{CrashRecord, CrashReport};
@@ -118,7 +119,7 @@
     /// Number of the last message.
     sequence: u64,
     /// Directory revisions as of the last check for changes.
-    sent_revisions: [u64; 2],
+    sent_revisions: [u64; DirectoryPart::COUNT],
     /// Capacity as of the last check for changes.
     sent_capacity: u16,
 }
@@ -152,7 +153,7 @@
             seeds: watch::Sender::new(seeds),
             incarnation,
             sequence: 0,
-            sent_revisions: [0; 2],
+            sent_revisions: [0; DirectoryPart::COUNT],
             sent_capacity: 0,
         })
     }
--- a/src/telemetry/placement.rs
+++ b/src/telemetry/placement.rs
@@ -31,6 +31,11 @@
     pub dropped: Counter,
     /// Targets that are cold and limited.
     pub cold_targets: Gauge,
+    /// Data centres that are evacuated.
+    pub evacuated_data_centres: Gauge,
+    /// Requests that were not sent because the data centre of their target was evacuated
+    /// meanwhile.
+    pub evacuated_dispatches: Counter,
     /// Picks of a cold target that another request had just used up.
     pub cold_conflicts: Counter,
     /// Requests of this entry that it placed by itself.
@@ -50,6 +55,8 @@
             turned_away: counter!("zinniaport_placement_turned_away_total"),
             dropped: counter!("zinniaport_placement_messages_dropped_total"),
             cold_targets: gauge!("zinniaport_cold_targets"),
+            evacuated_data_centres: gauge!("zinniaport_evacuated_data_centres"),
+            evacuated_dispatches: counter!("zinniaport_evacuated_dispatches_total"),
             cold_conflicts: counter!("zinniaport_cold_target_conflicts_total"),
             local: counter!("zinniaport_local_placements_total"),
             compared: AtomicU64::new(0),
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -31,10 +32,10 @@
 /// A directory that lists fixed batches and returns each later batch to one watch.
 #[derive(Default)]
 struct FakeDirectory {
-    listed: Mutex<[Option<DirectoryBatch>; 2]>,
+    listed: Mutex<[Option<DirectoryBatch>; DirectoryPart::COUNT]>,
     later: Mutex<VecDeque<(DirectoryPart, DirectoryBatch)>>,
     /// Duration of a list call, by part.
-    list_times: [Duration; 2],
+    list_times: [Duration; DirectoryPart::COUNT],
 }
 
 impl DirectorySource for FakeDirectory {
@@ -177,8 +178,8 @@
 
     async early_requests_wait: "requests refused by an entry that is ready to serve them a few milliseconds later" => {
         let target = FakeTarget::start(|stream, _| echo_heads(stream)).await;
-        for list_times in [[20, 60], [60, 20]] {
-            let listed = Mutex::new([Some(targets(&target)), Some(configuration())]);
+        for list_times in [[20, 60, 0], [60, 20, 0]] {
+            let listed = Mutex::new([Some(targets(&target)), Some(configuration()), None]);
             let list_times = list_times.map(Duration::from_millis);
             let directory = FakeDirectory { listed, list_times, ..FakeDirectory::default() };
             let entry = start(Arc::new(directory), "").await;
@@ -190,7 +191,7 @@
     async directory_is_served: "a request that is not routed by the host, path and instances in the directory" => {
         let target = FakeTarget::start(|stream, _| echo_heads(stream)).await;
         let directory = Arc::new(FakeDirectory::default());
-        *directory.listed.lock().unwrap() = [Some(targets(&target)), Some(configuration())];
+        *directory.listed.lock().unwrap() = [Some(targets(&target)), Some(configuration()), None];
         let entry = start(directory.clone(), "").await;
         wait_until_ready(&entry).await;
         let response = send_request(&entry, "/h/1").await;
@@ -210,4 +211,33 @@
         }
         assert!(response.contains("no-target"), "{response}");
     }
+
+    async evacuations_take_effect: "requests that reach the targets of an evacuated data centre, or that are refused after its evacuation ended" => {
+        let served = Arc::new(AtomicUsize::new(0));
+        let count = served.clone();
+        let target = FakeTarget::start(move |stream, _| {
+            count.fetch_add(1, Ordering::SeqCst);
+            echo_heads(stream)
+        }).await;
+        let directory = Arc::new(FakeDirectory::default());
+        let change = |revision, item| {
+            let changes = vec![DirectoryChange { name: "valle-a".to_owned(), revision, item }];
+            DirectoryBatch { revision, changes }
+        };
+        let evacuated = change(7, Some(DirectoryItem::Evacuation));
+        *directory.listed.lock().unwrap() = [Some(targets(&target)), Some(configuration()), Some(evacuated)];
+        let entry = start(directory.clone(), "directory: { evacuations: true }").await;
+        wait_until_ready(&entry).await;
+        for _ in 0..20 {
+            let response = send_request(&entry, "/h/1").await;
+            assert!(response.starts_with("HTTP/1.1 503") && response.contains("no-target"), "{response}");
+        }
+        assert_eq!(served.load(Ordering::SeqCst), 0);
+        let metrics = get(entry.admin_address(), "/metrics").await.unwrap().into_body();
+        assert!(String::from_utf8_lossy(&metrics).contains("zinniaport_evacuated_data_centres 1"));
+        directory.later.lock().unwrap().push_back((DirectoryPart::Evacuations, change(9, None)));
+        while !send_request(&entry, "/h/1").await.starts_with("HTTP/1.1 200") {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
 }
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -19,8 +19,8 @@
 use zinniaport::exchange::{CallBody, CallResponse, empty_body, full_body};
 use zinniaport::own_identity::OwnIdentity;
 use zinniaport::pool::{
-    HttpTransport, IdleCheck, SilenceCause, SilenceLogger, SilenceObserver, TargetCall,
-    TargetTransport, TransportError,
+    DispatchGuard, HttpTransport, IdleCheck, SilenceCause, SilenceLogger, SilenceObserver,
+    TargetCall, TargetTransport, TransportError,
 };
 use zinniaport::settings::PoolSettings;
 use zinniaport_testing::{check_property, test_cases};
@@ -142,7 +142,32 @@
     }
 }
 
+/// Guard that allows no dispatch after the first.
+#[derive(Debug, Default)]
+struct FirstOnly(AtomicUsize);
+
+impl DispatchGuard for FirstOnly {
+    fn allows_dispatch(&self) -> bool {
+        self.0.fetch_add(1, Ordering::SeqCst) == 0
+    }
+}
+
 test_cases! {
+    async guarded_requests_are_not_sent: "a request that waited for a connection and is sent to a target that takes no more" => {
+        let target = FakeTarget::start(|stream, _| answer_slowly(stream)).await;
+        let transport = transport(1);
+        let guard = Arc::new(FirstOnly::default());
+        let send = |number: u32| {
+            let mut call = call(target.address, &format!("/call-{number}/20000/w"), empty_body(), LONG_TIMEOUT);
+            call.guard = Some(guard.clone());
+            transport.send(call)
+        };
+        // The second one waits for the only connection.
+        let (first, second) = tokio::join!(async { read_text(send(1).await.unwrap()).await }, send(2));
+        assert_eq!(first.as_deref(), Some("call-1"));
+        assert!(matches!(second, Err(TransportError::NotSent { .. })));
+    }
+
     responses_reach_their_callers: "a late response that reaches another caller" => {
         let modes = prop_oneof![3 => Just("w"), 2 => Just("p"), 1 => Just("c"), 1 => Just("n")];
         let plan = (0_u64..3000, prop_oneof![100_u64..6000, Just(1_000_000)], modes);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -188,13 +188,13 @@
         relay.apply(PART, &batch(30, &[("i-2", 30)]), BatchOrigin::Watched);
         let state = state("follower");
         state.revisions.set_leaders(vec![address], false);
-        state.revisions.observe_peer([30, 0]);
+        state.revisions.observe_peer([30, 0, 0]);
         let source = Arc::new(CountingSource::default());
         let directory = RelayedDirectory::new(state.clone(), source.clone(), Arc::default());
         let read = directory.watch(PART, 20, ReadConsistency::Current).await.unwrap();
         assert_eq!((summarize(&read), source.calls()), (vec![("i-2", 30, true)], 0));
         // A change that the leader does not know is read from the platform.
-        state.revisions.observe_peer([50, 0]);
+        state.revisions.observe_peer([50, 0, 0]);
         source.revision.store(50, Ordering::SeqCst);
         let read = directory.watch(PART, 30, ReadConsistency::Current).await.unwrap();
         assert_eq!((read.revision, source.calls()), (50, 1));
