Notice targets that do not respond

A target that swallows a request looked like any other until the request's deadline, since only unanswered probes were noticed. With routing.silence_factor the coordinator counts a target as unresponsive once no response has come for that multiple of the typical time of a request, with the slowdown that the target reported, and an idempotent request is hedged then.

--- a/core/src/controllers/directory/mod.rs
+++ b/core/src/controllers/directory/mod.rs
@@ -296,11 +296,13 @@
             }
             Some(DirectoryItem::Target(target)) => {
                 let cold = registered_period(&target, listed, now);
-                self.apply_target(change.name, change.revision, Some(target), cold, effects)
+                let record =
+                    TargetRecord { cold, ..TargetRecord::new(change.revision, Some(target)) };
+                self.apply_target(change.name, record, effects)
             }
             Some(DirectoryItem::Evacuation) => false,
             Some(DirectoryItem::Unusable) => {
-                self.apply_target(change.name, change.revision, None, None, effects)
+                self.apply_target(change.name, TargetRecord::new(change.revision, None), effects)
             }
             None => self.apply_removal(&change.name, change.revision, now, effects),
         }
--- a/core/src/controllers/directory/records.rs
+++ b/core/src/controllers/directory/records.rs
@@ -28,28 +28,33 @@
     pub(super) cold: Option<ColdPeriod>,
 }
 
+impl TargetRecord {
+    pub(super) fn new(revision: u64, target: Option<RegisteredTarget>) -> Self {
+        Self { revision, target, drop_at: None, cold: None }
+    }
+}
+
 impl DirectoryController {
     pub(super) fn apply_target(
         &mut self,
         name: String,
-        revision: u64,
-        target: Option<RegisteredTarget>,
-        cold: Option<ColdPeriod>,
+        record: TargetRecord,
         effects: &mut Vec<DirectoryEffect>,
     ) -> bool {
+        let revision = record.revision;
         let known = self.targets.get(&name).map(|record| record.revision);
         let removed = self.removed.get(&name).copied();
         if known.max(removed).is_some_and(|known| known >= revision) {
             return false;
         }
-        let state = match &target {
+        let state = match &record.target {
             None => "unusable",
             Some(target) if target.leaving => "leaving",
             Some(_) => "registered",
         };
         effects.push(target_changed(&name, revision, state));
         self.removed.shift_remove(&name);
-        self.targets.insert(name, TargetRecord { revision, target, drop_at: None, cold });
+        self.targets.insert(name, record);
         true
     }
 
--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -8,6 +8,7 @@
 use crate::request_limit::LimitState;
 use crate::retry::{LatencyQuantile, RetryBudget};
 use crate::saturation::SaturationMonitor;
+use crate::silence::SilenceMonitor;
 
 /// Maximum time for which a target counts as shedding load after one announcement. A target
 /// that sheds load for longer announces it again.
@@ -100,6 +101,8 @@
     pub paused_until: AtomicU64,
     /// Limit on requests per second that the target stated.
     pub limit: LimitState,
+    /// Whether the target responds to the requests that this entry placed there.
+    pub silence: SilenceMonitor,
     /// Whether the data centre of the target is evacuated.
     evacuated: AtomicBool,
 }
@@ -174,9 +177,14 @@
         self.last_probe_at.store(now.0, Ordering::Relaxed);
     }
 
-    /// Returns `true` if the target has not responded to a probe in time. Sending another
-    /// probe does not reset this.
+    /// Returns `true` if the target has not responded to a probe or to the requests placed there
+    /// in time. Sending another probe does not reset this.
     pub fn is_unresponsive(&self, now: Timestamp) -> bool {
+        self.silence.is_silent(self.placed.load(Ordering::Relaxed), now)
+            || self.is_unresponsive_to_probes(now)
+    }
+
+    fn is_unresponsive_to_probes(&self, now: Timestamp) -> bool {
         let since = Timestamp(self.first_unanswered_probe_at.load(Ordering::Relaxed));
         self.has_unanswered_probe() && now.since(since) >= PROBE_RESPONSE_TIME
     }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod routes;
 pub mod saturation;
 pub mod signals;
+pub mod silence;
 pub mod startup;
 pub mod warm_up;
--- a/src/bench/fleet.rs
+++ b/src/bench/fleet.rs
@@ -129,7 +129,7 @@
             .listen(any_port)
             .admin_listen(any_port)
             .stop(immediate_stop())
-            .routing(RoutingSettings { policy: trial.policy.clone() })
+            .routing(RoutingSettings { policy: trial.policy.clone(), ..RoutingSettings::default() })
             .platform(PlatformSettings::builder().address(platform).build())
             .peers(peers)
             .build();
--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -2,10 +2,12 @@
 
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::future::{Either, select};
 use http::StatusCode;
+use tokio::time::{Instant, timeout_at};
 use zinniaport_core::call::ReasonCode;
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::TargetsMessage;
@@ -155,15 +157,41 @@
         next: FilterNext<'_>,
         dispatches: &mut DispatchCount,
     ) -> FilterResult {
-        let Some((delay, mut copy)) = prepare_hedge(exchange) else {
+        let delays = self.hedge_delays(exchange);
+        let has_delay = delays.iter().any(Option::is_some);
+        let Some(mut copy) = has_delay.then(|| prepare_hedge(exchange)).flatten() else {
             return self.attempt(exchange, next).await;
         };
+        let permit = copy.head.extensions.get::<PermitHandle>().cloned();
+        let first_target = exchange.targets.last().and_then(|key| exchange.fleet.targets.get(*key));
+        let counters = first_target.map(|target| target.counters.clone());
+        let (started, sent) = (Instant::now(), self.state.clock.now());
         let result = {
             let mut first = pin!(self.attempt(&mut *exchange, next));
-            match tokio::time::timeout(delay, first.as_mut()).await {
-                Ok(result) => return result,
-                Err(_) if !self.start_hedge(&mut copy, *dispatches).await => return first.await,
-                Err(_) => {}
+            let mut is_hedged = false;
+            for (delay, cause) in delays.into_iter().flatten() {
+                if let Ok(result) = timeout_at(started + delay, first.as_mut()).await {
+                    return result;
+                }
+                // A target that responds to others works on this request too.
+                let responds =
+                    counters.as_ref().is_some_and(|target| target.report_since(sent).is_some());
+                if cause == HedgeCause::Silence && responds {
+                    continue;
+                }
+                permit.iter().for_each(|permit| {
+                    copy.head.extensions.insert(permit.clone());
+                });
+                if self.start_hedge(&mut copy, *dispatches).await {
+                    is_hedged = true;
+                    if cause == HedgeCause::Silence {
+                        self.state.metrics.placement.silence_hedges.increment(1);
+                    }
+                    break;
+                }
+            }
+            if !is_hedged {
+                return first.await;
             }
             dispatches.begin();
             let second = pin!(self.attempt(&mut copy, next));
@@ -186,6 +214,27 @@
         result
     }
 
+    /// Returns the delays of the hedges of a request, the shortest first: the time after which its
+    /// target counts as unresponsive, and the time that most requests take.
+    fn hedge_delays(&self, exchange: &Exchange) -> [Option<(Duration, HedgeCause)>; 2] {
+        let Some(service) = exchange.fleet.services.get(exchange.facts.service) else {
+            return [None; 2];
+        };
+        let usual = service.counters.latency_quantile.get();
+        let target = exchange.targets.last().and_then(|key| exchange.fleet.targets.get(*key));
+        let median = service.table.median_latency_us.load(Ordering::Relaxed);
+        let typical = (median > 0).then(|| Duration::from_micros(median));
+        let silence = target.and_then(|target| {
+            let slowdown = target.counters.slowdown_report(self.state.clock.now());
+            let limit = self.state.silence.time_limit(typical, slowdown, false);
+            limit.filter(|limit| usual.is_none_or(|usual| *limit < usual))
+        });
+        [
+            silence.map(|delay| (delay, HedgeCause::Silence)),
+            usual.map(|delay| (delay, HedgeCause::Latency)),
+        ]
+    }
+
     async fn start_hedge(&self, copy: &mut Exchange, dispatches: DispatchCount) -> bool {
         let started = fork_permit(copy)
             && allows_hedge(&copy.facts, dispatches, self.state.clock.now())
@@ -207,13 +256,20 @@
     true
 }
 
-/// Copies a request that may be hedged. Returns the copy and the delay of the hedge.
-fn prepare_hedge(exchange: &Exchange) -> Option<(Duration, Exchange)> {
+/// Why a request is hedged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum HedgeCause {
+    /// Its target has not responded to it, nor to any other request of this entry since.
+    Silence,
+    /// It takes longer than most.
+    Latency,
+}
+
+/// Copies a request that may be hedged.
+fn prepare_hedge(exchange: &Exchange) -> Option<Exchange> {
     if !exchange.facts.idempotent || exchange.facts.max_runs < 2 {
         return None;
     }
-    let service = exchange.fleet.services.get(exchange.facts.service)?;
-    let delay = service.counters.latency_quantile.get()?;
     let (request_id, fleet) = (exchange.request_id.clone(), exchange.fleet.clone());
     let request = http::Request::from_parts(exchange.head.clone(), empty_body());
     let mut copy = Exchange::new(request_id, fleet, request);
@@ -221,5 +277,5 @@
     copy.targets = exchange.targets.clone();
     copy.processes = exchange.processes.clone();
     copy.trace = exchange.trace;
-    Some((delay, copy))
+    Some(copy)
 }
--- a/src/placement/coordinator.rs
+++ b/src/placement/coordinator.rs
@@ -1,7 +1,8 @@
 //! The coordinator of services: admits the requests of all entries and picks their targets.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -80,6 +81,10 @@
     service: Arc<ServiceCounters>,
     /// Whether the request took the last free slot of the target.
     fills_target: bool,
+    address: SocketAddr,
+    /// Whether the target has responded, or its connection has failed.
+    is_answered: AtomicBool,
+    state: Arc<SharedState>,
     /// Slowdown that the target reported last, in percent of the nominal service time, or
     /// `None` if the report was old.
     slowdown_percent: Option<u32>,
@@ -89,6 +94,7 @@
 impl TargetReservation {
     /// Reserves a target, or gives the slot back if the target is cold and takes no request now.
     fn new(
+        state: Arc<SharedState>,
         target: &TargetSnapshot,
         service: Arc<ServiceCounters>,
         slot: SlotGuard,
@@ -102,11 +108,29 @@
         let (slowdown, age) = counters.slowdown_report(now);
         let slowdown_percent = (slowdown > 0 && age <= FRESH_SLOWDOWN_AGE).then_some(slowdown);
         let fills_target = before + 1 >= target.slots;
-        Ok(Self { target: counters, service, fills_target, slowdown_percent, _slot: slot })
+        let saturation = &service.saturation;
+        let (typical, slows) = (saturation.nominal_service_time(), saturation.slows_when_full());
+        let limit = state.silence.time_limit(typical, (slowdown, age), slows);
+        let is_first = counters.placed.load(Ordering::SeqCst) == 1;
+        counters.silence.record_placement(limit, is_first, now);
+        Ok(Self {
+            target: counters,
+            service,
+            fills_target,
+            address: target.address,
+            is_answered: AtomicBool::new(false),
+            state,
+            slowdown_percent,
+            _slot: slot,
+        })
     }
 
     /// Records how the attempt ended, and from a response whether full targets are slower.
     pub(super) fn record_end(&self, end: AttemptEnd) {
+        if end != AttemptEnd::Unknown {
+            self.is_answered.store(true, Ordering::Relaxed);
+            self.target.silence.record_answer(self.state.clock.now());
+        }
         if let (AttemptEnd::Answered(latency_us), Some(slowdown)) = (end, self.slowdown_percent) {
             let latency = Duration::from_micros(latency_us.into());
             if let Some(effect) =
@@ -125,6 +149,12 @@
     /// Runs before the slot guard is dropped, so that whoever takes the slot next sees that the
     /// target has a free one.
     fn drop(&mut self) {
+        let (placed, now) = (self.target.placed.load(Ordering::Relaxed), self.state.clock.now());
+        let is_answered = self.is_answered.load(Ordering::Relaxed);
+        if !is_answered && self.target.silence.record_end(placed, now) {
+            self.state.metrics.placement.silent_targets.increment(1);
+            log::info!(target:% = self.address, placed; "target does not respond to requests");
+        }
         self.target.placed.fetch_sub(1, Ordering::SeqCst);
     }
 }
@@ -207,7 +237,7 @@
             let fleet = self.state.fleet.load();
             let target = fleet.targets.get(choice.target).ok_or_else(no_target)?;
             let (service, now) = (service.counters.clone(), self.state.clock.now());
-            match TargetReservation::new(target, service, slot, now) {
+            match TargetReservation::new(self.state.clone(), target, service, slot, now) {
                 Ok(reservation) => return Ok(PlacedCall { trace, choice, reservation }),
                 // Another request took the last one that the target takes now. The target is no
                 // longer a choice, so this ends.
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,6 +15,7 @@
 use zinniaport_core::keys::ServiceKey;
 use zinniaport_core::probe::MeasuringAccount;
 use zinniaport_core::retry::MAX_SAVED_RETRIES;
+use zinniaport_core::silence::SilenceRule;
 
 use crate::dialect::{DefaultDialect, HeaderDialect};
 use crate::directory::RevisionTracker;
@@ -37,6 +38,8 @@
     pub fleet_changed: Notify,
     /// Clock of this entry.
     pub clock: Arc<dyn ClockSource>,
+    /// When a target that does not respond counts as unresponsive.
+    pub silence: SilenceRule,
     /// Names and formats of the headers that callers and targets use.
     pub dialect: Arc<dyn HeaderDialect>,
     /// Name of this entry.
@@ -78,6 +81,7 @@
             fleet: ArcSwap::default(),
             fleet_changed: Notify::new(),
             clock,
+            silence: SilenceRule::default(),
             dialect: Arc::new(DefaultDialect),
             entry_name: entry_name.into(),
             data_centre: data_centre.into(),
@@ -102,6 +106,13 @@
         self.signal_due.notify_one();
     }
 
+    /// Sets when a target that does not respond counts as unresponsive.
+    #[must_use]
+    pub fn with_silence(mut self, silence: SilenceRule) -> Self {
+        self.silence = silence;
+        self
+    }
+
     /// Sets the names and formats of the headers that callers and targets use.
     #[must_use]
     pub fn with_dialect(mut self, dialect: Arc<dyn HeaderDialect>) -> Self {
--- a/src/targets.rs
+++ b/src/targets.rs
@@ -109,16 +109,18 @@
 }
 
 /// Gives each entry an equal part of the limits of cold targets where no coordinator places
-/// requests. The entries order the members differently, so their turns differ by chance.
-fn set_equal_shares(fleet: &FleetSnapshot) {
+/// requests, or none is known yet. `entry_count` entries may be running. The entries order the
+/// members differently, so their turns differ by chance.
+fn set_equal_shares(fleet: &FleetSnapshot, entry_count: usize) {
     let view = &fleet.view;
     if view.is_coordinated {
         return;
     }
+    let count = view.entry_count().max(entry_count);
     let position = view.members.iter().filter(|member| **member < view.name).count();
     for target in fleet.targets.values() {
-        target.counters.limit.set_share(1.0 / view.entry_count() as f64);
-        target.counters.limit.warm_up.set_position(position, view.entry_count());
+        target.counters.limit.set_share(1.0 / count as f64);
+        target.counters.limit.warm_up.set_position(position, count);
     }
 }
 
@@ -136,7 +138,7 @@
         for effect in self.controller.handle(message, self.state.clock.now()) {
             let TargetsEffect::Publish(fleet) = effect;
             log_ejections(&self.state.fleet.load(), &fleet);
-            set_equal_shares(&fleet);
+            set_equal_shares(&fleet, self.state.entry_count.load(Ordering::Relaxed));
             self.state.fleet.store(fleet);
             self.state.fleet_changed.notify_waiters();
         }
--- a/src/telemetry/placement.rs
+++ b/src/telemetry/placement.rs
@@ -31,6 +31,11 @@
     pub dropped: Counter,
     /// Targets that are cold and limited.
     pub cold_targets: Gauge,
+    /// Times that a target began to count as unresponsive after a request without a response.
+    pub silent_targets: Counter,
+    /// Hedges that were sent because the first target had not responded for longer than a request
+    /// takes.
+    pub silence_hedges: Counter,
     /// Data centres that are evacuated.
     pub evacuated_data_centres: Gauge,
     /// Requests that were not sent because the data centre of their target was evacuated
@@ -55,6 +60,8 @@
             turned_away: counter!("zinniaport_placement_turned_away_total"),
             dropped: counter!("zinniaport_placement_messages_dropped_total"),
             cold_targets: gauge!("zinniaport_cold_targets"),
+            silent_targets: counter!("zinniaport_silent_targets_total"),
+            silence_hedges: counter!("zinniaport_silence_hedges_total"),
             evacuated_data_centres: gauge!("zinniaport_evacuated_data_centres"),
             evacuated_dispatches: counter!("zinniaport_evacuated_dispatches_total"),
             cold_conflicts: counter!("zinniaport_cold_target_conflicts_total"),
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -9,11 +9,13 @@
 use std::time::Duration;
 
 use coordinated_entry::{Entry, address, targets, wait_until};
+use futures::future::join_all;
 use zinniaport::exchange::{Exchange, empty_body};
 use zinniaport::placement::{CallPlacement, PlacementCall};
 use zinniaport_core::call::ReasonCode;
 use zinniaport_core::placement::{AttemptKind, PartKey};
 use zinniaport_core::quarantine::TargetProcess;
+use zinniaport_core::silence::SilenceRule;
 use zinniaport_testing::test_cases;
 
 test_cases! {
@@ -33,6 +35,44 @@
         assert_eq!(entry.placed(), 0);
     }
 
+    async cold_targets_get_no_more_at_once: "requests that pick a cold target at the same time and exceed what it takes together" => {
+        let targets = targets([(1, 100), (2, 100)]);
+        let entry = Entry::start(&targets, 1.0, &[]).await;
+        let fleet = entry.state.fleet.load_full();
+        let cold = fleet.targets.values().find(|target| target.address == address(1)).unwrap();
+        let limit = &cold.counters.limit;
+        // One request in 10 s.
+        limit.warm_up.set_group_rate(Some(0.1));
+        let now = entry.state.clock.now();
+        assert!(limit.warm_up.extend(now + Duration::from_secs(60), now).is_some());
+        wait_until(|| !limit.is_exhausted(entry.state.clock.now())).await;
+        let placed = join_all((0..60).map(|_| async {
+            let placed = entry.coordinator.place(&entry.call(10_000)).await.unwrap();
+            tokio::time::sleep(Duration::from_millis(2)).await;
+            placed.choice.target
+        }));
+        let placed = placed.await;
+        let at_cold = placed.iter().filter(|key| fleet.targets[**key].address == address(1)).count();
+        assert!(at_cold <= 1, "{at_cold} of {}", placed.len());
+    }
+
+    async unanswered_requests_are_noticed: "a target that gets further requests although it responded to none" => {
+        let targets = targets([(1, 100), (2, 100)]);
+        let entry = Entry::start_with(&targets, SilenceRule::new(1.5)).await;
+        let fleet = entry.state.fleet.load_full();
+        let saturation = &fleet.find("pump-history").unwrap().1.counters.saturation;
+        for _ in 0..200 {
+            saturation.record(false, Duration::from_millis(20), 100);
+        }
+        let first = entry.coordinator.place(&entry.call(10_000)).await.unwrap();
+        let silent = &fleet.targets[first.choice.target];
+        wait_until(|| silent.counters.is_unresponsive(entry.state.clock.now())).await;
+        for _ in 0..10 {
+            let placed = entry.coordinator.place(&entry.call(10_000)).await.unwrap();
+            assert_ne!(placed.choice.target, first.choice.target);
+        }
+    }
+
     async late_requests_take_slowed_targets: "a slowed target that stays idle although requests past their soft deadline wait" => {
         let targets = targets([(1, 500), (2, 500)]);
         let entry = Entry::start(&targets, 1.0, &[]).await;
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -162,7 +162,6 @@
             call.guard = Some(guard.clone());
             transport.send(call)
         };
-        // The second one waits for the only connection.
         let (first, second) = tokio::join!(async { read_text(send(1).await.unwrap()).await }, send(2));
         assert_eq!(first.as_deref(), Some("call-1"));
         assert!(matches!(second, Err(TransportError::NotSent { .. })));
--- a/tests/route_filter.rs
+++ b/tests/route_filter.rs
@@ -27,6 +27,7 @@
 use zinniaport_core::keys::TargetKey;
 use zinniaport_core::policy::TwoChoices;
 use zinniaport_core::retry::MAX_SAVED_RETRIES;
+use zinniaport_core::silence::SilenceRule;
 use zinniaport_testing::test_cases;
 
 /// Result of one dispatch by the scripted forward filter.
@@ -110,8 +111,9 @@
     }
 }
 
-fn start(intent: ServiceIntent) -> (Arc<SharedState>, TargetsHandle) {
-    let state = Arc::new(SharedState::new(Arc::new(SystemClock::new()), "entry-1", "valle-a"));
+fn start(intent: ServiceIntent, silence: SilenceRule) -> (Arc<SharedState>, TargetsHandle) {
+    let state = SharedState::new(Arc::new(SystemClock::new()), "entry-1", "valle-a");
+    let state = Arc::new(state.with_silence(silence));
     let (mut driver, handle) = TargetsDriver::new(state.clone());
     let mut fleet = FleetSnapshot::default();
     fleet.apply(intent, 1, state.clock.now());
@@ -130,13 +132,31 @@
     body: CallBody,
     steps: &[ScriptedStep],
 ) -> Outcome {
-    let (state, handle) = start(intent.clone());
+    run_with(SilenceRule::default(), intent, idempotent, body, steps).await
+}
+
+/// Runs a request at targets whose typical time of a request is 1 ms. How long most requests of
+/// the service take is known only if no rule for silent targets is in use.
+async fn run_with(
+    silence: SilenceRule,
+    intent: ServiceIntent,
+    idempotent: bool,
+    body: CallBody,
+    steps: &[ScriptedStep],
+) -> Outcome {
+    let (state, handle) = start(intent.clone(), silence);
     let fleet = state.fleet.load_full();
     let (service, snapshot) = fleet.find("pump-history").unwrap();
     for _ in 0..100 {
-        snapshot.counters.latency_quantile.record(Duration::from_millis(1));
+        if silence == SilenceRule::default() {
+            snapshot.counters.latency_quantile.record(Duration::from_millis(1));
+        }
         snapshot.counters.retry_budget.record_first_attempt(100.0, MAX_SAVED_RETRIES);
     }
+    for target in &snapshot.table.available {
+        target.counters.record_success(Duration::from_millis(1));
+    }
+    snapshot.update_medians();
     let mut exchange =
         Exchange::new("request-1".to_owned(), fleet.clone(), http::Request::new(body));
     exchange.facts.service = service;
@@ -223,6 +243,18 @@
         assert_ne!(outcome.sent[0], outcome.sent[1]);
     }
 
+    async unanswered_idempotent_requests_are_hedged: "an idempotent request that waits for a target which swallowed it, or a non-idempotent one that runs twice because of it" => {
+        let steps = [ScriptedStep::Hang, ScriptedStep::Answer];
+        let rule = SilenceRule::new(1.5);
+        let outcome = run_with(rule, intent(1..=5), true, empty_body(), &steps).await;
+        assert_eq!(outcome.result, Ok(()));
+        assert_ne!(outcome.sent[0], outcome.sent[1]);
+        for (rule, idempotent) in [(rule, false), (SilenceRule::new(1e6), true)] {
+            let unhedged = run_with(rule, intent(1..=5), idempotent, empty_body(), &steps);
+            assert!(tokio::time::timeout(Duration::from_millis(300), unhedged).await.is_err());
+        }
+    }
+
     async announced_drains_stop_dispatches: "a target that still receives requests after it announced that it drains" => {
         let outcome = run(true, empty_body(), &[ScriptedStep::AnswerDraining]).await;
         let is_open = || outcome.state.fleet.load().targets[outcome.sent[0]].state.takes_requests();
--- a/tests/support/coordinated_entry.rs
+++ b/tests/support/coordinated_entry.rs
@@ -35,6 +35,7 @@
 use zinniaport_core::placement::{AttemptKind, PartKey, choose_part};
 use zinniaport_core::policy::ShortestWait;
 use zinniaport_core::request_limit::LimitStatement;
+use zinniaport_core::silence::SilenceRule;
 
 use super::support::service_intent;
 
@@ -146,10 +147,24 @@
         targets: &Arc<ScriptedTargets>,
         cpu_share: f64,
         seeds: &[SocketAddr],
+    ) -> Self {
+        Self::start_by(targets, cpu_share, seeds, SilenceRule::default()).await
+    }
+
+    /// Starts an entry without seeds and with a rule for silent targets.
+    pub async fn start_with(targets: &Arc<ScriptedTargets>, silence: SilenceRule) -> Self {
+        Self::start_by(targets, 1.0, &[], silence).await
+    }
+
+    async fn start_by(
+        targets: &Arc<ScriptedTargets>,
+        cpu_share: f64,
+        seeds: &[SocketAddr],
+        silence: SilenceRule,
     ) -> Self {
         let name = format!("entry-{cpu_share}");
         let state = SharedState::new(Arc::new(SystemClock::new()), &name, "valle-a");
-        let state = Arc::new(state.with_dialect(Arc::new(SlowdownDialect)));
+        let state = Arc::new(state.with_dialect(Arc::new(SlowdownDialect)).with_silence(silence));
         state.set_may_coordinate(true);
         let (mut driver, handle) = TargetsDriver::new(state.clone());
         let mut fleet = FleetSnapshot::default();
