Test the return of a cold data centre

Targets without a rule for silence, or with nothing to report about cold periods, cost one load per pick and tick.

--- a/core/src/silence.rs
+++ b/core/src/silence.rs
@@ -93,6 +93,10 @@
 
     /// Returns `true` if the target does not respond, with `placed` requests there.
     pub fn is_silent(&self, placed: u32, now: Timestamp) -> bool {
+        // Each pick compares all targets, and without a rule none has a limit.
+        if self.limit_us.load(Ordering::Relaxed) == 0 {
+            return false;
+        }
         now.0 < self.silent_until.load(Ordering::Relaxed) || self.is_overdue(placed, now)
     }
 
--- a/core/src/warm_up.rs
+++ b/core/src/warm_up.rs
@@ -207,6 +207,9 @@
 
     /// Returns `true` once after the target has become warm.
     pub fn take_end(&self, now: Timestamp) -> bool {
-        !self.is_cold(now) && self.is_reported.swap(false, Ordering::Relaxed)
+        // Read first: nearly all targets of a fleet have nothing to report.
+        self.is_reported.load(Ordering::Relaxed)
+            && !self.is_cold(now)
+            && self.is_reported.swap(false, Ordering::Relaxed)
     }
 }
--- a/core/tests/warm_up.rs
+++ b/core/tests/warm_up.rs
@@ -1,9 +1,20 @@
 //! Guards against cold targets that get more requests than they take, from one coordinator, from
 //! two at once, and from entries that place requests alone.
 
+mod support;
+
+use std::collections::VecDeque;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use support::{SERVICE, fleet, query, view};
+use zinniaport_core::admission::window::{HeadroomInput, service_headroom};
+
 use zinniaport_core::clock::Timestamp;
+use zinniaport_core::fleet::FleetSnapshot;
+use zinniaport_core::policy::{RoutingPolicy, ShortestWait};
 use zinniaport_core::request_limit::LimitState;
 use zinniaport_core::warm_up::{MAX_WARM_UP, WarmUpBound, WarmUpChange};
 use zinniaport_testing::test_cases;
@@ -14,6 +25,9 @@
 /// Time at which the targets of the tests become cold.
 const START: Timestamp = Timestamp(1_700_000_000 * SECOND);
 
+/// Service time of a target.
+const SERVICE_TIME: Duration = Duration::from_millis(100);
+
 /// Cold time of the targets of most tests.
 const COLD_TIME: Duration = Duration::from_secs(20);
 
@@ -41,10 +55,15 @@
             assert!(!limit.try_take(now));
         }
     }
+    (most_in_second(&times), times.len())
+}
+
+/// Returns the largest number of times in a second that slides over them.
+fn most_in_second(times: &[Timestamp]) -> usize {
     let in_second = |start: &Timestamp| {
         times.iter().filter(|time| **time >= *start && time.0 < start.0 + SECOND).count()
     };
-    (times.iter().map(in_second).max().unwrap_or(0), times.len())
+    times.iter().map(in_second).max().unwrap_or(0)
 }
 
 fn allowed(per_second: f64) -> usize {
@@ -57,7 +76,80 @@
     (0..count).map(|position| limit(per_second, share, position, count)).collect()
 }
 
+/// A coordinator that places the requests of one service, a third of whose targets are cold.
+struct SimulatedCoordinator {
+    fleet: FleetSnapshot,
+    /// End and target of each running request.
+    running: VecDeque<(Timestamp, usize)>,
+    random: StdRng,
+}
+
+impl SimulatedCoordinator {
+    fn new(seed: u64) -> Self {
+        let mut view = view(0, 1);
+        view.is_coordinated = true;
+        let fleet = fleet(9, view);
+        for target in fleet.targets.values().filter(|target| *target.data_centre == *"valle-a") {
+            let limit = &target.counters.limit;
+            limit.warm_up.set_group_rate(Some(WarmUpBound::default().group_rate(6.4)));
+            limit.set_share(1.0);
+            limit.warm_up.extend(START + COLD_TIME, START);
+        }
+        Self { fleet, running: VecDeque::new(), random: StdRng::seed_from_u64(seed) }
+    }
+
+    /// Places as many requests as the headroom allows, up to `waiting`. Returns their targets.
+    fn place(&mut self, waiting: usize, now: Timestamp) -> Vec<usize> {
+        let service = self.fleet.find(SERVICE).unwrap().1;
+        let targets = &service.table.available;
+        while let Some((_, target)) = self.running.front().copied().filter(|(end, _)| *end <= now) {
+            targets[target].counters.placed.fetch_sub(1, Ordering::Relaxed);
+            targets[target].counters.record_success(SERVICE_TIME);
+            self.running.pop_front();
+        }
+        let input =
+            HeadroomInput { table: &service.table, saturation: &service.counters.saturation };
+        let mut placed = Vec::new();
+        while placed.len() < waiting
+            && service_headroom(&input, self.running.len() as u32, now).free > 0
+        {
+            let choice = ShortestWait.pick(&query(&self.fleet, now), &mut self.random).unwrap();
+            let target = targets.iter().position(|target| target.key == choice.target).unwrap();
+            assert!(targets[target].counters.try_record_placement(now));
+            self.running.push_back((now + SERVICE_TIME, target));
+            placed.push(target);
+        }
+        placed
+    }
+}
+
 test_cases! {
+    a_data_centre_returns_cold: "cold targets that get more than the bound while two coordinators have more requests than slots, or warm ones that idle because of them" => {
+        let mut coordinators = [SimulatedCoordinator::new(1), SimulatedCoordinator::new(2)];
+        let table = coordinators[0].fleet.find(SERVICE).unwrap().1.table.clone();
+        let cold: Vec<_> = table.available.iter().map(|target| target.counters.limit.warm_up.is_cold(START)).collect();
+        assert_eq!(cold.iter().filter(|cold| **cold).count(), 3);
+        let mut times = vec![Vec::new(); cold.len()];
+        for step in 0..COLD_TIME.as_millis() as u64 / 5 {
+            let now = Timestamp(START.0 + step * 5 * MS);
+            for coordinator in &mut coordinators {
+                for target in coordinator.place(100, now) {
+                    times[target].push(now);
+                }
+            }
+        }
+        for (times, cold) in times.iter().zip(cold) {
+            let most = most_in_second(times);
+            let total = times.len() as f64 / COLD_TIME.as_secs_f64();
+            if cold {
+                assert!(most <= allowed(6.4) && total > 6.4, "{most}, {total} per second");
+            } else {
+                // Two slots of three are used by each coordinator, for 0.1 s by a request.
+                assert!(total > 30.0, "{total} per second");
+            }
+        }
+    }
+
     one_coordinator_stays_below_the_bound: "a cold target that gets a burst of waiting requests" => {
         for per_second in [0.5, 1.0, 6.4, 40.0] {
             let (most, total) = send_all(&[limit(per_second, 1.0, 0, 1)]);
