--- a/core/src/controllers/directory/records.rs
+++ b/core/src/controllers/directory/records.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use super::warm_up::ColdPeriod;
 use super::{DirectoryController, DirectoryEffect, TargetChange};
 use crate::clock::Timestamp;
 use crate::directory::{DirectoryBatch, RegisteredTarget};
@@ -23,29 +24,37 @@
     pub(super) target: Option<RegisteredTarget>,
     /// When the target is dropped after an unannounced removal.
     pub(super) drop_at: Option<Timestamp>,
+    /// When the target was last cold, if it was.
+    pub(super) cold: Option<ColdPeriod>,
+}
+
+impl TargetRecord {
+    pub(super) fn new(revision: u64, target: Option<RegisteredTarget>) -> Self {
+        Self { revision, target, drop_at: None, cold: None }
+    }
 }
 
 impl DirectoryController {
     pub(super) fn apply_target(
         &mut self,
         name: String,
-        revision: u64,
-        target: Option<RegisteredTarget>,
+        record: TargetRecord,
         effects: &mut Vec<DirectoryEffect>,
     ) -> bool {
+        let revision = record.revision;
         let known = self.targets.get(&name).map(|record| record.revision);
         let removed = self.removed.get(&name).copied();
         if known.max(removed).is_some_and(|known| known >= revision) {
             return false;
         }
-        let state = match &target {
+        let state = match &record.target {
             None => "unusable",
             Some(target) if target.leaving => "leaving",
             Some(_) => "registered",
         };
         effects.push(target_changed(&name, revision, state));
         self.removed.shift_remove(&name);
-        self.targets.insert(name, TargetRecord { revision, target, drop_at: None });
+        self.targets.insert(name, record);
         true
     }
 
--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -1,6 +1,6 @@
 //! Counters of targets and services, which the request path updates without locks.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use crate::clock::Timestamp;
@@ -9,6 +9,7 @@
 use crate::request_limit::LimitState;
 use crate::retry::{LatencyQuantile, RetryBudget};
 use crate::saturation::SaturationMonitor;
+use crate::silence::SilenceMonitor;
 
 /// Maximum time for which a target counts as shedding load after one announcement. A target
 /// that sheds load for longer announces it again.
@@ -101,9 +102,23 @@
     pub paused_until: AtomicU64,
     /// Limit on requests per second that the target stated.
     pub limit: LimitState,
+    /// Whether the target responds to the requests that this entry placed there.
+    pub silence: SilenceMonitor,
+    /// Whether the data centre of the target is evacuated.
+    evacuated: AtomicBool,
 }
 
 impl TargetCounters {
+    /// Sets whether the data centre of the target is evacuated.
+    pub fn set_evacuated(&self, evacuated: bool) {
+        self.evacuated.store(evacuated, Ordering::Release);
+    }
+
+    /// Returns `true` if the data centre of the target is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuated.load(Ordering::Acquire)
+    }
+
     /// Records a load report that arrived at `now`.
     pub fn record_report(&self, report: LoadReport, now: Timestamp) {
         let in_flight = self.in_flight.load(Ordering::Relaxed);
@@ -132,6 +147,16 @@
         self.placed.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Counts a request that this entry places at the target, unless the target is cold and takes
+    /// none now. Returns `true` if it was counted.
+    pub fn try_record_placement(&self, now: Timestamp) -> bool {
+        let is_taken = self.limit.try_take(now);
+        if is_taken {
+            self.placed.fetch_add(1, Ordering::SeqCst);
+        }
+        is_taken
+    }
+
     /// Returns the service time that the target last reported, in percent of its nominal one
     /// (0 before the first report), and the age of that report.
     pub fn slowdown_report(&self, now: Timestamp) -> (u32, Duration) {
@@ -153,9 +178,14 @@
         self.last_probe_at.store(now.0, Ordering::Relaxed);
     }
 
-    /// Returns `true` if the target has not responded to a probe in time. Sending another
-    /// probe does not reset this.
+    /// Returns `true` if the target has not responded to a probe or to the requests placed there
+    /// in time. Sending another probe does not reset this.
     pub fn is_unresponsive(&self, now: Timestamp) -> bool {
+        self.silence.is_silent(self.placed.load(Ordering::Relaxed), now)
+            || self.is_unresponsive_to_probes(now)
+    }
+
+    fn is_unresponsive_to_probes(&self, now: Timestamp) -> bool {
         let since = Timestamp(self.first_unanswered_probe_at.load(Ordering::Relaxed));
         self.has_unanswered_probe() && now.since(since) >= PROBE_RESPONSE_TIME
     }
--- a/core/src/directory.rs
+++ b/core/src/directory.rs
@@ -6,20 +6,29 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+use strum::{Display, EnumCount, EnumIter, EnumString, IntoStaticStr};
 
 use crate::intent::TargetInstance;
 use crate::routes::{CallerLimits, RouteIntent};
 use crate::tenants::TenantIntent;
 
 /// Part of a directory that is listed and watched separately.
-#[derive(Clone, Copy, Debug, Display, EnumIter, EnumString, Eq, Hash, IntoStaticStr, PartialEq)]
+#[derive(
+    Clone, Copy, Debug, Display, EnumCount, EnumIter, EnumString, Eq, Hash, IntoStaticStr, PartialEq,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum DirectoryPart {
     /// Targets.
     Targets,
     /// Configuration of the operator.
     Configuration,
+    /// Evacuated data centres. Followed only if the settings ask for it.
+    Evacuations,
+}
+
+impl DirectoryPart {
+    /// Number of parts.
+    pub const COUNT: usize = <Self as EnumCount>::COUNT;
 }
 
 /// A target as it registered itself.
@@ -42,7 +51,7 @@
 }
 
 /// A service as the operator defines it.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ServiceDefinition {
     /// Name of the service.
     pub name: String,
@@ -50,6 +59,13 @@
     pub health_path: String,
     /// Maximum number of connections that a target accepts from all entries together.
     pub max_connections: u32,
+    /// Time for which a target is cold after its start or after an evacuation.
+    #[serde(default)]
+    pub warm_up: Duration,
+    /// Requests per second that a cold target takes from all entries together; `None` for no
+    /// limit.
+    #[serde(default)]
+    pub warm_up_per_second: Option<f64>,
 }
 
 /// Complete configuration of the operator.
@@ -78,6 +94,8 @@
     Target(RegisteredTarget),
     /// Configuration of the operator.
     Configuration(OperatorConfiguration),
+    /// Evacuation of the data centre that the object is named after.
+    Evacuation,
     /// Object without usable content.
     Unusable,
 }
--- a/src/directory/relay_handler.rs
+++ b/src/directory/relay_handler.rs
@@ -71,7 +71,7 @@
     state: Arc<SharedState>,
     relay: Arc<DirectoryRelay>,
     /// Entries that start and got all objects from this one, by part.
-    transfers: [Mutex<TransferTable>; 2],
+    transfers: [Mutex<TransferTable>; DirectoryPart::COUNT],
 }
 
 impl RelayHandler {
@@ -108,7 +108,7 @@
     async fn respond_to_follower(&self, query: RelayQuery) -> AdminResponse {
         let part = query.part;
         // An entry that reaches the platform while the leaders do not serves in their place.
-        if !self.state.revisions.is_leader() && !self.relay.lock(part).is_fresh() {
+        if !self.state.revisions.is_leader() && !self.relay.lock(part).is_fresh(part) {
             let leaders = self.state.revisions.leaders();
             return json_response(StatusCode::SERVICE_UNAVAILABLE, &leaders);
         }
@@ -122,7 +122,7 @@
             self.wait_for_changes(part, after, query.wait).await;
         }
         let mut relayed = self.relay.lock(part);
-        if !relayed.is_fresh() {
+        if !relayed.is_fresh(part) {
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "the platform does not answer");
         }
         batch_response(&mut relayed, query.after)
@@ -138,7 +138,7 @@
             changed.as_mut().enable();
             let (has_changes, fresh_until) = {
                 let relayed = self.relay.lock(part);
-                (relayed.has_changes(after), relayed.fresh_until())
+                (relayed.has_changes(after), relayed.fresh_until(part))
             };
             if has_changes {
                 return tokio::time::sleep(COALESCE_TIME).await;
--- a/src/placement/coordinator.rs
+++ b/src/placement/coordinator.rs
@@ -1,7 +1,8 @@
 //! The coordinator of services: admits the requests of all entries and picks their targets.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use futures::future::join_all;
@@ -80,6 +81,10 @@
     service: Arc<ServiceCounters>,
     /// Whether the request took the last free slot of the target.
     fills_target: bool,
+    address: SocketAddr,
+    /// Whether the target has responded, or its connection has failed.
+    is_answered: AtomicBool,
+    state: Arc<SharedState>,
     /// Slowdown that the target reported last, in percent of the nominal service time, or
     /// `None` if the report was old.
     slowdown_percent: Option<u32>,
@@ -87,23 +92,45 @@
 }
 
 impl TargetReservation {
+    /// Reserves a target, or gives the slot back if the target is cold and takes no request now.
     fn new(
+        state: Arc<SharedState>,
         target: &TargetSnapshot,
         service: Arc<ServiceCounters>,
         slot: SlotGuard,
         now: Timestamp,
-    ) -> Self {
+    ) -> Result<Self, SlotGuard> {
         let counters = target.counters.clone();
         let before = counters.estimated_requests(now);
-        counters.record_placement(now);
+        if !counters.try_record_placement(now) {
+            return Err(slot);
+        }
         let (slowdown, age) = counters.slowdown_report(now);
         let slowdown_percent = (slowdown > 0 && age <= FRESH_SLOWDOWN_AGE).then_some(slowdown);
         let fills_target = before + 1 >= target.slots;
-        Self { target: counters, service, fills_target, slowdown_percent, _slot: slot }
+        let saturation = &service.saturation;
+        let (typical, slows) = (saturation.nominal_service_time(), saturation.slows_when_full());
+        let limit = state.silence.time_limit(typical, (slowdown, age), slows);
+        let is_first = counters.placed.load(Ordering::SeqCst) == 1;
+        counters.silence.record_placement(limit, is_first, now);
+        Ok(Self {
+            target: counters,
+            service,
+            fills_target,
+            address: target.address,
+            is_answered: AtomicBool::new(false),
+            state,
+            slowdown_percent,
+            _slot: slot,
+        })
     }
 
     /// Records how the attempt ended, and from a response whether full targets are slower.
     pub(super) fn record_end(&self, end: AttemptEnd) {
+        if end != AttemptEnd::Unknown {
+            self.is_answered.store(true, Ordering::Relaxed);
+            self.target.silence.record_answer(self.state.clock.now());
+        }
         if let (AttemptEnd::Answered(latency_us), Some(slowdown)) = (end, self.slowdown_percent) {
             let latency = Duration::from_micros(latency_us.into());
             if let Some(effect) =
@@ -122,6 +149,12 @@
     /// Runs before the slot guard is dropped, so that whoever takes the slot next sees that the
     /// target has a free one.
     fn drop(&mut self) {
+        let (placed, now) = (self.target.placed.load(Ordering::Relaxed), self.state.clock.now());
+        let is_answered = self.is_answered.load(Ordering::Relaxed);
+        if !is_answered && self.target.silence.record_end(placed, now) {
+            self.state.metrics.placement.silent_targets.increment(1);
+            log::info!(target:% = self.address, placed; "target does not respond to requests");
+        }
         self.target.placed.fetch_sub(1, Ordering::SeqCst);
     }
 }
@@ -176,7 +209,7 @@
         let service = whole.part(call.part.part);
         let gate = self.gates.get_or_create(call.part, service);
         let budget = &whole.counters.retry_budget;
-        let (trace, slot) = match call.attempt {
+        let (trace, mut slot) = match call.attempt {
             AttemptKind::First => {
                 let percent = service.intent.retry_percent;
                 budget.record_first_attempt(percent, self.max_retry_tokens(whole.parts.len()));
@@ -198,15 +231,20 @@
                 return Err(GateRefusal::with_default_delay(ReasonCode::NoTarget));
             }
         };
-        let choice = self.choose_target(call).await;
-        let choice = choice.ok_or_else(|| GateRefusal::with_default_delay(ReasonCode::NoTarget))?;
-        let fleet = self.state.fleet.load();
-        let Some(target) = fleet.targets.get(choice.target) else {
-            return Err(GateRefusal::with_default_delay(ReasonCode::NoTarget));
-        };
-        let service = service.counters.clone();
-        let reservation = TargetReservation::new(target, service, slot, self.state.clock.now());
-        Ok(PlacedCall { trace, choice, reservation })
+        loop {
+            let no_target = || GateRefusal::with_default_delay(ReasonCode::NoTarget);
+            let choice = self.choose_target(call).await.ok_or_else(no_target)?;
+            let fleet = self.state.fleet.load();
+            let target = fleet.targets.get(choice.target).ok_or_else(no_target)?;
+            let (service, now) = (service.counters.clone(), self.state.clock.now());
+            match TargetReservation::new(self.state.clone(), target, service, slot, now) {
+                Ok(reservation) => return Ok(PlacedCall { trace, choice, reservation }),
+                // Another request took the last one that the target takes now. The target is no
+                // longer a choice, so this ends.
+                Err(unused) => slot = unused,
+            }
+            self.state.metrics.placement.cold_conflicts.increment(1);
+        }
     }
 
     /// Returns the maximum number of retry tokens that this entry accumulates for a service with
--- a/tests/support/coordinated_entry.rs
+++ b/tests/support/coordinated_entry.rs
@@ -36,6 +36,7 @@
 use zinniaport_core::placement::{AttemptKind, DataCentreParts, PartKey, choose_part};
 use zinniaport_core::policy::ShortestWait;
 use zinniaport_core::request_limit::LimitStatement;
+use zinniaport_core::silence::SilenceRule;
 
 use super::support::service_intent;
 
@@ -93,6 +94,10 @@
         DefaultDialect.parse_limit(headers)
     }
 
+    fn parse_warm_up(&self, headers: &HeaderMap) -> Option<Duration> {
+        DefaultDialect.parse_warm_up(headers)
+    }
+
     fn classify_response(
         &self,
         request_id: Option<&str>,
@@ -152,6 +157,12 @@
         Self::start_in("valle-a", targets, cpu_share, seeds, DataCentreParts::Never).await
     }
 
+    /// Starts an entry without seeds and with a rule for silent targets.
+    pub async fn start_with(targets: &Arc<ScriptedTargets>, silence: SilenceRule) -> Self {
+        let mode = DataCentreParts::Never;
+        Self::start_by("valle-a", targets, 1.0, &[], (mode, silence)).await
+    }
+
     /// Starts an entry of a data centre. Targets with even numbers are in `valle-a`, and the others
     /// too, unless services are divided by data centre, when they are in `valle-b`.
     pub async fn start_in(
@@ -160,10 +171,21 @@
         cpu_share: f64,
         seeds: &[SocketAddr],
         mode: DataCentreParts,
+    ) -> Self {
+        let rules = (mode, SilenceRule::default());
+        Self::start_by(data_centre, targets, cpu_share, seeds, rules).await
+    }
+
+    async fn start_by(
+        data_centre: &str,
+        targets: &Arc<ScriptedTargets>,
+        cpu_share: f64,
+        seeds: &[SocketAddr],
+        (mode, silence): (DataCentreParts, SilenceRule),
     ) -> Self {
         let name = format!("entry-{data_centre}-{cpu_share}");
         let state = SharedState::new(Arc::new(SystemClock::new()), &name, data_centre);
-        let state = Arc::new(state.with_dialect(Arc::new(SlowdownDialect)));
+        let state = Arc::new(state.with_dialect(Arc::new(SlowdownDialect)).with_silence(silence));
         state.set_may_coordinate(true);
         let (mut driver, handle) = TargetsDriver::new(state.clone());
         let mut fleet = FleetSnapshot::default();
