Name the tenant and the kind in placement requests

The coordinator orders requests of all entries, but knew neither the tenant nor the kind of those of other entries. PlacementRequest now ends with the TenantTag and a KindTag, and the coordinator maps them to the keys of its own configuration. A tag is used for the kind because an index would name another kind while entries have different versions of the configuration.

Not measured; the tests of placement pass.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -27,6 +27,10 @@
 #[display("{_0:016x}")]
 pub struct CallFingerprint(pub u64);
 
+/// Index of a kind that this entry does not know, because its configuration is of another
+/// version than that of the entry that sent the request.
+pub const UNKNOWN_KIND: usize = usize::MAX;
+
 /// Attributes of a request that decisions depend on, independent of its encoding.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CallFacts {
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -15,11 +15,11 @@
     TargetCounters,
 };
 use crate::intent::{DesiredState, ServiceIntent, TargetInstance, TargetIntent};
-use crate::keys::{ServiceKey, TargetKey};
+use crate::keys::{ServiceKey, TargetKey, TenantKey};
 use crate::placement::{part_count, part_of};
 use crate::policy::{EntryView, TargetTable, hash_address};
 use crate::routes::{RouteDestination, RouteIntent, RouteRule, RoutingTable};
-use crate::tenants::{TenantIntent, TenantTable};
+use crate::tenants::{TenantIntent, TenantSnapshot, TenantTable};
 
 /// State of a target as this entry sees it.
 #[derive(Clone, Copy, Debug, Display, EnumString, Eq, Hash, PartialEq, Serialize, Deserialize)]
@@ -179,6 +179,11 @@
         Some((key, self.services.get(key)?))
     }
 
+    /// Returns a tenant.
+    pub fn tenant(&self, key: TenantKey) -> Option<&TenantSnapshot> {
+        self.tenants.as_ref()?.get(key)
+    }
+
     /// Returns the targets of a service that may receive new requests.
     pub fn available_targets<'a>(
         &'a self,
--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -25,8 +25,10 @@
 use strum::{Display, IntoStaticStr};
 
 use crate::call::ReasonCode;
+use crate::digest::ShortDigest;
 use crate::request_limit::AgedStatement;
 use crate::signals::{ServiceTag, TargetTag};
+use crate::tenants::TenantTag;
 
 /// Identifies a placement request of an entry. Each process starts at a random number, so
 /// that its ids differ from those of the previous process at the same address.
@@ -87,6 +89,24 @@
     pub remote_cost_percent: u16,
     /// Targets that the request has already been sent to.
     pub excluded: Vec<TargetTag>,
+    /// Tenant that the request belongs to; the default tag if there is none.
+    pub tenant: TenantTag,
+    /// Kind of the request within its service.
+    pub kind: KindTag,
+}
+
+/// Identifies a kind of request in messages between entries. An index would name another kind
+/// while entries have different versions of the configuration.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+pub struct KindTag(pub u16);
+
+impl KindTag {
+    /// Derives the tag of a kind from its name.
+    pub fn of(name: &str) -> Self {
+        Self(ShortDigest::of(&[b"kind", name.as_bytes()]).high_bits() as u16)
+    }
 }
 
 /// Response of a coordinator to a placement request.
--- a/core/tests/placement.rs
+++ b/core/tests/placement.rs
@@ -11,10 +11,11 @@
     RequesterController, RequesterEffect, RequesterMessage, StateController,
 };
 use zinniaport_core::placement::{
-    AttemptEnd, AttemptKind, CoordinatorCandidate, EndedPlacement, PlacementId, PlacementMessage,
-    PlacementRequest, PlacementResponse, TargetGrant, rank_coordinators,
+    AttemptEnd, AttemptKind, CoordinatorCandidate, EndedPlacement, KindTag, PlacementId,
+    PlacementMessage, PlacementRequest, PlacementResponse, TargetGrant, rank_coordinators,
 };
 use zinniaport_core::signals::{ServiceTag, TargetTag};
+use zinniaport_core::tenants::TenantTag;
 use zinniaport_testing::{check_property, test_cases};
 
 const MS: u64 = 1_000;
@@ -37,6 +38,8 @@
         deadline_ms: 1_000,
         remote_cost_percent: 5,
         excluded: Vec::new(),
+        tenant: TenantTag::default(),
+        kind: KindTag::default(),
     }
 }
 
--- a/core/tests/placement_overload.rs
+++ b/core/tests/placement_overload.rs
@@ -11,10 +11,11 @@
     RequesterEffect, RequesterMessage, StateController,
 };
 use zinniaport_core::placement::{
-    AttemptEnd, AttemptKind, CoordinatorCandidate, EndedPlacement, PlacementId, PlacementIntake,
-    PlacementMessage, PlacementRequest, PlacementResponse, TargetGrant,
+    AttemptEnd, AttemptKind, CoordinatorCandidate, EndedPlacement, KindTag, PlacementId,
+    PlacementIntake, PlacementMessage, PlacementRequest, PlacementResponse, TargetGrant,
 };
 use zinniaport_core::signals::{ServiceTag, TargetTag};
+use zinniaport_core::tenants::TenantTag;
 use zinniaport_testing::test_cases;
 
 /// Processor time of a decision at the coordinator, in microseconds.
@@ -183,6 +184,8 @@
                     deadline_ms: 4_000,
                     remote_cost_percent: 5,
                     excluded: Vec::new(),
+                    tenant: TenantTag::default(),
+                    kind: KindTag::default(),
                 };
                 self.step_sender(sender, RequesterMessage::Requested(PlacementId(id), request));
             }
--- a/src/bench/capacity/placement.rs
+++ b/src/bench/capacity/placement.rs
@@ -14,11 +14,12 @@
 };
 use zinniaport_core::fleet::{FleetSnapshot, LoadReport};
 use zinniaport_core::placement::{
-    AttemptEnd, AttemptKind, EndedPlacement, PartKey, PlacementId, PlacementMessage,
+    AttemptEnd, AttemptKind, EndedPlacement, KindTag, PartKey, PlacementId, PlacementMessage,
     PlacementRequest, PlacementResponse, TargetGrant, choose_part,
 };
 use zinniaport_core::policy::{EntryView, ShortestWait};
 use zinniaport_core::signals::{ServiceTag, TargetTag};
+use zinniaport_core::tenants::TenantTag;
 
 use super::fixtures::{NOW, intent, view};
 use super::meter::cpu_time_us;
@@ -107,6 +108,8 @@
             deadline_ms: 4_000,
             remote_cost_percent: 5,
             excluded: Vec::new(),
+            tenant: TenantTag::default(),
+            kind: KindTag::default(),
         };
         let message = PlacementMessage { requests: vec![(id, request)], ..Default::default() };
         for effect in self.deliver(peer, message) {
--- a/src/placement/coordinated.rs
+++ b/src/placement/coordinated.rs
@@ -178,6 +178,8 @@
             deadline_ms: millis(facts.time_left(now)),
             remote_cost_percent: (remote_cost(exchange) * 100.0) as u16,
             excluded: excluded.iter().filter_map(|key| table.tag_of(*key)).collect(),
+            tenant: fleet.tenant(facts.tenant).map(|tenant| tenant.tag).unwrap_or_default(),
+            kind: table.tag_of_kind(facts.service, facts.kind),
         };
         let (lease, decision) = self.handle.request(request);
         OpenPlacement { part, attempt, lease, decision }
--- a/src/placement/served.rs
+++ b/src/placement/served.rs
@@ -1,5 +1,6 @@
 //! The part of the placement driver that decides on placement requests of other entries.
 
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -8,7 +9,8 @@
 use zinniaport_core::controllers::{
     GrantKey, GrantsEffect, GrantsMessage, RequesterMessage, StateController, TargetsMessage,
 };
-use zinniaport_core::keys::{CallerKey, TargetKey};
+use zinniaport_core::fleet::FleetSnapshot;
+use zinniaport_core::keys::{CallerKey, TargetKey, TenantKey};
 use zinniaport_core::placement::{
     AttemptEnd, EndedPlacement, PlacementMessage, PlacementRequest, PlacementResponse, TargetGrant,
 };
@@ -113,9 +115,13 @@
         let now = self.state.clock.now();
         let tag = table.tag_of_part(part).unwrap_or(request.service);
         self.served_entries.record(tag, key.peer, now);
+        let tenant = fleet.tenants.as_ref().and_then(|tenants| tenants.key_of(request.tenant));
+        let tenant = tenant.unwrap_or_default();
         let facts = CallFacts {
             service: part.service,
-            caller: CallerKey::default(),
+            caller: self.caller_of(&fleet, tenant),
+            tenant,
+            kind: table.kind(part.service, request.kind),
             rank: request.rank,
             arrived: now,
             deadline: now + Duration::from_millis(request.deadline_ms.into()),
@@ -143,6 +149,12 @@
         self.served.insert(key, ServedRequest::Deciding { _task: task });
     }
 
+    /// Returns the caller key of a tenant, as for its requests that this entry receives.
+    fn caller_of(&self, fleet: &FleetSnapshot, tenant: TenantKey) -> CallerKey {
+        let Some(tenant) = fleet.tenant(tenant) else { return CallerKey::default() };
+        self.state.callers.lock().unwrap_or_else(PoisonError::into_inner).intern(&tenant.name)
+    }
+
     pub(super) fn handle_decision(
         &mut self,
         key: GrantKey,
--- a/src/placement/tags.rs
+++ b/src/placement/tags.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use zinniaport_core::call::UNKNOWN_KIND;
 use zinniaport_core::fleet::FleetSnapshot;
 use zinniaport_core::keys::{ServiceKey, TargetKey};
-use zinniaport_core::placement::{PartKey, part_tag};
+use zinniaport_core::placement::{KindTag, PartKey, part_tag};
 use zinniaport_core::signals::{ServiceTag, TargetTag};
 
 /// Tags and keys of the targets and services of one snapshot.
@@ -17,6 +18,8 @@
     parts: HashMap<ServiceTag, PartKey>,
     part_tags: HashMap<PartKey, ServiceTag>,
     tags: HashMap<TargetKey, TargetTag>,
+    /// Tags of the kinds of each service, in the order of its intent.
+    kinds: HashMap<ServiceKey, Vec<KindTag>>,
 }
 
 impl TagTable {
@@ -25,6 +28,10 @@
         let tags: HashMap<_, _> = tags.collect();
         let targets = tags.iter().map(|(key, tag)| (*tag, *key)).collect();
         let mut table = Self { targets, tags, ..Self::default() };
+        for (key, service) in &fleet.services {
+            let kinds = service.intent.kinds.iter().map(|kind| KindTag::of(&kind.name)).collect();
+            table.kinds.insert(key, kinds);
+        }
         for (name, service) in &fleet.service_keys {
             let count =
                 fleet.services.get(*service).map_or(0, |service| service.parts.len() as u16);
@@ -59,6 +66,17 @@
         self.parts.get(&tag).copied()
     }
 
+    /// Returns the tag of a kind, or the default tag if there is no such kind.
+    pub(super) fn tag_of_kind(&self, service: ServiceKey, kind: usize) -> KindTag {
+        self.kinds.get(&service).and_then(|kinds| kinds.get(kind)).copied().unwrap_or_default()
+    }
+
+    /// Returns the index of the kind with this tag, or [`UNKNOWN_KIND`].
+    pub(super) fn kind(&self, service: ServiceKey, tag: KindTag) -> usize {
+        let kinds = self.kinds.get(&service);
+        kinds.and_then(|kinds| kinds.iter().position(|kind| *kind == tag)).unwrap_or(UNKNOWN_KIND)
+    }
+
     pub(super) fn tag_of_part(&self, part: PartKey) -> Option<ServiceTag> {
         self.part_tags.get(&part).copied()
     }
