Learn the expected work of each kind from responses

The run time was estimated once for each service, although kinds of 130 ms and of 750 ms share targets. ServiceCounters::kind_work holds a mean and a quantile of the time to the response for each kind, recorded when a granted placement ends. The times are those under the present load, so they include the slowdown of nearly full targets.

--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -8,9 +8,11 @@
 mod rank;
 mod run_quantile;
 pub mod window;
+mod work;
 
 pub use queue::{
     AdmissionLimits, AdmissionQueue, AdmissionRefusal, JoinedCall, QueueDeparture, ServiceRate,
     WaitKey,
 };
 pub use run_quantile::RunQuantile;
+pub use work::{ExpectedWork, KindWork};
--- a/core/src/counters.rs
+++ b/core/src/counters.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
+use crate::admission::KindWork;
 use crate::clock::Timestamp;
 use crate::policy::ProbePool;
 use crate::request_limit::LimitState;
@@ -260,6 +261,8 @@
     pub latency_quantile: LatencyQuantile,
     /// Whether targets slow down when all their slots are busy.
     pub saturation: SaturationMonitor,
+    /// Expected work of the requests of each kind.
+    pub kind_work: KindWork,
     /// When a request of this entry last waited for a target or was refused, in microseconds.
     pub pressed_at: AtomicU64,
 }
--- a/src/placement/coordinator.rs
+++ b/src/placement/coordinator.rs
@@ -83,6 +83,8 @@
     /// Slowdown that the target reported last, in percent of the nominal service time, or
     /// `None` if the report was old.
     slowdown_percent: Option<u32>,
+    /// Index of the request's kind.
+    kind: usize,
     _slot: SlotGuard,
 }
 
@@ -90,6 +92,7 @@
     fn new(
         target: &TargetSnapshot,
         service: Arc<ServiceCounters>,
+        kind: usize,
         slot: SlotGuard,
         now: Timestamp,
     ) -> Self {
@@ -99,11 +102,14 @@
         let (slowdown, age) = counters.slowdown_report(now);
         let slowdown_percent = (slowdown > 0 && age <= FRESH_SLOWDOWN_AGE).then_some(slowdown);
         let fills_target = before + 1 >= target.slots;
-        Self { target: counters, service, fills_target, slowdown_percent, _slot: slot }
+        Self { target: counters, service, fills_target, slowdown_percent, kind, _slot: slot }
     }
 
     /// Records how the attempt ended, and from a response whether full targets are slower.
     pub(super) fn record_end(&self, end: AttemptEnd) {
+        if let AttemptEnd::Answered(latency_us) = end {
+            self.service.kind_work.record(self.kind, Duration::from_micros(latency_us.into()));
+        }
         if let (AttemptEnd::Answered(latency_us), Some(slowdown)) = (end, self.slowdown_percent) {
             let latency = Duration::from_micros(latency_us.into());
             if let Some(effect) =
@@ -205,7 +211,8 @@
             return Err(GateRefusal::with_default_delay(ReasonCode::NoTarget));
         };
         let service = service.counters.clone();
-        let reservation = TargetReservation::new(target, service, slot, self.state.clock.now());
+        let (kind, now) = (call.facts.kind, self.state.clock.now());
+        let reservation = TargetReservation::new(target, service, kind, slot, now);
         Ok(PlacedCall { trace, choice, reservation })
     }
 
