--- a/core/src/admission/cost_queue.rs
+++ b/core/src/admission/cost_queue.rs
@@ -31,15 +31,17 @@
 const MAX_WAIT: Duration = Duration::from_secs(3_600);
 
 /// Least share of the slots that is expected for requests of a rank while those of better ranks
-/// keep all busy. With 0.1 slots stayed free for less urgent kinds that can wait for longer.
+/// keep all busy. In simulated overload
+/// the value of the responses was 0.636 with 0.1 and 0.650 with 0.4.
 const MIN_FREE_SHARE: f32 = 0.4;
 
 /// Least share of the slots that is expected for a backlog while more arrives than can be served.
 const MIN_SPARE_SHARE: f32 = 0.05;
 
 /// Of so many admissions one is for a request that was refused before and can no longer meet its
-/// soft deadline. Without a bound such requests would take all slots of a lasting overload.
-const LATE_RETURN_TURN: u32 = 4;
+/// soft deadline. Without a bound such requests would take all slots of a lasting overload. With 4,
+/// callers that come back early were in simulation worse off than with 8 by up to 0.05 of the value.
+const LATE_RETURN_TURN: u32 = 8;
 
 /// Part of the time until the soft deadline that is reserved for the run at most, unless the mean
 /// run takes longer. With more, kinds whose runs take about as long as their callers want to wait
@@ -320,7 +322,7 @@
         let end = now + self.expected_wait(position, demand, rate, now) + reserved;
         let demanded = self.shares.load_up_to(facts.rank);
         let is_overloaded = rate.enforces_soft_deadline || demanded > rate.window as f32;
-        let is_refused = match is_overloaded && !is_returned {
+        let is_refused = match is_overloaded && (!is_returned || self.shares.is_ahead(demand)) {
             true => end > soft_deadline,
             false => now + work.mean > facts.deadline,
         };
--- a/core/src/admission/fairness.rs
+++ b/core/src/admission/fairness.rs
@@ -30,8 +30,8 @@
 const MIN_OFFERED: f32 = 3.0;
 
 /// Lead in the served share up to which a more urgent kind is not safe from a less urgent one. In
-/// simulated overload 0.03 left a lead of the less urgent kind of 0.055; operators accept 0.05.
-const LEAD: f32 = 0.06;
+/// simulated overload 0.06 left a less urgent kind a lead of 0.051; operators accept 0.05.
+const LEAD: f32 = 0.1;
 
 /// Factor on the fair use of a tenant above which it only gets what the others leave.
 const OVER_FACTOR: f32 = 1.25;
--- a/core/tests/admission_order.rs
+++ b/core/tests/admission_order.rs
@@ -32,9 +32,15 @@
     ("previewed", &PREVIEWED, 0, 1.0),
 ];
 
-fn trial(setup: Setup, order: OrderName, load: f64) -> TrialResult {
+fn trial(setup: Setup, order: OrderName, load: f64, gives_up: bool) -> TrialResult {
     let (_, kinds, tenants, burst) = setup;
-    run_trial(&TrialInput { kinds, order, load, tenants, burst })
+    run_trial(&TrialInput { kinds, order, load, tenants, burst, gives_up })
+}
+
+/// Returns each setup at each load with callers that give up and with callers that do not.
+fn all_cases() -> impl Iterator<Item = (Setup, f64, bool)> {
+    let loads = SETUPS.into_iter().flat_map(|setup| LOADS.map(|load| (setup, load)));
+    loads.flat_map(|(setup, load)| [true, false].map(|gives_up| (setup, load, gives_up)))
 }
 
 fn percent(share: f64) -> String {
@@ -42,13 +48,20 @@
 }
 
 /// Prints a row of the table in `docs/design/admission-order.md`.
-fn print_row((title, kinds, ..): Setup, load: f64, order: OrderName, result: &TrialResult) {
+fn print_row(
+    (title, kinds, ..): Setup,
+    load: f64,
+    order: OrderName,
+    gives_up: bool,
+    result: &TrialResult,
+) {
     let by_kind = kinds.iter().zip(&result.kinds).map(|(kind, counts)| {
         let (in_time, served) = (counts.in_time_share(), counts.served_share());
         format!("{} {}/{}", kind.name, percent(in_time), percent(served))
     });
+    let callers = if gives_up { "" } else { ", callers return" };
     println!(
-        "| {title} | {load} | {order} | {:.3} | {}/{} | {} | {} | {} |",
+        "| {title} | {load} | {order}{callers} | {:.3} | {}/{} | {} | {} | {} |",
         result.value,
         percent(result.all.in_time_share()),
         percent(result.all.served_share()),
@@ -119,8 +132,8 @@
     chosen_order_yields_most: "an order of admission that is worth less to the callers than a simple one" => {
         for setup in SETUPS {
             for load in LOADS {
-                let results: Vec<_> = OrderName::iter().map(|order| (order, trial(setup, order, load))).collect();
-                results.iter().for_each(|(order, result)| print_row(setup, load, *order, result));
+                let results: Vec<_> = OrderName::iter().map(|order| (order, trial(setup, order, load, true))).collect();
+                results.iter().for_each(|(order, result)| print_row(setup, load, *order, true, result));
                 let most = results.iter().map(|(_, result)| result.value).fold(0.0, f64::max);
                 assert_eq!(results.last().map(|(_, result)| result.value), Some(most), "{} {load}", setup.0);
             }
@@ -128,35 +141,33 @@
     }
 
     urgent_kinds_are_served_no_worse: "a less urgent kind that is served better than a more urgent one of its service" => {
-        for setup in SETUPS {
-            for load in LOADS {
-                let result = trial(setup, OrderName::Chosen, load);
-                for (urgent, urgent_counts) in setup.1.iter().zip(&result.kinds) {
-                    for (other, counts) in setup.1.iter().zip(&result.kinds) {
-                        let is_more_urgent = urgent.rank < other.rank;
-                        let served_gap = counts.served_share() - urgent_counts.served_share();
-                        let in_time_gap = counts.in_time_share() - urgent_counts.in_time_share();
-                        // The operators' bounds.
-                        assert!(
-                            !is_more_urgent || (served_gap <= 0.05 && in_time_gap <= 0.15),
-                            "{} {load}: {} {served_gap} {in_time_gap}", setup.0, other.name
-                        );
-                    }
+        for (setup, load, gives_up) in all_cases() {
+            let result = trial(setup, OrderName::Chosen, load, gives_up);
+            print_row(setup, load, OrderName::Chosen, gives_up, &result);
+            for (urgent, urgent_counts) in setup.1.iter().zip(&result.kinds) {
+                for (other, counts) in setup.1.iter().zip(&result.kinds) {
+                    let is_more_urgent = urgent.rank < other.rank;
+                    let served_gap = counts.served_share() - urgent_counts.served_share();
+                    let in_time_gap = counts.in_time_share() - urgent_counts.in_time_share();
+                    // The operators' bounds.
+                    assert!(
+                        !is_more_urgent || (served_gap <= 0.05 && in_time_gap <= 0.15),
+                        "{} {load} {gives_up}: {} {served_gap} {in_time_gap}", setup.0, other.name
+                    );
                 }
             }
         }
     }
 
     no_kind_or_tenant_starves: "a kind or tenant that gets less than a quarter of what all get" => {
-        for setup in SETUPS {
-            for load in LOADS {
-                let result = trial(setup, OrderName::Chosen, load);
-                let all = result.all.served_share();
-                for (kind, counts) in setup.1.iter().zip(&result.kinds) {
-                    assert!(counts.served_share() >= all / 4.0, "{} {load}: {}", setup.0, kind.name);
-                }
-                assert!(result.least_tenant_share() >= 0.25, "{} {load}: {}", setup.0, result.least_tenant_share());
+        for (setup, load, gives_up) in all_cases() {
+            let result = trial(setup, OrderName::Chosen, load, gives_up);
+            let all = result.all.served_share();
+            for (kind, counts) in setup.1.iter().zip(&result.kinds) {
+                assert!(counts.served_share() >= all / 4.0, "{} {load}: {}", setup.0, kind.name);
             }
+            let least = result.least_tenant_share();
+            assert!(least >= 0.25, "{} {load}: {least}", setup.0);
         }
     }
 
@@ -209,16 +220,16 @@
     late_returns_take_turns: "returned requests that take all slots although they are too late, or get none" => {
         let (mut queue, now) = (OverloadedQueue::new(), Timestamp(1_000_000));
         queue.queue.record_admission(&demand(now), now);
-        for name in 0..4 {
+        for name in 0..2 {
             let facts = CallFacts { deadline: now + Duration::from_millis(3_000), ..demand(now).facts };
             queue.join(&CallDemand { facts, ..demand(now) }, 100 + name, now).unwrap();
         }
-        for name in 0..8 {
+        for name in 0..10 {
             queue.join(&demand(now), name, now).unwrap();
         }
         let order = queue.drain(now);
         let positions: Vec<_> = (0..order.len()).filter(|position| order[*position] >= 100).collect();
-        assert_eq!(positions, [3, 7, 10, 11]);
+        assert_eq!(positions, [7, 11]);
     }
 
     bursts_get_what_is_left: "a tenant that sends many times its usual rate and delays the others" => {
--- a/core/tests/overload_trial/mod.rs
+++ b/core/tests/overload_trial/mod.rs
@@ -1,8 +1,8 @@
 //! Replays offered load against one service with a given order of admission.
 //!
 //! Model: `SLOTS` slots; a run takes the work of its kind times a random slowdown that a busy
-//! fleet shows. Callers send a refused request again after `Retry-After` unless that exceeds a
-//! third of their time left.
+//! fleet shows. Callers send a refused request again after `Retry-After`. They honour it up to
+//! a third of their time left, and then either give up or send again.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -95,6 +95,9 @@
     /// Number of tenants, 0 for none, and the factor on the requests of the third.
     pub tenants: usize,
     pub burst: f64,
+    /// Whether callers give up if `Retry-After` exceeds a third of their time left, instead of
+    /// sending again after that third.
+    pub gives_up: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -331,7 +334,9 @@
             if call.attempts > 0 {
                 result.kinds[call.kind].refused_again += 1.0;
             }
-            if call.attempts < kind.retries && delay <= left / 3 {
+            let patience = left / 3;
+            if call.attempts < kind.retries && (delay <= patience || !input.gives_up) {
+                let delay = delay.min(patience);
                 let again = SentCall { attempts: call.attempts + 1, ..call };
                 events.push(Reverse((now + delay.as_micros() as u64, Event::Arrived(again))));
             }
