Tell kinds apart by their own rank where tenants have ranks

The rule that a less urgent kind gives way compared the ranks of requests, which a tenant's rank overrides, so that a kind counted as more or less urgent by who sent its last request. The demand now carries the rank of the kind.

--- a/core/examples/decision_cost.rs
+++ b/core/examples/decision_cost.rs
@@ -11,12 +11,15 @@
 use rand::rngs::SmallRng;
 use slotmap::SlotMap;
 use zinniaport_core::admission::window::concurrency_window;
-use zinniaport_core::admission::{AdmissionLimits, AdmissionQueue, ServiceRate};
+use zinniaport_core::admission::{
+    AdmissionLimits, AdmissionOrder, AdmissionQueue, CallDemand, CostQueue, ExpectedWork,
+    ServiceRate,
+};
 use zinniaport_core::call::CallFacts;
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::fleet::FleetSnapshot;
 use zinniaport_core::intent::{DesiredState, MeasuringIntent, ServiceIntent, TargetIntent};
-use zinniaport_core::keys::CallerKey;
+use zinniaport_core::keys::{CallerKey, TenantKey};
 use zinniaport_core::policy::{EntryView, MEAN_SLOWDOWN, TargetQuery, policies};
 
 /// Numbers of targets: as in `examples/co-operative.yaml`, ten times as many, and the design
@@ -29,6 +32,9 @@
 /// Number of interleaved rounds; their median is printed.
 const ROUNDS: usize = 15;
 
+/// Limits of the queues; no more than 256 requests wait at once.
+const LIMITS: AdmissionLimits = AdmissionLimits { max_waiting: 256, max_overtakes: 8 };
+
 /// Number of operations in one round.
 const OPERATIONS: u32 = 20_000;
 
@@ -52,11 +58,14 @@
             results.entry(("window".to_owned(), targets)).or_default().push(nanos);
         }
         for waiting in [1, 16, 255] {
-            let nanos = admission_cost(waiting);
-            results
-                .entry(("join and leave a queue of".to_owned(), waiting))
-                .or_default()
-                .push(nanos);
+            let orders: [(&str, Box<dyn AdmissionOrder<u64>>); 2] = [
+                ("join and leave a queue of", Box::new(AdmissionQueue::new(LIMITS))),
+                ("the same, ordered by cost", Box::new(CostQueue::new(LIMITS))),
+            ];
+            for (name, order) in orders {
+                let nanos = admission_cost(order, waiting);
+                results.entry((name.to_owned(), waiting)).or_default().push(nanos);
+            }
         }
     }
     println!("{:<28} {:>8} {:>10}", "decision", "size", "ns");
@@ -74,30 +83,34 @@
     start.elapsed().as_nanos() as f64 / f64::from(OPERATIONS)
 }
 
-fn admission_cost(waiting: usize) -> f64 {
-    let limits = AdmissionLimits { max_waiting: 256, max_overtakes: 8 };
-    let rate = ServiceRate {
-        window: 6,
-        service_time: Duration::from_micros(100),
-        enforces_soft_deadline: false,
-    };
-    let mut queue = AdmissionQueue::new(limits);
+fn admission_cost(mut queue: Box<dyn AdmissionOrder<u64>>, waiting: usize) -> f64 {
+    let service_time = Duration::from_micros(100);
+    let rate = ServiceRate { window: 6, service_time, enforces_soft_deadline: false };
     let mut arena: SlotMap<CallerKey, ()> = SlotMap::with_key();
     let callers: Vec<_> = (0..20).map(|_| arena.insert(())).collect();
-    let facts = |call: u64| CallFacts {
-        rank: (call % 3) as u8,
-        caller: callers[(call % 20) as usize],
-        deadline: Timestamp(1_000_000 + call * 7 % 1_000),
-        ..CallFacts::default()
+    let mut arena: SlotMap<TenantKey, ()> = SlotMap::with_key();
+    let tenants: Vec<_> = (0..20).map(|_| arena.insert(())).collect();
+    let demand = |call: u64| {
+        let facts = CallFacts {
+            rank: (call % 3) as u8,
+            kind: (call % 3) as usize,
+            caller: callers[(call % 20) as usize],
+            tenant: tenants[(call % 20) as usize],
+            deadline: Timestamp(1_000_000 + call * 7 % 1_000),
+            ..CallFacts::default()
+        };
+        let work = ExpectedWork { mean: service_time, run_time: service_time };
+        let kind_rank = facts.rank;
+        CallDemand { facts, kind_rank, work, entitlement: Some(1.0), is_repeated: false }
     };
     let mut joined = 0;
-    let mut join = |queue: &mut AdmissionQueue<u64>| {
+    let mut join = |queue: &mut dyn AdmissionOrder<u64>| {
         joined += 1;
-        queue.join(&facts(joined), joined, rate, Timestamp(1)).is_ok()
+        queue.join(&demand(joined), joined, rate, Timestamp(1)).is_ok()
     };
-    (0..waiting).for_each(|_| assert!(join(&mut queue)));
+    (0..waiting).for_each(|_| assert!(join(&mut *queue)));
     time(|| {
-        assert!(join(&mut queue));
+        assert!(join(&mut *queue));
         black_box(queue.take_next(Timestamp(2), Duration::ZERO));
     })
 }
--- a/core/src/admission/fairness.rs
+++ b/core/src/admission/fairness.rs
@@ -85,7 +85,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct KindUse {
     share: ServedShare,
-    /// Rank of its last request.
     rank: u8,
     /// Time until the deadline and the soft deadline with which its requests usually come.
     usual_time: Duration,
@@ -138,7 +137,7 @@
         let kind = self.kind(facts.kind);
         let left = facts.deadline.since(now);
         let elapsed = kind.usual_time.saturating_sub(left);
-        kind.rank = facts.rank;
+        kind.rank = demand.kind_rank;
         kind.usual_time = approach(kind.usual_time, left);
         kind.usual_soft_time = approach(kind.usual_soft_time, facts.soft_deadline().since(now));
         elapsed
@@ -180,7 +179,7 @@
     /// Returns `true` if the kind gets nearly as much as a more urgent one of the service, or more.
     pub(super) fn is_ahead(&self, demand: &CallDemand) -> bool {
         let Some(own) = self.kinds.get(kind_index(demand.facts.kind)) else { return false };
-        let mut urgent = self.kinds.iter().filter(|kind| kind.rank < demand.facts.rank);
+        let mut urgent = self.kinds.iter().filter(|kind| kind.rank < demand.kind_rank);
         urgent.any(|kind| {
             kind.share.offered >= MIN_OFFERED && kind.share.share() < own.share.share() + LEAD
         })
--- a/core/src/admission/order.rs
+++ b/core/src/admission/order.rs
@@ -15,6 +15,8 @@
 pub struct CallDemand {
     /// Attributes of the request.
     pub facts: CallFacts,
+    /// Rank of its kind, from which that of the request differs if its tenant has one.
+    pub kind_rank: u8,
     /// Work that it is expected to cause.
     pub work: ExpectedWork,
     /// Requests per second that its tenant is entitled to; `None` if that is not limited.
--- a/core/tests/admission_order.rs
+++ b/core/tests/admission_order.rs
@@ -81,6 +81,7 @@
     let (mean, run_time) = (Duration::from_millis(200), Duration::from_millis(260));
     CallDemand {
         facts,
+        kind_rank: facts.rank,
         work: ExpectedWork { mean, run_time },
         entitlement: None,
         is_repeated: false,
@@ -88,7 +89,7 @@
 }
 
 fn with_rank(rank: u8, demand: CallDemand) -> CallDemand {
-    CallDemand { facts: CallFacts { rank, ..demand.facts }, ..demand }
+    CallDemand { facts: CallFacts { rank, ..demand.facts }, kind_rank: rank, ..demand }
 }
 
 fn with_tenant(tenant: TenantKey, demand: CallDemand) -> CallDemand {
--- a/core/tests/overload_trial/mod.rs
+++ b/core/tests/overload_trial/mod.rs
@@ -50,31 +50,30 @@
     name: &'static str,
     per_second: f64,
     [work_ms, soft_ms, deadline_ms]: [u64; 3],
-    rank: u8,
+    (rank, retries): (u8, u8),
     value: (f64, f64),
-    retries: u8,
 ) -> KindLoad {
     KindLoad { name, per_second, work_ms, soft_ms, deadline_ms, rank, value, retries }
 }
 
 /// Kinds that share one service of the deployment with tenants.
 pub const PORTAL: [KindLoad; 4] = [
-    kind("lookup", 561.0, [270, 500, 4_000], 0, (1.3, 0.054), 1),
-    kind("submission", 205.0, [350, 800, 5_000], 1, (1.4, 0.14), 1),
-    kind("download", 79.9, [220, 2_500, 5_000], 2, (0.35, 0.053), 1),
-    kind("offer", 78.8, [220, 600, 3_000], 1, (0.71, 0.071), 1),
+    kind("lookup", 561.0, [270, 500, 4_000], (0, 1), (1.3, 0.054)),
+    kind("submission", 205.0, [350, 800, 5_000], (1, 1), (1.4, 0.14)),
+    kind("download", 79.9, [220, 2_500, 5_000], (2, 1), (0.35, 0.053)),
+    kind("offer", 78.8, [220, 600, 3_000], (1, 1), (0.71, 0.071)),
 ];
 
 /// Kinds that share one service of the deployment with uneven demand.
 pub const POLLED: [KindLoad; 2] = [
-    kind("invoice", 117.0, [130, 400, 3_000], 0, (3.0, 0.3), 2),
-    kind("poll", 87.9, [750, 2_000, 15_000], 2, (1.0, 0.1), 2),
+    kind("invoice", 117.0, [130, 400, 3_000], (0, 2), (3.0, 0.3)),
+    kind("poll", 87.9, [750, 2_000, 15_000], (2, 2), (1.0, 0.1)),
 ];
 
 /// Another service of that deployment.
 pub const PREVIEWED: [KindLoad; 2] = [
-    kind("invoice", 117.0, [130, 400, 3_000], 0, (3.0, 0.3), 2),
-    kind("preview", 454.0, [190, 600, 4_000], 2, (1.0, 0.1), 2),
+    kind("invoice", 117.0, [130, 400, 3_000], (0, 2), (3.0, 0.3)),
+    kind("preview", 454.0, [190, 600, 4_000], (2, 2), (1.0, 0.1)),
 ];
 
 #[derive(Clone, Copy, Debug, Display, EnumIter, Eq, PartialEq)]
@@ -158,7 +157,7 @@
     Answered(SentCall, u64),
 }
 
-fn draw(weights: impl Iterator<Item = f64> + Clone, random: &mut SmallRng) -> usize {
+fn draw(weights: &(impl Iterator<Item = f64> + Clone), random: &mut SmallRng) -> usize {
     let mut drawn = random.random_range(0.0..weights.clone().sum());
     let found = weights.clone().position(|weight| {
         drawn -= weight;
@@ -231,8 +230,8 @@
                 let load = if now % (2 * OVERLOAD_US) < OVERLOAD_US { input.load } else { 0.7 };
                 let gap = 1e6 / (capacity * load * growth) * random.random_range(0.0..2.0);
                 events.push(Reverse((now + gap as u64 + 1, Event::Next)));
-                let kind = draw(kinds.iter().map(|kind| kind.per_second), &mut random);
-                let tenant = draw(sizes, &mut random);
+                let kind = draw(&kinds.iter().map(|kind| kind.per_second), &mut random);
+                let tenant = draw(&sizes, &mut random);
                 possible += kinds[kind].value.0;
                 for counts in
                     [&mut result.kinds[kind], &mut result.tenants[tenant], &mut result.all]
@@ -261,6 +260,7 @@
                     };
                     let demand = CallDemand {
                         facts,
+                        kind_rank: kind.rank,
                         work: work.expected(call.kind, nominal),
                         entitlement: (input.tenants > 0).then(|| size(call.tenant) as f32),
                         is_repeated: false,
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -120,7 +120,7 @@
         }
         let period = WINDOW_PERIOD_PER_TARGET * fleet.targets.len() as u32;
         self.update_window(service, period.max(MIN_WINDOW_PERIOD), now);
-        let demand = self.demand(fleet, facts, is_repeated);
+        let demand = self.demand(fleet, service, facts, is_repeated);
         let by_cost = orders_by_cost(fleet, service);
         if self.waiting.load(Ordering::SeqCst) == 0 && self.take_slot() {
             if by_cost {
@@ -179,7 +179,7 @@
         facts: &CallFacts,
     ) {
         if orders_by_cost(fleet, service) {
-            let demand = self.demand(fleet, facts, true);
+            let demand = self.demand(fleet, service, facts, true);
             self.lock().order.record_admission(&demand, self.clock.now());
         }
     }
@@ -192,10 +192,17 @@
         }
     }
 
-    fn demand(&self, fleet: &FleetSnapshot, facts: &CallFacts, is_repeated: bool) -> CallDemand {
+    fn demand(
+        &self,
+        fleet: &FleetSnapshot,
+        service: &ServiceSnapshot,
+        facts: &CallFacts,
+        is_repeated: bool,
+    ) -> CallDemand {
         let limit = fleet.tenant(facts.tenant).and_then(|tenant| tenant.limit);
         CallDemand {
             facts: *facts,
+            kind_rank: service.intent.kinds.get(facts.kind).map_or(facts.rank, |kind| kind.rank),
             work: self.counters.kind_work.expected(facts.kind, self.nominal_service_time()),
             entitlement: limit.map(|limit| limit.requests_per_second as f32),
             is_repeated,
