Keep the jitter of Retry-After within what callers honour

A refusal that invites its caller back within a third of the time left could be extended by up to a half by the jitter and then exceed it, although the queue expected the request back. Applies to the order by cost only.

--- a/core/src/admission/cost_queue.rs
+++ b/core/src/admission/cost_queue.rs
@@ -24,6 +24,10 @@
 /// Minimum `Retry-After`, above [`RETURN_MARGIN`] so that the request is recognized.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(60);
 
+/// Part of the time until its deadline for which a caller waits before it sends a refused request
+/// again.
+pub const CALLER_PATIENCE: u32 = 3;
+
 /// Maximum `Retry-After`. Bursts last for up to 8 s.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(8);
 
@@ -274,10 +278,6 @@
     }
 }
 
-/// Part of the time until its deadline for which a caller waits before it sends a refused request
-/// again.
-const CALLER_PATIENCE: u32 = 3;
-
 impl<W: Send> AdmissionOrder<W> for CostQueue<W> {
     fn set_limits(&mut self, limits: AdmissionLimits) {
         self.limits = limits;
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -8,8 +8,8 @@
 use tokio::sync::oneshot;
 use zinniaport_core::admission::window::{HeadroomInput, ServiceHeadroom, service_headroom};
 use zinniaport_core::admission::{
-    AdmissionLimits, AdmissionRefusal, CallDemand, QueueDeparture, RefusedCall, RunQuantile,
-    ServiceRate, WaitingTenants,
+    AdmissionLimits, AdmissionRefusal, CALLER_PATIENCE, CallDemand, QueueDeparture, RefusedCall,
+    RunQuantile, ServiceRate, WaitingTenants,
 };
 use zinniaport_core::call::{CallFacts, ReasonCode};
 use zinniaport_core::clock::{ClockSource, Timestamp};
@@ -268,9 +268,14 @@
             queue.choose_order(by_cost);
             let limits = AdmissionLimits { max_waiting, max_overtakes: MAX_OVERTAKES };
             queue.order.set_limits(limits);
-            let joined = queue.order.join(demand, sender, rate, now).map_err(|refusal| {
-                GateRefusal { retry_after: add_jitter(refusal.retry_after), ..refusal }
-            })?;
+            let joined =
+                queue.order.join(demand, sender, rate, now).map_err(|refusal| GateRefusal {
+                    retry_after: match by_cost {
+                        true => add_honoured_jitter(refusal.retry_after, &demand.facts, now),
+                        false => add_jitter(refusal.retry_after),
+                    },
+                    ..refusal
+                })?;
             self.set_waiting(queue.order.waiting());
             (joined, queue.number)
         };
@@ -355,3 +360,10 @@
 pub fn add_jitter(delay: Duration) -> Duration {
     delay.mul_f64(1.0 + rand::random_range(0.0..RETRY_JITTER))
 }
+
+/// Like [`add_jitter`], but a delay that the caller honours stays one.
+fn add_honoured_jitter(delay: Duration, facts: &CallFacts, now: Timestamp) -> Duration {
+    let honoured = facts.time_left(now) / CALLER_PATIENCE;
+    let extended = add_jitter(delay);
+    if delay <= honoured { extended.min(honoured) } else { extended }
+}
