--- a/src/placement/coordinator.rs
+++ b/src/placement/coordinator.rs
@@ -88,6 +88,8 @@
     /// Slowdown that the target reported last, in percent of the nominal service time, or
     /// `None` if the report was old.
     slowdown_percent: Option<u32>,
+    /// Index of the request's kind.
+    kind: usize,
     _slot: SlotGuard,
 }
 
@@ -97,6 +99,7 @@
         state: Arc<SharedState>,
         target: &TargetSnapshot,
         service: Arc<ServiceCounters>,
+        kind: usize,
         slot: SlotGuard,
         now: Timestamp,
     ) -> Result<Self, SlotGuard> {
@@ -117,6 +120,7 @@
             target: counters,
             service,
             fills_target,
+            kind,
             address: target.address,
             is_answered: AtomicBool::new(false),
             state,
@@ -131,6 +135,9 @@
             self.is_answered.store(true, Ordering::Relaxed);
             self.target.silence.record_answer(self.state.clock.now());
         }
+        if let AttemptEnd::Answered(latency_us) = end {
+            self.service.kind_work.record(self.kind, Duration::from_micros(latency_us.into()));
+        }
         if let (AttemptEnd::Answered(latency_us), Some(slowdown)) = (end, self.slowdown_percent) {
             let latency = Duration::from_micros(latency_us.into());
             if let Some(effect) =
@@ -213,19 +220,25 @@
             AttemptKind::First => {
                 let percent = service.intent.retry_percent;
                 budget.record_first_attempt(percent, self.max_retry_tokens(whole.parts.len()));
-                let (trace, slot) = gate.admit(&fleet, service, &call.facts).await?;
+                let admitted = gate.admit(&fleet, service, &call.facts).await;
+                let (trace, slot) = self.count(call, admitted)?;
                 (Some(trace), slot)
             }
             AttemptKind::Resent => {
-                let (trace, slot) = gate.admit(&fleet, service, &call.facts).await?;
+                let admitted = gate.admit(&fleet, service, &call.facts).await;
+                let (trace, slot) = self.count(call, admitted)?;
                 (Some(trace), slot)
             }
             AttemptKind::Retry if budget.try_spend() => {
-                (None, gate.admit(&fleet, service, &call.facts).await?.1)
+                let admitted = gate.admit_attempt(&fleet, service, &call.facts, true).await;
+                (None, self.count(call, admitted)?.1)
             }
             AttemptKind::Hedge => {
                 let slot = gate.take_idle_slot(service).filter(|_| budget.try_spend());
-                (None, slot.ok_or_else(|| GateRefusal::with_default_delay(ReasonCode::NoTarget))?)
+                let slot =
+                    slot.ok_or_else(|| GateRefusal::with_default_delay(ReasonCode::NoTarget))?;
+                gate.record_hedge(&fleet, service, &call.facts);
+                (None, slot)
             }
             AttemptKind::Retry => {
                 return Err(GateRefusal::with_default_delay(ReasonCode::NoTarget));
@@ -237,7 +250,8 @@
             let fleet = self.state.fleet.load();
             let target = fleet.targets.get(choice.target).ok_or_else(no_target)?;
             let (service, now) = (service.counters.clone(), self.state.clock.now());
-            match TargetReservation::new(self.state.clone(), target, service, slot, now) {
+            let (state, kind) = (self.state.clone(), call.facts.kind);
+            match TargetReservation::new(state, target, service, kind, slot, now) {
                 Ok(reservation) => return Ok(PlacedCall { trace, choice, reservation }),
                 // Another request took the last one that the target takes now. The target is no
                 // longer a choice, so this ends.
@@ -247,6 +261,21 @@
         }
     }
 
+    /// Counts a refused or delayed request in the metrics.
+    fn count(
+        &self,
+        call: &PlacementCall,
+        admitted: Result<(AdmissionTrace, SlotGuard), GateRefusal>,
+    ) -> Result<(AdmissionTrace, SlotGuard), GateRefusal> {
+        let (metrics, rank) = (&self.state.metrics, call.facts.rank);
+        match &admitted {
+            Ok((trace, _)) if trace.rule == ReasonCode::AdmittedAtOnce => {}
+            Ok((trace, _)) => metrics.count_delayed(rank, trace.rule),
+            Err(refusal) => metrics.count_refused(rank, refusal.reason),
+        }
+        admitted
+    }
+
     /// Returns the maximum number of retry tokens that this entry accumulates for a service with
     /// this number of parts: while it coordinates one of them, its part of a fixed share of the
     /// tokens of all entries, else its own part of them.
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -14,6 +14,7 @@
 use zinniaport_core::keys::ServiceKey;
 use zinniaport_core::probe::MeasuringAccount;
 
+use super::admission::AdmissionMetrics;
 use super::placement::{AGE_BOUNDS, EVENT_AGE, PlacementMetrics};
 use super::traffic::TrafficMetrics;
 
@@ -68,6 +69,8 @@
     pub repeated_identities: Counter,
     /// Items of the configuration in force that this version does not use.
     pub unused_items: Gauge,
+    /// Metrics of admission.
+    pub admission: AdmissionMetrics,
     /// Metrics of placement.
     pub placement: PlacementMetrics,
     /// Bytes exchanged with other data centres.
@@ -93,6 +96,7 @@
         let repeated_identities = with_local_recorder(&recorder, || counter!(REPEATED_IDENTITIES));
         let unused_items = with_local_recorder(&recorder, || gauge!(UNUSED_ITEMS));
         let unclassified = KindMetrics::new(&recorder, "unknown", "unknown");
+        let admission = AdmissionMetrics::new(&recorder);
         let placement = PlacementMetrics::new(&recorder);
         let traffic = TrafficMetrics::new(&recorder);
         Self {
@@ -101,12 +105,23 @@
             unclassified,
             repeated_identities,
             unused_items,
+            admission,
             placement,
             traffic,
             services: ArcSwap::default(),
         }
     }
 
+    /// Counts a request that was not admitted.
+    pub fn count_refused(&self, rank: u8, reason: ReasonCode) {
+        self.admission.count_refused(&self.recorder, rank, reason);
+    }
+
+    /// Counts a request that was admitted after waiting.
+    pub fn count_delayed(&self, rank: u8, reason: ReasonCode) {
+        self.admission.count_delayed(&self.recorder, rank, reason);
+    }
+
     /// Counts a new request as in flight.
     pub fn begin(&self) {
         self.in_flight.increment(1.0);
