Decide on the rate limits of tenants over all entries

Cause: the limits of tenants hold for the sum over all entries, also while these cannot reach each other, and no entry knows what the others run.

Change: core/src/quota. Each entry has the share 1/N of every limit and delegates it for 0.8 s at a time to the owner of a group of tenants, one of the four largest entries. The owner keeps a token bucket that fills at the rate of the delegated shares and grants tokens that expire 0.25 s after they were asked for. A delegation counts from a time stamp of the owner, so that one that was delayed or a pause of either side does not extend it. An entry that hears no owner delegates its share to itself once the last delegation has ended.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod policy;
 pub mod probe;
 pub mod quarantine;
+pub mod quota;
 pub mod request_limit;
 pub mod retry;
 pub mod routes;
--- /dev/null
+++ b/core/tests/quota.rs
@@ -0,0 +1,202 @@
+//! Guards against tenants that run more than their limit, or that are refused within it.
+
+mod quota_world;
+
+use std::time::Duration;
+
+use quota_world::{Load, MS, TenantCount, World};
+use zinniaport_core::tenants::TenantLimit;
+use zinniaport_testing::test_cases;
+
+/// Entries of a large deployment with tenants.
+const ENTRIES: usize = 127;
+
+/// Usual requests per second of the largest tenant, a fifth of 925.
+const LARGEST: f64 = 185.0;
+
+/// Usual load as a part of the limit.
+const USUAL_PART: f64 = 1.0 / 1.6;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn limit_for(usual: f64) -> TenantLimit {
+    TenantLimit { requests_per_second: usual / USUAL_PART, burst: usual }
+}
+
+/// Creates entries that have run until the buckets of small tenants are full, with a load of each tenant.
+fn warm_world(seed: u64, loads: &[Load], usual: &[f64]) -> World {
+    let limits = usual.iter().map(|usual| limit_for(*usual)).collect();
+    let mut world = World::new(ENTRIES, limits, seed);
+    world.run(8 * SECOND);
+    loads.iter().for_each(|load| world.add_load(*load));
+    world.run(2 * SECOND);
+    world
+}
+
+fn spread(tenant: usize, per_second: f64) -> Load {
+    Load { tenant, per_second, entry: None }
+}
+
+/// Returns the granted requests as a part of those that one bucket with the limit would grant.
+fn granted(count: TenantCount) -> f64 {
+    count.granted as f64 / count.within.max(1) as f64
+}
+
+test_cases! {
+    usual_load: "requests within the limit that are refused" => {
+        let usual: Vec<_> = [LARGEST, 40.0].into_iter().chain([10.0; 20]).chain([1.0; 60]).collect();
+        let loads: Vec<_> =
+            usual.iter().enumerate().map(|(tenant, usual)| spread(tenant, *usual)).collect();
+        let mut world = warm_world(1, &loads, &usual);
+        let (messages, seconds) = (world.messages, 10);
+        let counts = world.measure(seconds * SECOND);
+        let offered: usize = counts.iter().map(|count| count.within).sum();
+        let all_granted: usize = counts.iter().map(|count| count.granted).sum();
+        let rate = (world.messages - messages) as f64 / ENTRIES as f64 / seconds as f64;
+        println!("granted {all_granted} of {offered}, {rate:.1} messages per entry and second");
+        assert!(all_granted as f64 >= 0.999 * offered as f64, "{all_granted} of {offered}");
+        assert!(rate < 45.0, "{rate} messages per entry and second");
+        world.assert_bound();
+    }
+
+    burst_through_all_entries: "a tenant at 7.5 times its usual load that runs more than its limit, or much less" => {
+        let mut world = warm_world(2, &[spread(0, LARGEST * 7.5), spread(1, 10.0)], &[LARGEST, 10.0]);
+        let counts = world.measure(8 * SECOND);
+        let peak = world.assert_bound();
+        let rate = counts[0].granted as f64 / 8.0 / (LARGEST * 1.6);
+        println!("peak {peak:.3}, {rate:.3} of the rate, {counts:?}");
+        assert!(rate > 0.9, "{rate}");
+        assert!(granted(counts[1]) > 0.99, "{counts:?}");
+    }
+
+    burst_through_one_entry: "a tenant whose requests all reach one entry that runs more than its limit, or much less" => {
+        let usual = [LARGEST, LARGEST];
+        let load = |tenant, per_second| Load { tenant, per_second, entry: Some(90) };
+        let mut world = warm_world(3, &[load(0, LARGEST * 7.5), load(1, LARGEST)], &usual);
+        let counts = world.measure(8 * SECOND);
+        let peak = world.assert_bound();
+        let rate = counts[0].granted as f64 / 8.0 / (LARGEST * 1.6);
+        println!("peak {peak:.3}, {rate:.3} of the rate, {counts:?}");
+        assert!(rate > 0.9, "{rate}");
+        assert!(granted(counts[1]) > 0.99, "{counts:?}");
+    }
+
+    small_tenants: "small tenants whose requests are refused because tokens lie at other entries" => {
+        let usual = [1.0; 40];
+        let loads: Vec<_> = (0..40).map(|tenant| spread(tenant, 1.0)).collect();
+        let mut world = warm_world(4, &loads, &usual);
+        let counts = world.measure(20 * SECOND);
+        let offered: usize = counts.iter().map(|count| count.within).sum();
+        let all_granted: usize = counts.iter().map(|count| count.granted).sum();
+        println!("granted {all_granted} of {offered}");
+        assert!(all_granted as f64 >= 0.999 * offered as f64, "{all_granted} of {offered}");
+        world.assert_bound();
+    }
+
+    owner_dies: "an owner that dies and is not replaced, or whose tokens are granted twice" => {
+        let mut world = warm_world(5, &[spread(0, LARGEST), spread(1, 20.0 * 7.5)], &[LARGEST, 20.0]);
+        world.kill(world.owner_of(0));
+        let first = world.measure(SECOND);
+        let later = world.measure(4 * SECOND);
+        world.kill(world.owner_of(1));
+        world.measure(6 * SECOND);
+        let peak = world.assert_bound();
+        println!("peak {peak:.3}, first second {:?}, then {:?}", first[0], later[0]);
+        assert!(granted(later[0]) > 0.99, "{later:?}");
+    }
+
+    quarter_of_the_entries_dies: "requests within the limit that are refused for long after many entries died" => {
+        let usual: Vec<_> = [20.0; 16].into_iter().chain([1.0; 16]).collect();
+        let loads: Vec<_> =
+            usual.iter().enumerate().map(|(tenant, usual)| spread(tenant, *usual)).collect();
+        let mut world = warm_world(6, &loads, &usual);
+        (0..ENTRIES).step_by(4).for_each(|entry| world.kill(entry));
+        let first: f64 = world.measure(2 * SECOND).into_iter().map(granted).sum::<f64>() / 32.0;
+        let later: f64 = world.measure(20 * SECOND).into_iter().map(granted).sum::<f64>() / 32.0;
+        let peak = world.assert_bound();
+        println!("peak {peak:.3}, granted {first:.3} in the first 2 s, then {later:.4}");
+        assert!(later > 0.98, "{later}");
+    }
+
+    partition_with_tokens_in_hand: "entries that cannot reach each other and grant the limit in each part" => {
+        for seed in 7..9 {
+            let usual = [LARGEST, 20.0, 1.0, 1.0];
+            let loads: Vec<_> = usual.iter().enumerate().map(|(tenant, usual)| spread(tenant, usual * 3.0)).collect();
+            let mut world = warm_world(seed, &loads, &usual);
+            world.parts = (0..ENTRIES).map(|entry| entry % 3).collect();
+            let counts = world.measure(8 * SECOND);
+            world.parts = vec![0; ENTRIES];
+            world.run(4 * SECOND);
+            world.parts = (0..ENTRIES).map(|entry| usize::from(entry < 42)).collect();
+            world.run(4 * SECOND);
+            world.parts = vec![0; ENTRIES];
+            world.run(6 * SECOND);
+            let peak = world.assert_bound();
+            let rate = counts[0].granted as f64 / 8.0 / (LARGEST * 1.6);
+            println!("peak {peak:.3}, {rate:.3} of the rate in the partition");
+            assert!(rate > 0.6, "{rate}");
+        }
+    }
+
+    every_entry_alone: "entries that hear nobody and together grant more than the limit" => {
+        let usual = [LARGEST, 20.0, 1.0];
+        let loads: Vec<_> = usual.iter().enumerate().map(|(tenant, usual)| spread(tenant, usual * 7.5)).collect();
+        let mut world = warm_world(11, &loads, &usual);
+        world.parts = (0..ENTRIES).collect();
+        let counts = world.measure(12 * SECOND);
+        world.parts = vec![0; ENTRIES];
+        world.run(6 * SECOND);
+        let peak = world.assert_bound();
+        println!("peak {peak:.3}, {counts:?}");
+        assert!(counts.iter().all(|count| count.granted > 0), "{counts:?}");
+    }
+
+    paused_owner: "an owner that was paused and grants tokens of shares that others use by now" => {
+        let mut world = warm_world(12, &[spread(0, LARGEST * 7.5)], &[LARGEST]);
+        for pause in [300, 1_000, 3_000] {
+            let owner = world.owner_of(0);
+            world.pause(owner);
+            world.run(pause * MS);
+            world.resume(owner);
+            world.run(3 * SECOND);
+        }
+        let peak = world.assert_bound();
+        println!("peak {peak:.3}");
+    }
+
+    lowered_limit: "a lowered limit that is not binding a window after all entries have it" => {
+        let mut world = warm_world(13, &[spread(0, LARGEST * 7.5)], &[LARGEST]);
+        world.run(3 * SECOND);
+        world.set_limits(vec![TenantLimit { requests_per_second: 20.0, burst: 5.0 }]);
+        let changed = world.now;
+        world.run(12 * SECOND);
+        let peak = world.peak(0, changed + 500 * MS);
+        println!("peak {peak:.3}");
+        assert!(peak <= 1.0, "{peak}");
+    }
+
+    start_of_all_entries: "entries that start together, do not know each other yet, and grant the limit more than once" => {
+        let usual = [LARGEST, 20.0, 1.0];
+        let loads: Vec<_> = usual.iter().enumerate().map(|(tenant, usual)| spread(tenant, usual * 7.5)).collect();
+        let mut world = warm_world(14, &loads, &usual);
+        for _ in 0..2 {
+            world.run(2 * SECOND);
+            (0..ENTRIES).for_each(|entry| world.kill(entry));
+            world.run(200 * MS);
+            (0..ENTRIES).for_each(|entry| world.start(entry));
+            let counts = world.measure(4 * SECOND);
+            println!("{:.3} of the rate in 4 s", counts[0].granted as f64 / 4.0 / (LARGEST * 1.6));
+        }
+        let peak = world.assert_bound();
+        println!("peak {peak:.3}");
+    }
+
+    lost_messages: "requests within the limit that are refused because messages are lost" => {
+        let mut world = warm_world(15, &[spread(0, LARGEST), spread(1, 1.0)], &[LARGEST, 1.0]);
+        world.loss = 0.05;
+        let counts = world.measure(10 * SECOND);
+        let peak = world.assert_bound();
+        println!("peak {peak:.3}, {counts:?}");
+        assert!(granted(counts[0]) > 0.99, "{counts:?}");
+    }
+}
