Move datagrams and entry dependencies to files of their own

Change: the datagrams, their sender and their encoding are in src/signals/datagram.rs, the dependencies of an entry in src/runtime/dependencies.rs. No change of behaviour.

--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -2,14 +2,15 @@
 
 mod chain;
 mod coordinated;
+mod dependencies;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
 use chain::ChainParts;
 use coordinated::{CoordinatedParts, SeedSender};
+pub use dependencies::EntryDependencies;
 use derive_more::{Display, Error};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -28,21 +29,18 @@
 };
 use crate::claims::{KeyClaims, NoKeyClaims, StoreKeyClaims};
 use crate::control::{ControlParts, ControlPlane};
-use crate::dialect::{DefaultDialect, HeaderDialect};
-use crate::directory::{
-    DirectoryDriver, DirectoryRelay, DirectorySource, RelayedDirectory, unconfigured_fleet,
-};
+use crate::directory::{DirectoryDriver, DirectoryRelay, RelayedDirectory, unconfigured_fleet};
 use crate::front::HttpFrontend;
-use crate::gate::{AdmissionGates, ArchiveDriver, CrashArchive, QuarantineGate};
+use crate::gate::{AdmissionGates, ArchiveDriver, QuarantineGate};
 use crate::measuring::{
     IntentFreshness, MeasuringDriver, MeasuringParts, StaticFreshness, probe_trigger,
 };
 use crate::placement::{CallPlacement, LocalPlacement};
 use crate::pool::{HttpTransport, SilenceLogger};
 use crate::records::PeerRecords;
-use crate::settings::{EntrySettings, PlatformSettings};
+use crate::settings::EntrySettings;
 use crate::state::SharedState;
-use crate::store::{HttpStore, ObjectStore, VmDirectory};
+use crate::store::ObjectStore;
 use crate::targets::TargetsDriver;
 use crate::telemetry::run_burn_controller;
 
@@ -56,32 +54,6 @@
     pub source: std::io::Error,
 }
 
-/// External systems that an entry uses besides callers and targets.
-#[derive(bon::Builder)]
-pub struct EntryDependencies {
-    /// The object store of intents, plans and claims.
-    store: Option<Arc<dyn ObjectStore>>,
-    /// The platform's list of VMs.
-    vms: Option<Arc<dyn VmDirectory>>,
-    /// A directory of targets and configuration, instead of intents.
-    directory: Option<Arc<dyn DirectorySource>>,
-    /// Crash records that outlive the entries.
-    crash_archive: Option<Arc<dyn CrashArchive>>,
-    /// Dialect of the headers that callers and targets use.
-    #[builder(default = Arc::new(DefaultDialect))]
-    dialect: Arc<dyn HeaderDialect>,
-}
-
-impl EntryDependencies {
-    /// Creates clients of the platform in `settings`, if there is one.
-    pub fn from_platform(settings: Option<&PlatformSettings>) -> Self {
-        let platform = settings.map(platform_store);
-        let store = platform.clone().map(|platform| platform as Arc<dyn ObjectStore>);
-        let vms = platform.map(|platform| platform as Arc<dyn VmDirectory>);
-        Self::builder().maybe_store(store).maybe_vms(vms).build()
-    }
-}
-
 /// A running entry.
 pub struct EntryRuntime {
     caller_address: SocketAddr,
@@ -366,11 +338,6 @@
     }
 }
 
-fn platform_store(platform: &PlatformSettings) -> Arc<HttpStore> {
-    let limit = Duration::from_millis(platform.call_ms);
-    Arc::new(HttpStore::builder().address(platform.address).call_limit(limit).build())
-}
-
 fn handlers(
     state: &Arc<SharedState>,
     mut checks: Vec<Arc<dyn ReadinessCheck>>,
--- a/src/signals.rs
+++ b/src/signals/mod.rs
@@ -1,14 +1,16 @@
 //! Datagrams between entries: which entries are live, the capacity and directory revisions of
 //! each, recent crashes, and placement requests.
 
+mod datagram;
+
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bincode::Options;
-use serde::{Deserialize, Serialize};
+use datagram::MAX_DATAGRAM;
+pub use datagram::{SignalDatagram, SignalSender, decode_datagram, encode_datagram};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -16,7 +18,7 @@
 use zinniaport_core::controllers::{
     SignalsController, SignalsEffect, SignalsMessage, StateController, TargetsMessage,
 };
-use zinniaport_core::placement::{CoordinatorCandidate, PlacementMessage};
+use zinniaport_core::placement::CoordinatorCandidate;
 use zinniaport_core::policy::EntryView;
 use zinniaport_core::quarantine::{CrashRecord, CrashReport};
 use zinniaport_core::retry::own_retry_tokens;
@@ -32,9 +34,6 @@
 /// Time between ticks.
 const TICK_PERIOD: Duration = Duration::from_millis(50);
 
-/// Maximum size of a received datagram, in bytes.
-const MAX_DATAGRAM: usize = 16 << 10;
-
 /// Maximum number of crash records in a datagram. Of the largest, 600 bytes each, these take
 /// 10 KB.
 const MAX_DATAGRAM_RECORDS: usize = 16;
@@ -63,45 +62,6 @@
 /// coordinate, so an entry that starts has to find them soon.
 const LISTED_LARGEST: usize = 4;
 
-/// A datagram between two entries.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum SignalDatagram {
-    /// State of the sender.
-    Signal(SignalMessage),
-    /// Placement requests and responses.
-    Placement(PlacementMessage),
-    /// Crash records.
-    Crashes(Vec<CrashRecord>),
-}
-
-/// Sends datagrams to other entries.
-#[derive(Clone)]
-pub struct SignalSender {
-    socket: Arc<UdpSocket>,
-    address: SocketAddr,
-}
-
-impl SignalSender {
-    /// Returns the address of the socket.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Sends a datagram to each address. Datagrams may be lost, so the sender repeats what must
-    /// arrive.
-    pub fn send(&self, datagram: &SignalDatagram, addresses: &[SocketAddr]) {
-        let bytes = match encode_datagram(datagram) {
-            Ok(bytes) => bytes,
-            Err(error) => return log::error!("cannot encode datagram: {error}"),
-        };
-        for address in addresses {
-            if let Err(error) = self.socket.try_send_to(&bytes, *address) {
-                log::debug!("cannot send datagram to {address}: {error}");
-            }
-        }
-    }
-}
-
 /// Owns the signals controller and receives all datagrams from other entries.
 pub struct SignalsDriver {
     state: Arc<SharedState>,
@@ -368,22 +328,3 @@
         largest.chain(others).collect()
     }
 }
-
-/// Encodes a datagram. Numbers have a variable length, since most are small and traffic between
-/// data centres is paid for by the byte.
-///
-/// # Errors
-///
-/// Returns an error if the datagram is too large to encode.
-pub fn encode_datagram(datagram: &SignalDatagram) -> bincode::Result<Vec<u8>> {
-    bincode::DefaultOptions::new().serialize(datagram)
-}
-
-/// Decodes a datagram.
-///
-/// # Errors
-///
-/// Returns an error if the bytes are not a complete datagram.
-pub fn decode_datagram(bytes: &[u8]) -> bincode::Result<SignalDatagram> {
-    bincode::DefaultOptions::new().with_limit(MAX_DATAGRAM as u64).deserialize(bytes)
-}
