Enforce the rate limits of tenants in the filter chain

Cause: entries know the limits of tenants but serve any number of requests.

Change: the filter quota, between claim and admit, takes a token for each request of a tenant with a limit, and the route filter takes another one for a retry or hedge after a dispatch that may have run, and for a request that waited more than 0.2 s for a target. Without a limited tenant the driver has no timer and sends no message.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -209,6 +209,10 @@
     UnknownApiKey,
     /// This version cannot serve the route of the request.
     UnsupportedRoute,
+    /// The tenant of the request is over its rate limit.
+    QuotaExceeded,
+    /// No entry could check the rate limit of the tenant in time.
+    QuotaUnavailable,
 }
 
 impl ReasonCode {
--- a/core/src/decision/words.rs
+++ b/core/src/decision/words.rs
@@ -68,5 +68,7 @@
         ReasonCode::ShortestWait => "it had the shortest expected wait of all that could take it",
         ReasonCode::UnknownApiKey => "it carried no API key of a known tenant",
         ReasonCode::UnsupportedRoute => "this version cannot serve its route",
+        ReasonCode::QuotaExceeded => "its tenant had used up its rate limit",
+        ReasonCode::QuotaUnavailable => "the rate limit of its tenant could not be checked",
     }
 }
--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -190,6 +190,7 @@
         let started = fork_permit(copy)
             && allows_hedge(&copy.facts, dispatches, self.state.clock.now())
             && self.place_again(copy, AttemptKind::Hedge).await
+            && self.take_again(copy).await
             && self.pick(copy, Some(ReasonCode::Hedged)).is_ok();
         if !started {
             copy.head.extensions.remove::<PermitHandle>();
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -10,6 +10,7 @@
 mod in_flight;
 mod joined_heads;
 mod quarantine;
+mod quota;
 mod record;
 mod route;
 mod target_refusals;
@@ -24,6 +25,7 @@
 use futures::future::BoxFuture;
 pub use identify::{CALLER_HEADER, IdentifyFilter};
 pub use quarantine::QuarantineFilter;
+pub use quota::QuotaFilter;
 pub use record::RecordFilter;
 pub use route::{RouteFilter, remote_cost};
 
--- /dev/null
+++ b/src/filters/quota.rs
@@ -0,0 +1,115 @@
+//! Takes tokens of the rate limits of tenants.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use zinniaport_core::call::ReasonCode;
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::quota::MAX_TOKEN_AGE;
+use zinniaport_core::tenants::TenantTag;
+
+use super::{FilterNext, FilterResult, RequestFilter};
+use crate::exchange::Exchange;
+use crate::quota::{TokenDecision, TokenSource};
+use crate::refusal::Refusal;
+use crate::state::SharedState;
+
+/// Takes a token for each request of a tenant with a limit. Does nothing for other requests.
+pub struct QuotaFilter {
+    state: Arc<SharedState>,
+    tokens: Arc<dyn TokenSource>,
+}
+
+impl QuotaFilter {
+    /// Creates the filter.
+    pub fn new(state: Arc<SharedState>, tokens: Arc<dyn TokenSource>) -> Self {
+        Self { state, tokens }
+    }
+
+    async fn take(&self, exchange: &mut Exchange) -> Result<(), Refusal> {
+        let Some(tenants) = &exchange.fleet.tenants else { return Ok(()) };
+        let tenant = tenants.get(exchange.facts.tenant).filter(|tenant| tenant.limit.is_some());
+        let Some(tag) = tenant.map(|tenant| tenant.tag) else { return Ok(()) };
+        let mut token = TakenToken {
+            tokens: self.tokens.clone(),
+            tenant: tag,
+            usable_from: self.state.clock.now(),
+        };
+        token.take_next(&self.state).await?;
+        exchange.head.extensions.insert(token);
+        Ok(())
+    }
+}
+
+impl RequestFilter for QuotaFilter {
+    fn name(&self) -> &'static str {
+        "quota"
+    }
+
+    fn handle<'a>(
+        &'a self,
+        exchange: &'a mut Exchange,
+        next: FilterNext<'a>,
+    ) -> BoxFuture<'a, FilterResult> {
+        Box::pin(async move {
+            self.take(exchange).await?;
+            next.run(exchange).await
+        })
+    }
+}
+
+/// Token for the next dispatch of a request. Stored in the extensions of the request head.
+#[derive(Clone)]
+pub(super) struct TakenToken {
+    tokens: Arc<dyn TokenSource>,
+    tenant: TenantTag,
+    usable_from: Timestamp,
+}
+
+impl TakenToken {
+    /// Takes a token and waits until it may be used.
+    async fn take_next(&mut self, state: &SharedState) -> Result<(), Refusal> {
+        match self.tokens.take(self.tenant).await {
+            TokenDecision::Granted(usable_from) => {
+                let delay = usable_from.since(state.clock.now());
+                if delay > Duration::ZERO {
+                    tokio::time::sleep(delay).await;
+                }
+                self.usable_from = usable_from;
+                Ok(())
+            }
+            TokenDecision::Exceeded(delay) => {
+                let detail = "the tenant has used up its rate limit";
+                Err(Refusal::not_run(ReasonCode::QuotaExceeded, detail).retry_after(delay))
+            }
+            TokenDecision::Unavailable(delay) => {
+                let detail = "no entry could check the rate limit of the tenant in time";
+                Err(Refusal::not_run(ReasonCode::QuotaUnavailable, detail).retry_after(delay))
+            }
+        }
+    }
+}
+
+/// Takes another token for a request whose last dispatch may have run, since each run counts.
+pub(super) async fn take_again(state: &SharedState, exchange: &mut Exchange) -> bool {
+    match exchange.head.extensions.get_mut::<TakenToken>() {
+        Some(token) => token.take_next(state).await.is_ok(),
+        None => true,
+    }
+}
+
+/// Takes another token for a request that waited for a target for so long that the token which it
+/// has belongs to an earlier window.
+pub(super) async fn renew_token(
+    state: &SharedState,
+    exchange: &mut Exchange,
+) -> Result<(), Refusal> {
+    let token = exchange.head.extensions.get_mut::<TakenToken>();
+    let is_old =
+        |token: &&mut TakenToken| state.clock.now().since(token.usable_from) > MAX_TOKEN_AGE;
+    match token.filter(is_old) {
+        Some(token) => token.take_next(state).await,
+        None => Ok(()),
+    }
+}
--- a/src/filters/route.rs
+++ b/src/filters/route.rs
@@ -13,10 +13,11 @@
 use zinniaport_core::retry::{DispatchCount, allows_retry};
 
 use super::attempt::AttemptRecord;
+use super::quota::{renew_token, take_again};
 use super::{FilterNext, FilterResult, RequestFilter};
 use crate::exchange::{Exchange, empty_body, full_body};
 use crate::gate::{BufferedBody, PermitHandle};
-use crate::placement::CallPlacement;
+use crate::placement::{CallPlacement, Placement};
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 use crate::targets::TargetsHandle;
@@ -47,7 +48,8 @@
         let mut earlier: Option<Refusal> = None;
         loop {
             let rule = earlier.as_ref().map(|_| ReasonCode::Retried);
-            if let Err(refusal) = self.pick(exchange, rule) {
+            let renewed = renew_token(&self.state, exchange).await;
+            if let Err(refusal) = renewed.and_then(|()| self.pick(exchange, rule)) {
                 return Err(Refusal::combine(earlier, refusal));
             }
             dispatches.begin();
@@ -62,6 +64,7 @@
             dispatches.end(refusal.outcome());
             if !self.may_retry(exchange, dispatches, &refusal, &body)
                 || !self.place_again(exchange, AttemptKind::Retry).await
+                || !(refusal.promises_not_run() || self.take_again(exchange).await)
             {
                 return Err(refusal);
             }
@@ -159,6 +162,18 @@
     }
 }
 
+impl RouteFilter {
+    /// Takes another token for a dispatch after one that may have run. Without one, the placement
+    /// is given back.
+    pub(super) async fn take_again(&self, exchange: &mut Exchange) -> bool {
+        let is_taken = take_again(&self.state, exchange).await;
+        if !is_taken {
+            exchange.apply_placement(Placement::default());
+        }
+        is_taken
+    }
+}
+
 impl RequestFilter for RouteFilter {
     fn name(&self) -> &'static str {
         "route"
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod placement;
 pub mod pool;
 pub mod propagation;
+pub mod quota;
 pub mod records;
 pub mod refusal;
 pub mod runtime;
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -123,6 +123,7 @@
             }
             ReasonCode::SlowSender if self.promises_not_run() => StatusCode::REQUEST_TIMEOUT,
             ReasonCode::SlowSender => StatusCode::GATEWAY_TIMEOUT,
+            ReasonCode::QuotaExceeded if self.promises_not_run() => StatusCode::TOO_MANY_REQUESTS,
             _ if self.promises_not_run() => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_GATEWAY,
         }
--- a/src/runtime/coordinated.rs
+++ b/src/runtime/coordinated.rs
@@ -13,6 +13,7 @@
 use crate::gate::{AdmissionGates, QuarantineGate};
 use crate::placement::{CoordinatedPlacement, Coordinator, PlacementDriver, TargetProber};
 use crate::pool::TargetTransport;
+use crate::quota::{QuotaDriver, QuotaHandle};
 use crate::settings::SignalSettings;
 use crate::signals::SignalsDriver;
 use crate::state::SharedState;
@@ -38,7 +39,7 @@
     pub(super) async fn start(
         self,
         mut settings: SignalSettings,
-    ) -> Result<(CoordinatedPlacement, SeedSender), StartError> {
+    ) -> Result<(CoordinatedPlacement, QuotaHandle, SeedSender), StartError> {
         let Self { state, targets, gates, quarantine, policy, transport, relay } = self;
         let (probes, capacity) = (settings.target_probes_per_second, settings.capacity());
         let saved_retries = settings.saved_retries;
@@ -55,11 +56,15 @@
         let handler = RelayHandler::new(state.clone(), relay);
         let router = AdminRouter::new(vec![Arc::new(handler)]);
         tokio::spawn(router.serve(listener, CancellationToken::new()));
+        let quota_driver = QuotaDriver::new(state.clone(), Some(sender.clone()));
+        let quota = quota_driver.handle();
+        signals.set_quota(quota.clone());
         let driver = PlacementDriver::new(state, targets, gates, coordinator, sender);
         signals.set_placement(driver.handle());
         let (placement, seeds) = (driver.placement(), signals.seeds());
         tokio::spawn(signals.run(CancellationToken::new()));
         tokio::spawn(driver.run(CancellationToken::new()));
-        Ok((placement, seeds))
+        tokio::spawn(quota_driver.run(CancellationToken::new()));
+        Ok((placement, quota, seeds))
     }
 }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -37,6 +37,7 @@
 };
 use crate::placement::{CallPlacement, LocalPlacement};
 use crate::pool::{HttpTransport, SilenceLogger};
+use crate::quota::QuotaDriver;
 use crate::records::PeerRecords;
 use crate::settings::EntrySettings;
 use crate::state::SharedState;
@@ -175,8 +176,11 @@
         let EntrySettings { limits, pool, stop: stop_settings, routing, signals, .. } = settings;
         let transport = Arc::new(HttpTransport::new(pool.clone(), Arc::new(SilenceLogger)));
         let policy = routing.policy();
-        let (placement, seeds): (Arc<dyn CallPlacement>, _) = match signals {
-            None => (Arc::new(LocalPlacement::new(state.clone(), gates)), None),
+        let (placement, tokens, seeds): (Arc<dyn CallPlacement>, _, _) = match signals {
+            None => {
+                let tokens = QuotaDriver::start_alone(state.clone());
+                (Arc::new(LocalPlacement::new(state.clone(), gates)), tokens, None)
+            }
             Some(signals) => {
                 let parts = CoordinatedParts {
                     state: state.clone(),
@@ -187,8 +191,8 @@
                     transport: transport.clone(),
                     relay,
                 };
-                let (placement, seeds) = parts.start(signals).await?;
-                (Arc::new(placement), Some(seeds))
+                let (placement, tokens, seeds) = parts.start(signals).await?;
+                (Arc::new(placement), tokens, Some(seeds))
             }
         };
         let freshness: Arc<dyn IntentFreshness> = match &control {
@@ -210,6 +214,7 @@
             quarantine,
             placement,
             claims: claims.clone(),
+            tokens: Arc::new(tokens),
             caller_path: limits.caller_path(),
             buffered_body_bytes: limits.buffered_body_bytes,
             whole_answer_bytes: pool.whole_answer_bytes,
--- a/src/signals/datagram.rs
+++ b/src/signals/datagram.rs
@@ -8,6 +8,7 @@
 use tokio::net::UdpSocket;
 use zinniaport_core::placement::PlacementMessage;
 use zinniaport_core::quarantine::CrashRecord;
+use zinniaport_core::quota::QuotaMessage;
 use zinniaport_core::signals::SignalMessage;
 
 /// Maximum size of a received datagram, in bytes.
@@ -22,6 +23,8 @@
     Placement(PlacementMessage),
     /// Crash records.
     Crashes(Vec<CrashRecord>),
+    /// Tokens of the limits of tenants.
+    Quota(QuotaMessage),
 }
 
 /// Sends datagrams to other entries.
--- a/src/signals/mod.rs
+++ b/src/signals/mod.rs
@@ -26,6 +26,7 @@
 
 use crate::gate::QuarantineGate;
 use crate::placement::PlacementHandle;
+use crate::quota::QuotaHandle;
 use crate::runtime::StartError;
 use crate::settings::SignalSettings;
 use crate::state::SharedState;
@@ -70,6 +71,7 @@
     settings: SignalSettings,
     sender: SignalSender,
     placement: Option<PlacementHandle>,
+    quota: Option<QuotaHandle>,
     controller: SignalsController,
     /// Seeds of the settings, as of the last reload.
     seeds: watch::Sender<Vec<SocketAddr>>,
@@ -108,6 +110,7 @@
             settings,
             sender: SignalSender { socket: Arc::new(socket), address },
             placement: None,
+            quota: None,
             controller,
             seeds: watch::Sender::new(seeds),
             incarnation,
@@ -138,6 +141,12 @@
         self.placement = Some(placement);
     }
 
+    /// Sets the handle to which messages about the limits of tenants and the live entries are
+    /// passed.
+    pub fn set_quota(&mut self, quota: QuotaHandle) {
+        self.quota = Some(quota);
+    }
+
     /// Exchanges signals until `stop` is cancelled.
     pub async fn run(mut self, stop: CancellationToken) {
         let (state, socket) = (self.state.clone(), self.sender.socket.clone());
@@ -189,6 +198,11 @@
                 placement.receive(from, message);
             }
             (Ok(SignalDatagram::Placement(_)), None) => {}
+            (Ok(SignalDatagram::Quota(message)), _) => {
+                if let Some(quota) = &self.quota {
+                    quota.receive(from, message);
+                }
+            }
             (Err(error), _) => log::debug!("cannot decode datagram from {from}: {error}"),
         }
     }
@@ -271,8 +285,8 @@
             is_coordinated: self.placement.is_some(),
         };
         self.targets.send(TargetsMessage::View(view));
-        self.update_candidates(peers);
         self.state.entry_count.store(entry_count, Ordering::Relaxed);
+        self.update_candidates(peers);
         let retry_tokens = own_retry_tokens(self.settings.saved_retries, peers.len(), entry_count);
         self.state.max_saved_retries.store(retry_tokens, Ordering::Relaxed);
     }
@@ -293,8 +307,13 @@
         let is_leader = higher.len() < LEADER_COUNT && self.state.revisions.is_settled();
         let leaders = higher.into_iter().map(|peer| peer.address).collect();
         self.state.revisions.set_leaders(leaders, is_leader);
+        let candidates: Vec<_> = peers.iter().copied().chain([own]).collect();
+        if let Some(quota) = &self.quota {
+            let entry_count = self.state.entry_count.load(Ordering::Relaxed);
+            quota.set_peers(candidates.clone(), entry_count);
+        }
         if let Some(placement) = &self.placement {
-            placement.set_candidates(peers.iter().copied().chain([own]).collect());
+            placement.set_candidates(candidates);
         }
     }
 
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -15,6 +15,7 @@
 use zinniaport_core::probe::MeasuringAccount;
 
 use super::placement::{AGE_BOUNDS, EVENT_AGE, PlacementMetrics};
+use super::quota::QuotaMetrics;
 
 const REQUESTS: &str = "zinniaport_requests_total";
 const REFUSALS: &str = "zinniaport_refusals_total";
@@ -66,6 +67,8 @@
     pub repeated_identities: Counter,
     /// Metrics of placement.
     pub placement: PlacementMetrics,
+    /// Metrics of the limits of tenants.
+    pub quota: QuotaMetrics,
     services: ArcSwap<SecondaryMap<ServiceKey, Arc<ServiceMetrics>>>,
 }
 
@@ -87,12 +90,14 @@
         let repeated_identities = with_local_recorder(&recorder, || counter!(REPEATED_IDENTITIES));
         let unclassified = KindMetrics::new(&recorder, "unknown", "unknown");
         let placement = PlacementMetrics::new(&recorder);
+        let quota = QuotaMetrics::new(&recorder);
         Self {
             recorder,
             in_flight,
             unclassified,
             repeated_identities,
             placement,
+            quota,
             services: ArcSwap::default(),
         }
     }
