--- a/core/src/quota/controller.rs
+++ b/core/src/quota/controller.rs
@@ -78,8 +78,8 @@
     }
 
     /// Returns the share of the limits of a group that this entry may grant.
-    pub fn share(&self, group: usize) -> f64 {
-        self.owner.share(group)
+    pub fn share(&self, group: usize, now: Timestamp) -> f64 {
+        self.owner.share(group, self.own, now)
     }
 
     fn set_peers(&mut self, candidates: &[CoordinatorCandidate], entries: usize, now: Timestamp) {
--- a/core/src/quota/holder.rs
+++ b/core/src/quota/holder.rs
@@ -79,6 +79,8 @@
 pub struct TokenHolder {
     own_address: SocketAddr,
     own: OwnShare,
+    /// Entries that own groups.
+    owners: Vec<SocketAddr>,
     groups: [HeldGroup; GROUP_COUNT],
     links: IndexMap<SocketAddr, OwnerLink>,
     tenants: HashMap<TenantTag, HeldTenant>,
@@ -94,6 +96,7 @@
         Self {
             own_address,
             own: OwnShare { entries: 1, is_settled: false },
+            owners: Vec::new(),
             groups: std::array::from_fn(|_| HeldGroup::default()),
             links: IndexMap::new(),
             tenants: HashMap::new(),
@@ -116,6 +119,7 @@
             group.order.sort_by_cached_key(|owner| hash_score(index, *owner));
         }
         self.links.retain(|address, _| owners.contains(address));
+        self.owners = owners;
     }
 
     /// Sets what is known about the number of entries.
@@ -287,9 +291,10 @@
                 effects.push(HolderEffect::Suspected(*address));
             }
         }
-        let mut owners: IndexSet<_> =
-            self.groups.iter().flat_map(|group| &group.order).copied().collect();
-        owners.extend((0..GROUP_COUNT).map(|group| self.preferred(group)));
+        let mut owners = self.owners.clone();
+        if owners.iter().all(|owner| self.links.get(owner).is_some_and(OwnerLink::is_suspected)) {
+            owners.push(self.own_address);
+        }
         for owner in owners {
             let is_due = self.links.get(&owner).is_none_or(|link| link.is_due(now));
             if is_due || self.has_undelegated(owner, now) {
--- a/core/src/quota/owner.rs
+++ b/core/src/quota/owner.rs
@@ -73,18 +73,28 @@
 }
 
 impl OwnedGroup {
-    /// Brings the share to `now`. Each delegation counts up to its end, however late that is.
-    fn advance(&mut self, own: OwnShare, now: Timestamp) {
+    /// Returns the share of each entry, by the highest number of entries that any of them knows.
+    fn part(&self, own: OwnShare) -> f64 {
         let reported = self.delegations.values().map(|delegation| delegation.entries.into());
         let entries = reported.chain([own.entries, self.delegations.len()]).max().unwrap_or(1);
-        let part = if own.is_settled { 1.0 / entries.max(1) as f64 } else { 0.0 };
+        if own.is_settled { 1.0 / entries.max(1) as f64 } else { 0.0 }
+    }
+
+    /// Returns the sum of the shares whose delegations have not ended.
+    fn share_at(&self, own: OwnShare, now: Timestamp) -> f64 {
+        let valid = self.delegations.values().filter(|delegation| delegation.until > now);
+        valid.count() as f64 * self.part(own)
+    }
+
+    /// Brings the share to `now`. Each delegation counts up to its end, however late that is.
+    fn advance(&mut self, own: OwnShare, now: Timestamp) {
         let valid = self.delegations.values().map(|delegation| {
             delegation.until.min(now).since(self.advanced.min(now)).as_secs_f64()
         });
-        self.filled += valid.sum::<f64>() * part;
+        self.filled += valid.sum::<f64>() * self.part(own);
         self.advanced = now;
+        self.share = self.share_at(own, now);
         self.delegations.retain(|_, delegation| delegation.until > now);
-        self.share = (self.delegations.len() as f64 * part).min(1.0);
     }
 
     /// Records the share of an entry.
@@ -197,8 +207,8 @@
     }
 
     /// Returns the share of the limits of a group that this entry may grant.
-    pub fn share(&self, group: usize) -> f64 {
-        self.groups.get(group).map_or(0.0, |group| group.share)
+    pub fn share(&self, group: usize, own: OwnShare, now: Timestamp) -> f64 {
+        self.groups.get(group).map_or(0.0, |group| group.share_at(own, now))
     }
 }
 
