Benchmark an owner of tenant limits at 10,000 tenants

Cause: the cost of an owner for many tenants was unknown.

Change: zinniaport bench quota measures requests for tokens through encoding, controller and response, from 127 entries.

--- a/src/bench/capacity/mod.rs
+++ b/src/bench/capacity/mod.rs
@@ -7,6 +7,7 @@
 mod messages;
 mod meter;
 mod placement;
+mod quota;
 mod report;
 mod snapshots;
 mod stored;
@@ -14,6 +15,7 @@
 
 pub use fit::{LineFit, SlopePoint};
 pub use placement::measure_placement;
+pub use quota::measure_quota;
 pub use report::{CapacityReport, SlopeRow, SlopeSubject};
 
 /// Numbers of entries that exchange messages.
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -16,7 +16,7 @@
 
 pub use capacity::{
     CapacityReport, LineFit, SlopePoint, SlopeRow, SlopeSubject, measure_capacity,
-    measure_placement,
+    measure_placement, measure_quota,
 };
 pub use deployment::{CO_OPERATIVE, Deployment, POTECA, ServiceProfile};
 pub use load::{LatencyOrigin, LoadGenerator, LoadPhase, LoadPlan};
--- a/src/commands/bench.rs
+++ b/src/commands/bench.rs
@@ -10,6 +10,7 @@
 use crate::bench::{
     BenchReport, BenchScenario, BenchTrial, CO_OPERATIVE, CapacityReport, Deployment,
     OverheadTrial, POTECA, RunResult, load_transport, measure_capacity, measure_placement,
+    measure_quota,
 };
 
 /// Arguments of `zinniaport bench`.
@@ -21,7 +22,7 @@
     /// Output format.
     #[arg(long, value_enum, default_value_t, global = true)]
     output: OutputFormat,
-    /// Also draws a plot into this SVG file (not for capacity and placement).
+    /// Also draws a plot into this SVG file (not for capacity, placement and quota).
     #[arg(long, value_name = "FILE", global = true)]
     plot: Option<PathBuf>,
 }
@@ -36,6 +37,8 @@
     Capacity,
     /// Measures how many placement requests a coordinator decides on per second and core.
     Placement,
+    /// Measures how many requests for tokens of tenants an owner decides on per second and core.
+    Quota,
 }
 
 #[derive(Debug, Args)]
@@ -100,10 +103,13 @@
                 let report = trial.run(load_transport()).await;
                 report.and_then(|report| self.print(&report))
             }
-            Experiment::Capacity | Experiment::Placement if self.plot.is_some() => {
+            Experiment::Capacity | Experiment::Placement | Experiment::Quota
+                if self.plot.is_some() =>
+            {
                 eprintln!("this experiment cannot draw a plot; omit --plot or use --output json");
                 return ExitCode::from(2);
             }
+            Experiment::Quota => self.print_capacity(&measure_quota()),
             Experiment::Placement => self.print_capacity(&measure_placement()),
             Experiment::Capacity => {
                 measure_capacity().await.and_then(|report| self.print_capacity(&report))
