--- a/src/datagrams.rs
+++ b/src/datagrams.rs
@@ -8,6 +8,7 @@
 use tokio::net::UdpSocket;
 use zinniaport_core::placement::PlacementMessage;
 use zinniaport_core::quarantine::CrashRecord;
+use zinniaport_core::quota::QuotaMessage;
 use zinniaport_core::signals::{HeadroomMessage, LocationMessage, SignalMessage};
 
 use crate::state::SharedState;
@@ -29,12 +30,14 @@
     Location(LocationMessage),
     /// Headroom of the parts that the sender coordinates.
     Headroom(HeadroomMessage),
+    /// Tokens of the limits of tenants.
+    Quota(QuotaMessage),
 }
 
 impl SignalDatagram {
     fn traffic_kind(&self) -> TrafficKind {
         match self {
-            Self::Placement(_) | Self::Headroom(_) => TrafficKind::Placement,
+            Self::Placement(_) | Self::Headroom(_) | Self::Quota(_) => TrafficKind::Placement,
             Self::Signal(_) | Self::Crashes(_) | Self::Location(_) => TrafficKind::Signals,
         }
     }
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -26,6 +26,7 @@
 use crate::gate::QuarantineGate;
 use crate::locations::LocationsHandle;
 use crate::placement::PlacementHandle;
+use crate::quota::QuotaHandle;
 use crate::runtime::StartError;
 use crate::settings::SignalSettings;
 use crate::state::SharedState;
@@ -81,6 +82,7 @@
     sender: SignalSender,
     placement: Option<PlacementHandle>,
     locations: Option<LocationsHandle>,
+    quota: Option<QuotaHandle>,
     controller: SignalsController,
     /// Seeds of the settings, as of the last reload.
     seeds: watch::Sender<Vec<SocketAddr>>,
@@ -121,6 +123,7 @@
             sender,
             placement: None,
             locations: None,
+            quota: None,
             controller,
             seeds: watch::Sender::new(seeds),
             incarnation,
@@ -156,6 +159,12 @@
         self.locations = Some(locations);
     }
 
+    /// Sets the handle to which messages about the limits of tenants and the live entries are
+    /// passed.
+    pub fn set_quota(&mut self, quota: QuotaHandle) {
+        self.quota = Some(quota);
+    }
+
     /// Exchanges signals until `stop` is cancelled.
     pub async fn run(mut self, stop: CancellationToken) {
         let (state, socket) = (self.state.clone(), self.sender.socket());
@@ -215,6 +224,11 @@
                     .iter()
                     .for_each(|locations| locations.receive(from, message.clone()));
             }
+            (Ok(SignalDatagram::Quota(message)), _) => {
+                if let Some(quota) = &self.quota {
+                    quota.receive(from, message);
+                }
+            }
             (Err(error), _) => log::debug!("cannot decode datagram from {from}: {error}"),
         }
     }
@@ -318,8 +332,8 @@
             is_coordinated: self.placement.is_some(),
         };
         self.targets.send(TargetsMessage::View(view));
-        self.update_candidates(peers);
         self.state.entry_count.store(entry_count, Ordering::Relaxed);
+        self.update_candidates(peers);
         let retry_tokens = own_retry_tokens(self.settings.saved_retries, peers.len(), entry_count);
         self.state.max_saved_retries.store(retry_tokens, Ordering::Relaxed);
     }
@@ -347,8 +361,13 @@
         });
         let is_leader = leaders.len() < LEADER_COUNT && self.state.revisions.is_settled();
         self.state.revisions.set_leaders(leaders, is_leader);
+        let candidates: Vec<_> = peers.iter().copied().chain([own]).collect();
+        if let Some(quota) = &self.quota {
+            let entry_count = self.state.entry_count.load(Ordering::Relaxed);
+            quota.set_peers(candidates.clone(), entry_count);
+        }
         if let Some(placement) = &self.placement {
-            placement.set_candidates(peers.iter().copied().chain([own]).collect());
+            placement.set_candidates(candidates);
         }
         if let Some(locations) = &self.locations {
             locations.set_live(peers.iter().map(|peer| peer.address).collect());
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -16,6 +16,7 @@
 
 use super::admission::AdmissionMetrics;
 use super::placement::{AGE_BOUNDS, EVENT_AGE, PlacementMetrics};
+use super::quota::QuotaMetrics;
 use super::traffic::TrafficMetrics;
 
 const REQUESTS: &str = "zinniaport_requests_total";
@@ -75,6 +76,8 @@
     pub placement: PlacementMetrics,
     /// Bytes exchanged with other data centres.
     pub traffic: TrafficMetrics,
+    /// Metrics of the limits of tenants.
+    pub quota: QuotaMetrics,
     services: ArcSwap<SecondaryMap<ServiceKey, Arc<ServiceMetrics>>>,
 }
 
@@ -99,6 +102,7 @@
         let admission = AdmissionMetrics::new(&recorder);
         let placement = PlacementMetrics::new(&recorder);
         let traffic = TrafficMetrics::new(&recorder);
+        let quota = QuotaMetrics::new(&recorder);
         Self {
             recorder,
             in_flight,
@@ -108,6 +112,7 @@
             admission,
             placement,
             traffic,
+            quota,
             services: ArcSwap::default(),
         }
     }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -5,6 +5,7 @@
 mod logs;
 mod metrics;
 mod placement;
+mod quota;
 mod traffic;
 
 pub use admission::AdmissionMetrics;
@@ -12,4 +13,5 @@
 pub use logs::{LineLimiter, flush_logs, start_logs};
 pub use metrics::EntryMetrics;
 pub use placement::PlacementMetrics;
+pub use quota::QuotaMetrics;
 pub use traffic::{MeteredBody, TrafficKind, TrafficMetrics, head_bytes};
