--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -31,6 +31,11 @@
     /// Time that a request and its response take between caller and entry, in
     /// milliseconds. Callers count it towards their objective.
     pub caller_path_ms: u64,
+    /// Memory that the entry may use, in MB; without it, the memory of the machine.
+    pub memory_mb: Option<f64>,
+    /// Largest number of bytes that the entry holds for callers: connections, heads, bodies and
+    /// transfers. Without it, three eighths of the memory.
+    pub held_bytes: Option<u64>,
 }
 
 impl Default for LimitSettings {
@@ -45,6 +50,8 @@
             max_http2_streams: 100,
             buffered_body_bytes: 16 << 10,
             caller_path_ms: 0,
+            memory_mb: None,
+            held_bytes: None,
         }
     }
 }
@@ -89,6 +96,13 @@
         let buffered = self.buffered_body_bytes;
         violations.check_range(at("buffered_body_bytes"), buffered, 0..=64 << 20, bytes);
         violations.check_range(at("caller_path_ms"), self.caller_path_ms, 0..=10_000, time);
+        if let Some(memory) = self.memory_mb {
+            let megabytes = "give the memory of the machine in MB";
+            violations.check_range(at("memory_mb"), memory, 16.0..=16_777_216.0, megabytes);
+        }
+        if let Some(held) = self.held_bytes {
+            violations.check_range(at("held_bytes"), held, 1 << 20..=1 << 40, bytes);
+        }
         violations.check_range(at("max_http2_streams"), self.max_http2_streams, 1..=10_000, count);
     }
 }
