Bound the bytes that an entry holds for all callers

Each limit was one on a caller, and nothing added them up. One budget of bytes for the process now covers connections, heads, bodies and transfers; the callers that are slowest for their size are dropped under pressure, and bodies are passed on as they arrive if all others make progress. Bodies are kept in segments of 64 KiB. At most 64 callers with unread input take a second descriptor, and callers that send nothing give way when as many are connected as may be. The default follows from Limits.MemoryMb or the memory of the machine: 60 MB with 160 MB.

--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -203,6 +203,8 @@
     WrongInstance,
     /// Shortest expected time until the response among all targets.
     ShortestWait,
+    /// The entry holds as many bytes for callers as it may.
+    HeldBytesFull,
 }
 
 impl ReasonCode {
--- a/core/src/decision/words.rs
+++ b/core/src/decision/words.rs
@@ -65,6 +65,7 @@
         ReasonCode::NoConfiguration => "the entry knew no configuration yet",
         ReasonCode::SpoiledAnswer => "the answer of the target was cut, damaged or not its own",
         ReasonCode::WrongInstance => "another process had the address of the target",
+        ReasonCode::HeldBytesFull => "the entry held as many bytes for callers as it may",
         ReasonCode::ShortestWait => "it had the shortest expected wait of all that could take it",
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod digest;
 pub mod directory;
 pub mod fleet;
+pub mod held_bytes;
 pub mod intent;
 pub mod keys;
 pub mod outlier;
--- a/src/admin/observe.rs
+++ b/src/admin/observe.rs
@@ -27,6 +27,7 @@
     }
 
     fn handle<'a>(&'a self, _request: &'a AdminRequest) -> BoxFuture<'a, AdminResponse> {
+        self.0.metrics.set_held(&self.0.held.figures());
         let mut response = text_response(StatusCode::OK, self.0.metrics.render());
         let text = HeaderValue::from_static("text/plain; version=0.0.4");
         response.headers_mut().insert(header::CONTENT_TYPE, text);
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -1,11 +1,15 @@
 //! A request in progress, and the bodies of requests and responses.
 
+use std::collections::VecDeque;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
+use http_body::{Body, Frame, SizeHint};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Empty, Full};
 use zinniaport_core::call::CallFacts;
@@ -15,6 +19,7 @@
 use zinniaport_core::policy::TargetChoice;
 use zinniaport_core::quarantine::TargetProcess;
 
+use crate::held::{CallerHolder, HeldLease};
 use crate::placement::{Placement, PlacementLease};
 use crate::pool::ConnectionHandle;
 
@@ -64,6 +69,47 @@
     Full::new(content.into()).map_err(|never| match never {}).boxed()
 }
 
+/// Creates a body from its beginning, in parts, and the rest of it. Its length stays known.
+pub fn with_prefix(parts: Vec<Bytes>, rest: CallBody) -> CallBody {
+    BoxBody::new(PrefixedBody { parts: parts.into(), rest })
+}
+
+/// Body whose beginning was read before.
+struct PrefixedBody {
+    parts: VecDeque<Bytes>,
+    rest: CallBody,
+}
+
+impl Body for PrefixedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.parts.pop_front() {
+            Some(part) => Poll::Ready(Some(Ok(Frame::data(part)))),
+            None => Pin::new(&mut self.rest).poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.parts.is_empty() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let first = self.parts.iter().map(Bytes::len).sum::<usize>() as u64;
+        let rest = self.rest.size_hint();
+        let mut sum = SizeHint::new();
+        sum.set_lower(rest.lower() + first);
+        if let Some(upper) = rest.upper() {
+            sum.set_upper(upper + first);
+        }
+        sum
+    }
+}
+
 /// Fault of a request body that the caller is responsible for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 #[repr(u8)]
@@ -125,6 +171,11 @@
     pub connections: Vec<ConnectionHandle>,
     /// Decisions made for the request so far.
     pub trace: DecisionTrace,
+    /// Caller for whom bytes are held, if it is known.
+    pub holder: Option<Arc<CallerHolder>>,
+    /// Bytes that are held for the request until its response ends; `None` for copies and where
+    /// no caller is known.
+    pub held: Option<HeldLease>,
 }
 
 impl Exchange {
@@ -184,6 +235,8 @@
             processes: Vec::new(),
             connections: Vec::new(),
             trace: DecisionTrace::default(),
+            holder: None,
+            held: None,
         }
     }
 }
--- a/src/filters/attempt.rs
+++ b/src/filters/attempt.rs
@@ -218,6 +218,7 @@
     let request = http::Request::from_parts(exchange.head.clone(), empty_body());
     let mut copy = Exchange::new(request_id, fleet, request);
     copy.facts = exchange.facts;
+    copy.holder = exchange.holder.clone();
     copy.targets = exchange.targets.clone();
     copy.processes = exchange.processes.clone();
     copy.trace = exchange.trace;
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -3,13 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use futures::future::BoxFuture;
-use futures::stream::{self, StreamExt};
 use http::{HeaderValue, Uri, header};
-use http_body::{Body, Frame};
-use http_body_util::combinators::BoxBody;
-use http_body_util::{BodyExt, BodyStream, Limited, StreamBody};
+use http_body::Body;
+use http_body_util::{BodyExt, Limited};
 use tokio::time::{Instant, timeout};
 use zinniaport_core::call::ReasonCode;
 use zinniaport_core::fleet::TargetSnapshot;
@@ -23,8 +20,9 @@
 use super::target_refusals::{refusal_of, replacing_refusal, target_refusal};
 use super::{FilterNext, FilterResult, RequestFilter};
 use crate::dialect::{HeaderDialect, ResponseClass};
-use crate::exchange::{BodyError, CallBody, CallResponse, Exchange, empty_body, full_body};
+use crate::exchange::{BodyError, CallBody, CallResponse, Exchange, empty_body, with_prefix};
 use crate::front::{OUTCOME_HEADER, strip_hop_headers};
+use crate::held::{CallerHolder, HeldLease, SegmentBuffer};
 use crate::own_identity::OwnIdentity;
 use crate::pool::{ConnectionHandle, IdentityTag, IdleCheck, TargetCall, TargetTransport};
 use crate::refusal::Refusal;
@@ -145,7 +143,8 @@
         // Only the entry may set the outcome.
         response.headers_mut().remove(OUTCOME_HEADER);
         let response = response.map(|inner| CountedBody { inner, _guard: guard }.boxed());
-        buffer_response(response, self.max_buffered_bytes).await
+        let lease = exchange.holder.as_ref().map(CallerHolder::lease);
+        buffer_response(response, self.max_buffered_bytes, lease).await
     }
 }
 
@@ -166,20 +165,29 @@
 }
 
 /// Buffers a response of up to `max_bytes`, so that the request can be retried at another
-/// target if the body is cut short or damaged. Streams the rest of a longer one.
-async fn buffer_response(mut response: CallResponse, max_bytes: usize) -> FilterResult {
+/// target if the body is cut short or damaged. Streams the rest of a longer one, or if no more
+/// may be held for callers.
+async fn buffer_response(
+    mut response: CallResponse,
+    max_bytes: usize,
+    lease: Option<HeldLease>,
+) -> FilterResult {
     if max_bytes == 0 || response.body().is_end_stream() {
         return Ok(response);
     }
-    // One buffer, since a part has many times the size of its bytes if a target sends these one
-    // by one.
-    let mut first = BytesMut::new();
+    let mut first = SegmentBuffer::new(lease);
     while first.len() <= max_bytes {
         match response.body_mut().frame().await {
-            None => return Ok(response.map(|_| full_body(first.freeze()))),
+            None => {
+                return Ok(response.map(|_| with_prefix(first.into_segments(), empty_body())));
+            }
             Some(Ok(frame)) => {
                 let Ok(data) = frame.into_data() else { continue };
-                first.extend_from_slice(&data);
+                let charged = first.try_charge(data.len());
+                first.push(&data);
+                if charged.is_err() {
+                    break;
+                }
             }
             Some(Err(BodyError::DeadlinePassed)) => {
                 let detail = "the deadline passed within the answer";
@@ -190,8 +198,7 @@
             }
         }
     }
-    let first = stream::once(std::future::ready(Ok(Frame::data(first.freeze()))));
-    Ok(response.map(|rest| BoxBody::new(StreamBody::new(first.chain(BodyStream::new(rest))))))
+    Ok(response.map(|rest| with_prefix(first.into_segments(), rest)))
 }
 
 impl RequestFilter for ForwardFilter {
--- a/src/filters/quarantine.rs
+++ b/src/filters/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::future::BoxFuture;
 use http_body::Body;
 use http_body_util::BodyExt;
@@ -11,8 +11,9 @@
 
 use super::claim::KEY_HEADER;
 use super::{FilterNext, FilterResult, RequestFilter};
-use crate::exchange::{BodyError, CallBody, Exchange, full_body};
+use crate::exchange::{BodyError, CallBody, Exchange, empty_body, with_prefix};
 use crate::gate::{BufferedBody, FingerprintedCall, PermitHandle, QuarantineGate};
+use crate::held::{CallerHolder, HeldBytesFull, HeldLease, MAX_HELD_WAIT, SegmentBuffer};
 use crate::refusal::Refusal;
 use crate::state::SharedState;
 
@@ -59,11 +60,30 @@
         }
         let Some(body) = exchange.body.take() else { return Ok(()) };
         let limit = exchange.facts.time_left(self.state.clock.now());
-        let result = tokio::time::timeout(limit, collect_body(body)).await;
+        let lease = exchange.holder.as_ref().map(CallerHolder::lease);
+        let collect = async {
+            match exchange.holder.clone() {
+                None => collect_body(body, lease).await,
+                Some(holder) => tokio::select! {
+                    biased;
+                    collected = collect_body(body, lease) => collected,
+                    () = holder.dropped() => Ok(CollectedBody::GaveWay),
+                },
+            }
+        };
+        let result = tokio::time::timeout(limit, collect).await;
         let collected =
             result.map_err(|_| slow_sender_refusal())?.map_err(|error| body_refusal(&error))?;
-        let buffered = BufferedBody(collected);
-        exchange.body = Some(full_body(buffered.0.clone()));
+        let parts = match collected {
+            CollectedBody::Whole(parts) => parts,
+            CollectedBody::Begun(body) => {
+                exchange.body = Some(body);
+                return Ok(());
+            }
+            CollectedBody::GaveWay => return Err(HeldBytesFull.into()),
+        };
+        let buffered = BufferedBody(parts);
+        exchange.body = Some(with_prefix(buffered.0.clone(), empty_body()));
         exchange.head.extensions.insert(buffered);
         Ok(())
     }
@@ -88,16 +108,33 @@
     }
 }
 
-/// Reads a body into one buffer, since a part has many times the size of its bytes if a caller
-/// sends these one by one.
-async fn collect_body(mut body: CallBody) -> Result<Bytes, BodyError> {
-    let mut bytes = BytesMut::new();
+/// A request body after as much of it was read as may be held.
+enum CollectedBody {
+    Whole(Vec<Bytes>),
+    /// There was no room for the rest, which is passed on as it arrives.
+    Begun(CallBody),
+    /// The caller was the slowest for what was held for it.
+    GaveWay,
+}
+
+/// Reads a body into memory.
+async fn collect_body(
+    mut body: CallBody,
+    lease: Option<HeldLease>,
+) -> Result<CollectedBody, BodyError> {
+    let mut buffer = SegmentBuffer::new(lease);
     while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            bytes.extend_from_slice(&data);
+        let Ok(data) = frame?.into_data() else { continue };
+        let charged = buffer.charge(data.len(), MAX_HELD_WAIT).await;
+        buffer.push(&data);
+        if charged.is_err() {
+            if buffer.is_dropped() {
+                return Ok(CollectedBody::GaveWay);
+            }
+            return Ok(CollectedBody::Begun(with_prefix(buffer.into_segments(), body)));
         }
     }
-    Ok(bytes.freeze())
+    Ok(CollectedBody::Whole(buffer.into_segments()))
 }
 
 /// Returns the fingerprint of a request: a digest of its service, method, path, idempotency
@@ -112,7 +149,11 @@
     add(exchange.head.method.as_str().as_bytes());
     add(exchange.head.uri.path_and_query().map_or("", |path| path.as_str()).as_bytes());
     add(exchange.head.headers.get(KEY_HEADER).map_or(&[], |key| key.as_bytes()));
-    add(exchange.head.extensions.get::<BufferedBody>().map_or(&[], |body| &body.0));
+    let body = exchange.head.extensions.get::<BufferedBody>();
+    digest.update((body.map_or(0, BufferedBody::len) as u64).to_be_bytes());
+    for part in body.iter().flat_map(|body| &body.0) {
+        digest.update(part);
+    }
     let first = digest.finalize().first_chunk().copied().unwrap_or_default();
     CallFingerprint(u64::from_be_bytes(first))
 }
--- a/src/filters/route.rs
+++ b/src/filters/route.rs
@@ -14,8 +14,9 @@
 
 use super::attempt::AttemptRecord;
 use super::{FilterNext, FilterResult, RequestFilter};
-use crate::exchange::{Exchange, empty_body, full_body};
+use crate::exchange::{Exchange, empty_body, with_prefix};
 use crate::gate::{BufferedBody, PermitHandle};
+use crate::held::{MAX_SLOT_WAIT, TRANSFER_BYTES};
 use crate::placement::CallPlacement;
 use crate::refusal::Refusal;
 use crate::state::SharedState;
@@ -43,6 +44,9 @@
 
     async fn route(&self, exchange: &mut Exchange, next: FilterNext<'_>) -> FilterResult {
         let body = ResendBody::from_exchange(exchange);
+        if let Some(held) = &mut exchange.held {
+            held.grow(TRANSFER_BYTES, MAX_SLOT_WAIT).await?;
+        }
         let mut dispatches = DispatchCount::default();
         let mut earlier: Option<Refusal> = None;
         loop {
@@ -218,7 +222,7 @@
 /// Returns the cost of sending a request to another data centre, as a share of its service
 /// time.
 pub fn remote_cost(exchange: &Exchange) -> f32 {
-    let body = exchange.head.extensions.get::<BufferedBody>().map_or(0, |body| body.0.len());
+    let body = exchange.head.extensions.get::<BufferedBody>().map_or(0, BufferedBody::len);
     (EMPTY_BODY_REMOTE_COST + body as f32 / REFERENCE_BODY_BYTES * BODY_REMOTE_COST)
         .min(MAX_REMOTE_COST)
 }
@@ -248,7 +252,9 @@
     fn restore(&self, exchange: &mut Exchange) {
         match self {
             Self::Empty => exchange.body = Some(empty_body()),
-            Self::Buffered(buffered) => exchange.body = Some(full_body(buffered.0.clone())),
+            Self::Buffered(buffered) => {
+                exchange.body = Some(with_prefix(buffered.0.clone(), empty_body()));
+            }
             Self::Streamed => {}
         }
     }
--- a/src/front/caller_socket.rs
+++ b/src/front/caller_socket.rs
@@ -11,12 +11,18 @@
 use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
 /// Number of bytes that are read ahead of hyper, which stops reading while it holds a
 /// pipelined request or a body that waits for its target. Beyond them, the kernel tells when the
 /// connection ends.
-const READ_AHEAD_BYTES: usize = 16 << 10;
+const READ_AHEAD_BYTES: usize = 8 << 10;
+
+/// Largest number of callers with unread input whose end is watched for, in the whole process.
+/// Each takes a second descriptor, and the smallest machines allow 4,100 in all.
+const MAX_WATCHES: usize = 64;
+
+static WATCHES: Semaphore = Semaphore::const_new(MAX_WATCHES);
 
 /// Receiving side of a caller connection. hyper reads from it; while a request is in progress,
 /// [`CallerSocket::closed`] reads ahead.
@@ -124,10 +130,12 @@
 
 /// Notices the end of a connection that lies behind input which nobody reads yet. It registers a
 /// copy of the socket, since it discards readiness that the reader of the socket needs.
-struct HangupWatch(Option<TcpStream>);
+struct HangupWatch(Option<(TcpStream, SemaphorePermit<'static>)>);
 
 impl HangupWatch {
     fn open(half: &OwnedReadHalf) -> Self {
+        // Beyond the limit, the end is noticed when the input before it is read.
+        let Ok(permit) = WATCHES.try_acquire() else { return Self(None) };
         let stream: &TcpStream = half.as_ref();
         let copy = stream.as_fd().try_clone_to_owned();
         let copy = copy.and_then(|socket| TcpStream::from_std(socket.into()));
@@ -136,12 +144,12 @@
                 "cannot watch a caller connection, noticing its end when its input is read: {error}"
             );
         }
-        Self(copy.ok())
+        Self(copy.ok().map(|copy| (copy, permit)))
     }
 
     /// Waits until the peer has closed or reset the connection, whatever input is unread.
     async fn hung_up(&self) {
-        let Some(socket) = &self.0 else { return pending().await };
+        let Some((socket, _)) = &self.0 else { return pending().await };
         while let Ok(ready) = socket.ready(Interest::READABLE).await {
             if ready.is_read_closed() {
                 return;
--- a/src/front/caller_stream.rs
+++ b/src/front/caller_stream.rs
@@ -13,8 +13,10 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::time::{Duration, Sleep, sleep, timeout};
 
+use super::HEAD_COST_FACTOR;
 use super::caller_socket::CallerSocket;
 use super::head_inspector::HeadInspector;
+use crate::held::{CallerHolder, HeldLease};
 
 /// First bytes of an HTTP/2 connection (RFC 9113, 3.4).
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
@@ -23,6 +25,13 @@
 /// with unread input resets the connection, which can destroy that response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Length of a head that is part of what a connection is charged for, in bytes: the first size of
+/// its buffer.
+const FREE_HEAD_BYTES: usize = 8 << 10;
+
+/// Time between two attempts to charge for a head while no bytes are free.
+const HEAD_CHARGE_PERIOD: Duration = Duration::from_millis(50);
+
 /// Byte stream of a caller connection. Shows its input to an inspector, fails on stalled
 /// writes and lingers on shutdown.
 pub(super) struct CallerStream {
@@ -32,6 +41,50 @@
     write_limit: Duration,
     write_timer: Option<Pin<Box<Sleep>>>,
     linger_timer: Option<Pin<Box<Sleep>>>,
+    holder: Arc<CallerHolder>,
+    head: HeadCharge,
+}
+
+/// What is charged for a head that is being read.
+struct HeadCharge {
+    lease: HeldLease,
+    /// Bytes that were read but not charged yet.
+    owed: u32,
+    /// Length of the head so far, in bytes.
+    length: usize,
+    /// Number of requests before it.
+    requests: u64,
+    /// Runs while no bytes are free for it.
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl HeadCharge {
+    /// Waits until the bytes read before are charged.
+    fn poll_paid(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        loop {
+            if let Some(timer) = &mut self.timer {
+                futures::ready!(timer.poll_unpin(context));
+                self.timer = None;
+            }
+            if self.owed == 0 || self.lease.try_grow(self.owed).is_ok() {
+                self.owed = 0;
+                return Poll::Ready(());
+            }
+            self.timer = Some(Box::pin(sleep(HEAD_CHARGE_PERIOD)));
+        }
+    }
+
+    /// Records bytes of a head. The first ones are part of what a connection is charged for.
+    fn record(&mut self, bytes: usize, requests: u64) {
+        if self.requests != requests {
+            self.requests = requests;
+            self.length = 0;
+            self.lease.clear();
+        }
+        self.length += bytes;
+        let excess = self.length.saturating_sub(FREE_HEAD_BYTES).min(bytes);
+        self.owed += excess as u32 * HEAD_COST_FACTOR;
+    }
 }
 
 impl CallerStream {
@@ -39,6 +92,7 @@
     /// preface of an HTTP/2 connection.
     pub(super) async fn open(
         mut inner: TcpStream,
+        holder: Arc<CallerHolder>,
         limit: Duration,
         write_limit: Duration,
     ) -> io::Result<(Self, bool)> {
@@ -52,6 +106,14 @@
             write_limit,
             write_timer: None,
             linger_timer: None,
+            head: HeadCharge {
+                lease: holder.lease(),
+                owed: 0,
+                length: 0,
+                requests: 0,
+                timer: None,
+            },
+            holder,
         };
         Ok((stream, is_http2))
     }
@@ -67,6 +129,12 @@
         self
     }
 
+    fn record_written(&self, polled: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(written)) = polled {
+            self.holder.record_moved(*written);
+        }
+    }
+
     /// Fails a write that makes no progress within the write limit.
     fn limit_write<T>(
         &mut self,
@@ -104,7 +172,17 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
+        let is_head = self.inspector.is_some() && !self.holder.in_request();
+        if is_head {
+            futures::ready!(self.head.poll_paid(context));
+        }
         futures::ready!(self.socket.poll_read(context, buffer))?;
+        let read = buffer.filled().len() - before;
+        self.holder.record_moved(read);
+        if is_head {
+            let requests = self.holder.requests();
+            self.head.record(read, requests);
+        }
         if let Some(inspector) = &mut self.inspector {
             inspector.inspect(&buffer.filled()[before..]);
         }
@@ -119,6 +197,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.writer).poll_write(context, bytes);
+        self.record_written(&polled);
         self.limit_write(context, polled)
     }
 
@@ -128,6 +207,7 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.writer).poll_write_vectored(context, parts);
+        self.record_written(&polled);
         self.limit_write(context, polled)
     }
 
--- a/src/front/connection.rs
+++ b/src/front/connection.rs
@@ -1,6 +1,6 @@
 //! A caller connection, HTTP/1.1 or HTTP/2.
 
-use std::convert::Infallible;
+use std::sync::Arc;
 
 use derive_more::{Display, Error};
 use hyper::server::conn::{http1, http2};
@@ -15,11 +15,18 @@
 use super::caller_stream::CallerStream;
 use super::head_inspector::HeadInspector;
 use super::request_log::RequestLog;
+use crate::held::{
+    CONNECTION_BYTES, CallerHolder, HTTP2_CONNECTION_BYTES, HeldBytesFull, MAX_HELD_WAIT,
+};
 
 /// Factor between the configured limits of a head and the limits of hyper. hyper refuses a
 /// head beyond its own limits without a problem body, so a moderate excess stays below them.
 const HYPER_LIMIT_FACTOR: usize = 2;
 
+/// Length by which a head may exceed its limit and still get a problem body, in bytes. hyper
+/// refuses longer ones, so that its buffer stays small.
+const MAX_EXCESS_BYTES: usize = 4 << 10;
+
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8192;
 
@@ -28,7 +35,10 @@
 
 /// Receive window of one HTTP/2 stream, in bytes. It limits the memory that an upload takes
 /// while its target is slow.
-const STREAM_WINDOW_BYTES: u32 = 256 << 10;
+const STREAM_WINDOW_BYTES: u32 = 64 << 10;
+
+/// Largest part of a response that waits for the window of one HTTP/2 stream, in bytes.
+const MAX_STREAM_SEND_BYTES: usize = 32 << 10;
 
 /// The caller closed its connection while a request was in progress. Requests that it sent
 /// behind that one are not read.
@@ -55,26 +65,54 @@
             return;
         }
         let limits = frontend.limits.clone();
+        let dropped = CancellationToken::new();
+        let guard = CallerHolder::register(&frontend.state.held, dropped.clone());
+        let mut lease = guard.holder.lease();
+        if lease.grow(CONNECTION_BYTES, MAX_HELD_WAIT).await.is_err() {
+            log::debug!("caller connection closed: {HeldBytesFull}");
+            return;
+        }
         let open_stream = CallerStream::open(
             stream,
+            guard.holder.clone(),
             limits.header_read_timeout(),
             limits.body_progress_timeout(),
         );
         let opened = tokio::select! {
             opened = open_stream => opened,
             () = drain.cancelled() => return,
+            () = dropped.cancelled() => return,
         };
-        match opened {
-            Ok((stream, true)) => frontend.serve_http2(stream, &drain).await,
-            Ok((stream, false)) => frontend.serve_http1(stream, &drain).await,
-            Err(error) => log::debug!("caller connection ended before its first request: {error}"),
+        let holder = guard.holder.clone();
+        let serving = async {
+            match opened {
+                Ok((stream, true)) => {
+                    if lease.grow(HTTP2_CONNECTION_BYTES, MAX_HELD_WAIT).await.is_ok() {
+                        frontend.serve_http2(stream, holder, &drain).await;
+                    }
+                }
+                Ok((stream, false)) => frontend.serve_http1(stream, holder, &drain).await,
+                Err(error) => {
+                    log::debug!("caller connection ended before its first request: {error}");
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            () = serving => {}
+            () = dropped.cancelled() => {}
         }
     }
 }
 
 impl HttpFrontend {
-    async fn serve_http1(self, stream: CallerStream, drain: &CancellationToken) {
-        let max_head_bytes = self.limits.max_header_bytes as usize * HYPER_LIMIT_FACTOR;
+    async fn serve_http1(
+        self,
+        stream: CallerStream,
+        holder: Arc<CallerHolder>,
+        drain: &CancellationToken,
+    ) {
+        let max_head_bytes = self.limits.max_header_bytes as usize + MAX_EXCESS_BYTES;
         let mut builder = http1::Builder::new();
         builder
             .timer(TokioTimer::new())
@@ -89,10 +127,11 @@
         // after the other and their responses keep the order.
         let service = service_fn(move |request| {
             let (frontend, socket, entry) = (self.clone(), socket.clone(), log.take());
+            let holder = holder.clone();
             async move {
                 tokio::select! {
                     biased;
-                    response = frontend.respond(request, &entry) => Ok(response),
+                    response = frontend.respond(request, &entry, holder, None) => Ok(response),
                     () = socket.closed() => Err(CallerLeft),
                 }
             }
@@ -100,20 +139,32 @@
         run(builder.serve_connection(TokioIo::new(stream), service), drain).await;
     }
 
-    async fn serve_http2(self, stream: CallerStream, drain: &CancellationToken) {
+    async fn serve_http2(
+        self,
+        stream: CallerStream,
+        holder: Arc<CallerHolder>,
+        drain: &CancellationToken,
+    ) {
         let mut builder = http2::Builder::new(TokioExecutor::new());
         builder
             .timer(TokioTimer::new())
             .keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(self.limits.header_read_timeout())
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(HTTP2_CONNECTION_BYTES)
+            .max_send_buf_size(MAX_STREAM_SEND_BYTES)
             .max_concurrent_streams(self.limits.max_http2_streams)
             .max_header_list_size(self.limits.max_header_bytes * HYPER_LIMIT_FACTOR as u32);
         let service = service_fn(move |request| {
-            let frontend = self.clone();
+            let (frontend, guard) = (self.clone(), holder.register_request());
+            let holder = guard.holder.clone();
             async move {
                 let entry = RequestLog::default().take();
-                Ok::<_, Infallible>(frontend.respond(request, &entry).await)
+                tokio::select! {
+                    biased;
+                    response = frontend.respond(request, &entry, holder.clone(), Some(guard)) => Ok(response),
+                    () = holder.dropped() => Err(HeldBytesFull),
+                }
             }
         });
         run(builder.serve_connection(TokioIo::new(stream), service), drain).await;
--- a/src/front/limited_body.rs
+++ b/src/front/limited_body.rs
@@ -1,6 +1,7 @@
 //! Request body of a caller, with limits on its size and on pauses.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -10,12 +11,14 @@
 use tokio::time::{Duration, Sleep, sleep};
 
 use crate::exchange::{BodyError, BodyFault, BodyStatus};
+use crate::held::CallerHolder;
 use crate::settings::LimitSettings;
 
 /// Request body that fails if it is too large or if the caller pauses for too long.
 pub(super) struct LimitedBody {
     inner: Incoming,
     status: BodyStatus,
+    holder: Arc<CallerHolder>,
     max_bytes: u64,
     received_bytes: u64,
     pause_limit: Duration,
@@ -24,10 +27,16 @@
 }
 
 impl LimitedBody {
-    pub(super) fn new(inner: Incoming, status: BodyStatus, limits: &LimitSettings) -> Self {
+    pub(super) fn new(
+        inner: Incoming,
+        status: BodyStatus,
+        holder: Arc<CallerHolder>,
+        limits: &LimitSettings,
+    ) -> Self {
         Self {
             inner,
             status,
+            holder,
             max_bytes: limits.max_body_bytes,
             received_bytes: 0,
             pause_limit: limits.body_progress_timeout(),
@@ -53,7 +62,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let frame = match Pin::new(&mut self.inner).poll_frame(context) {
+        let polled = Pin::new(&mut self.inner).poll_frame(context);
+        self.holder.set_waiting(!polled.is_pending());
+        let frame = match polled {
             Poll::Pending => {
                 let limit = self.pause_limit;
                 let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(limit)));
@@ -68,7 +79,9 @@
         self.timer = None;
         // Trailers apply to one connection only, like the header that lists them.
         let Some(data) = frame.data_ref() else { return self.poll_frame(context) };
-        self.received_bytes += data.len() as u64;
+        let length = data.len();
+        self.received_bytes += length as u64;
+        self.holder.record_moved(length);
         if self.received_bytes > self.max_bytes {
             let limit_bytes = self.max_bytes;
             return self.fail(BodyFault::TooLarge, BodyError::TooLarge { limit_bytes });
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -16,13 +16,14 @@
 pub use hop_headers::{KEEP_ALIVE, strip_hop_headers};
 use http::request::Parts;
 use http::{HeaderValue, Request, Version, header};
+use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use limited_body::LimitedBody;
 pub use problem::{KEY_STATE_HEADER, OUTCOME_HEADER, problem_response};
 use request_log::RequestEntry;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::JoinSet;
 use tokio::time::{Duration, sleep};
 use tokio_util::sync::CancellationToken;
@@ -31,6 +32,9 @@
 
 use crate::exchange::{BodyStatus, CallResponse, Exchange};
 use crate::filters::FilterChain;
+use crate::held::{
+    CallerHolder, HeldBody, HolderGuard, MAX_HELD_WAIT, REQUEST_BYTES, UPLOAD_BYTES,
+};
 use crate::refusal::Refusal;
 use crate::settings::LimitSettings;
 use crate::state::SharedState;
@@ -42,6 +46,13 @@
 /// connection ends, so retrying without a pause would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Memory that a request head takes, as a multiple of its length: the bytes and the table.
+const HEAD_COST_FACTOR: u32 = 2;
+
+/// Time after which an idle caller is disconnected to accept another one while as many are
+/// connected as may be.
+const ACCEPT_RELIEF_PERIOD: Duration = Duration::from_millis(100);
+
 /// Serves HTTP requests of callers through the filter chain.
 #[derive(Clone)]
 pub struct HttpFrontend {
@@ -83,7 +94,7 @@
         let permits = Arc::new(Semaphore::new(self.limits.max_caller_connections));
         loop {
             let accepted = async {
-                let permit = permits.clone().acquire_owned().await;
+                let permit = self.connection_permit(&permits).await;
                 listener.accept().await.map(|(stream, _)| (stream, permit))
             };
             tokio::select! {
@@ -106,6 +117,19 @@
         }
     }
 
+    /// Waits until one more caller may connect. If idle callers hold all connections, the one
+    /// that is slowest for what is held for it is disconnected.
+    async fn connection_permit(&self, permits: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+        let acquired = permits.clone().acquire_owned();
+        tokio::pin!(acquired);
+        loop {
+            tokio::select! {
+                permit = &mut acquired => return permit.ok(),
+                () = sleep(ACCEPT_RELIEF_PERIOD) => self.state.held.drop_slowest(1),
+            }
+        }
+    }
+
     /// Accepts the connections that the operating system has already established. Closing the
     /// listener would reset them.
     async fn accept_backlog(
@@ -126,26 +150,57 @@
     }
 
     /// Returns the response to one request, which is a problem body if it is refused.
-    async fn respond(&self, request: Request<Incoming>, entry: &RequestEntry) -> CallResponse {
+    ///
+    /// `holder` is the caller for whom bytes are held, and `guard` its registration if it is that
+    /// of the request alone.
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        entry: &RequestEntry,
+        holder: Arc<CallerHolder>,
+        guard: Option<HolderGuard>,
+    ) -> CallResponse {
+        holder.begin_request();
+        let mut held = holder.lease();
         let dialect = self.state.dialect.clone();
         let caller_request_id = request.headers().get(dialect.request_id_header()).cloned();
         let request_id = choose_request_id(caller_request_id.as_ref());
         let version = request.version();
         let (head, body) = request.into_parts();
         let body_status = BodyStatus::default();
-        let mut response = match self.check_head(&head, entry) {
+        let checked = match self.check_head(&head, entry) {
+            // The streams of a connection would wait by the hundred, each with its head, so they
+            // are refused at once.
+            Ok(()) if version == Version::HTTP_2 => held
+                .try_grow(REQUEST_BYTES + head_size(&head) as u32 * HEAD_COST_FACTOR)
+                .map_err(Refusal::from),
+            // The heads of other requests are charged for as they are read.
+            Ok(()) if body.is_end_stream() => {
+                held.grow(REQUEST_BYTES, MAX_HELD_WAIT).await.map_err(Refusal::from)
+            }
+            Ok(()) => {
+                held.grow(REQUEST_BYTES + UPLOAD_BYTES, MAX_HELD_WAIT).await.map_err(Refusal::from)
+            }
+            Err(refusal) => Err(refusal),
+        };
+        let mut response = match checked {
             Err(refusal) => problem_response(&refusal, &request_id, dialect.as_ref()),
             Ok(()) => {
-                let body = LimitedBody::new(body, body_status.clone(), &self.limits).boxed();
-                let request = Request::from_parts(head, body);
+                let body =
+                    LimitedBody::new(body, body_status.clone(), holder.clone(), &self.limits);
+                let request = Request::from_parts(head, body.boxed());
                 let fleet = self.state.fleet.load_full();
                 let mut exchange = Exchange::new(request_id.clone(), fleet, request);
                 exchange.body_status = body_status;
+                exchange.holder = Some(holder.clone());
+                exchange.held = Some(held);
                 if let Some(arrived) = entry.arrived {
                     exchange.facts.arrived = arrived;
                     exchange.waited_behind = self.state.clock.now().since(arrived);
                 }
-                self.run(&mut exchange).await
+                let response = self.run(&mut exchange).await;
+                held = exchange.held.take().unwrap_or_else(|| holder.lease());
+                response
             }
         };
         let response_id = caller_request_id.or_else(|| {
@@ -158,7 +213,7 @@
         if closes && version < Version::HTTP_2 {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
-        response
+        response.map(|body| HeldBody::new(body, held, guard).boxed())
     }
 
     /// Runs the filter chain and adds the outcome to the response.
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -12,6 +12,18 @@
 pub use quarantine::{FingerprintedCall, PermitHandle, QuarantineGate, RunPermit};
 
 /// Request body that was read completely before the dispatch, so that it can be sent
-/// again. Stored in the extensions of the request head.
+/// again, in parts. Stored in the extensions of the request head.
 #[derive(Clone, Debug)]
-pub struct BufferedBody(pub bytes::Bytes);
+pub struct BufferedBody(pub Vec<bytes::Bytes>);
+
+impl BufferedBody {
+    /// Returns the length of the body, in bytes.
+    pub fn len(&self) -> usize {
+        self.0.iter().map(bytes::Bytes::len).sum()
+    }
+
+    /// Returns `true` if the body has no content.
+    pub fn is_empty(&self) -> bool {
+        self.0.iter().all(bytes::Bytes::is_empty)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod filters;
 pub mod front;
 pub mod gate;
+pub mod held;
 pub mod measuring;
 pub mod own_identity;
 pub mod peers;
--- a/src/pool/connections.rs
+++ b/src/pool/connections.rs
@@ -22,6 +22,10 @@
 /// within it, since the target could close the connection while a request is on its way.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(400);
 
+/// Largest buffer of a connection in each direction, in bytes. It bounds the head of a response,
+/// and what is held for a caller that does not read a response that is streamed.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// Number of the next connection of this process, for the log.
 static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(1);
 
@@ -194,8 +198,10 @@
         let generation = self.generation.load(Ordering::Acquire);
         let stream = TcpStream::connect(self.address).await?;
         stream.set_nodelay(true)?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
         let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+            builder.handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to target failed: {error}");
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -7,10 +7,15 @@
 use zinniaport_core::call::{CallOutcome, ReasonCode};
 use zinniaport_core::claims::ClaimState;
 
+use crate::held::HeldBytesFull;
+
 /// Remedy for a request that may have run.
 const LOOK_UP_REMEDY: &str =
     "send it again if it is idempotent; otherwise look up whether it was done";
 
+/// `Retry-After` while too much is held for callers. Those that stall are dropped within it.
+const HELD_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Why a request got no response from a target, and what the caller can do about it.
 ///
 /// The outcome decides alone whether the caller is promised that the request was not run. The
@@ -31,6 +36,13 @@
     key_state: Option<ClaimState>,
 }
 
+impl From<HeldBytesFull> for Refusal {
+    /// Creates a refusal of a request that did not run since too much is held for callers.
+    fn from(error: HeldBytesFull) -> Self {
+        Self::not_run(ReasonCode::HeldBytesFull, error.to_string()).retry_after(HELD_RETRY_AFTER)
+    }
+}
+
 impl Refusal {
     /// Creates a refusal of a request that did not run.
     pub fn not_run(reason: ReasonCode, detail: impl Into<String>) -> Self {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -138,7 +138,7 @@
         let EntryDependencies { store, vms, directory, crash_archive, dialect } = dependencies;
         let clock: Arc<dyn ClockSource> = Arc::new(SystemClock::new());
         let state = SharedState::new(clock.clone(), &settings.name, &settings.data_centre);
-        let state = Arc::new(state.with_dialect(dialect));
+        let state = Arc::new(state.with_dialect(dialect).with_limits(&settings.limits));
         let (listener, caller_address) = bind_listener(settings.listen).await?;
         let (admin_listener, admin_address) = bind_listener(settings.admin_listen).await?;
         let stop = CancellationToken::new();
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use serde::Deserialize;
+use zinniaport_core::held_bytes::default_held_bytes;
 
 use super::violation::{CheckSettings, ViolationList, field};
+use crate::held::machine_memory_mb;
 
 /// Limits on what callers may send.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -62,6 +64,12 @@
         Duration::from_millis(self.header_read_timeout_ms)
     }
 
+    /// Returns the largest number of bytes that the entry holds for callers.
+    pub fn max_held_bytes(&self) -> u64 {
+        self.held_bytes
+            .unwrap_or_else(|| default_held_bytes(self.memory_mb.unwrap_or_else(machine_memory_mb)))
+    }
+
     /// Returns the time that a request and its response take between caller and entry.
     pub fn caller_path(&self) -> Duration {
         Duration::from_millis(self.caller_path_ms)
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,7 +18,9 @@
 
 use crate::dialect::{DefaultDialect, HeaderDialect};
 use crate::directory::RevisionTracker;
+use crate::held::HeldBytes;
 use crate::records::RecordCopies;
+use crate::settings::LimitSettings;
 use crate::telemetry::EntryMetrics;
 
 /// Number of decision records that an entry keeps, about 6 MB at 384 bytes each. At 7,000
@@ -69,11 +71,14 @@
     /// Maximum number of retry tokens that this entry accumulates for one service. Retries and
     /// hedges spend them.
     pub max_saved_retries: AtomicU64,
+    /// Budget of the bytes that this entry holds for callers.
+    pub held: Arc<HeldBytes>,
 }
 
 impl SharedState {
     /// Creates state with an empty fleet.
     pub fn new(clock: Arc<dyn ClockSource>, entry_name: &str, data_centre: &str) -> Self {
+        let held = Arc::new(HeldBytes::new(clock.clone(), u64::MAX));
         Self {
             fleet: ArcSwap::default(),
             fleet_changed: Notify::new(),
@@ -93,9 +98,17 @@
             revisions: RevisionTracker::default(),
             entry_count: AtomicUsize::new(1),
             max_saved_retries: AtomicU64::new(MAX_SAVED_RETRIES),
+            held,
         }
     }
 
+    /// Sets the bytes that may be held for callers.
+    #[must_use]
+    pub fn with_limits(mut self, limits: &LimitSettings) -> Self {
+        self.held = Arc::new(HeldBytes::from_settings(self.clock.clone(), limits));
+        self
+    }
+
     /// Sets whether this entry may coordinate, and notifies the other entries.
     pub fn set_may_coordinate(&self, able: bool) {
         self.may_coordinate.store(able, Ordering::Release);
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -15,6 +15,7 @@
 use zinniaport_core::probe::MeasuringAccount;
 
 use super::placement::{AGE_BOUNDS, EVENT_AGE, PlacementMetrics};
+use crate::held::HeldFigures;
 
 const REQUESTS: &str = "zinniaport_requests_total";
 const REFUSALS: &str = "zinniaport_refusals_total";
@@ -25,6 +26,10 @@
 const RECORDS_NOT_COPIED: &str = "zinniaport_records_not_copied_total";
 const RECORD_COPY_BYTES: &str = "zinniaport_record_copy_bytes_total";
 const REPEATED_IDENTITIES: &str = "zinniaport_repeated_identities_total";
+const HELD_BYTES: &str = "zinniaport_held_bytes";
+const HELD_BYTES_LIMIT: &str = "zinniaport_held_bytes_limit";
+const DROPPED_CALLERS: &str = "zinniaport_dropped_callers_total";
+const HELD_REFUSALS: &str = "zinniaport_held_bytes_refusals_total";
 const IN_FLIGHT: &str = "zinniaport_in_flight";
 /// Exported as a gauge that only rises, like the next one, because counters of the
 /// library cannot hold fractions of a second.
@@ -136,6 +141,16 @@
         });
     }
 
+    /// Sets what the entry holds for callers.
+    pub fn set_held(&self, figures: &HeldFigures) {
+        with_local_recorder(&self.recorder, || {
+            gauge!(HELD_BYTES).set(figures.held as f64);
+            gauge!(HELD_BYTES_LIMIT).set(figures.limit as f64);
+            counter!(DROPPED_CALLERS).absolute(figures.dropped);
+            counter!(HELD_REFUSALS).absolute(figures.refused);
+        });
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         self.recorder.handle().render()
--- a/tests/caller_crowd/mod.rs
+++ b/tests/caller_crowd/mod.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use h2::client::SendRequest;
 use h2::{Reason, SendStream};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{Mutex, MutexGuard};
 use tokio::time::{Duration, Instant, sleep, timeout};
@@ -83,6 +83,34 @@
         let _ = std::fs::remove_file(&self.settings);
     }
 
+    /// Sends an upload to a target that reads it, and returns the status of the response.
+    pub async fn upload(&self, headers: &str, is_chunked: bool, length: usize) -> String {
+        let (mut reader, mut writer) = connect(self.callers).await.into_split();
+        let head = post_head(headers).replace("/pump-history/a", "/pump-history/take");
+        let sending = tokio::spawn(async move {
+            writer.write_all(head.as_bytes()).await?;
+            let part = vec![b'x'; 1 << 20];
+            for _ in 0..length / part.len() {
+                if is_chunked {
+                    writer.write_all(format!("{:x}\r\n", part.len()).as_bytes()).await?;
+                }
+                writer.write_all(&part).await?;
+                if is_chunked {
+                    writer.write_all(b"\r\n").await?;
+                }
+            }
+            if is_chunked {
+                writer.write_all(b"0\r\n\r\n").await?;
+            }
+            std::io::Result::Ok(writer)
+        });
+        let mut status = [0; 12];
+        let read = timeout(ANSWER_TIMEOUT, reader.read_exact(&mut status)).await;
+        read.expect("the upload is answered").expect("the connection stays open");
+        sending.abort();
+        String::from_utf8_lossy(&status[9..]).into_owned()
+    }
+
     fn peak_memory_kib(&self) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id()));
         let status = status.unwrap();
@@ -106,7 +134,7 @@
         }
         sleep(Duration::from_millis(100)).await;
     }
-    std::future::pending().await
+    std::future::pending::<()>().await;
 }
 
 /// Answers requests by their path: large and endless responses, none at all, else a short one.
@@ -140,11 +168,32 @@
     let mut byte = [0];
     stream.peek(&mut byte).await.ok()?;
     match byte[0] {
-        b'P' => read_head(stream).await.map(|_| "POST /pump-history/never".to_owned()),
+        b'P' => {
+            let head = read_head(stream).await?;
+            if !head.starts_with("POST /pump-history/take ") {
+                return Some("POST /pump-history/never".to_owned());
+            }
+            let is_chunked = head.contains("transfer-encoding: chunked");
+            discard_body(stream, is_chunked).await.then_some(head)
+        }
         _ => read_request(stream).await,
     }
 }
 
+/// Reads the largest upload that the users permit.
+async fn discard_body(stream: &mut TcpStream, is_chunked: bool) -> bool {
+    let mut remaining = 64_usize << 20;
+    let mut buffer = vec![0; 64 << 10];
+    let mut last = Vec::new();
+    while remaining > 0 || is_chunked && !last.ends_with(b"0\r\n\r\n") {
+        let Ok(length @ 1..) = stream.read(&mut buffer).await else { return false };
+        remaining = remaining.saturating_sub(length);
+        last.extend_from_slice(&buffer[..length]);
+        last.drain(..last.len().saturating_sub(5));
+    }
+    true
+}
+
 /// Connects to the entry, which may be slow to accept.
 pub async fn connect(entry: SocketAddr) -> TcpStream {
     let stream = timeout(Duration::from_secs(20), TcpStream::connect(entry)).await;
--- a/tests/held_bytes.rs
+++ b/tests/held_bytes.rs
@@ -13,6 +13,9 @@
 /// Uploads at a time. Together they are twice what the process may use.
 const UPLOADS: usize = 150;
 
+/// Largest upload that the users permit, in bytes.
+const LARGE_UPLOAD_BYTES: usize = 64 << 20;
+
 /// Callers at a time that do not read a response of [`RAW_BODY_BYTES`].
 const UNREAD_RESPONSES: usize = 150;
 
@@ -57,6 +60,16 @@
         drop(callers);
     }
 
+    async large_uploads_pass: "an upload of permitted size that is refused because it is larger than what may be held" => {
+        let mut entry = CrowdedEntry::start("buffered_body_bytes: 67108864").await;
+        for headers in ["content-length: 67108864\r\n", "transfer-encoding: chunked\r\n"] {
+            let is_chunked = headers.starts_with("transfer");
+            let status = entry.upload(headers, is_chunked, LARGE_UPLOAD_BYTES).await;
+            assert_eq!(status, "200", "{headers}");
+        }
+        entry.check("an upload of 64 MiB", 1).await;
+    }
+
     async uploads_byte_by_byte: "uploads that go on by a byte at a time, so that no limit on pauses ends them" => {
         let mut entry = CrowdedEntry::start("buffered_body_bytes: 1048576").await;
         let mut callers = send_short_uploads(&entry, 0).await;
