Reject a response that its target closed within an upload

A body without a length ends with its connection. A target that answered an upload at once with such a response and closed the connection while the upload was being written therefore gave a whole response to the caller. It now counts as broken if the request body was not read to its end: a 502 with the outcome unknown if it is buffered, else a cut one.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -50,6 +50,13 @@
     #[from(ignore)]
     #[display("the deadline passed within the body; allow more time in X-Deadline-Ms")]
     DeadlinePassed,
+    /// The target ended a response without a length before it had read the request.
+    #[from(ignore)]
+    #[display(
+        "the target closed the connection before it had read the request, so its answer may be cut; \
+         look up whether the request ran"
+    )]
+    EndedEarly,
     /// No data arrived within the time limit.
     #[from(ignore)]
     #[display("no data arrived within {limit_ms} ms; check the sender or raise its time limit")]
--- a/src/pool/leased_body.rs
+++ b/src/pool/leased_body.rs
@@ -35,6 +35,8 @@
     held: Option<HeldConnection>,
     deadline: Instant,
     silence_limit: Duration,
+    /// Whether only the end of the connection ends the body.
+    ends_with_connection: bool,
     /// Runs while the body waits for the target, but not while the caller is slow.
     timer: Option<Pin<Box<Sleep>>>,
 }
@@ -45,8 +47,9 @@
         held: HeldConnection,
         deadline: Instant,
         silence_limit: Duration,
+        ends_with_connection: bool,
     ) -> Self {
-        Self { inner, held: Some(held), deadline, silence_limit, timer: None }
+        Self { inner, held: Some(held), deadline, silence_limit, ends_with_connection, timer: None }
     }
 
     fn release_if_complete(&mut self) {
@@ -69,6 +72,10 @@
         }
     }
 
+    fn has_sent_request(&self) -> bool {
+        self.held.as_ref().is_none_or(|held| held.progress.is_complete())
+    }
+
     /// Waits for the earlier of the deadline and the silence limit.
     fn poll_limit(&mut self, context: &mut Context<'_>) -> Poll<BodyError> {
         let (deadline, silence_limit) = (self.deadline, self.silence_limit);
@@ -120,6 +127,12 @@
                 self.held = None;
                 Poll::Ready(Some(Err(error.into())))
             }
+            // A target that ends the connection before it has read the request has failed, and
+            // the end of its response is not known.
+            Poll::Ready(None) if self.ends_with_connection && !self.has_sent_request() => {
+                self.held = None;
+                Poll::Ready(Some(Err(BodyError::EndedEarly)))
+            }
             // A body in chunks shows its end only here.
             Poll::Ready(None) => {
                 self.release();
--- a/src/pool/transport.rs
+++ b/src/pool/transport.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::time::{Duration, Instant, sleep_until, timeout, timeout_at};
@@ -218,7 +219,9 @@
         let limit = self.settings.body_silence();
         let (mut head, body) = response.into_parts();
         head.version = http::Version::HTTP_11;
-        let body = LeasedBody::new(body, held, deadline, limit);
+        let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+        let ends_with_connection = !is_chunked && body.size_hint().exact().is_none();
+        let body = LeasedBody::new(body, held, deadline, limit, ends_with_connection);
         Ok(Response::from_parts(head, body.boxed()))
     }
 }
