Reject responses with a status above 599

The parser accepts every code of three digits, and the entry passed 600 and 999 on with the outcome ran and counted them as successes of their target. They are now refused as spoiled answers, 502 and unknown, and count as failures.

tests/invalid_responses.rs: of 13 invalid status lines, 600 and 999 failed before; now all 13 give 502 unknown.

--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -33,6 +33,9 @@
 /// in bytes.
 const MAX_REFUSAL_BODY_BYTES: usize = 16 << 10;
 
+/// Largest status code of HTTP (RFC 9110, 15).
+const MAX_STATUS: u16 = 599;
+
 /// Maximum time for reading the body of a target's refusal.
 const REFUSAL_READ_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -98,6 +101,8 @@
         }
         let class = if has_joined_heads(&response) {
             ResponseClass::Invalid("the answer begins within another one")
+        } else if response.status().as_u16() > MAX_STATUS {
+            ResponseClass::Invalid("the status of the answer is not one of HTTP")
         } else {
             dialect.classify_response(sent_request_id(exchange, dialect.as_ref()), &response)
         };
