--- a/tests/invalid_responses.rs
+++ b/tests/invalid_responses.rs
@@ -61,6 +61,23 @@
         assert!(faults.is_empty(), "{faults:#?}");
     }
 
+    async invalid_answers_are_counted: "an invalid response that no metric shows" => {
+        let cases: [(&[u8], &str); 2] = [
+            (b"HTTP/1.1 000 None\r\ncontent-length: 0\r\n\r\n", "target-lost"),
+            (b"HTTP/1.1 600 Class\r\ncontent-length: 0\r\n\r\n", "spoiled-answer"),
+        ];
+        for (response, reason) in cases {
+            let target = start_target(response, 1).await;
+            let entry = start_entry(target.address, "").await;
+            let get = |path: &str| format!("GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+            send_raw(entry.caller_address(), get("/pump-history/a").as_bytes()).await;
+            let metrics = send_raw(entry.admin_address(), get("/metrics").as_bytes()).await;
+            let line = metrics.lines().find(|line| line.starts_with("zinniaport_requests_total{"));
+            let labels = format!("outcome=\"unknown\",reason=\"{reason}\"");
+            assert!(line.is_some_and(|line| line.contains(&labels)), "{line:?}");
+        }
+    }
+
     async interim_responses_without_end_get_502: "interim responses without end that a request waits for past its deadline" => {
         let outcome = outcome_of(b"HTTP/1.1 103 Early Hints\r\n\r\n", 1_000_000).await;
         assert!(["502 unknown", "504 unknown"].contains(&outcome.as_str()), "{outcome}");
