--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -218,6 +218,8 @@
     QuotaExceeded,
     /// No entry could check the rate limit of the tenant in time.
     QuotaUnavailable,
+    /// The entry holds as many bytes for callers as it may.
+    HeldBytesFull,
 }
 
 impl ReasonCode {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod directory;
 pub mod evacuation;
 pub mod fleet;
+pub mod held_bytes;
 pub mod intent;
 pub mod keys;
 pub mod outlier;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod filters;
 pub mod front;
 pub mod gate;
+pub mod held;
 pub mod locations;
 pub mod measuring;
 pub mod own_identity;
--- a/src/state.rs
+++ b/src/state.rs
@@ -21,7 +21,9 @@
 
 use crate::dialect::{DefaultDialect, HeaderDialect};
 use crate::directory::RevisionTracker;
+use crate::held::HeldBytes;
 use crate::records::RecordCopies;
+use crate::settings::LimitSettings;
 use crate::telemetry::EntryMetrics;
 
 /// Number of decision records that an entry keeps, about 6 MB at 384 bytes each. At 7,000
@@ -79,11 +81,14 @@
     pub data_centre_round_trip_us: AtomicU64,
     /// Data centre of each entry whose data centre is known.
     pub entry_locations: ArcSwap<HashMap<SocketAddr, Arc<str>>>,
+    /// Budget of the bytes that this entry holds for callers.
+    pub held: Arc<HeldBytes>,
 }
 
 impl SharedState {
     /// Creates state with an empty fleet.
     pub fn new(clock: Arc<dyn ClockSource>, entry_name: &str, data_centre: &str) -> Self {
+        let held = Arc::new(HeldBytes::new(clock.clone(), u64::MAX));
         Self {
             fleet: ArcSwap::default(),
             fleet_changed: Notify::new(),
@@ -106,9 +111,17 @@
             max_saved_retries: AtomicU64::new(MAX_SAVED_RETRIES),
             data_centre_round_trip_us: AtomicU64::new(0),
             entry_locations: ArcSwap::default(),
+            held,
         }
     }
 
+    /// Sets the bytes that may be held for callers.
+    #[must_use]
+    pub fn with_limits(mut self, limits: &LimitSettings) -> Self {
+        self.held = Arc::new(HeldBytes::from_settings(self.clock.clone(), limits));
+        self
+    }
+
     /// Returns `true` if the entry with this address is known to be in another data centre.
     pub fn is_elsewhere(&self, entry: SocketAddr) -> bool {
         self.entry_locations.load().get(&entry).is_some_and(|at| *at != self.data_centre)
