Let tokens of small tenants wait longer for a target

Cause: a request that waited more than 0.2 s for a target took a second token, so that requests of tenants within their limit could be refused when queues are long.

Change: a token entitles to a dispatch for 0.2 s + 5 / RatePerS, a quarter of the slack of 20 requests.

--- a/core/src/quota/mod.rs
+++ b/core/src/quota/mod.rs
@@ -22,7 +22,7 @@
 pub use message::{QuotaMessage, QuotaRequest, QuotaResponse, TokenAsk, TokenGrant};
 pub use owner::{OwnShare, OwnerView, TokenOwner};
 
-use crate::tenants::TenantTag;
+use crate::tenants::{TenantLimit, TenantTag};
 
 /// Number of groups of tenants. Each message carries a bit for each group.
 pub const GROUP_COUNT: usize = 16;
@@ -42,9 +42,13 @@
 /// takes up half of the rate of a second, the overage of 0.1 over 5 s.
 pub const HOLD_TIME: Duration = Duration::from_millis(250);
 
-/// Time after it was taken in which a token entitles to a dispatch. A request that waited longer
-/// for a target takes another one.
-pub const MAX_TOKEN_AGE: Duration = Duration::from_millis(200);
+/// Time after it was taken in which a token of any tenant entitles to a dispatch. See
+/// [`max_token_age`].
+const MAX_TOKEN_AGE: Duration = Duration::from_millis(200);
+
+/// Requests by which tokens that entitle to a dispatch for longer than [`MAX_TOKEN_AGE`] may exceed
+/// the limit, a quarter of the slack of 20 requests.
+const AGE_SLACK: f64 = 5.0;
 
 /// Tokens that a bucket holds beyond the burst, two fifths of the slack of 20 requests. The
 /// rest covers the draws of [`TokenBucket`] and the time in which limits change.
@@ -79,6 +83,14 @@
 /// Time without a further known entry after which the number of entries counts as known.
 pub const STABLE_TIME: Duration = Duration::from_millis(500);
 
+/// Returns the time after it was taken in which a token entitles to a dispatch. A request that
+/// waited longer for a target takes another one. The time is longer for small tenants, whose
+/// requests would otherwise take two tokens when queues are long.
+pub fn max_token_age(limit: TenantLimit) -> Duration {
+    let slack = (AGE_SLACK / limit.requests_per_second.max(1.0)).clamp(0.0, AGE_SLACK);
+    MAX_TOKEN_AGE + Duration::from_secs_f64(slack)
+}
+
 /// Returns the group that a tenant belongs to.
 pub fn group_of(tenant: TenantTag) -> usize {
     tenant.0 as usize % GROUP_COUNT
--- a/src/filters/quota.rs
+++ b/src/filters/quota.rs
@@ -6,7 +6,7 @@
 use futures::future::BoxFuture;
 use zinniaport_core::call::ReasonCode;
 use zinniaport_core::clock::Timestamp;
-use zinniaport_core::quota::MAX_TOKEN_AGE;
+use zinniaport_core::quota::max_token_age;
 use zinniaport_core::tenants::TenantTag;
 
 use super::{FilterNext, FilterResult, RequestFilter};
@@ -29,11 +29,12 @@
 
     async fn take(&self, exchange: &mut Exchange) -> Result<(), Refusal> {
         let Some(tenants) = &exchange.fleet.tenants else { return Ok(()) };
-        let tenant = tenants.get(exchange.facts.tenant).filter(|tenant| tenant.limit.is_some());
-        let Some(tag) = tenant.map(|tenant| tenant.tag) else { return Ok(()) };
+        let Some(tenant) = tenants.get(exchange.facts.tenant) else { return Ok(()) };
+        let Some(limit) = tenant.limit else { return Ok(()) };
         let mut token = TakenToken {
             tokens: self.tokens.clone(),
-            tenant: tag,
+            tenant: tenant.tag,
+            max_age: max_token_age(limit),
             usable_from: self.state.clock.now(),
         };
         token.take_next(&self.state).await?;
@@ -64,6 +65,7 @@
 pub(super) struct TakenToken {
     tokens: Arc<dyn TokenSource>,
     tenant: TenantTag,
+    max_age: Duration,
     usable_from: Timestamp,
 }
 
@@ -107,7 +109,7 @@
 ) -> Result<(), Refusal> {
     let token = exchange.head.extensions.get_mut::<TakenToken>();
     let is_old =
-        |token: &&mut TakenToken| state.clock.now().since(token.usable_from) > MAX_TOKEN_AGE;
+        |token: &&mut TakenToken| state.clock.now().since(token.usable_from) > token.max_age;
     match token.filter(is_old) {
         Some(token) => token.take_next(state).await,
         None => Ok(()),
