Read the clock within the reservation of a target

Cause: the merged parts gave the constructor six arguments, one more than the linter takes. Change: the reservation reads the time from the state that it is given. Result: the linter passes on the workspace.

--- a/src/placement/coordinator.rs
+++ b/src/placement/coordinator.rs
@@ -101,8 +101,8 @@
         service: Arc<ServiceCounters>,
         kind: usize,
         slot: SlotGuard,
-        now: Timestamp,
     ) -> Result<Self, SlotGuard> {
+        let now = state.clock.now();
         let counters = target.counters.clone();
         let before = counters.estimated_requests(now);
         if !counters.try_record_placement(now) {
@@ -249,9 +249,8 @@
             let choice = self.choose_target(call).await.ok_or_else(no_target)?;
             let fleet = self.state.fleet.load();
             let target = fleet.targets.get(choice.target).ok_or_else(no_target)?;
-            let (service, now) = (service.counters.clone(), self.state.clock.now());
-            let (state, kind) = (self.state.clone(), call.facts.kind);
-            match TargetReservation::new(state, target, service, kind, slot, now) {
+            let (state, service) = (self.state.clone(), service.counters.clone());
+            match TargetReservation::new(state, target, service, call.facts.kind, slot) {
                 Ok(reservation) => return Ok(PlacedCall { trace, choice, reservation }),
                 // Another request took the last one that the target takes now. The target is no
                 // longer a choice, so this ends.
