Send crash records to a few entries of each distant data centre

Change: while services are divided by data centre, records go to two entries of each other data centre in turn, which pass news on within theirs.

--- a/core/src/controllers/signals.rs
+++ b/core/src/controllers/signals.rs
@@ -71,6 +71,8 @@
     Revisions([u64; DirectoryPart::COUNT]),
     /// Send a message to these entries.
     Send(Vec<SocketAddr>),
+    /// Send the news of crashes to these entries at once.
+    Announce(Vec<SocketAddr>),
     /// Send a message to this entry, which has just started or was silent.
     SendFirst(SocketAddr),
     /// The live entries or their capacities changed. Holds the live entries and the number
@@ -239,7 +241,7 @@
         self.announcements -= 1;
         self.last_announced = now;
         let addresses = self.live_peers.iter().map(|peer| peer.address).collect();
-        Some(SignalsEffect::Send(addresses))
+        Some(SignalsEffect::Announce(addresses))
     }
 
     fn tick(&mut self, now: Timestamp) -> Vec<SignalsEffect> {
--- a/core/src/signals.rs
+++ b/core/src/signals.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::call::CallFingerprint;
@@ -120,3 +121,33 @@
     /// Whether the receiver passes the message on to the entries of its own data centre.
     pub is_relayed: bool,
 }
+
+/// Number of entries of another data centre that get crash records directly where data centres are
+/// far apart. They pass them on within their data centre. With two, the loss of one message or
+/// entry delays a record by no more than the next message.
+const RELAYS_PER_DATA_CENTRE: usize = 2;
+
+/// Selects the entries that get crash records directly: those of this data centre or without a
+/// known one, and of each other data centre a few that change with `sequence`. A record sent to all
+/// entries crosses data centres as often as there are entries in the others.
+pub fn select_relays<'a>(
+    entries: impl IntoIterator<Item = (SocketAddr, Option<&'a str>)>,
+    data_centre: &str,
+    sequence: u64,
+) -> Vec<SocketAddr> {
+    let mut selected = Vec::new();
+    let mut elsewhere: IndexMap<&str, Vec<SocketAddr>> = IndexMap::new();
+    for (address, location) in entries {
+        match location.filter(|location| *location != data_centre) {
+            Some(location) => elsewhere.entry(location).or_default().push(address),
+            None => selected.push(address),
+        }
+    }
+    for others in elsewhere.into_values() {
+        let count = RELAYS_PER_DATA_CENTRE.min(others.len());
+        let start = (sequence as usize).wrapping_mul(RELAYS_PER_DATA_CENTRE);
+        let relays = (0..count).map(|step| others[start.wrapping_add(step) % others.len()]);
+        selected.extend(relays);
+    }
+    selected
+}
--- a/core/tests/crash_reports.rs
+++ b/core/tests/crash_reports.rs
@@ -1,7 +1,7 @@
 //! How soon all entries of a large deployment know a request that crashes targets.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeSet, BinaryHeap};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
     SignalsController, SignalsEffect, SignalsMessage, StateController,
 };
 use zinniaport_core::quarantine::{CrashRecord, CrashReport, QuarantineTable, RunDecision, RunEnd};
-use zinniaport_core::signals::SignalMessage;
+use zinniaport_core::signals::{SignalMessage, select_relays};
 use zinniaport_testing::test_cases;
 
 const MS: u64 = 1_000;
@@ -192,7 +192,9 @@
     fn step(&mut self, entry: usize, message: SignalsMessage, now: Timestamp) {
         for effect in self.entries[entry].controller.handle(message, now) {
             let (addresses, is_first) = match effect {
-                SignalsEffect::Send(addresses) => (addresses, false),
+                SignalsEffect::Send(addresses) | SignalsEffect::Announce(addresses) => {
+                    (addresses, false)
+                }
                 SignalsEffect::SendFirst(address) => (vec![address], true),
                 _ => continue,
             };
@@ -272,4 +274,18 @@
             assert!(all <= MAX_CRASHED_IN_ALL, "{count} entries: {all} runs, {later} of them later");
         }
     }
+
+    relays_cover_each_data_centre: "crash records that cross data centres once for each entry, or that never reach one of them" => {
+        let entry = |number: u16| SocketAddr::from(([10, 0, 0, 1], number));
+        let locations = [Some("a"), Some("a"), None, Some("b"), Some("b"), Some("b"), Some("c")];
+        let entries: Vec<_> = (1..).map(entry).zip(locations).collect();
+        let mut reached = BTreeSet::new();
+        for sequence in 0..3 {
+            let relays = select_relays(entries.iter().copied(), "a", sequence);
+            assert!([1, 2, 3, 7].iter().all(|near| relays.contains(&entry(*near))), "{relays:?}");
+            assert_eq!(relays.iter().filter(|relay| (4..=6).contains(&relay.port())).count(), 2);
+            reached.extend(relays);
+        }
+        assert_eq!(reached.len(), entries.len(), "each entry is a relay in turn");
+    }
 }
--- a/core/tests/signals.rs
+++ b/core/tests/signals.rs
@@ -39,7 +39,7 @@
         assert_eq!(effects, [SignalsEffect::PeersChanged(vec![member(2, 20)], 4)]);
         let contacted = |effects: Vec<SignalsEffect>| -> Vec<SocketAddr> {
             let sent = effects.into_iter().filter_map(|effect| match effect {
-                SignalsEffect::Send(addresses) => Some(addresses),
+                SignalsEffect::Send(addresses) | SignalsEffect::Announce(addresses) => Some(addresses),
                 _ => None,
             });
             sent.flatten().collect()
@@ -95,7 +95,9 @@
         controller.handle(SignalsMessage::Received(address(1), message_with_members), Timestamp(MS));
         let effects = controller.handle(SignalsMessage::Tick, Timestamp(1_100 * MS));
         let sent: Vec<_> = effects.iter().filter_map(|effect| match effect {
-            SignalsEffect::Send(addresses) => Some(addresses.clone()),
+            SignalsEffect::Send(addresses) | SignalsEffect::Announce(addresses) => {
+                Some(addresses.clone())
+            }
             _ => None,
         }).flatten().collect();
         assert!(sent.contains(&address(2)) && !sent.contains(&address(0)), "{sent:?}");
--- a/src/signals.rs
+++ b/src/signals.rs
@@ -19,7 +19,7 @@
 use zinniaport_core::policy::EntryView;
 use zinniaport_core::quarantine::{CrashRecord, CrashReport};
 use zinniaport_core::retry::own_retry_tokens;
-use zinniaport_core::signals::SignalMessage;
+use zinniaport_core::signals::{SignalMessage, select_relays};
 
 use crate::datagrams::MAX_DATAGRAM;
 pub use crate::datagrams::{SignalDatagram, SignalSender, decode_datagram, encode_datagram};
@@ -210,7 +210,10 @@
                 self.step(SignalsMessage::Received(from, message));
             }
             (Ok(SignalDatagram::Crashes(records)), _) => {
-                self.quarantine.merge(&records);
+                let has_news = self.quarantine.merge(&records);
+                if has_news && self.is_divided() && self.state.is_elsewhere(from) {
+                    self.pass_on(&records);
+                }
             }
             (Ok(SignalDatagram::Placement(message)), Some(placement)) => {
                 placement.receive(from, message);
@@ -248,6 +251,15 @@
                 let records = self.crash_report().records(self.sequence);
                 self.send(message, &records, &addresses);
             }
+            SignalsEffect::Announce(addresses) => {
+                let message = self.next_message();
+                let records = self.crash_report().records(self.sequence);
+                if self.is_divided() {
+                    self.send_records(&records, &self.relays(&addresses));
+                } else {
+                    self.send(message, &records, &addresses);
+                }
+            }
             SignalsEffect::SendFirst(address) => {
                 // Complete, since the entry may know no others yet.
                 let message = self.next_message();
@@ -292,7 +304,31 @@
         self.sender.send(&SignalDatagram::Signal(message.clone()), &near);
         let short = SignalMessage { members: Vec::new(), ..message };
         self.sender.send(&SignalDatagram::Signal(short), &far);
-        self.send_records(records, addresses);
+        if self.is_divided() {
+            self.send_records(records, &self.relays(addresses));
+        } else {
+            self.send_records(records, addresses);
+        }
+    }
+
+    /// Returns the entries among `addresses` that get crash records directly.
+    fn relays(&self, addresses: &[SocketAddr]) -> Vec<SocketAddr> {
+        let locations = self.state.entry_locations.load();
+        let entries = addresses.iter().map(|address| (*address, locations.get(address)));
+        let entries = entries.map(|(address, location)| (address, location.map(|name| &**name)));
+        select_relays(entries, &self.state.data_centre, self.sequence)
+    }
+
+    /// Passes news from another data centre on to the live entries of this one.
+    fn pass_on(&self, records: &[CrashRecord]) {
+        let peers = self.controller.live_peers().iter().map(|peer| peer.address);
+        let near: Vec<_> = peers.filter(|peer| !self.state.is_elsewhere(*peer)).collect();
+        self.send_records(records, &near);
+    }
+
+    /// Returns `true` while services are divided by data centre, since data centres are far apart.
+    fn is_divided(&self) -> bool {
+        self.state.data_centre_round_trip_us.load(Ordering::Relaxed) > 0
     }
 
     fn send_records(&self, records: &[CrashRecord], addresses: &[SocketAddr]) {
@@ -309,8 +345,7 @@
         sequence: u64,
         addresses: &[SocketAddr],
     ) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let is_divided = self.state.data_centre_round_trip_us.load(Ordering::Relaxed) > 0;
-        let is_short = is_divided && !sequence.is_multiple_of(LISTING_PERIOD);
+        let is_short = self.is_divided() && !sequence.is_multiple_of(LISTING_PERIOD);
         addresses.iter().partition(|address| !is_short || !self.state.is_elsewhere(**address))
     }
 
