--- a/core/src/quota/mod.rs
+++ b/core/src/quota/mod.rs
@@ -38,7 +38,7 @@
 /// Time between two messages to an owner, so that a lost one does not end the delegation.
 pub const RENEWAL_PERIOD: Duration = Duration::from_millis(300);
 
-/// Time after its request in which an entry may use a token. Together with [`MAX_TOKEN_AGE`] it
+/// Time after its request in which an entry may use a token. Together with `MAX_TOKEN_AGE` it
 /// takes up half of the rate of a second, the overage of 0.1 over 5 s.
 pub const HOLD_TIME: Duration = Duration::from_millis(250);
 
@@ -46,7 +46,7 @@
 /// [`max_token_age`].
 const MAX_TOKEN_AGE: Duration = Duration::from_millis(200);
 
-/// Requests by which tokens that entitle to a dispatch for longer than [`MAX_TOKEN_AGE`] may exceed
+/// Requests by which tokens that entitle to a dispatch for longer than `MAX_TOKEN_AGE` may exceed
 /// the limit, a quarter of the slack of 20 requests.
 const AGE_SLACK: f64 = 5.0;
 
--- a/core/src/warm_up.rs
+++ b/core/src/warm_up.rs
@@ -57,7 +57,7 @@
 impl WarmUpBound {
     /// Returns the requests per second that one group of entries may send to a cold target that
     /// takes `per_second`. A group sends at most this rate plus one in any second, so that
-    /// [`GROUP_COUNT`] of them stay within the bound.
+    /// `GROUP_COUNT` of them stay within the bound.
     pub fn group_rate(self, per_second: f64) -> f64 {
         let allowed = (per_second * self.overage + self.slack) / GROUP_COUNT - 1.0;
         per_second.min(allowed).max(MIN_GROUP_RATE)
