--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -1,5 +1,6 @@
 //! Keeps an entry in step with the platform's directory of targets and configuration.
 
+mod own_calls;
 mod relay;
 mod relay_client;
 mod relay_handler;
--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -11,6 +11,7 @@
 use zinniaport_core::policy::hash_bytes;
 use zinniaport_core::startup::{StartupPlan, StartupResponse, StartupStep};
 
+use super::own_calls::OwnCalls;
 use super::relay::{BatchOrigin, DirectoryRelay};
 use super::relay_client::{RelayResponse, query_entry};
 use super::relay_handler::RelayQuery;
@@ -52,15 +53,6 @@
 /// while none does. A large fleet would otherwise ask the leaders hundreds of times a second.
 const OUTAGE_SKIP_TIME: Duration = Duration::from_millis(500);
 
-/// Time between two calls of a follower to the platform while neither it nor its leaders
-/// get a response. The leaders call more often and usually notice first that the platform
-/// is back; a follower's own calls help if the platform refuses fewer of them than of theirs.
-const OWN_CALL_PERIOD: Duration = Duration::from_millis(1_800);
-
-/// Time until a follower repeats a failed call if its previous one got a response, as when
-/// a connection is reset. A change must be known to all entries after two seconds.
-const LOST_CALL_PERIOD: Duration = Duration::from_millis(200);
-
 /// Reads the directory from the platform while this entry is a leader, otherwise from a
 /// leader, and from the platform if no leader responds.
 pub struct RelayedDirectory {
@@ -78,23 +70,6 @@
     own_address: Option<SocketAddr>,
 }
 
-/// State of a follower's own calls to the platform for one part.
-#[derive(Clone, Copy, Debug, Default)]
-struct OwnCalls {
-    /// Whether the last call got a response, and no leader has responded since.
-    responded: bool,
-    /// Earliest time of the next call after one that failed.
-    next: Option<Instant>,
-}
-
-impl OwnCalls {
-    fn record_result(&mut self, responded: bool) {
-        let period = if self.responded { LOST_CALL_PERIOD } else { OWN_CALL_PERIOD };
-        self.responded = responded;
-        self.next = (!responded).then(|| Instant::now() + period);
-    }
-}
-
 /// Client of another entry.
 struct RelayClient {
     api: Arc<ApiClient>,
--- a/src/signals.rs
+++ b/src/signals/mod.rs
@@ -1,6 +1,8 @@
 //! Datagrams between entries: which entries are live, the capacity and directory revisions of
 //! each, recent crashes, and placement requests.
 
+mod crash_records;
+
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,9 +19,9 @@
 use zinniaport_core::directory::DirectoryPart;
 use zinniaport_core::placement::CoordinatorCandidate;
 use zinniaport_core::policy::EntryView;
-use zinniaport_core::quarantine::{CrashRecord, CrashReport};
+use zinniaport_core::quarantine::CrashRecord;
 use zinniaport_core::retry::own_retry_tokens;
-use zinniaport_core::signals::{SignalMessage, select_relays};
+use zinniaport_core::signals::SignalMessage;
 
 use crate::datagrams::MAX_DATAGRAM;
 pub use crate::datagrams::{SignalDatagram, SignalSender, decode_datagram, encode_datagram};
@@ -35,10 +37,6 @@
 /// Time between ticks.
 const TICK_PERIOD: Duration = Duration::from_millis(50);
 
-/// Maximum number of crash records in a datagram. Of the largest, 600 bytes each, these take
-/// 10 KB.
-const MAX_DATAGRAM_RECORDS: usize = 16;
-
 /// Number of live entries up to which each message lists all of them, so that entries find each
 /// other at once after a loss of power.
 const SMALL_DEPLOYMENT: usize = 32;
@@ -210,10 +208,7 @@
                 self.step(SignalsMessage::Received(from, message));
             }
             (Ok(SignalDatagram::Crashes(records)), _) => {
-                let has_news = self.quarantine.merge(&records);
-                if has_news && self.is_divided() && self.state.is_elsewhere(from) {
-                    self.pass_on(&records);
-                }
+                self.receive_records(from, &records);
             }
             (Ok(SignalDatagram::Placement(message)), Some(placement)) => {
                 placement.receive(from, message);
@@ -223,14 +218,10 @@
             }
             (Ok(SignalDatagram::Placement(_) | SignalDatagram::Headroom(_)), None) => {}
             (Ok(SignalDatagram::Location(message)), _) => {
-                self.locations
-                    .iter()
-                    .for_each(|locations| locations.receive(from, message.clone()));
+                self.locations.iter().for_each(|driver| driver.receive(from, message.clone()));
             }
             (Ok(SignalDatagram::Quota(message)), _) => {
-                if let Some(quota) = &self.quota {
-                    quota.receive(from, message);
-                }
+                self.quota.iter().for_each(|driver| driver.receive(from, message.clone()));
             }
             (Err(error), _) => log::debug!("cannot decode datagram from {from}: {error}"),
         }
@@ -255,7 +246,7 @@
                 let message = self.next_message();
                 let records = self.crash_report().records(self.sequence);
                 if self.is_divided() {
-                    self.send_records(&records, &self.relays(&addresses));
+                    self.spread_records(&records, &addresses);
                 } else {
                     self.send(message, &records, &addresses);
                 }
@@ -294,8 +285,7 @@
         let message = self.next_message();
         let records = self.crash_report().records(self.sequence);
         let peers = self.controller.live_peers().iter().map(|peer| peer.address);
-        let peers: Vec<_> = peers.collect();
-        self.send(message, &records, &peers);
+        self.send(message, &records, &peers.collect::<Vec<_>>());
     }
 
     /// Sends a message and, in datagrams of their own, the crash records if there are any.
@@ -304,26 +294,7 @@
         self.sender.send(&SignalDatagram::Signal(message.clone()), &near);
         let short = SignalMessage { members: Vec::new(), ..message };
         self.sender.send(&SignalDatagram::Signal(short), &far);
-        if self.is_divided() {
-            self.send_records(records, &self.relays(addresses));
-        } else {
-            self.send_records(records, addresses);
-        }
-    }
-
-    /// Returns the entries among `addresses` that get crash records directly.
-    fn relays(&self, addresses: &[SocketAddr]) -> Vec<SocketAddr> {
-        let locations = self.state.entry_locations.load();
-        let entries = addresses.iter().map(|address| (*address, locations.get(address)));
-        let entries = entries.map(|(address, location)| (address, location.map(|name| &**name)));
-        select_relays(entries, &self.state.data_centre, self.sequence)
-    }
-
-    /// Passes news from another data centre on to the live entries of this one.
-    fn pass_on(&self, records: &[CrashRecord]) {
-        let peers = self.controller.live_peers().iter().map(|peer| peer.address);
-        let near: Vec<_> = peers.filter(|peer| !self.state.is_elsewhere(*peer)).collect();
-        self.send_records(records, &near);
+        self.spread_records(records, addresses);
     }
 
     /// Returns `true` while services are divided by data centre, since data centres are far apart.
@@ -331,12 +302,6 @@
         self.state.data_centre_round_trip_us.load(Ordering::Relaxed) > 0
     }
 
-    fn send_records(&self, records: &[CrashRecord], addresses: &[SocketAddr]) {
-        for part in records.chunks(MAX_DATAGRAM_RECORDS) {
-            self.sender.send(&SignalDatagram::Crashes(part.to_vec()), addresses);
-        }
-    }
-
     /// Divides entries into those that get a complete message and those in other data centres that
     /// get one without members this time. While services are not divided by data centre, or as long
     /// as an entry has not said where it is, its messages are complete.
@@ -387,13 +352,11 @@
         };
         let higher = ranked.iter().filter(|peer| ranks_higher(peer)).map(|peer| peer.address);
         let mut leaders: Vec<_> = higher.take(LEADER_COUNT + SUBSTITUTE_COUNT).collect();
-        let substitutes = leaders.split_off(leaders.len().min(LEADER_COUNT));
-        let has_substitutes = ranked.len() > SMALL_DEPLOYMENT;
-        self.state.revisions.set_substitutes(if has_substitutes {
-            substitutes
-        } else {
-            Vec::new()
-        });
+        let mut substitutes = leaders.split_off(leaders.len().min(LEADER_COUNT));
+        if ranked.len() <= SMALL_DEPLOYMENT {
+            substitutes.clear();
+        }
+        self.state.revisions.set_substitutes(substitutes);
         let is_leader = leaders.len() < LEADER_COUNT && self.state.revisions.is_settled();
         self.state.revisions.set_leaders(leaders, is_leader);
         let candidates: Vec<_> = peers.iter().copied().chain([own]).collect();
@@ -421,10 +384,6 @@
         }
     }
 
-    fn crash_report(&self) -> CrashReport {
-        CrashReport::new(self.quarantine.crash_records(), self.state.clock.now())
-    }
-
     /// Returns the live entries to list in the next message: all of them, or the largest and
     /// the next few in turn if there are many.
     fn next_members(&self) -> Vec<SocketAddr> {
