--- a/core/src/admission/cost_queue.rs
+++ b/core/src/admission/cost_queue.rs
@@ -24,9 +24,9 @@
 /// Minimum `Retry-After`, above [`RETURN_MARGIN`] so that the request is recognized.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(60);
 
-/// Part of the time until its deadline for which a caller waits before it sends a refused request
-/// again.
-pub const CALLER_PATIENCE: u32 = 3;
+/// Divisor of the time until its deadline that gives the longest `Retry-After` for which a caller
+/// waits before it sends a refused request again.
+pub const HONOURED_DELAY_DIVISOR: u32 = 3;
 
 /// Maximum `Retry-After`. Bursts last for up to 8 s.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(8);
@@ -211,7 +211,7 @@
         let spare = (slots - self.shares.load_up_to(rank)).max(slots * MIN_SPARE_SHARE);
         let delay = Duration::from_secs_f32((waiting + invited + own) / spare);
         let delay = delay.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        if delay <= facts.time_left(now) / CALLER_PATIENCE {
+        if delay <= facts.time_left(now) / HONOURED_DELAY_DIVISOR {
             self.invited.push_back(InvitedWork { due: now + delay, rank, seconds: own });
         }
         delay
--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -14,7 +14,7 @@
 pub mod window;
 mod work;
 
-pub use cost_queue::{CALLER_PATIENCE, CostQueue};
+pub use cost_queue::{CostQueue, HONOURED_DELAY_DIVISOR};
 pub use order::{AdmissionOrder, CallDemand, RefusedCall, WaitingTenants};
 pub use queue::{
     AdmissionLimits, AdmissionQueue, AdmissionRefusal, JoinedCall, QueueDeparture, ServiceRate,
--- a/core/src/placement/overflow.rs
+++ b/core/src/placement/overflow.rs
@@ -197,7 +197,7 @@
 
     /// Returns how long a request waits for a decision before it is placed in another part, given
     /// the time in which parts by address decide.
-    pub fn patience(&self, decision: Duration, now: Timestamp) -> Duration {
+    pub fn decision_wait(&self, decision: Duration, now: Timestamp) -> Duration {
         if self.service.part_data_centres.is_empty() {
             return decision;
         }
--- a/core/src/startup.rs
+++ b/core/src/startup.rs
@@ -14,16 +14,16 @@
 
 /// Time for which an entry that starts asks other entries before it reads the whole directory
 /// from the platform itself. Seeds that run respond within a few hundred milliseconds.
-const PEER_PATIENCE: Duration = Duration::from_millis(800);
+const PEER_WAIT: Duration = Duration::from_millis(800);
 
-/// Longest time that is added to [`PEER_PATIENCE`], by chance, so that entries without a seed
+/// Longest time that is added to [`PEER_WAIT`], by chance, so that entries without a seed
 /// do not call the platform together.
-const PATIENCE_JITTER: Duration = Duration::from_millis(800);
+const PEER_WAIT_JITTER: Duration = Duration::from_millis(800);
 
 /// Time without a response of another entry after which the platform is asked for a directory
 /// that fits one call. In a small deployment that costs less than the wait for a seed. The
 /// seeds of a fleet start within 300 ms of each other, so most entries need not ask.
-const SMALL_READ_PATIENCE: Duration = Duration::from_millis(200);
+const SMALL_READ_WAIT: Duration = Duration::from_millis(200);
 
 /// Time after a failed read of the platform in which other entries are asked again.
 const FAILED_READ_PATIENCE: Duration = Duration::from_millis(500);
@@ -88,10 +88,10 @@
         let seeds: Vec<_> = seeds.into_iter().collect();
         let is_seed = seeds.contains(&own_address);
         let mut seeds: Vec<_> = seeds.into_iter().filter(|seed| *seed != own_address).collect();
-        let jitter = PATIENCE_JITTER.mul_f64(f64::from(random) / f64::from(u32::MAX));
+        let jitter = PEER_WAIT_JITTER.mul_f64(f64::from(random) / f64::from(u32::MAX));
         let reads_at_once = is_seed || seeds.is_empty();
-        let read_at = if reads_at_once { now } else { now + PEER_PATIENCE + jitter };
-        let read_small_at = Some(now + SMALL_READ_PATIENCE + jitter / 8);
+        let read_at = if reads_at_once { now } else { now + PEER_WAIT + jitter };
+        let read_small_at = Some(now + SMALL_READ_WAIT + jitter / 8);
         if !seeds.is_empty() {
             let count = seeds.len();
             seeds.rotate_left(random as usize % count);
--- a/core/tests/admission_order.rs
+++ b/core/tests/admission_order.rs
@@ -174,9 +174,9 @@
 
     near_deadlines_go_first: "a request near its soft deadline that waits behind one of its rank with plenty of time" => {
         let (mut queue, now) = (OverloadedQueue::new(), Timestamp(1_000_000));
-        let patient = demand(now);
-        let facts = CallFacts { kind: 1, soft_deadline: Some(now + Duration::from_millis(2_500)), ..patient.facts };
-        queue.join(&CallDemand { facts, ..patient }, 1, now).unwrap();
+        let unhurried = demand(now);
+        let facts = CallFacts { kind: 1, soft_deadline: Some(now + Duration::from_millis(2_500)), ..unhurried.facts };
+        queue.join(&CallDemand { facts, ..unhurried }, 1, now).unwrap();
         queue.join(&demand(now), 2, now).unwrap();
         queue.join(&with_rank(1, demand(now)), 3, now).unwrap();
         queue.join(&with_rank(0, demand(now)), 4, now).unwrap();
--- a/core/tests/overload_trial/mod.rs
+++ b/core/tests/overload_trial/mod.rs
@@ -334,9 +334,9 @@
             if call.attempts > 0 {
                 result.kinds[call.kind].refused_again += 1.0;
             }
-            let patience = left / 3;
-            if call.attempts < kind.retries && (delay <= patience || !input.gives_up) {
-                let delay = delay.min(patience);
+            let honoured = left / 3;
+            if call.attempts < kind.retries && (delay <= honoured || !input.gives_up) {
+                let delay = delay.min(honoured);
                 let again = SentCall { attempts: call.attempts + 1, ..call };
                 events.push(Reverse((now + delay.as_micros() as u64, Event::Arrived(again))));
             }
--- a/core/tests/support/waves.rs
+++ b/core/tests/support/waves.rs
@@ -22,7 +22,7 @@
 const SWING: f64 = 0.55;
 /// Two round trips of 7 ms, and a twentieth of the service time for the bytes.
 const TRANSFER_MS: u64 = 24;
-const PATIENCE_MS: u64 = 76;
+const DECISION_WAIT_MS: u64 = 76;
 const ANNOUNCED_EVERY_MS: u64 = 200;
 const RUN_MS: u64 = 39_000;
 
@@ -155,7 +155,8 @@
             for _ in 0..waiting.len() {
                 let Some(request) = waiting.pop_front() else { break };
                 let waited = now - request.queued;
-                let is_due = !request.moved && waited > 0 && waited.is_multiple_of(PATIENCE_MS);
+                let is_due =
+                    !request.moved && waited > 0 && waited.is_multiple_of(DECISION_WAIT_MS);
                 let part = Some(index as u16);
                 let other = if is_due {
                     let counters = &self.service(request.entry).part(part).counters;
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -8,8 +8,8 @@
 use tokio::sync::oneshot;
 use zinniaport_core::admission::window::{HeadroomInput, ServiceHeadroom, service_headroom};
 use zinniaport_core::admission::{
-    AdmissionLimits, AdmissionRefusal, CALLER_PATIENCE, CallDemand, QueueDeparture, RefusedCall,
-    RunQuantile, ServiceRate, WaitingTenants,
+    AdmissionLimits, AdmissionRefusal, CallDemand, HONOURED_DELAY_DIVISOR, QueueDeparture,
+    RefusedCall, RunQuantile, ServiceRate, WaitingTenants,
 };
 use zinniaport_core::call::{CallFacts, ReasonCode};
 use zinniaport_core::clock::{ClockSource, Timestamp};
@@ -363,7 +363,7 @@
 
 /// Like [`add_jitter`], but a delay that the caller honours stays one.
 fn add_honoured_jitter(delay: Duration, facts: &CallFacts, now: Timestamp) -> Duration {
-    let honoured = facts.time_left(now) / CALLER_PATIENCE;
+    let honoured = facts.time_left(now) / HONOURED_DELAY_DIVISOR;
     let extended = add_jitter(delay);
     if delay <= honoured { extended.min(honoured) } else { extended }
 }
--- a/src/placement/coordinated.rs
+++ b/src/placement/coordinated.rs
@@ -157,14 +157,14 @@
         chooser: &PartChooser<'_>,
     ) -> (OpenPlacement, Option<PlacementDecision>) {
         let facts = &exchange.facts;
-        let patience = chooser.patience(PRESSED_WAIT, self.state.clock.now());
+        let decision_wait = chooser.decision_wait(PRESSED_WAIT, self.state.clock.now());
         let mut moves = 0;
         loop {
             let time_left = facts.time_left(self.state.clock.now());
             if time_left.is_zero() {
                 return (open, None);
             }
-            let decision = open.wait(patience.min(time_left)).await;
+            let decision = open.wait(decision_wait.min(time_left)).await;
             if !matches!(decision, None | Some(PlacementDecision::Refused { .. })) {
                 return (open, decision);
             }
