Remove a choice of parts that nothing calls

Cause: PartChooser::next took the place of other_home, which stayed exported without a caller. Change: other_home is removed. Result: formatter and linter pass.

--- a/core/src/placement/mod.rs
+++ b/core/src/placement/mod.rs
@@ -23,8 +23,8 @@
 pub use load::{LoadChange, LoadMonitor, LoadSummary};
 pub use overflow::{HeadroomGauge, MAX_HEADROOM_AGE, PartChooser, PartHeadroom};
 pub use parts::{
-    HOME_PARTS, MAX_PART_TARGETS, PartKey, choose_part, count_part_senders, home_parts, other_home,
-    part_count, part_of, part_tag,
+    HOME_PARTS, MAX_PART_TARGETS, PartKey, choose_part, count_part_senders, home_parts, part_count,
+    part_of, part_tag,
 };
 pub use ranking::{CoordinatorCandidate, rank_coordinators};
 use serde::{Deserialize, Serialize};
--- a/core/src/placement/parts.rs
+++ b/core/src/placement/parts.rs
@@ -87,12 +87,6 @@
     Some(if is_pressed(first) && !is_pressed(second) { second } else { first })
 }
 
-/// Returns the other home part of an entry with this affinity, if the service is divided.
-pub fn other_home(service: &ServiceSnapshot, affinity: u64, part: Option<u16>) -> Option<u16> {
-    let count = u16::try_from(service.parts.len()).ok().filter(|count| *count > 1)?;
-    home_parts(affinity, count).into_iter().find(|home| Some(*home) != part)
-}
-
 /// Returns the number of entries, one of them the one that asks, that may send requests to a
 /// part: the live ones that have it as a home, by their affinities, and a share of the silent
 /// ones among `entry_count` that may be running.
