Avoid work for datagrams without receivers and for plain queues

Cause: while services are not divided by data centre, each signal was encoded a second time for an empty list of distant entries. Each admission computed the expected work and the entitlement of a request, also where an admission at once, or a queue by rank, uses neither. Change: a datagram to no address is not encoded. The demand of a request is computed when it is recorded or joins a queue.

--- a/src/datagrams.rs
+++ b/src/datagrams.rs
@@ -70,6 +70,9 @@
     /// Sends a datagram to each address. Datagrams may be lost, so the sender repeats what must
     /// arrive.
     pub fn send(&self, datagram: &SignalDatagram, addresses: &[SocketAddr]) {
+        if addresses.is_empty() {
+            return;
+        }
         let bytes = match encode_datagram(datagram) {
             Ok(bytes) => bytes,
             Err(error) => return log::error!("cannot encode datagram: {error}"),
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -120,17 +120,18 @@
         }
         let period = WINDOW_PERIOD_PER_TARGET * fleet.targets.len() as u32;
         self.update_window(service, period.max(MIN_WINDOW_PERIOD), now);
-        let demand = self.demand(fleet, service, facts, is_repeated);
         let by_cost = orders_by_cost(fleet, service);
+        let demand = || self.demand(fleet, service, facts, is_repeated);
         if self.waiting.load(Ordering::SeqCst) == 0 && self.take_slot() {
             if by_cost {
+                let demand = demand();
                 let mut queue = self.lock();
                 queue.choose_order(by_cost);
                 queue.order.record_admission(&demand, now);
             }
             return Ok((self.immediate_trace(now), SlotGuard::new(self.clone(), now)));
         }
-        let request = self.join(service, &demand, by_cost, now)?;
+        let request = self.join(service, &demand(), by_cost, now)?;
         self.serve_queue();
         request.wait(facts.time_left(now)).await
     }
