--- a/core/src/tenants.rs
+++ b/core/src/tenants.rs
@@ -1,6 +1,6 @@
 //! Tenants: customers of the operator whose requests carry an API key.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use derive_more::{Display, Error};
@@ -124,9 +124,9 @@
         return Err(TenantError::TooManyKeys { count });
     }
     let mut holders: HashMap<ApiKeyDigest, &str> = HashMap::with_capacity(count);
-    let mut names: HashMap<&str, ()> = HashMap::with_capacity(intents.len());
+    let mut names: HashSet<&str> = HashSet::with_capacity(intents.len());
     for TenantIntent { name, api_keys, .. } in intents {
-        if names.insert(name, ()).is_some() {
+        if !names.insert(name) {
             return Err(TenantError::RepeatedName { name: name.clone() });
         }
         for api_key in api_keys {
--- a/src/filters/classify.rs
+++ b/src/filters/classify.rs
@@ -53,7 +53,7 @@
         let limit = requested.map_or(limit, |requested| requested.min(limit));
         let facts = &mut exchange.facts;
         facts.kind = position;
-        let tenant = exchange.fleet.tenants.as_ref().and_then(|table| table.get(facts.tenant));
+        let tenant = exchange.fleet.tenant(facts.tenant);
         facts.rank = tenant.and_then(|tenant| tenant.rank).unwrap_or(kind.rank);
         facts.idempotent = kind.idempotent;
         facts.max_runs = if kind.idempotent { kind.max_runs.max(1) } else { 1 };
--- a/src/filters/quota.rs
+++ b/src/filters/quota.rs
@@ -28,8 +28,7 @@
     }
 
     async fn take(&self, exchange: &mut Exchange) -> Result<(), Refusal> {
-        let Some(tenants) = &exchange.fleet.tenants else { return Ok(()) };
-        let Some(tenant) = tenants.get(exchange.facts.tenant) else { return Ok(()) };
+        let Some(tenant) = exchange.fleet.tenant(exchange.facts.tenant) else { return Ok(()) };
         let Some(limit) = tenant.limit else { return Ok(()) };
         let mut token = TakenToken {
             tokens: self.tokens.clone(),
