Log what an admission queue knew of requests that left it

Cause: callers on added routes got no response before their deadline, and the lines of their requests named neither route, rank nor time limit. Whether the route was unknown at the coordinator, went behind all others or waited for a target looked the same. Change: lines of requests have service, kind, rank and time limit. A request that leaves a queue without being admitted has a line with the version in force there, the expected work, whether it counted as sent again, and the free and slowed slots.

--- a/core/src/admission/cost_queue.rs
+++ b/core/src/admission/cost_queue.rs
@@ -342,7 +342,7 @@
             };
             displaced = self.remove(last);
         }
-        Ok(JoinedCall { key: self.calls.insert(call), displaced })
+        Ok(JoinedCall { key: self.calls.insert(call), displaced, is_returned })
     }
 
     fn remove(&mut self, key: WaitKey) -> Option<W> {
--- a/core/src/admission/queue.rs
+++ b/core/src/admission/queue.rs
@@ -73,6 +73,8 @@
     pub key: WaitKey,
     /// Request that was removed to make room for it because the queue was full.
     pub displaced: Option<W>,
+    /// Whether it is taken for a request that was refused before.
+    pub is_returned: bool,
 }
 
 /// A request that left the queue.
@@ -170,7 +172,7 @@
         let key = self.calls.insert(call);
         self.deadlines.insert(deadline_position, key);
         self.ranks.entry(facts.rank).or_default().add(facts.caller, position, key);
-        Ok(JoinedCall { key, displaced })
+        Ok(JoinedCall { key, displaced, is_returned: false })
     }
 
     /// Removes a request, for example because its caller has disconnected.
--- a/src/filters/record.rs
+++ b/src/filters/record.rs
@@ -54,6 +54,10 @@
             log::info!(
                 request_id = exchange.request_id.as_str(),
                 config_version = exchange.facts.config_version,
+                service = service_name(exchange),
+                kind = kind_name(exchange),
+                rank = exchange.facts.rank,
+                time_limit_ms = time_limit_ms(exchange),
                 reason = <&str>::from(refusal.reason),
                 outcome = <&str>::from(refusal.outcome()),
                 status = refusal.status().as_u16(),
@@ -104,7 +108,6 @@
 /// Logs a request that a target answered.
 fn log_answer(record: &DecisionRecord, exchange: &Exchange) {
     let (facts, end) = (&record.facts, &record.end);
-    let service = exchange.fleet.services.get(facts.service);
     let queued = record
         .trace
         .admission
@@ -112,7 +115,10 @@
     log::info!(
         request_id = exchange.request_id.as_str(),
         config_version = facts.config_version,
-        service = service.map_or("unknown", |service| service.intent.service.as_str()),
+        service = service_name(exchange),
+        kind = kind_name(exchange),
+        rank = facts.rank,
+        time_limit_ms = time_limit_ms(exchange),
         status = end.status,
         late = end.answered > facts.soft_deadline(),
         queued_us = queued,
@@ -131,6 +137,10 @@
     log::info!(
         request_id = exchange.request_id.as_str(),
         config_version = facts.config_version,
+        service = service_name(exchange),
+        kind = kind_name(exchange),
+        rank = facts.rank,
+        time_limit_ms = time_limit_ms(exchange),
         reason = <&str>::from(end.reason),
         outcome = <&str>::from(end.outcome),
         dispatches = format_dispatches(exchange).as_str(),
@@ -141,6 +151,24 @@
     );
 }
 
+fn service_name(exchange: &Exchange) -> &str {
+    let service = exchange.fleet.services.get(exchange.facts.service);
+    service.map_or("unknown", |service| service.intent.service.as_str())
+}
+
+/// Returns the name of the request's kind, which is that of its route if it has one.
+fn kind_name(exchange: &Exchange) -> &str {
+    let service = exchange.fleet.services.get(exchange.facts.service);
+    let service = service.filter(|_| exchange.facts.deadline.0 > 0);
+    let kind = service.and_then(|service| service.intent.kinds.get(exchange.facts.kind));
+    kind.map_or("unknown", |kind| kind.name.as_str())
+}
+
+/// Returns the time from the arrival of a request to its deadline; 0 before it has one.
+fn time_limit_ms(exchange: &Exchange) -> u64 {
+    exchange.facts.deadline.since(exchange.facts.arrived).as_millis() as u64
+}
+
 /// Formats the dispatches of a request for the log: target, rule, time after the arrival and,
 /// if the rule used one, age of the load report, both in microseconds.
 fn format_dispatches(exchange: &Exchange) -> String {
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -19,6 +19,7 @@
 
 use super::queue::{GateQueue, MAX_OVERTAKES, orders_by_cost};
 use super::slot::{QueuedRequest, SlotGuard};
+use crate::telemetry::LineLimiter;
 
 /// Minimum time between two computations of a service's concurrency window.
 const MIN_WINDOW_PERIOD: Duration = Duration::from_millis(2);
@@ -63,6 +64,7 @@
     service_time_us: AtomicU64,
     run_quantile: RunQuantile,
     queue: Mutex<GateQueue>,
+    pub(super) limiter: LineLimiter,
     /// Targets of the service as of the last request.
     pub(super) table: ArcSwap<TargetTable>,
 }
@@ -84,6 +86,7 @@
             service_time_us: AtomicU64::new(INITIAL_SERVICE_TIME_US),
             run_quantile: RunQuantile::default(),
             queue: Mutex::new(GateQueue::new()),
+            limiter: LineLimiter::default(),
             table: ArcSwap::default(),
         }
     }
@@ -285,7 +288,18 @@
             let refusal = GateRefusal { reason: ReasonCode::QueueFull, retry_after };
             let _ = displaced.send(Err(refusal));
         }
-        Ok(QueuedRequest { gate: self.clone(), key: joined.key, queue_number, result })
+        Ok(QueuedRequest {
+            gate: self.clone(),
+            key: joined.key,
+            queue_number,
+            result,
+            facts: demand.facts,
+            work: demand.work,
+            intent: service.intent.clone(),
+            version: service.version,
+            is_returned: joined.is_returned,
+            joined: now,
+        })
     }
 
     /// Admits waiting requests while slots are free. Slots of targets that are not slowed go
--- a/src/gate/slot.rs
+++ b/src/gate/slot.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use tokio::sync::oneshot;
-use zinniaport_core::admission::WaitKey;
+use zinniaport_core::admission::{ExpectedWork, WaitKey};
+use zinniaport_core::call::CallFacts;
 use zinniaport_core::clock::Timestamp;
+use zinniaport_core::intent::ServiceIntent;
 
 use super::admission::{AdmissionGate, AdmissionResult};
 
@@ -17,9 +19,45 @@
     /// Number of the queue that the key belongs to.
     pub(super) queue_number: u64,
     pub(super) result: oneshot::Receiver<AdmissionResult>,
+    pub(super) facts: CallFacts,
+    /// Work that it was expected to cause when it joined the queue.
+    pub(super) work: ExpectedWork,
+    /// Intent of the service when the request joined the queue.
+    pub(super) intent: Arc<ServiceIntent>,
+    /// Version of that intent.
+    pub(super) version: u64,
+    /// Whether the queue takes it for a request that was refused before.
+    pub(super) is_returned: bool,
+    pub(super) joined: Timestamp,
 }
 
 impl QueuedRequest {
+    /// Logs that the request was not admitted before its caller disconnected, its deadline passed
+    /// or its entry placed it elsewhere.
+    fn log_departure(&self, waiting: usize) {
+        let now = self.gate.clock.now();
+        if !self.gate.limiter.try_acquire(now) {
+            return;
+        }
+        let admitted = self.gate.counters.in_flight.load(Ordering::Relaxed);
+        let headroom = self.gate.headroom(&self.gate.table.load(), admitted);
+        let kind = self.intent.kinds.get(self.facts.kind);
+        log::info!(
+            service = self.intent.service.as_str(),
+            kind = kind.map_or("unknown", |kind| kind.name.as_str()),
+            rank = self.facts.rank,
+            config_version = self.version,
+            time_limit_ms = self.facts.time_left(self.joined).as_millis() as u64,
+            counts_as_returned = self.is_returned,
+            expected_work_us = self.work.mean.as_micros() as u64,
+            waited_us = now.since(self.joined).as_micros() as u64,
+            free_slots = headroom.free,
+            slowed_slots = headroom.slowed,
+            waiting;
+            "request left the queue before it was admitted"
+        );
+    }
+
     pub(super) async fn wait(mut self, limit: Duration) -> AdmissionResult {
         match tokio::time::timeout(limit, &mut self.result).await {
             Ok(Ok(result)) => result,
@@ -34,9 +72,12 @@
         // Another queue may use the same key for another request.
         let is_same = queue.number == self.queue_number;
         let removed = is_same.then(|| queue.order.remove(self.key)).flatten();
-        self.gate.set_waiting(queue.order.waiting());
+        let waiting = queue.order.waiting();
+        self.gate.set_waiting(waiting);
         drop(queue);
-        drop(removed);
+        if removed.is_some() {
+            self.log_departure(waiting);
+        }
     }
 }
 
