Keep what is learned of a kind under its key, not its position

What callers saw: on a route that was added in the middle of a service's routes, or moved to a service, requests waited behind all others until their deadline passed. Cause: the expected work, usual time limit and served share of a kind were kept by its position among the kinds of the service, which follows the order of the routes in the configuration. A version that adds, moves or removes a route gave a kind what had been learned of another one. Where one with more time had been, each request counted as sent again and long past its soft deadline. Kinds from position 32 shared one entry. Metrics and decision records resolved positions against other versions in the same way, and a request that was classified just before a change told its coordinator the kind that had taken its position. Change: a kind has a KindKey in an arena of its service and keeps it, by its name, from version to version. Routes, requests, metrics, records and learned state refer to the key.

--- a/core/examples/decision_cost.rs
+++ b/core/examples/decision_cost.rs
@@ -19,7 +19,7 @@
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::fleet::FleetSnapshot;
 use zinniaport_core::intent::{DesiredState, MeasuringIntent, ServiceIntent, TargetIntent};
-use zinniaport_core::keys::{CallerKey, TenantKey};
+use zinniaport_core::keys::{CallerKey, KindKey, TenantKey};
 use zinniaport_core::policy::{EntryView, MEAN_SLOWDOWN, TargetQuery, policies};
 
 /// Numbers of targets: as in `examples/co-operative.yaml`, ten times as many, and the design
@@ -90,10 +90,12 @@
     let callers: Vec<_> = (0..20).map(|_| arena.insert(())).collect();
     let mut arena: SlotMap<TenantKey, ()> = SlotMap::with_key();
     let tenants: Vec<_> = (0..20).map(|_| arena.insert(())).collect();
+    let mut arena: SlotMap<KindKey, ()> = SlotMap::with_key();
+    let kinds: Vec<_> = (0..3).map(|_| arena.insert(())).collect();
     let demand = |call: u64| {
         let facts = CallFacts {
             rank: (call % 3) as u8,
-            kind: (call % 3) as usize,
+            kind: kinds[(call % 3) as usize],
             caller: callers[(call % 20) as usize],
             tenant: tenants[(call % 20) as usize],
             deadline: Timestamp(1_000_000 + call * 7 % 1_000),
--- a/core/src/admission/fairness.rs
+++ b/core/src/admission/fairness.rs
@@ -6,7 +6,7 @@
 
 use super::order::CallDemand;
 use crate::clock::Timestamp;
-use crate::keys::TenantKey;
+use crate::keys::{KindKey, TenantKey};
 
 /// Time after which a past request counts for 1/e of a new one in the shares of kinds. It spans the
 /// 6 to 8 s for which one kind or tenant sends several times its rate.
@@ -42,9 +42,6 @@
 /// Recent requests below which a tenant counts as idle.
 const IDLE_OFFERED: f32 = 0.05;
 
-/// Number of kinds that are told apart; further ones share the last position.
-const MAX_KINDS: usize = 32;
-
 /// Number of ranks that are told apart; intents state ranks from 0 to 9.
 const MAX_RANKS: usize = 10;
 
@@ -97,7 +94,9 @@
     tenants: SecondaryMap<TenantKey, TenantUse>,
     /// Requests without a tenant, together.
     untenanted: TenantUse,
-    kinds: Vec<KindUse>,
+    kinds: SecondaryMap<KindKey, KindUse>,
+    /// Requests of kinds that this entry does not know, together.
+    unknown_kinds: KindUse,
     /// Seconds of offered work by rank.
     offered: [f32; MAX_RANKS],
     /// Seconds of admitted work by rank.
@@ -116,7 +115,8 @@
         Self {
             tenants: SecondaryMap::new(),
             untenanted: TenantUse::default(),
-            kinds: Vec::new(),
+            kinds: SecondaryMap::new(),
+            unknown_kinds: KindUse::default(),
             offered: [0.0; MAX_RANKS],
             admitted: [0.0; MAX_RANKS],
             all: ServedShare::default(),
@@ -165,21 +165,21 @@
     }
 
     /// Returns the usual time until the soft deadline of a kind.
-    pub(super) fn usual_soft_time(&self, kind: usize) -> Duration {
-        self.kinds.get(kind_index(kind)).map_or(Duration::ZERO, |kind| kind.usual_soft_time)
+    pub(super) fn usual_soft_time(&self, kind: KindKey) -> Duration {
+        self.use_of_kind(kind).usual_soft_time
     }
 
     /// Returns `true` if the kind or the tenant gets so little that it goes first.
     pub(super) fn is_owed(&self, demand: &CallDemand) -> bool {
-        let kind = self.kinds.get(kind_index(demand.facts.kind));
-        kind.is_some_and(|kind| kind.share.is_below_floor(self.all))
+        self.use_of_kind(demand.facts.kind).share.is_below_floor(self.all)
             || self.use_of(demand).share.is_below_floor(self.all)
     }
 
     /// Returns `true` if the kind gets nearly as much as a more urgent one of the service, or more.
     pub(super) fn is_ahead(&self, demand: &CallDemand) -> bool {
-        let Some(own) = self.kinds.get(kind_index(demand.facts.kind)) else { return false };
-        let mut urgent = self.kinds.iter().filter(|kind| kind.rank < demand.kind_rank);
+        let own = self.use_of_kind(demand.facts.kind);
+        let kinds = self.kinds.values().chain([&self.unknown_kinds]);
+        let mut urgent = kinds.filter(|kind| kind.rank < demand.kind_rank);
         urgent.any(|kind| {
             kind.share.offered >= MIN_OFFERED && kind.share.share() < own.share.share() + LEAD
         })
@@ -212,12 +212,16 @@
         self.offered[..=rank_index(rank)].iter().sum::<f32>() / LOAD_TIME.as_secs_f32()
     }
 
-    fn kind(&mut self, kind: usize) -> &mut KindUse {
-        let index = kind_index(kind);
-        if self.kinds.len() <= index {
-            self.kinds.resize(index + 1, KindUse::default());
+    fn kind(&mut self, kind: KindKey) -> &mut KindUse {
+        match self.kinds.entry(kind) {
+            Some(entry) => entry.or_default(),
+            None => &mut self.unknown_kinds,
         }
-        &mut self.kinds[index]
+    }
+
+    /// Returns the use of a kind; that of the unknown ones if it has sent no request yet.
+    fn use_of_kind(&self, kind: KindKey) -> &KindUse {
+        self.kinds.get(kind).unwrap_or(&self.unknown_kinds)
     }
 
     fn tenant(&mut self, demand: &CallDemand) -> &mut TenantUse {
@@ -248,7 +252,8 @@
         let (kind_factor, share_factor) = (factor(KIND_SHARE_TIME), factor(TENANT_SHARE_TIME));
         let load_factor = factor(LOAD_TIME);
         self.all.decay(share_factor);
-        self.kinds.iter_mut().for_each(|kind| kind.share.decay(kind_factor));
+        let kinds = self.kinds.values_mut().chain([&mut self.unknown_kinds]);
+        kinds.for_each(|kind| kind.share.decay(kind_factor));
         self.offered.iter_mut().chain(&mut self.admitted).for_each(|load| *load *= load_factor);
         self.tenants.retain(|_, tenant| tenant.share.offered * share_factor >= IDLE_OFFERED);
         let (mut used, mut stated, mut limited, mut active) = (0.0, 0.0, 0, 0);
@@ -275,7 +280,3 @@
 fn rank_index(rank: u8) -> usize {
     usize::from(rank).min(MAX_RANKS - 1)
 }
-
-fn kind_index(kind: usize) -> usize {
-    kind.min(MAX_KINDS - 1)
-}
--- a/core/src/admission/work.rs
+++ b/core/src/admission/work.rs
@@ -1,14 +1,14 @@
 //! Expected work of the requests of each kind, learned from responses.
 
-use std::array::from_fn;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use super::run_quantile::RunQuantile;
+use arc_swap::ArcSwap;
+use slotmap::{Key, SecondaryMap};
 
-/// Number of kinds of a service whose work is learned separately; further ones share the last
-/// position. A service receives about four kinds.
-const MAX_KINDS: usize = 32;
+use super::run_quantile::RunQuantile;
+use crate::keys::KindKey;
 
 /// Weight of earlier samples in the mean. The slowdown of nearly full targets then shows after
 /// about 30 responses, which a busy service gives within a second.
@@ -40,22 +40,19 @@
 
 /// Expected work by kind. The times are those between dispatch and response under the present
 /// load, so they include the slowdown of nearly full targets.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct KindWork {
-    kinds: [WorkEstimate; MAX_KINDS],
-}
-
-impl Default for KindWork {
-    fn default() -> Self {
-        Self { kinds: from_fn(|_| WorkEstimate::default()) }
-    }
+    /// Estimates of the kinds that got a response, copied when one is added.
+    kinds: ArcSwap<SecondaryMap<KindKey, Arc<WorkEstimate>>>,
+    /// Estimate of all kinds that this entry does not know.
+    unknown: Arc<WorkEstimate>,
 }
 
 impl KindWork {
     /// Records that a request of a kind was answered after `latency`. Concurrent updates may
     /// overwrite one another.
-    pub fn record(&self, kind: usize, latency: Duration) {
-        let estimate = &self.kinds[kind.min(MAX_KINDS - 1)];
+    pub fn record(&self, kind: KindKey, latency: Duration) {
+        let estimate = self.estimate(kind).unwrap_or_else(|| self.add(kind));
         let (samples, mean) =
             (estimate.samples.load(Ordering::Relaxed), estimate.mean_us.load(Ordering::Relaxed));
         let sample = (latency.as_micros() as u64).max(1);
@@ -70,16 +67,38 @@
 
     /// Returns the expected work of a kind, or one derived from `nominal`, the nominal service
     /// time of the whole service, while too few responses are known.
-    pub fn expected(&self, kind: usize, nominal: Duration) -> ExpectedWork {
-        let estimate = &self.kinds[kind.min(MAX_KINDS - 1)];
-        let is_known = estimate.samples.load(Ordering::Relaxed) >= MIN_SAMPLES;
-        if !is_known {
+    pub fn expected(&self, kind: KindKey, nominal: Duration) -> ExpectedWork {
+        let estimate = self.estimate(kind);
+        let estimate =
+            estimate.filter(|estimate| estimate.samples.load(Ordering::Relaxed) >= MIN_SAMPLES);
+        let Some(estimate) = estimate else {
             return ExpectedWork {
                 mean: nominal,
                 run_time: RunQuantile::default().estimate(nominal),
             };
-        }
+        };
         let mean = Duration::from_micros(estimate.mean_us.load(Ordering::Relaxed));
         ExpectedWork { mean, run_time: estimate.run_time.estimate(mean) }
     }
+
+    fn estimate(&self, kind: KindKey) -> Option<Arc<WorkEstimate>> {
+        if kind.is_null() {
+            return Some(self.unknown.clone());
+        }
+        self.kinds.load().get(kind).cloned()
+    }
+
+    /// Adds an estimate, unless another thread has just done so. It takes the place of that of a
+    /// removed kind whose slot in the arena the kind got.
+    fn add(&self, kind: KindKey) -> Arc<WorkEstimate> {
+        let created = Arc::new(WorkEstimate::default());
+        self.kinds.rcu(|kinds| {
+            let mut kinds = SecondaryMap::clone(kinds);
+            if !kinds.contains_key(kind) {
+                kinds.insert(kind, created.clone());
+            }
+            kinds
+        });
+        self.estimate(kind).unwrap_or(created)
+    }
 }
--- a/core/src/call.rs
+++ b/core/src/call.rs
@@ -6,7 +6,7 @@
 use strum::{Display, EnumCount, EnumIter, EnumString, IntoStaticStr};
 
 use crate::clock::Timestamp;
-use crate::keys::{CallerKey, ServiceKey, TenantKey};
+use crate::keys::{CallerKey, KindKey, ServiceKey, TenantKey};
 
 /// Digest over the service, method, path, first part of the body and idempotency key of a
 /// request. Copies of the same request have the same fingerprint.
@@ -27,10 +27,6 @@
 #[display("{_0:016x}")]
 pub struct CallFingerprint(pub u64);
 
-/// Index of a kind that this entry does not know, because its configuration is of another
-/// version than that of the entry that sent the request.
-pub const UNKNOWN_KIND: usize = usize::MAX;
-
 /// Attributes of a request that decisions depend on, independent of its encoding.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CallFacts {
@@ -40,8 +36,9 @@
     pub caller: CallerKey,
     /// Tenant that the request belongs to; the null key if there is none.
     pub tenant: TenantKey,
-    /// Index of the request's kind in the service's intent.
-    pub kind: usize,
+    /// Kind of the request; the null key if this entry does not know it, because its configuration
+    /// is of another version than that of the entry that sent the request.
+    pub kind: KindKey,
     /// Rank of the kind; a lower rank is served first.
     pub rank: u8,
     /// Whether the request may run more than once without harm.
--- a/core/src/decision/named.rs
+++ b/core/src/decision/named.rs
@@ -128,20 +128,14 @@
         }
     }
 
-    /// Returns the name of the kind. Positions refer to one version of the intent, so a
-    /// kind of an earlier version is given by its position.
+    /// Returns the name of the kind, unless it was removed since.
     pub fn kind_name(&self, fleet: &FleetSnapshot) -> String {
-        let position = self.facts.kind;
-        let service = fleet.services.get(self.facts.service);
-        match service {
-            _ if !self.is_classified() => "unknown kind".to_owned(),
-            Some(service) if service.version == self.facts.config_version => service
-                .intent
-                .kinds
-                .get(position)
-                .map_or_else(|| format!("kind-{position}"), |kind| kind.name.clone()),
-            _ => format!("kind-{position}"),
+        if !self.is_classified() {
+            return "unknown kind".to_owned();
         }
+        let service = fleet.services.get(self.facts.service);
+        let kind = service.and_then(|service| service.kinds.get(self.facts.kind));
+        kind.map_or_else(|| "removed kind".to_owned(), |kind| kind.name.clone())
     }
 }
 
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -16,6 +16,7 @@
 };
 use crate::intent::{DesiredState, ServiceIntent, TargetInstance, TargetIntent};
 use crate::keys::{ServiceKey, TargetKey, TenantKey};
+use crate::kinds::KindTable;
 use crate::policy::{EntryView, TargetTable};
 use crate::routes::{RouteDestination, RouteIntent, RouteRule, RoutingTable};
 use crate::tenants::{TenantIntent, TenantSnapshot, TenantTable};
@@ -49,6 +50,8 @@
 pub struct ServiceSnapshot {
     /// Current intent.
     pub intent: Arc<ServiceIntent>,
+    /// Kinds of the intent.
+    pub kinds: Arc<KindTable>,
     /// Version of the intent, or of the directory's configuration if the intent comes from
     /// there.
     pub version: u64,
@@ -189,11 +192,14 @@
         let targets = self.merge_targets(old_targets, &intent.targets, now);
         let name = intent.service.clone();
         let before = existing.map(|key| &self.services[key]);
+        let kinds = before.map(|service| service.kinds.clone()).unwrap_or_default();
+        let kinds = Arc::new(kinds.next(&intent.kinds));
         let counters = before.map(|service| service.counters.clone()).unwrap_or_default();
         let parts = before.map(|service| service.parts.clone()).unwrap_or_default();
         let part_data_centres = before.map(|service| service.part_data_centres.clone());
         let service = ServiceSnapshot {
             intent: Arc::new(intent),
+            kinds,
             version,
             targets,
             counters,
@@ -250,8 +256,7 @@
         for route in routes {
             let parts = route.parts.iter().filter_map(|part| {
                 let (service, snapshot) = self.find(&part.service)?;
-                let kinds = &snapshot.intent.kinds;
-                let kind = kinds.iter().position(|kind| kind.name == route.kind.name)?;
+                let kind = snapshot.kinds.key_of(&route.kind.name)?;
                 Some((RouteDestination { service, kind }, part.weight))
             });
             let parts = parts.collect();
--- a/core/src/keys.rs
+++ b/core/src/keys.rs
@@ -8,6 +8,9 @@
     /// Identifies a service in a fleet snapshot.
     pub struct ServiceKey;
 
+    /// Identifies a kind of request among those of its service.
+    pub struct KindKey;
+
     /// Identifies a caller in the table of this entry.
     pub struct CallerKey;
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod held_bytes;
 pub mod intent;
 pub mod keys;
+pub mod kinds;
 pub mod outlier;
 pub mod placement;
 pub mod plan;
--- a/core/src/routes.rs
+++ b/core/src/routes.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::intent::KindIntent;
-use crate::keys::ServiceKey;
+use crate::keys::{KindKey, ServiceKey};
 
 /// Step between two draws of a weighted choice: 2^32 divided by the golden ratio. Its
 /// multiples modulo 2^32 are spread evenly, so that the weights hold after a few requests.
@@ -42,8 +42,8 @@
 pub struct RouteDestination {
     /// Key of the service.
     pub service: ServiceKey,
-    /// Index of the route's kind in the intent of that service.
-    pub kind: usize,
+    /// Key of the route's kind in that service.
+    pub kind: KindKey,
 }
 
 /// A route with keys instead of names.
--- a/core/tests/admission_order.rs
+++ b/core/tests/admission_order.rs
@@ -16,7 +16,7 @@
 };
 use zinniaport_core::call::CallFacts;
 use zinniaport_core::clock::Timestamp;
-use zinniaport_core::keys::TenantKey;
+use zinniaport_core::keys::{KindKey, TenantKey};
 use zinniaport_testing::test_cases;
 
 /// Loads of the comparison, as factors on what the targets serve.
@@ -88,6 +88,11 @@
     }
 }
 
+/// Returns the key of a kind other than that of [`demand`].
+fn other_kind() -> KindKey {
+    SlotMap::with_key().insert(())
+}
+
 fn with_rank(rank: u8, demand: CallDemand) -> CallDemand {
     CallDemand { facts: CallFacts { rank, ..demand.facts }, kind_rank: rank, ..demand }
 }
@@ -175,7 +180,7 @@
     near_deadlines_go_first: "a request near its soft deadline that waits behind one of its rank with plenty of time" => {
         let (mut queue, now) = (OverloadedQueue::new(), Timestamp(1_000_000));
         let unhurried = demand(now);
-        let facts = CallFacts { kind: 1, soft_deadline: Some(now + Duration::from_millis(2_500)), ..unhurried.facts };
+        let facts = CallFacts { kind: other_kind(), soft_deadline: Some(now + Duration::from_millis(2_500)), ..unhurried.facts };
         queue.join(&CallDemand { facts, ..unhurried }, 1, now).unwrap();
         queue.join(&demand(now), 2, now).unwrap();
         queue.join(&with_rank(1, demand(now)), 3, now).unwrap();
@@ -187,7 +192,7 @@
         let (mut queue, now) = (OverloadedQueue::new(), Timestamp(1_000_000));
         let long = ExpectedWork { mean: Duration::from_millis(750), run_time: Duration::from_millis(900) };
         for name in 0..5 {
-            let facts = CallFacts { kind: 1, rank: 2, soft_deadline: Some(now + Duration::from_secs(3)), ..demand(now).facts };
+            let facts = CallFacts { kind: other_kind(), rank: 2, soft_deadline: Some(now + Duration::from_secs(3)), ..demand(now).facts };
             queue.join(&CallDemand { facts, work: long, ..demand(now) }, name, now).unwrap();
         }
         queue.join(&demand(now), 9, now).unwrap();
--- a/core/tests/overload_trial/mod.rs
+++ b/core/tests/overload_trial/mod.rs
@@ -18,7 +18,7 @@
 };
 use zinniaport_core::call::CallFacts;
 use zinniaport_core::clock::Timestamp;
-use zinniaport_core::keys::TenantKey;
+use zinniaport_core::keys::{KindKey, TenantKey};
 
 const SLOTS: usize = 60;
 
@@ -189,6 +189,8 @@
     let mut random = SmallRng::seed_from_u64(11);
     let mut arena: SlotMap<TenantKey, ()> = SlotMap::with_key();
     let tenant_keys: Vec<_> = (0..input.tenants).map(|_| arena.insert(())).collect();
+    let mut arena: SlotMap<KindKey, ()> = SlotMap::with_key();
+    let kind_keys: Vec<_> = kinds.iter().map(|_| arena.insert(())).collect();
     // The largest of 82 sends a fifth of all requests.
     let size = |tenant: usize| 1.0 / (tenant + 1) as f64;
     let mean_ms = kinds.iter().map(|kind| kind.per_second * kind.work_ms as f64).sum::<f64>()
@@ -250,7 +252,7 @@
                     let kind = &kinds[call.kind];
                     let left_us = call.sent + kind.deadline_ms * 1_000 - now;
                     let facts = CallFacts {
-                        kind: call.kind,
+                        kind: kind_keys[call.kind],
                         tenant: tenant_keys.get(call.tenant).copied().unwrap_or_default(),
                         rank: kind.rank,
                         arrived: Timestamp(now),
@@ -261,7 +263,7 @@
                     let demand = CallDemand {
                         facts,
                         kind_rank: kind.rank,
-                        work: work.expected(call.kind, nominal),
+                        work: work.expected(kind_keys[call.kind], nominal),
                         entitlement: (input.tenants > 0).then(|| size(call.tenant) as f32),
                         is_repeated: false,
                     };
@@ -276,7 +278,7 @@
             Event::Answered(call, started) => {
                 running -= 1;
                 let kind = &kinds[call.kind];
-                work.record(call.kind, Duration::from_micros(now - started));
+                work.record(kind_keys[call.kind], Duration::from_micros(now - started));
                 quantile.record(Duration::from_micros(now - started), nominal);
                 let (in_time, served) = (
                     now <= call.sent + kind.soft_ms * 1_000,
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -15,7 +15,7 @@
 use zinniaport_core::call::CallFacts;
 use zinniaport_core::decision::DecisionTrace;
 use zinniaport_core::fleet::{FleetSnapshot, ServiceSnapshot, TargetSnapshot};
-use zinniaport_core::keys::TargetKey;
+use zinniaport_core::keys::{KindKey, TargetKey};
 use zinniaport_core::policy::TargetChoice;
 use zinniaport_core::quarantine::TargetProcess;
 
@@ -164,8 +164,8 @@
     pub body_status: BodyStatus,
     /// Time for which the request waited for the response to an earlier one on its connection.
     pub waited_behind: Duration,
-    /// Index of the request's kind in its service, if a route set it.
-    pub routed_kind: Option<usize>,
+    /// Kind of the request, if a route set it.
+    pub routed_kind: Option<KindKey>,
     /// Whether its route needs no API key.
     pub is_public: bool,
     /// Target for the next dispatch, if the placement picked it.
--- a/src/filters/claim.rs
+++ b/src/filters/claim.rs
@@ -46,7 +46,7 @@
             return Err(Refusal::not_run(ReasonCode::UnknownService, "the service was removed"));
         };
         let intent = &service.intent;
-        let required = intent.kinds.get(exchange.facts.kind).is_some_and(|kind| kind.require_key);
+        let required = service.kinds.get(exchange.facts.kind).is_some_and(|kind| kind.require_key);
         match read_key(&intent.service, &exchange.head.headers) {
             Ok(None) if required => {
                 let detail = format!("{} takes this request with a key only", intent.service);
--- a/src/filters/classify.rs
+++ b/src/filters/classify.rs
@@ -33,12 +33,11 @@
         let service = &exchange.fleet.services[exchange.facts.service];
         let path = path_in_service(exchange.head.uri.path());
         let method = exchange.head.method.as_str();
-        let mut kinds = service.intent.kinds.iter().enumerate();
         let found = match exchange.routed_kind {
-            Some(position) => kinds.nth(position),
-            None => kinds.find(|(_, kind)| kind.matches(method, path)),
+            Some(key) => service.kinds.get(key).map(|kind| (key, kind)),
+            None => service.kinds.iter().find(|(_, kind)| kind.matches(method, path)),
         };
-        let Some((position, kind)) = found else {
+        let Some((key, kind)) = found else {
             let detail =
                 format!("{method} {path} belongs to no kind of {}", service.intent.service);
             return Err(Refusal::not_run(ReasonCode::UnknownKind, detail));
@@ -52,7 +51,7 @@
             requested_limit(&exchange.head.headers, self.state.dialect.deadline_header())?;
         let limit = requested.map_or(limit, |requested| requested.min(limit));
         let facts = &mut exchange.facts;
-        facts.kind = position;
+        facts.kind = key;
         let tenant = exchange.fleet.tenant(facts.tenant);
         facts.rank = tenant.and_then(|tenant| tenant.rank).unwrap_or(kind.rank);
         facts.idempotent = kind.idempotent;
--- a/src/filters/record.rs
+++ b/src/filters/record.rs
@@ -160,7 +160,7 @@
 fn kind_name(exchange: &Exchange) -> &str {
     let service = exchange.fleet.services.get(exchange.facts.service);
     let service = service.filter(|_| exchange.facts.deadline.0 > 0);
-    let kind = service.and_then(|service| service.intent.kinds.get(exchange.facts.kind));
+    let kind = service.and_then(|service| service.kinds.get(exchange.facts.kind));
     kind.map_or("unknown", |kind| kind.name.as_str())
 }
 
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -206,7 +206,7 @@
         let limit = fleet.tenant(facts.tenant).and_then(|tenant| tenant.limit);
         CallDemand {
             facts: *facts,
-            kind_rank: service.intent.kinds.get(facts.kind).map_or(facts.rank, |kind| kind.rank),
+            kind_rank: service.kinds.get(facts.kind).map_or(facts.rank, |kind| kind.rank),
             work: self.counters.kind_work.expected(facts.kind, self.nominal_service_time()),
             entitlement: limit.map(|limit| limit.requests_per_second as f32),
             is_repeated,
@@ -295,7 +295,8 @@
             result,
             facts: demand.facts,
             work: demand.work,
-            intent: service.intent.clone(),
+            service: service.intent.clone(),
+            kind: service.kinds.get(demand.facts.kind).cloned(),
             version: service.version,
             is_returned: joined.is_returned,
             joined: now,
--- a/src/gate/slot.rs
+++ b/src/gate/slot.rs
@@ -8,7 +8,7 @@
 use zinniaport_core::admission::{ExpectedWork, WaitKey};
 use zinniaport_core::call::CallFacts;
 use zinniaport_core::clock::Timestamp;
-use zinniaport_core::intent::ServiceIntent;
+use zinniaport_core::intent::{KindIntent, ServiceIntent};
 
 use super::admission::{AdmissionGate, AdmissionResult};
 
@@ -23,8 +23,10 @@
     /// Work that it was expected to cause when it joined the queue.
     pub(super) work: ExpectedWork,
     /// Intent of the service when the request joined the queue.
-    pub(super) intent: Arc<ServiceIntent>,
-    /// Version of that intent.
+    pub(super) service: Arc<ServiceIntent>,
+    /// Intent of its kind, if this entry knows the kind.
+    pub(super) kind: Option<Arc<KindIntent>>,
+    /// Version of these intents.
     pub(super) version: u64,
     /// Whether the queue takes it for a request that was refused before.
     pub(super) is_returned: bool,
@@ -41,9 +43,9 @@
         }
         let admitted = self.gate.counters.in_flight.load(Ordering::Relaxed);
         let headroom = self.gate.headroom(&self.gate.table.load(), admitted);
-        let kind = self.intent.kinds.get(self.facts.kind);
+        let kind = self.kind.as_ref();
         log::info!(
-            service = self.intent.service.as_str(),
+            service = self.service.service.as_str(),
             kind = kind.map_or("unknown", |kind| kind.name.as_str()),
             rank = self.facts.rank,
             config_version = self.version,
--- a/src/placement/coordinator.rs
+++ b/src/placement/coordinator.rs
@@ -13,7 +13,7 @@
 use zinniaport_core::fleet::{
     FleetSnapshot, ServiceCounters, ServiceSnapshot, TargetCounters, TargetSnapshot,
 };
-use zinniaport_core::keys::TargetKey;
+use zinniaport_core::keys::{KindKey, TargetKey};
 use zinniaport_core::placement::{AttemptEnd, AttemptKind, PartKey};
 use zinniaport_core::policy::{MEAN_SLOWDOWN, RoutingPolicy, TargetChoice, TargetQuery};
 
@@ -88,8 +88,8 @@
     /// Slowdown that the target reported last, in percent of the nominal service time, or
     /// `None` if the report was old.
     slowdown_percent: Option<u32>,
-    /// Index of the request's kind.
-    kind: usize,
+    /// Kind of the request.
+    kind: KindKey,
     _slot: SlotGuard,
 }
 
@@ -99,7 +99,7 @@
         state: Arc<SharedState>,
         target: &TargetSnapshot,
         service: Arc<ServiceCounters>,
-        kind: usize,
+        kind: KindKey,
         slot: SlotGuard,
     ) -> Result<Self, SlotGuard> {
         let now = state.clock.now();
--- a/src/placement/tags.rs
+++ b/src/placement/tags.rs
@@ -5,9 +5,8 @@
 
 use arc_swap::ArcSwap;
 use indexmap::IndexSet;
-use zinniaport_core::call::UNKNOWN_KIND;
 use zinniaport_core::fleet::{FleetSnapshot, ServiceSnapshot};
-use zinniaport_core::keys::{ServiceKey, TargetKey};
+use zinniaport_core::keys::{KindKey, ServiceKey, TargetKey};
 use zinniaport_core::placement::{KindTag, PartKey, part_tag};
 use zinniaport_core::signals::{ServiceTag, TargetTag};
 
@@ -19,8 +18,8 @@
     parts: HashMap<ServiceTag, PartKey>,
     part_tags: HashMap<PartKey, ServiceTag>,
     tags: HashMap<TargetKey, TargetTag>,
-    /// Tags of the kinds of each service, in the order of its intent.
-    kinds: HashMap<ServiceKey, Vec<KindTag>>,
+    kinds: HashMap<(ServiceKey, KindTag), KindKey>,
+    kind_tags: HashMap<(ServiceKey, KindKey), KindTag>,
 }
 
 impl TagTable {
@@ -30,8 +29,11 @@
         let targets = tags.iter().map(|(key, tag)| (*tag, *key)).collect();
         let mut table = Self { targets, tags, ..Self::default() };
         for (key, service) in &fleet.services {
-            let kinds = service.intent.kinds.iter().map(|kind| KindTag::of(&kind.name)).collect();
-            table.kinds.insert(key, kinds);
+            for (kind, intent) in service.kinds.iter() {
+                let tag = KindTag::of(&intent.name);
+                table.kinds.insert((key, tag), kind);
+                table.kind_tags.insert((key, kind), tag);
+            }
         }
         for (name, service) in &fleet.service_keys {
             let Some(snapshot) = fleet.services.get(*service) else { continue };
@@ -95,14 +97,13 @@
     }
 
     /// Returns the tag of a kind, or the default tag if there is no such kind.
-    pub(super) fn tag_of_kind(&self, service: ServiceKey, kind: usize) -> KindTag {
-        self.kinds.get(&service).and_then(|kinds| kinds.get(kind)).copied().unwrap_or_default()
+    pub(super) fn tag_of_kind(&self, service: ServiceKey, kind: KindKey) -> KindTag {
+        self.kind_tags.get(&(service, kind)).copied().unwrap_or_default()
     }
 
-    /// Returns the index of the kind with this tag, or [`UNKNOWN_KIND`].
-    pub(super) fn kind(&self, service: ServiceKey, tag: KindTag) -> usize {
-        let kinds = self.kinds.get(&service);
-        kinds.and_then(|kinds| kinds.iter().position(|kind| *kind == tag)).unwrap_or(UNKNOWN_KIND)
+    /// Returns the kind with this tag, or the null key if this entry does not know it.
+    pub(super) fn kind(&self, service: ServiceKey, tag: KindTag) -> KindKey {
+        self.kinds.get(&(service, tag)).copied().unwrap_or_default()
     }
 
     pub(super) fn tag_of_part(&self, part: PartKey) -> Option<ServiceTag> {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -11,7 +11,7 @@
 use zinniaport_core::call::{CallOutcome, ReasonCode};
 use zinniaport_core::decision::DecisionRecord;
 use zinniaport_core::fleet::{FleetSnapshot, ServiceSnapshot};
-use zinniaport_core::keys::ServiceKey;
+use zinniaport_core::keys::{KindKey, ServiceKey};
 use zinniaport_core::probe::MeasuringAccount;
 
 use super::admission::AdmissionMetrics;
@@ -63,7 +63,7 @@
 /// Metric handles for one version of a service's intent.
 struct ServiceMetrics {
     version: u64,
-    kinds: Vec<KindMetrics>,
+    kinds: SecondaryMap<KindKey, KindMetrics>,
 }
 
 /// Metrics of one entry.
@@ -193,7 +193,7 @@
     }
 
     /// Returns the handles of a service, and registers them for a new version. Requests in
-    /// flight during a change of version are counted under the kinds of the new one.
+    /// flight during a change of version are unclassified if the new one has removed their kind.
     fn service(&self, key: ServiceKey, snapshot: &ServiceSnapshot) -> Arc<ServiceMetrics> {
         if let Some(known) = self.services.load().get(key)
             && known.version >= snapshot.version
@@ -201,8 +201,10 @@
             return known.clone();
         }
         let name = &snapshot.intent.service;
-        let kinds = snapshot.intent.kinds.iter();
-        let kinds = kinds.map(|kind| KindMetrics::new(&self.recorder, name, &kind.name)).collect();
+        let kinds = snapshot.kinds.iter();
+        let kinds = kinds
+            .map(|(key, kind)| (key, KindMetrics::new(&self.recorder, name, &kind.name)))
+            .collect();
         let created = Arc::new(ServiceMetrics { version: snapshot.version, kinds });
         self.services.rcu(|services| {
             let mut services = SecondaryMap::clone(services);
--- a/tests/admission_choice.rs
+++ b/tests/admission_choice.rs
@@ -64,8 +64,9 @@
     let gate =
         Arc::new(AdmissionGate::new(clock.clone(), service.counters.clone(), Arc::default()));
     let mut callers: SlotMap<CallerKey, ()> = SlotMap::with_key();
-    let mut facts = |kind, soft_deadline_ms| CallFacts {
-        kind,
+    let kinds: Vec<_> = service.kinds.iter().map(|(key, _)| key).collect();
+    let mut facts = |kind: usize, soft_deadline_ms| CallFacts {
+        kind: kinds[kind],
         caller: callers.insert(()),
         deadline: START + Duration::from_secs(60),
         soft_deadline: Some(clock.now() + Duration::from_millis(soft_deadline_ms)),
