Forget time limits of kinds that a version has shortened

What callers saw: after a version that shortened the time limit of a route, its requests waited behind all others. Cause: the admission queue takes a request for one that was refused before if it has less time than is usual for its kind. What is usual fell by 1/1024 of the difference with each request, so thousands of new requests counted as sent again and as past their soft deadline. Change: what is usual is at most the limit in force, which a request now brings along as the terms of its kind. The comparison of orders in core/tests/admission_order.rs is not affected, since its limits do not change.

--- a/core/examples/decision_cost.rs
+++ b/core/examples/decision_cost.rs
@@ -13,7 +13,7 @@
 use zinniaport_core::admission::window::concurrency_window;
 use zinniaport_core::admission::{
     AdmissionLimits, AdmissionOrder, AdmissionQueue, CallDemand, CostQueue, ExpectedWork,
-    ServiceRate,
+    KindTerms, ServiceRate,
 };
 use zinniaport_core::call::CallFacts;
 use zinniaport_core::clock::Timestamp;
@@ -102,8 +102,8 @@
             ..CallFacts::default()
         };
         let work = ExpectedWork { mean: service_time, run_time: service_time };
-        let kind_rank = facts.rank;
-        CallDemand { facts, kind_rank, work, entitlement: Some(1.0), is_repeated: false }
+        let kind = KindTerms::with_rank(facts.rank);
+        CallDemand { facts, kind, work, entitlement: Some(1.0), is_repeated: false }
     };
     let mut joined = 0;
     let mut join = |queue: &mut dyn AdmissionOrder<u64>| {
--- a/core/src/admission/fairness.rs
+++ b/core/src/admission/fairness.rs
@@ -134,12 +134,15 @@
         self.sweep(now);
         let facts = &demand.facts;
         self.offered[rank_index(facts.rank)] += demand.work.mean.as_secs_f32();
-        let kind = self.kind(facts.kind);
+        let (kind, terms) = (self.kind(facts.kind), demand.kind);
         let left = facts.deadline.since(now);
-        let elapsed = kind.usual_time.saturating_sub(left);
-        kind.rank = demand.kind_rank;
-        kind.usual_time = approach(kind.usual_time, left);
-        kind.usual_soft_time = approach(kind.usual_soft_time, facts.soft_deadline().since(now));
+        // An earlier version may have allowed more time.
+        let usual_time = kind.usual_time.min(terms.time_limit);
+        let usual_soft_time = kind.usual_soft_time.min(terms.soft_time_limit);
+        let elapsed = usual_time.saturating_sub(left);
+        kind.rank = terms.rank;
+        kind.usual_time = approach(usual_time, left);
+        kind.usual_soft_time = approach(usual_soft_time, facts.soft_deadline().since(now));
         elapsed
     }
 
@@ -179,7 +182,7 @@
     pub(super) fn is_ahead(&self, demand: &CallDemand) -> bool {
         let own = self.use_of_kind(demand.facts.kind);
         let kinds = self.kinds.values().chain([&self.unknown_kinds]);
-        let mut urgent = kinds.filter(|kind| kind.rank < demand.kind_rank);
+        let mut urgent = kinds.filter(|kind| kind.rank < demand.kind.rank);
         urgent.any(|kind| {
             kind.share.offered >= MIN_OFFERED && kind.share.share() < own.share.share() + LEAD
         })
--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -15,7 +15,7 @@
 mod work;
 
 pub use cost_queue::{CostQueue, HONOURED_DELAY_DIVISOR};
-pub use order::{AdmissionOrder, CallDemand, RefusedCall, WaitingTenants};
+pub use order::{AdmissionOrder, CallDemand, KindTerms, RefusedCall, WaitingTenants};
 pub use queue::{
     AdmissionLimits, AdmissionQueue, AdmissionRefusal, JoinedCall, QueueDeparture, ServiceRate,
     WaitKey,
--- a/core/src/admission/order.rs
+++ b/core/src/admission/order.rs
@@ -9,14 +9,42 @@
 use super::work::ExpectedWork;
 use crate::call::CallFacts;
 use crate::clock::Timestamp;
+use crate::intent::KindIntent;
+
+/// What the configuration in force states for the requests of a kind.
+#[derive(Clone, Copy, Debug)]
+pub struct KindTerms {
+    /// Rank, from which that of a request differs if its tenant has one.
+    pub rank: u8,
+    /// Longest time from the arrival of a request to its deadline.
+    pub time_limit: Duration,
+    /// Longest time from the arrival of a request to its soft deadline.
+    pub soft_time_limit: Duration,
+}
+
+impl KindTerms {
+    /// Returns the terms of a kind.
+    pub fn of(kind: &KindIntent) -> Self {
+        Self {
+            rank: kind.rank,
+            time_limit: kind.deadline(),
+            soft_time_limit: kind.target_latency(),
+        }
+    }
+
+    /// Returns the terms of a kind of which only the rank is known.
+    pub fn with_rank(rank: u8) -> Self {
+        Self { rank, time_limit: Duration::MAX, soft_time_limit: Duration::MAX }
+    }
+}
 
 /// A request that asks for admission.
 #[derive(Clone, Copy, Debug)]
 pub struct CallDemand {
     /// Attributes of the request.
     pub facts: CallFacts,
-    /// Rank of its kind, from which that of the request differs if its tenant has one.
-    pub kind_rank: u8,
+    /// What holds for all requests of its kind.
+    pub kind: KindTerms,
     /// Work that it is expected to cause.
     pub work: ExpectedWork,
     /// Requests per second that its tenant is entitled to; `None` if that is not limited.
--- a/core/tests/admission_order.rs
+++ b/core/tests/admission_order.rs
@@ -12,7 +12,7 @@
 use strum::IntoEnumIterator;
 use zinniaport_core::admission::{
     AdmissionLimits, AdmissionOrder, AdmissionRefusal, CallDemand, CostQueue, ExpectedWork,
-    QueueDeparture, ServiceRate,
+    KindTerms, QueueDeparture, ServiceRate,
 };
 use zinniaport_core::call::CallFacts;
 use zinniaport_core::clock::Timestamp;
@@ -81,7 +81,7 @@
     let (mean, run_time) = (Duration::from_millis(200), Duration::from_millis(260));
     CallDemand {
         facts,
-        kind_rank: facts.rank,
+        kind: KindTerms::with_rank(facts.rank),
         work: ExpectedWork { mean, run_time },
         entitlement: None,
         is_repeated: false,
@@ -94,7 +94,11 @@
 }
 
 fn with_rank(rank: u8, demand: CallDemand) -> CallDemand {
-    CallDemand { facts: CallFacts { rank, ..demand.facts }, kind_rank: rank, ..demand }
+    CallDemand {
+        facts: CallFacts { rank, ..demand.facts },
+        kind: KindTerms::with_rank(rank),
+        ..demand
+    }
 }
 
 fn with_tenant(tenant: TenantKey, demand: CallDemand) -> CallDemand {
--- a/core/tests/overload_trial/mod.rs
+++ b/core/tests/overload_trial/mod.rs
@@ -13,7 +13,7 @@
 use slotmap::SlotMap;
 use strum::{Display, EnumIter};
 use zinniaport_core::admission::{
-    AdmissionLimits, AdmissionOrder, AdmissionQueue, CallDemand, CostQueue, KindWork,
+    AdmissionLimits, AdmissionOrder, AdmissionQueue, CallDemand, CostQueue, KindTerms, KindWork,
     QueueDeparture, RunQuantile, ServiceRate,
 };
 use zinniaport_core::call::CallFacts;
@@ -262,7 +262,7 @@
                     };
                     let demand = CallDemand {
                         facts,
-                        kind_rank: kind.rank,
+                        kind: KindTerms::with_rank(kind.rank),
                         work: work.expected(kind_keys[call.kind], nominal),
                         entitlement: (input.tenants > 0).then(|| size(call.tenant) as f32),
                         is_repeated: false,
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -8,8 +8,8 @@
 use tokio::sync::oneshot;
 use zinniaport_core::admission::window::{HeadroomInput, ServiceHeadroom, service_headroom};
 use zinniaport_core::admission::{
-    AdmissionLimits, AdmissionRefusal, CallDemand, HONOURED_DELAY_DIVISOR, QueueDeparture,
-    RefusedCall, RunQuantile, ServiceRate, WaitingTenants,
+    AdmissionLimits, AdmissionRefusal, CallDemand, HONOURED_DELAY_DIVISOR, KindTerms,
+    QueueDeparture, RefusedCall, RunQuantile, ServiceRate, WaitingTenants,
 };
 use zinniaport_core::call::{CallFacts, ReasonCode};
 use zinniaport_core::clock::{ClockSource, Timestamp};
@@ -206,7 +206,10 @@
         let limit = fleet.tenant(facts.tenant).and_then(|tenant| tenant.limit);
         CallDemand {
             facts: *facts,
-            kind_rank: service.kinds.get(facts.kind).map_or(facts.rank, |kind| kind.rank),
+            kind: match service.kinds.get(facts.kind) {
+                Some(kind) => KindTerms::of(kind),
+                None => KindTerms::with_rank(facts.rank),
+            },
             work: self.counters.kind_work.expected(facts.kind, self.nominal_service_time()),
             entitlement: limit.map(|limit| limit.requests_per_second as f32),
             is_repeated,
