Give slots of slowed targets to short requests that fit there

What callers saw: while most targets of a service were slow, requests on added routes, which run for a few milliseconds and may wait for one second, got no response before their deadline. Cause: free slots of slowed targets went only to requests that could no longer meet their soft deadline. A short request can meet it until just before its deadline, so it waited for a target that was not slowed, and each later request that was already late passed it. Change: such a slot goes to the first waiting request that meets its soft deadline there too, with its run time multiplied by the least slowdown of a slowed target with a free slot, and otherwise to a late one. The time expected at a target is scaled down for kinds that take less time than most requests of the service.

--- a/core/src/admission/cost_queue.rs
+++ b/core/src/admission/cost_queue.rs
@@ -247,9 +247,14 @@
         Some(QueueDeparture::Admitted(trace, call.waiter))
     }
 
-    /// Returns the next request among those that can meet their soft deadline.
-    fn next_timely(&self, now: Timestamp) -> Option<(WaitKey, ReasonCode)> {
-        let timely = self.calls.iter().filter(|(_, call)| !call.is_late(now));
+    /// Returns the next request among those that can meet their soft deadline and that `is_usable`
+    /// selects.
+    fn next_timely(
+        &self,
+        now: Timestamp,
+        is_usable: impl Fn(&CostedCall<W>) -> bool,
+    ) -> Option<(WaitKey, ReasonCode)> {
+        let timely = self.calls.iter().filter(|(_, call)| !call.is_late(now) && is_usable(call));
         let positions = timely.map(|(key, call)| (self.position(call), key));
         let (position, key) = positions.min()?;
         let others = || self.calls.values().filter(|call| call.order != position.order);
@@ -353,12 +358,26 @@
         self.take(now, |queue| {
             let is_turn = queue.since_late_return >= LATE_RETURN_TURN - 1;
             let returned = is_turn.then(|| queue.next_late(now, true)).flatten();
-            returned.or_else(|| queue.next_timely(now)).or_else(|| queue.next_late(now, false))
+            returned
+                .or_else(|| queue.next_timely(now, |_| true))
+                .or_else(|| queue.next_late(now, false))
         })
     }
 
-    fn take_late(&mut self, now: Timestamp, _run_time: Duration) -> Option<QueueDeparture<W>> {
-        self.take(now, |queue| queue.next_late(now, false))
+    fn take_slowed(
+        &mut self,
+        now: Timestamp,
+        _run_time: Duration,
+        slowdown: Option<f32>,
+    ) -> Option<QueueDeparture<W>> {
+        let meets_soft_deadline = |call: &CostedCall<W>| {
+            let run_time = slowdown.map(|slowdown| call.demand.work.run_time.mul_f32(slowdown));
+            run_time.is_some_and(|run_time| now + run_time <= call.soft_deadline)
+        };
+        self.take(now, |queue| {
+            let timely = queue.next_timely(now, meets_soft_deadline);
+            timely.or_else(|| queue.next_late(now, false))
+        })
     }
 
     fn remove_unservable(&mut self, now: Timestamp, rate: ServiceRate) -> Vec<RefusedCall<W>> {
--- a/core/src/admission/order.rs
+++ b/core/src/admission/order.rs
@@ -100,8 +100,15 @@
     /// `run_time` is the time within which most requests of the service are answered.
     fn take_next(&mut self, now: Timestamp, run_time: Duration) -> Option<QueueDeparture<W>>;
 
-    /// Like [`Self::take_next`], among the requests that cannot meet their soft deadline.
-    fn take_late(&mut self, now: Timestamp, run_time: Duration) -> Option<QueueDeparture<W>>;
+    /// Like [`Self::take_next`], for a target on which runs take `slowdown` times as long, or an
+    /// unknown time: among the requests that meet their soft deadline there, then among those that
+    /// cannot meet it anywhere.
+    fn take_slowed(
+        &mut self,
+        now: Timestamp,
+        run_time: Duration,
+        slowdown: Option<f32>,
+    ) -> Option<QueueDeparture<W>>;
 
     /// Removes and returns the requests that are to be refused because they would end too late.
     fn remove_unservable(&mut self, now: Timestamp, rate: ServiceRate) -> Vec<RefusedCall<W>>;
@@ -140,8 +147,13 @@
         Self::take_next(self, now, run_time)
     }
 
-    fn take_late(&mut self, now: Timestamp, run_time: Duration) -> Option<QueueDeparture<W>> {
-        Self::take_late(self, now, run_time)
+    fn take_slowed(
+        &mut self,
+        now: Timestamp,
+        run_time: Duration,
+        slowdown: Option<f32>,
+    ) -> Option<QueueDeparture<W>> {
+        Self::take_slowed(self, now, run_time, slowdown)
     }
 
     fn remove_unservable(&mut self, now: Timestamp, rate: ServiceRate) -> Vec<RefusedCall<W>> {
--- a/core/src/admission/queue.rs
+++ b/core/src/admission/queue.rs
@@ -194,14 +194,23 @@
         self.take(now, service_time, |queue| queue.next_timely().or_else(|| queue.next_late()))
     }
 
-    /// Removes and returns the next request among those that cannot meet their soft
-    /// deadline, or one whose deadline has passed.
-    pub fn take_late(
+    /// Removes and returns the next request for a target on which runs take `slowdown` times
+    /// `service_time`, or an unknown time: the next of all if it can meet its soft deadline
+    /// there, otherwise one that cannot meet it anywhere, or one whose deadline has passed.
+    pub fn take_slowed(
         &mut self,
         now: Timestamp,
         service_time: Duration,
+        slowdown: Option<f32>,
     ) -> Option<QueueDeparture<W>> {
-        self.take(now, service_time, Self::next_late)
+        let end = slowdown.map(|slowdown| now + service_time.mul_f32(slowdown));
+        self.take(now, service_time, |queue| {
+            let is_met = |key| {
+                let call: Option<&WaitingCall<W>> = queue.calls.get(key);
+                call.zip(end).is_some_and(|(call, end)| end <= call.soft_deadline)
+            };
+            queue.next_timely().filter(|(key, _)| is_met(*key)).or_else(|| queue.next_late())
+        })
     }
 
     /// Removes and returns a request whose deadline has passed, if any, otherwise the one
--- a/core/src/admission/window.rs
+++ b/core/src/admission/window.rs
@@ -52,6 +52,9 @@
     pub free: u32,
     /// Free slots of targets that are slowed or unresponsive.
     pub slowed: u32,
+    /// Least service time that a slowed target with a free slot reported, in percent of its nominal
+    /// one.
+    pub least_slowdown_percent: Option<u32>,
     /// Total number of requests that the targets should run concurrently.
     pub usable: u32,
 }
@@ -80,7 +83,13 @@
             continue;
         }
         // An unresponsive target may be gone, so its slots do not count as free.
-        let is_slow = counters.is_slowed(now) || counters.is_unresponsive(now);
+        let is_unresponsive = counters.is_unresponsive(now);
+        if free > 0 && counters.is_slowed(now) && !is_unresponsive {
+            let (slowdown, _) = counters.slowdown_report(now);
+            let least = headroom.least_slowdown_percent.get_or_insert(slowdown);
+            *least = slowdown.min(*least);
+        }
+        let is_slow = counters.is_slowed(now) || is_unresponsive;
         *(if is_slow { &mut headroom.slowed } else { &mut headroom.free }) += free;
     }
     headroom.usable = concurrency.ceil() as u32;
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -308,20 +308,24 @@
 
     /// Admits waiting requests while slots are free. Slots of targets that are not slowed go
     /// first to requests that can still meet their soft deadline; slots of slowed targets go
-    /// only to requests that cannot.
+    /// only to requests that can meet it there too, or not at all.
     pub(super) fn serve_queue(self: &Arc<Self>) {
         while self.waiting.load(Ordering::SeqCst) > 0 {
-            let is_unslowed = self.take_slot();
-            if !is_unslowed && !self.take_slowed_slot() {
-                return;
-            }
+            let slowed_slot = match self.take_slot() {
+                true => None,
+                false => match self.take_slowed_slot() {
+                    Some(slot) => Some(slot),
+                    None => return,
+                },
+            };
             let now = self.clock.now();
             let guard = SlotGuard::new(self.clone(), now);
             let departure = {
                 let mut queue = self.lock();
-                let departure = match is_unslowed {
-                    true => queue.order.take_next(now, self.run_time_estimate()),
-                    false => queue.order.take_late(now, self.run_time_estimate()),
+                let run_time = self.run_time_estimate();
+                let departure = match slowed_slot {
+                    None => queue.order.take_next(now, run_time),
+                    Some(slot) => queue.order.take_slowed(now, run_time, slot.slowdown),
                 };
                 self.set_waiting(queue.order.waiting());
                 departure
--- a/src/gate/slots.rs
+++ b/src/gate/slots.rs
@@ -6,12 +6,19 @@
 
 use zinniaport_core::admission::window::concurrency_window;
 use zinniaport_core::clock::Timestamp;
-use zinniaport_core::fleet::ServiceSnapshot;
+use zinniaport_core::fleet::{NO_SLOWDOWN_PERCENT, ServiceSnapshot};
 use zinniaport_core::policy::TargetTable;
 
 use super::admission::AdmissionGate;
 use super::slot::SlotGuard;
 
+/// A slot of a slowed or unresponsive target.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SlowedSlot {
+    /// Factor on the time of a run there, if a target with a free slot reported one.
+    pub(super) slowdown: Option<f32>,
+}
+
 impl AdmissionGate {
     /// Takes a free slot: if the service is coordinated, one of a target that is not slowed,
     /// else one of this entry's own window.
@@ -34,13 +41,20 @@
     }
 
     /// Takes a free slot of a slowed or unresponsive target. Only a coordinator knows these.
-    pub(super) fn take_slowed_slot(&self) -> bool {
+    pub(super) fn take_slowed_slot(&self) -> Option<SlowedSlot> {
         let table = self.table.load();
         if !table.is_coordinated {
-            return false;
+            return None;
         }
-        let take = |admitted| (self.headroom(&table, admitted).slowed > 0).then_some(admitted + 1);
-        self.counters.in_flight.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_ok()
+        let mut slot = SlowedSlot { slowdown: None };
+        let take = |admitted| {
+            let headroom = self.headroom(&table, admitted);
+            let percent = headroom.least_slowdown_percent;
+            slot.slowdown = percent.map(|percent| percent as f32 / NO_SLOWDOWN_PERCENT as f32);
+            (headroom.slowed > 0).then_some(admitted + 1)
+        };
+        let taken = self.counters.in_flight.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take);
+        taken.is_ok().then_some(slot)
     }
 
     /// Takes a free slot of a target that is not slowed, unless a request waits for one.
--- a/src/placement/coordinator.rs
+++ b/src/placement/coordinator.rs
@@ -307,7 +307,8 @@
                 continue;
             };
             let is_fresh = self.is_fresh(&fleet, choice.target, now);
-            let finished = now + Duration::from_micros(choice.expected_us.into());
+            let expected_time = Duration::from_micros(choice.expected_us.into());
+            let finished = now + expected_time.mul_f32(work_share(service, call.facts.kind));
             if is_fresh && finished <= call.facts.soft_deadline() {
                 return Some(*choice);
             }
@@ -373,6 +374,14 @@
     }
 }
 
+/// Returns the work of a request of this kind relative to that of most requests of the service,
+/// from which the times at targets are estimated; at most 1.
+fn work_share(service: &ServiceSnapshot, kind: KindKey) -> f32 {
+    let Some(nominal) = service.counters.saturation.nominal_service_time() else { return 1.0 };
+    let work = service.counters.kind_work.expected(kind, nominal).mean;
+    (work.as_secs_f32() / nominal.as_secs_f32()).min(1.0)
+}
+
 /// Returns `true` if a target that the request may use has used up its request limit, and takes
 /// the next request before the soft deadline.
 fn has_permit_soon(call: &PlacementCall, service: &ServiceSnapshot, now: Timestamp) -> bool {
