Show an ordinary request that is turned away beside a crowd of uploads

What callers saw: beside 1,500 uploads that stop a byte short, one ordinary request got 503. Cause: not known yet. A crowd may now be tested with a budget of its own.

--- a/tests/caller_crowd/mod.rs
+++ b/tests/caller_crowd/mod.rs
@@ -17,9 +17,8 @@
 /// Bytes that the settings permit the entry to hold for callers.
 const HELD_BYTES: usize = 24 << 20;
 
-/// Memory that the entry may use: twice what it may hold, since a buffer doubles when it grows,
-/// and 24 MiB for the entry itself.
-const MAX_MEMORY_KIB: usize = (HELD_BYTES * 2 + (24 << 20)) >> 10;
+/// Memory that the entry may use for itself.
+const OWN_BYTES: usize = 24 << 20;
 
 /// Descriptors that the entry may use beside one for each caller: targets, listeners, the runtime
 /// and the watches of callers with unread input.
@@ -43,6 +42,7 @@
     pub callers: SocketAddr,
     process: ChildProcess,
     settings: PathBuf,
+    held_bytes: usize,
     _target: FakeTarget,
     _turn: MutexGuard<'static, ()>,
 }
@@ -50,10 +50,15 @@
 impl CrowdedEntry {
     /// Starts an entry. `limits` holds fields of its section of limits.
     pub async fn start(limits: &str) -> Self {
+        Self::start_with_budget(HELD_BYTES, limits).await
+    }
+
+    /// Starts an entry that may hold `held_bytes` for callers.
+    pub async fn start_with_budget(held_bytes: usize, limits: &str) -> Self {
         let turn = TURN.lock().await;
         let target = FakeTarget::start(|stream, _| serve(stream)).await;
         let extra = format!(
-            "limits: {{ held_bytes: {HELD_BYTES}, {limits} }}\npool: {{ whole_answer_bytes: 1048576, max_connections_per_target: 64 }}"
+            "limits: {{ held_bytes: {held_bytes}, {limits} }}\npool: {{ whole_answer_bytes: 1048576, max_connections_per_target: 64 }}"
         );
         let name =
             format!("zinniaport-crowd-{}-{}.yaml", std::process::id(), target.address.port());
@@ -62,7 +67,7 @@
         let arguments = ["--settings".as_ref(), settings.as_os_str()];
         let mut process = ChildProcess::start(env!("CARGO_BIN_EXE_zinniaport-entry"), arguments);
         let callers = process.wait_for_line("callers:").await.parse().unwrap();
-        Self { callers, process, settings, _target: target, _turn: turn }
+        Self { callers, process, settings, held_bytes, _target: target, _turn: turn }
     }
 
     /// Checks, while the crowd is still connected, that the entry lives on within its memory and
@@ -72,9 +77,9 @@
         assert!(self.process.exit_status().is_none(), "{crowd}: the entry ended");
         let descriptors = self.descriptors();
         let answer = timeout(ANSWER_TIMEOUT, ordinary_answer(self.callers)).await;
-        let peak = self.peak_memory_kib();
+        let (peak, max_memory) = (self.peak_memory_kib(), self.max_memory_kib());
         println!("{crowd}: {peak} KiB, {descriptors} descriptors, answered {}", answer.is_ok());
-        assert!(peak < MAX_MEMORY_KIB, "{crowd}: {peak} KiB of {MAX_MEMORY_KIB} KiB were used");
+        assert!(peak < max_memory, "{crowd}: {peak} KiB of {max_memory} KiB were used");
         let limit = callers + MAX_OTHER_DESCRIPTORS;
         assert!(descriptors < limit, "{crowd}: {descriptors} of {limit} descriptors");
         assert!(answer.is_ok(), "{crowd}: an ordinary request is not answered");
@@ -83,6 +88,14 @@
         let _ = std::fs::remove_file(&self.settings);
     }
 
+    /// Sends one ordinary request, which is not repeated, and returns the status of the response.
+    pub async fn ordinary_status(&self) -> String {
+        let request = b"GET /pump-history/a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        let answer = timeout(ANSWER_TIMEOUT, send_raw(self.callers, request)).await;
+        let answer = answer.expect("the request is answered or refused");
+        answer.split(' ').nth(1).unwrap_or_default().to_owned()
+    }
+
     /// Sends an upload to a target that reads it, and returns the status of the response.
     pub async fn upload(&self, headers: &str, is_chunked: bool, length: usize) -> String {
         let (mut reader, mut writer) = connect(self.callers).await.into_split();
@@ -111,6 +124,12 @@
         String::from_utf8_lossy(&status[9..]).into_owned()
     }
 
+    /// Returns the memory that the entry may use: its own and twice what it may hold, since a
+    /// buffer doubles when it grows.
+    fn max_memory_kib(&self) -> usize {
+        (self.held_bytes * 2 + OWN_BYTES) >> 10
+    }
+
     fn peak_memory_kib(&self) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id()));
         let status = status.unwrap();
--- a/tests/held_bytes.rs
+++ b/tests/held_bytes.rs
@@ -35,6 +35,13 @@
 const HTTP2_CONNECTIONS: usize = 10;
 const HTTP2_STREAMS: usize = 90;
 
+/// Uploads at a time of which hardly any fit into [`SMALL_BUDGET_BYTES`] together, and their size.
+const CROWDED_UPLOADS: usize = 300;
+const CROWDED_UPLOAD_BYTES: usize = 256 << 10;
+
+/// Bytes that the entry may hold for them.
+const SMALL_BUDGET_BYTES: usize = 4 << 20;
+
 /// Streams that are opened and reset at once on one HTTP/2 connection.
 const RESET_STREAMS: usize = 4_000;
 
@@ -52,6 +59,20 @@
     callers
 }
 
+/// Sends uploads side by side, each a byte short of its end.
+async fn send_uploads_at_once(entry: &CrowdedEntry, count: usize) -> Vec<TcpStream> {
+    let address = entry.callers;
+    let uploads = (0..count).map(|_| async move {
+        let mut caller = connect(address).await;
+        let head = post_head(&format!("content-length: {CROWDED_UPLOAD_BYTES}\r\n"));
+        let _ = caller.write_all(head.as_bytes()).await;
+        let body = vec![b'x'; CROWDED_UPLOAD_BYTES - 1];
+        let _ = tokio::time::timeout(Duration::from_secs(5), caller.write_all(&body)).await;
+        caller
+    });
+    futures::future::join_all(uploads).await
+}
+
 test_cases! {
     async uploads_short_of_their_end: "uploads of permitted size that stop before their end and together take all memory" => {
         let mut entry = CrowdedEntry::start("buffered_body_bytes: 1048576").await;
@@ -60,6 +81,15 @@
         drop(callers);
     }
 
+    async crowds_get_ordinary_requests_refused: "an ordinary request that is refused since uploads that stop before their end wait for room ahead of it" => {
+        let mut entry = CrowdedEntry::start_with_budget(SMALL_BUDGET_BYTES, "buffered_body_bytes: 1048576").await;
+        let callers = send_uploads_at_once(&entry, CROWDED_UPLOADS).await;
+        let answer = entry.ordinary_status().await;
+        entry.check("uploads that wait for room", CROWDED_UPLOADS).await;
+        assert_eq!(answer, "200");
+        drop(callers);
+    }
+
     async large_uploads_pass: "an upload of permitted size that is refused because it is larger than what may be held" => {
         let mut entry = CrowdedEntry::start("buffered_body_bytes: 67108864").await;
         for headers in ["content-length: 67108864\r\n", "transfer-encoding: chunked\r\n"] {
