--- a/tests/route_changes.rs
+++ b/tests/route_changes.rs
@@ -19,7 +19,7 @@
 use zinniaport_core::intent::{KindIntent, TargetInstance};
 use zinniaport_core::keys::CallerKey;
 use zinniaport_core::policy::EntryView;
-use zinniaport_core::routes::{RouteIntent, WeightedService};
+use zinniaport_core::routes::{RouteIntent, RouteRule, WeightedService};
 use zinniaport_testing::test_cases;
 
 const HOST: &str = "jobs.example";
@@ -138,7 +138,7 @@
     fn request(&self, route: TimedRoute, left: Duration) -> CallFacts {
         let table = self.fleet.routes.as_ref().unwrap();
         let found = table.find(HOST, &format!("/{}/1", route.name));
-        let destination = found.and_then(|rule| rule.pick()).unwrap();
+        let destination = found.and_then(RouteRule::pick).unwrap();
         let now = self.clock.now();
         let limit = left.min(Duration::from_millis(route.deadline_ms));
         let soft_limit = limit.min(Duration::from_millis(route.target_latency_ms));
