Move a waiting request of the order by cost to a file of its own

Change: CostedCall, TurnPosition and TurnLane are in costed_call.rs; a queued request keeps its whole demand. No change of behaviour.

--- a/core/src/admission/cost_queue.rs
+++ b/core/src/admission/cost_queue.rs
@@ -6,12 +6,12 @@
 use indexmap::IndexMap;
 use slotmap::SlotMap;
 
+use super::costed_call::{CostedCall, TurnLane, TurnPosition, reserved_time};
 use super::fairness::FairShares;
 use super::order::{AdmissionOrder, CallDemand, RefusedCall, WaitingTenants};
 use super::queue::{
     AdmissionLimits, AdmissionRefusal, JoinedCall, QueueDeparture, ServiceRate, WaitKey,
 };
-use super::work::ExpectedWork;
 use crate::call::ReasonCode;
 use crate::clock::Timestamp;
 use crate::decision::AdmissionTrace;
@@ -47,72 +47,6 @@
 /// callers that come back early were in simulation worse off than with 8 by up to 0.05 of the value.
 const LATE_RETURN_TURN: u32 = 8;
 
-/// Part of the time until the soft deadline that is reserved for the run at most, unless the mean
-/// run takes longer. With more, kinds whose runs take about as long as their callers want to wait
-/// count as late as soon as they arrive.
-const MAX_RESERVED_SHARE: f32 = 0.85;
-
-/// Order of the requests of one rank.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum TurnLane {
-    /// Was refused before and can still meet its soft deadline.
-    Returned,
-    /// Of a tenant that uses no more than it is entitled to.
-    Entitled,
-    /// Of a tenant that uses more.
-    Leftover,
-}
-
-/// Position in the order of admission; the least is admitted first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct TurnPosition {
-    is_not_owed: bool,
-    rank: u8,
-    lane: TurnLane,
-    excess_percent: u32,
-    latest_start: Timestamp,
-    order: u64,
-}
-
-/// Returns the time that must be left until the soft deadline when a request of a kind starts:
-/// the time within which most of them are answered, but less if that leaves hardly any time to
-/// wait, down to the mean.
-fn reserved_time(work: ExpectedWork, soft_time: Duration) -> Duration {
-    work.run_time.min(soft_time.mul_f32(MAX_RESERVED_SHARE)).max(work.mean)
-}
-
-/// A waiting request.
-#[derive(Debug)]
-struct CostedCall<W> {
-    waiter: W,
-    demand: CallDemand,
-    /// Soft deadline, counted from when the caller first sent the request.
-    soft_deadline: Timestamp,
-    is_returned: bool,
-    /// Time that must be left until the soft deadline when it starts.
-    reserved: Duration,
-    order: u64,
-    queued: Timestamp,
-    queue_length: u32,
-    overtaken: u32,
-}
-
-impl<W> CostedCall<W> {
-    fn latest_start(&self) -> Timestamp {
-        self.soft_deadline - self.reserved
-    }
-
-    fn is_late(&self, now: Timestamp) -> bool {
-        now > self.latest_start()
-    }
-
-    /// Returns its position among requests that cannot meet their soft deadline.
-    fn late_position(&self) -> (bool, u8, Timestamp, u64) {
-        let facts = &self.demand.facts;
-        (!self.is_returned, facts.rank, facts.deadline, self.order)
-    }
-}
-
 /// Refused requests that are expected back.
 #[derive(Clone, Copy, Debug)]
 struct InvitedWork {
--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -6,6 +6,7 @@
 //! of a service may be in flight.
 
 mod cost_queue;
+mod costed_call;
 mod fairness;
 mod order;
 mod queue;
--- a/src/gate/admission.rs
+++ b/src/gate/admission.rs
@@ -64,6 +64,7 @@
     service_time_us: AtomicU64,
     run_quantile: RunQuantile,
     queue: Mutex<GateQueue>,
+    /// Limits the lines on requests that leave the queue without being admitted.
     pub(super) limiter: LineLimiter,
     /// Targets of the service as of the last request.
     pub(super) table: ArcSwap<TargetTable>,
@@ -296,8 +297,7 @@
             key: joined.key,
             queue_number,
             result,
-            facts: demand.facts,
-            work: demand.work,
+            demand: *demand,
             service: service.intent.clone(),
             kind: service.kinds.get(demand.facts.kind).cloned(),
             version: service.version,
--- a/src/gate/slot.rs
+++ b/src/gate/slot.rs
@@ -5,8 +5,7 @@
 use std::time::Duration;
 
 use tokio::sync::oneshot;
-use zinniaport_core::admission::{ExpectedWork, WaitKey};
-use zinniaport_core::call::CallFacts;
+use zinniaport_core::admission::{CallDemand, WaitKey};
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::intent::{KindIntent, ServiceIntent};
 
@@ -19,9 +18,8 @@
     /// Number of the queue that the key belongs to.
     pub(super) queue_number: u64,
     pub(super) result: oneshot::Receiver<AdmissionResult>,
-    pub(super) facts: CallFacts,
-    /// Work that it was expected to cause when it joined the queue.
-    pub(super) work: ExpectedWork,
+    /// What it asked for when it joined the queue.
+    pub(super) demand: CallDemand,
     /// Intent of the service when the request joined the queue.
     pub(super) service: Arc<ServiceIntent>,
     /// Intent of its kind, if this entry knows the kind.
@@ -47,11 +45,11 @@
         log::info!(
             service = self.service.service.as_str(),
             kind = kind.map_or("unknown", |kind| kind.name.as_str()),
-            rank = self.facts.rank,
+            rank = self.demand.facts.rank,
             config_version = self.version,
-            time_limit_ms = self.facts.time_left(self.joined).as_millis() as u64,
+            time_limit_ms = self.demand.facts.time_left(self.joined).as_millis() as u64,
             counts_as_returned = self.is_returned,
-            expected_work_us = self.work.mean.as_micros() as u64,
+            expected_work_us = self.demand.work.mean.as_micros() as u64,
             waited_us = now.since(self.joined).as_micros() as u64,
             free_slots = headroom.free,
             slowed_slots = headroom.slowed,
