--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -6,6 +6,7 @@
 //! disruption is left out. Everything that was sent, answered and run is in `FOLDER/record.txt`.
 
 mod case_quota;
+mod case_tenant;
 mod entries;
 mod http;
 mod manifest;
@@ -47,6 +48,7 @@
     let run = thread::spawn(move || -> Verdict {
         match &*name {
             "quota" => case_quota::run(&run_record, trouble),
+            "tenant" => case_tenant::run(&run_record, trouble),
             _ => Err(format!("no case is named {name}")),
         }
     });
