--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -5,6 +5,7 @@
 //! broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` in the environment the
 //! disruption is left out. Everything that was sent, answered and run is in `FOLDER/record.txt`.
 
+mod case_body;
 mod case_quota;
 mod case_tenant;
 mod entries;
@@ -49,6 +50,7 @@
         match &*name {
             "quota" => case_quota::run(&run_record, trouble),
             "tenant" => case_tenant::run(&run_record, trouble),
+            "body" => case_body::run(&run_record, trouble),
             _ => Err(format!("no case is named {name}")),
         }
     });
