--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -7,6 +7,7 @@
 
 mod case_body;
 mod case_quota;
+mod case_silence;
 mod case_tenant;
 mod entries;
 mod http;
@@ -49,6 +50,7 @@
     let run = thread::spawn(move || -> Verdict {
         match &*name {
             "quota" => case_quota::run(&run_record, trouble),
+            "silence" => case_silence::run(&run_record, trouble),
             "tenant" => case_tenant::run(&run_record, trouble),
             "body" => case_body::run(&run_record, trouble),
             _ => Err(format!("no case is named {name}")),
