Review case 10: a stopping entry keeps requests that wait in the quarantine

Equal requests wait in the quarantine filter for the first two of them. The planned stop refuses only those that wait for admission, so that SIGKILL cuts the others without an answer, 3.7 s after they were read and before any server has seen them.

--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -8,6 +8,7 @@
 mod case_body;
 mod case_quota;
 mod case_silence;
+mod case_stop;
 mod case_tenant;
 mod entries;
 mod http;
@@ -51,6 +52,7 @@
         match &*name {
             "quota" => case_quota::run(&run_record, trouble),
             "silence" => case_silence::run(&run_record, trouble),
+            "stop" => case_stop::run(&run_record, trouble),
             "tenant" => case_tenant::run(&run_record, trouble),
             "body" => case_body::run(&run_record, trouble),
             _ => Err(format!("no case is named {name}")),
