Review case 8: an upload in chunks that crashes its servers is never stopped

The fingerprint of a request in chunks lacks its body, so the answers to other uploads on its path clear it at once.

--- a/review/harness-2/entries.rs
+++ b/review/harness-2/entries.rs
@@ -2,6 +2,7 @@
 
 use std::fs::{self, File};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -17,8 +18,12 @@
 
 unsafe extern "C" {
     fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
+/// Has a process end when the thread that started it ends, such as when this process is killed.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 const SIGKILL: i32 = 9;
 const SIGTERM: i32 = 15;
 
@@ -165,6 +170,13 @@
         }
         command.env("ZINNIAPORT_BOOT", self.settings_path(index)).stdin(Stdio::null());
         command.stderr(log.try_clone().map_err(|error| error.to_string())?).stdout(log);
+        // SAFETY: the call changes a setting of the new process alone.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
         let child = command.spawn().map_err(|error| format!("{}: {error}", self.command[0]))?;
         let process = child.id();
         CHILDREN.lock().map_err(|error| error.to_string())?.push((process, child));
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -5,7 +5,7 @@
 //! broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` in the environment the
 //! disruption is left out. Everything that was sent, answered and run is in `FOLDER/record.txt`.
 
-mod case_body;
+mod case_poison;
 mod case_quota;
 mod case_silence;
 mod case_stop;
@@ -50,11 +50,11 @@
     let (name, run_record) = (case.clone(), record.clone());
     let run = thread::spawn(move || -> Verdict {
         match &*name {
+            "poison" => case_poison::run(&run_record, trouble),
             "quota" => case_quota::run(&run_record, trouble),
             "silence" => case_silence::run(&run_record, trouble),
             "stop" => case_stop::run(&run_record, trouble),
             "tenant" => case_tenant::run(&run_record, trouble),
-            "body" => case_body::run(&run_record, trouble),
             _ => Err(format!("no case is named {name}")),
         }
     });
--- a/review/harness-2/server.rs
+++ b/review/harness-2/server.rs
@@ -1,10 +1,11 @@
 //! Servers. A server processes as many requests at once as it has slots and queues twice as many.
 
 use std::io::{BufReader, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use crate::http::{Head, read_body, read_head};
 use crate::record::Record;
@@ -28,6 +29,10 @@
     pub slots: usize,
     /// Time that a request takes, by its path.
     pub work: fn(&str) -> Duration,
+    /// Address, or any free one.
+    pub address: Option<SocketAddr>,
+    /// Body of a request that crashes the server as soon as it works on it.
+    pub crashed_by: Option<&'static [u8]>,
 }
 
 impl ServerPlan {
@@ -39,6 +44,8 @@
             zone: zone.to_owned(),
             slots: 6,
             work,
+            address: None,
+            crashed_by: None,
         }
     }
 }
@@ -50,6 +57,16 @@
     pub zone: String,
     pub address: SocketAddr,
     pub slots: usize,
+    /// Unix time of its start, in milliseconds.
+    pub born_ms: u128,
+    process: Arc<Process>,
+}
+
+impl Server {
+    /// Returns `true` if the server has crashed.
+    pub fn is_down(&self) -> bool {
+        self.process.is_down.load(Ordering::Acquire)
+    }
 }
 
 /// All servers of a case and what they have run.
@@ -64,6 +81,10 @@
     id: String,
     pub slots: usize,
     pub work: fn(&str) -> Duration,
+    address: SocketAddr,
+    crashed_by: Option<&'static [u8]>,
+    is_down: AtomicBool,
+    streams: Mutex<Vec<TcpStream>>,
     busy: Mutex<(usize, usize)>,
     freed: Condvar,
     servers: Servers,
@@ -76,25 +97,38 @@
 
     /// Starts a server.
     pub fn start(&self, plan: ServerPlan) -> Result<Server, String> {
-        let ServerPlan { name, service, zone, slots, work } = plan;
-        let listener =
-            TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(|error| error.to_string())?;
+        let ServerPlan { name, service, zone, slots, work, address, crashed_by } = plan;
+        let address = address.unwrap_or((Ipv4Addr::LOCALHOST, 0).into());
+        let listener = TcpListener::bind(address).map_err(|error| error.to_string())?;
         let address = listener.local_addr().map_err(|error| error.to_string())?;
         let process = Arc::new(Process {
             id: name.clone(),
             slots,
             work,
+            address,
+            crashed_by,
+            is_down: AtomicBool::new(false),
+            streams: Mutex::default(),
             busy: Mutex::new((0, 0)),
             freed: Condvar::new(),
             servers: self.clone(),
         });
+        let born_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let accepting = process.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let process = process.clone();
+                if accepting.is_down.load(Ordering::Acquire) {
+                    return;
+                }
+                if let (Ok(copy), Ok(mut streams)) = (stream.try_clone(), accepting.streams.lock())
+                {
+                    streams.push(copy);
+                }
+                let process = accepting.clone();
                 thread::spawn(move || process.serve(stream));
             }
         });
-        Ok(Server { id: name, service, zone, address, slots })
+        Ok(Server { id: name, service, zone, address, slots, born_ms, process })
     }
 
     /// Returns the runs so far.
@@ -104,6 +138,16 @@
 }
 
 impl Process {
+    /// Ends the server: it takes no connections any more, and the open ones end.
+    fn crash(&self) {
+        self.is_down.store(true, Ordering::Release);
+        // Wakes the thread that accepts connections, which drops its listener.
+        drop(TcpStream::connect(self.address));
+        if let Ok(mut streams) = self.streams.lock() {
+            streams.drain(..).for_each(|stream| drop(stream.shutdown(Shutdown::Both)));
+        }
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream);
@@ -147,9 +191,15 @@
             run.tenant,
             run.body.len()
         ));
+        let crashes = self.crashed_by.is_some_and(|body| run.body == body);
         if let Ok(mut runs) = self.servers.runs.lock() {
             runs.push(run);
         }
+        if crashes {
+            self.servers.record.line(&format!("{} crashes", self.id));
+            self.crash();
+            return Vec::new();
+        }
         thread::sleep((self.work)(&path));
         let answer = sound_answer(head, &self.load());
         self.leave();
--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -136,12 +136,23 @@
         changed.notify_all();
     }
 
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let (content, changed) = &*self.content;
+        if let Ok(mut content) = content.lock() {
+            content.remove(kind, name);
+            self.record
+                .line(&format!("the store removes {kind}/{name}, revision {}", content.revision));
+        }
+        changed.notify_all();
+    }
+
     /// Registers a server that is ready.
     pub fn register(&self, server: &Server) {
         let spec = format!(
             "{{\"Address\":\"{}\",\"Info\":{{\"Service\":\"{}\",\"Version\":\"v1\",\"Zone\":\"{}\",\
-             \"Slots\":{}}},\"born\":1796000000000}}",
-            server.address, server.service, server.zone, server.slots
+             \"Slots\":{}}},\"born\":{}}}",
+            server.address, server.service, server.zone, server.slots, server.born_ms
         );
         let status = "{\"State\":\"ready\",\"Sequence\":1,\"WarmupLeft\":\"0ms\"}";
         self.put("servers", &server.id, &spec, Some(status));
