--- a/review/harness-2/case_poison.rs
+++ b/review/harness-2/case_poison.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::entries::Deployment;
+use crate::entries::{Deployment, PLAIN_BOUNDS};
 use crate::manifest::{HOST, Route, manifest};
 use crate::record::Record;
 use crate::requester::{Connection, next_id};
@@ -68,7 +68,7 @@
         service: "galeria",
     }];
     store.put("config", "main", &manifest(&routes, &[]), None);
-    let mut deployment = Deployment::new(3, store.address, record)?;
+    let mut deployment = Deployment::new(3, store.address, PLAIN_BOUNDS, record)?;
     deployment.start_all()?;
     thread::sleep(Duration::from_secs(3));
 
--- a/review/harness-2/case_quota.rs
+++ b/review/harness-2/case_quota.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::entries::Deployment;
+use crate::entries::{Deployment, TENANT_BOUNDS};
 use crate::manifest::{HOST, Route, manifest};
 use crate::record::Record;
 use crate::requester::{Connection, next_id};
@@ -58,7 +58,7 @@
         service: "portal",
     }];
     store.put("config", "main", &manifest(&routes, &[("school-a", KEY, RATE, BURST)]), None);
-    let mut deployment = Deployment::new(MACHINES, store.address, record)?;
+    let mut deployment = Deployment::new(MACHINES, store.address, TENANT_BOUNDS, record)?;
     deployment.start_all()?;
     thread::sleep(Duration::from_secs(3));
 
--- a/review/harness-2/case_tenant.rs
+++ b/review/harness-2/case_tenant.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::entries::Deployment;
+use crate::entries::{Deployment, TENANT_BOUNDS};
 use crate::manifest::{HOST, Route, manifest};
 use crate::record::Record;
 use crate::requester::{Connection, next_id};
@@ -39,7 +39,7 @@
         },
     ];
     store.put("config", "main", &manifest(&routes, &TENANTS), None);
-    let mut deployment = Deployment::new(3, store.address, record)?;
+    let mut deployment = Deployment::new(3, store.address, TENANT_BOUNDS, record)?;
     deployment.start_all()?;
     let mut sent = Vec::new();
     for number in 0..60 {
