--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -147,12 +147,15 @@
                 }
                 DirectoryEffect::CatchUp(part, revision) => self.catch_up(part, revision),
                 DirectoryEffect::Revision(part, revision) => {
+                    self.state.metrics.directory.set_revision(part, revision);
                     self.state.revisions.local[part as usize].store(revision, Ordering::Release);
                     self.state.signal_due.notify_one();
                 }
                 DirectoryEffect::Publish(fleet) => {
                     let version = fleet.routes.as_ref().map_or(0, |table| table.version);
-                    log::info!(config_version = version, targets = fleet.targets.len(); "applied the directory");
+                    let [targets_revision, configuration_revision, _] =
+                        self.state.revisions.local();
+                    log::info!(config_version = version, targets = fleet.targets.len(), targets_revision, configuration_revision; "applied the directory");
                     if version != std::mem::replace(&mut self.published_version, version) {
                         self.report_unused_items(&fleet);
                     }
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -15,6 +15,7 @@
 use zinniaport_core::probe::MeasuringAccount;
 
 use super::admission::AdmissionMetrics;
+use super::directory::DirectoryMetrics;
 use super::placement::{AGE_BOUNDS, EVENT_AGE, PlacementMetrics};
 use super::quota::QuotaMetrics;
 use super::traffic::TrafficMetrics;
@@ -83,6 +84,8 @@
     pub traffic: TrafficMetrics,
     /// Metrics of the limits of tenants.
     pub quota: QuotaMetrics,
+    /// Metrics of the directory.
+    pub directory: DirectoryMetrics,
     services: ArcSwap<SecondaryMap<ServiceKey, Arc<ServiceMetrics>>>,
 }
 
@@ -108,6 +111,7 @@
         let placement = PlacementMetrics::new(&recorder);
         let traffic = TrafficMetrics::new(&recorder);
         let quota = QuotaMetrics::new(&recorder);
+        let directory = DirectoryMetrics::new(&recorder);
         Self {
             recorder,
             in_flight,
@@ -118,6 +122,7 @@
             placement,
             traffic,
             quota,
+            directory,
             services: ArcSwap::default(),
         }
     }
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod burn;
+mod directory;
 mod logs;
 mod metrics;
 mod placement;
@@ -10,6 +11,7 @@
 
 pub use admission::AdmissionMetrics;
 pub use burn::run_burn_controller;
+pub use directory::DirectoryMetrics;
 pub use logs::{LineLimiter, flush_logs, start_logs};
 pub use metrics::EntryMetrics;
 pub use placement::PlacementMetrics;
