--- a/core/src/controllers/directory/evacuations.rs
+++ b/core/src/controllers/directory/evacuations.rs
@@ -1,12 +1,32 @@
 //! Applies the evacuations in the directory to the registered targets.
 
+use std::time::Duration;
+
 use super::warm_up::ColdPeriod;
 use super::{DirectoryController, DirectoryEffect};
 use crate::clock::Timestamp;
-use crate::directory::DirectoryBatch;
+use crate::directory::{DirectoryBatch, DirectoryPart};
+use crate::evacuation::EvacuationChange;
 use crate::warm_up::WarmUpSource;
 
+/// Time for which an evacuation stays in force that a restored store has not listed, unless the
+/// operator writes it again. The operator writes again within seconds, and an evacuation that
+/// lasts too long costs no request.
+const UNLISTED_EVACUATION_TIME: Duration = Duration::from_secs(10);
+
 impl DirectoryController {
+    /// Handles the first list of an era. What it lacks may have been written after the copy was
+    /// made from which the store came back.
+    pub(super) fn start_era(&mut self, part: DirectoryPart, now: Timestamp) {
+        match part {
+            DirectoryPart::Targets => self.delay_removals(now),
+            DirectoryPart::Evacuations => {
+                self.unlisted_evacuations_until = Some(now + UNLISTED_EVACUATION_TIME);
+            }
+            DirectoryPart::Configuration => {}
+        }
+    }
+
     /// Applies a batch of evacuations, all of them if it is a list. Targets of a data centre that
     /// returns count as cold for the time that the configuration states for their service.
     /// Returns `true` if an evacuation started or ended.
@@ -17,7 +37,36 @@
         now: Timestamp,
         effects: &mut Vec<DirectoryEffect>,
     ) -> bool {
-        let changes = self.evacuations.apply(batch, listed);
+        let changes = match self.unlisted_evacuations_until {
+            Some(until) if now < until => self.evacuations.apply_restored(batch),
+            _ => self.evacuations.apply(batch, listed),
+        };
+        self.apply_evacuation_changes(changes, now, effects)
+    }
+
+    /// Ends the evacuations that a restored store does not have, once the operator has had time to
+    /// write them again.
+    pub(super) fn end_unlisted_evacuations(&mut self, now: Timestamp) -> Vec<DirectoryEffect> {
+        if self.unlisted_evacuations_until.is_none_or(|until| now < until) {
+            return Vec::new();
+        }
+        self.unlisted_evacuations_until = None;
+        let follower = &self.parts[DirectoryPart::Evacuations as usize];
+        let changes = self.evacuations.end_unlisted(follower.revision.unwrap_or_default());
+        let mut effects = Vec::new();
+        if self.apply_evacuation_changes(changes, now, &mut effects) {
+            effects.extend(self.publish(now));
+        }
+        effects
+    }
+
+    /// Returns `true` if there are changes.
+    fn apply_evacuation_changes(
+        &mut self,
+        changes: Vec<EvacuationChange>,
+        now: Timestamp,
+        effects: &mut Vec<DirectoryEffect>,
+    ) -> bool {
         for change in changes.iter().filter(|change| !change.is_evacuated) {
             self.mark_returned(&change.data_centre, now);
         }
--- a/core/src/controllers/directory/mod.rs
+++ b/core/src/controllers/directory/mod.rs
@@ -2,15 +2,16 @@
 //!
 //! Each part is listed once and then watched. A lost watch resumes at the revision where it
 //! ended; a list replaces it only if the platform no longer keeps the changes in between.
-//! Objects and versions never go back, whatever a stale read returns.
+//! Objects and versions never go back, whatever a stale read returns. After the store came back
+//! from an older copy, a [`PartLedger`](crate::directory::PartLedger) keeps what is newer than it.
 
 mod evacuations;
 mod fleet;
+mod messages;
 mod records;
 mod settings;
 mod warm_up;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -18,6 +19,7 @@
 use rand::rngs::SmallRng;
 use strum::IntoEnumIterator;
 
+pub use messages::{DirectoryEffect, DirectoryMessage, TargetChange};
 use records::TargetRecord;
 pub use settings::DirectorySettings;
 use warm_up::registered_period;
@@ -27,10 +29,10 @@
 use crate::clock::Timestamp;
 use crate::directory::{
     DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, OperatorConfiguration,
+    StoreRevision,
 };
-use crate::evacuation::{EvacuationChange, EvacuationTable};
+use crate::evacuation::EvacuationTable;
 use crate::fleet::FleetSnapshot;
-use crate::warm_up::WarmUpSource;
 
 /// Delay of a removal after an outage of the store: live targets register again within
 /// about 2 s.
@@ -53,104 +55,60 @@
 /// the registrations of all targets, and the platform counts each call.
 const WATCH_PAUSE: Duration = Duration::from_millis(100);
 
-/// Messages that the directory controller handles.
-#[derive(Clone, Debug)]
-pub enum DirectoryMessage {
-    /// A list returned all objects of a part.
-    Listed(DirectoryPart, DirectoryBatch),
-    /// A watch returned the changes of a part.
-    Watched(DirectoryPart, DirectoryBatch),
-    /// A call failed. The known state stays in force.
-    Failed(DirectoryPart),
-    /// The platform no longer keeps the changes since the last batch.
-    HistoryGone(DirectoryPart),
-    /// Another entry knows a change with this revision.
-    PeerRevision(DirectoryPart, u64),
-    /// A catch-up call ended; `None` if it failed.
-    CaughtUp(DirectoryPart, Option<DirectoryBatch>),
-    /// Time passed. Due every 100 ms.
-    Tick,
-}
-
-/// Effects that the directory controller requests from its driver.
-#[derive(Clone, Debug)]
-pub enum DirectoryEffect {
-    /// List a part after a delay.
-    List(DirectoryPart, Duration),
-    /// Watch a part from a revision after a delay.
-    Watch(DirectoryPart, u64, Duration),
-    /// Read the changes of a part since a revision, or all objects if there is none, with a
-    /// read that does not lag as a watch may.
-    CatchUp(DirectoryPart, Option<u64>),
-    /// The newest known change of a part now has this revision.
-    Revision(DirectoryPart, u64),
-    /// Publish these services and routes.
-    Publish(Arc<FleetSnapshot>),
-    /// The entry has the targets and the configuration that it needs to serve callers.
-    Ready,
-    /// The store responds again after an outage of this length.
-    Recovered(DirectoryPart, Duration),
-    /// A target was added, changed, removed or dropped.
-    TargetChanged(TargetChange),
-    /// So many targets with a limit for cold ones are known to be cold from now on.
-    ColdTargets(WarmUpSource, usize),
-    /// The evacuation of a data centre started or ended.
-    Evacuation(EvacuationChange),
-}
-
-/// A change of one target, for the log.
-#[derive(Clone, Debug)]
-pub struct TargetChange {
-    /// Identity of the target.
-    pub id: String,
-    /// Revision of the change.
-    pub revision: u64,
-    /// State of the target after the change.
-    pub state: &'static str,
-}
-
 /// Progress of following one part.
 #[derive(Debug, Default)]
 struct PartFollower {
     /// Revision up to which the changes are known; `None` before the first list.
-    revision: Option<u64>,
+    revision: Option<StoreRevision>,
     /// Revision of the newest known change.
-    newest_change: u64,
+    newest_change: StoreRevision,
     /// Revision of the last list. The list reflects all changes up to it; of those that removed
     /// an object it does not show the revisions.
-    listed: u64,
+    listed: StoreRevision,
     /// Revision of the newest change that another entry knows and this one does not, and
     /// since when.
-    peer_revision: Option<(u64, Timestamp)>,
+    peer_revision: Option<(StoreRevision, Timestamp)>,
     /// Whether a catch-up call is in progress.
     catching_up: bool,
     /// Whether the next catch-up call has to list, because the platform may no longer keep
     /// the changes.
     must_list: bool,
     failures: u32,
+    /// Number of times in a row that the changes after the last read were gone.
+    missing_histories: u32,
     outage_since: Option<Timestamp>,
 }
 
 impl PartFollower {
     /// Returns the revision up to which no change can be missing.
-    fn covered(&self) -> u64 {
+    fn covered(&self) -> StoreRevision {
         self.newest_change.max(self.listed)
     }
 }
 
+/// What the changes of a batch have in common.
+#[derive(Clone, Copy, Debug)]
+struct BatchContext {
+    era: u64,
+    listed: bool,
+    now: Timestamp,
+}
+
 /// Owns the targets and the configuration in the directory.
 #[derive(Debug)]
 pub struct DirectoryController {
     targets: IndexMap<String, TargetRecord>,
     /// Revisions of removals, so that a stale list does not bring a target back.
-    removed: IndexMap<String, u64>,
+    removed: IndexMap<String, StoreRevision>,
     configuration: Option<OperatorConfiguration>,
     evacuations: EvacuationTable,
     parts: [PartFollower; DirectoryPart::COUNT],
     /// When the last response for either part arrived.
     last_response: Timestamp,
-    /// Until when removals are delayed after an outage of the store.
+    /// Until when removals are delayed after an outage or a restore of the store.
     removals_delayed_until: Timestamp,
+    /// Until when evacuations stay in force that a restored store has not listed.
+    unlisted_evacuations_until: Option<Timestamp>,
     fleet: FleetSnapshot,
     settings: DirectorySettings,
     /// Start of the weighted choices of split routes.
@@ -172,6 +130,7 @@
             random: SmallRng::seed_from_u64(seed),
             last_response: Timestamp::default(),
             removals_delayed_until: Timestamp::default(),
+            unlisted_evacuations_until: None,
             fleet: FleetSnapshot::default(),
             settings,
             initial_cursor: seed as u32,
@@ -207,14 +166,19 @@
         let outage_since = follower.outage_since.take()?;
         // A response for the other part in the meantime shows that the store was available.
         if now.since(outage_since.max(self.last_response)) >= MIN_OUTAGE {
-            self.removals_delayed_until = now + OUTAGE_REMOVAL_DELAY;
-            for record in self.targets.values_mut() {
-                record.drop_at = record.drop_at.map(|_| now + OUTAGE_REMOVAL_DELAY);
-            }
+            self.delay_removals(now);
         }
         Some(DirectoryEffect::Recovered(part, now.since(outage_since)))
     }
 
+    /// Keeps targets that are no longer registered until live ones have registered again.
+    fn delay_removals(&mut self, now: Timestamp) {
+        self.removals_delayed_until = now + OUTAGE_REMOVAL_DELAY;
+        for record in self.targets.values_mut() {
+            record.drop_at = record.drop_at.map(|_| now + OUTAGE_REMOVAL_DELAY);
+        }
+    }
+
     /// Applies a batch and continues with a watch.
     fn follow(
         &mut self,
@@ -224,9 +188,10 @@
         now: Timestamp,
     ) -> Vec<DirectoryEffect> {
         let mut effects: Vec<_> = self.record_response(part, now).into_iter().collect();
+        self.part(part).missing_histories = 0;
         let pause = if batch.changes.is_empty() { Duration::ZERO } else { WATCH_PAUSE };
         effects.extend(self.apply_batch(part, batch, listed, now));
-        let revision = self.part(part).revision.unwrap_or(0);
+        let revision = self.part(part).revision.unwrap_or_default();
         effects.push(DirectoryEffect::Watch(part, revision, pause));
         effects
     }
@@ -240,7 +205,18 @@
     ) -> Vec<DirectoryEffect> {
         self.last_response = now;
         let mut effects = Vec::new();
-        let newest = batch.changes.iter().map(|change| change.revision).max().unwrap_or(0);
+        if let Some(known) = self.part(part).revision {
+            if batch.era < known.era {
+                return effects;
+            }
+            if batch.era > known.era {
+                self.start_era(part, now);
+                effects.push(DirectoryEffect::Restored(part, known, batch.position()));
+            }
+        }
+        let newest = batch.changes.iter().map(|change| batch.change_position(change)).max();
+        let newest = newest.unwrap_or_default();
+        let (position, context) = (batch.position(), BatchContext { era: batch.era, listed, now });
         let mut changed = false;
         if listed && part == DirectoryPart::Targets {
             changed |= self.remove_unlisted(&batch, now, &mut effects);
@@ -253,10 +229,10 @@
             _ => batch,
         };
         for change in batch.changes {
-            changed |= self.apply_change(change, listed, now, &mut effects);
+            changed |= self.apply_change(change, context, &mut effects);
         }
         let follower = self.part(part);
-        let revision = batch.revision.max(follower.revision.unwrap_or(0));
+        let revision = position.max(follower.revision.unwrap_or_default());
         follower.revision = Some(revision);
         if newest > follower.newest_change {
             follower.newest_change = newest;
@@ -281,10 +257,11 @@
     fn apply_change(
         &mut self,
         change: DirectoryChange,
-        listed: bool,
-        now: Timestamp,
+        context: BatchContext,
         effects: &mut Vec<DirectoryEffect>,
     ) -> bool {
+        let BatchContext { era, listed, now } = context;
+        let revision = StoreRevision { era, number: change.revision };
         match change.item {
             Some(DirectoryItem::Configuration(configuration)) => {
                 let known = self.configuration.as_ref().map_or(0, |known| known.version);
@@ -296,15 +273,14 @@
             }
             Some(DirectoryItem::Target(target)) => {
                 let cold = registered_period(&target, listed, now);
-                let record =
-                    TargetRecord { cold, ..TargetRecord::new(change.revision, Some(target)) };
+                let record = TargetRecord { cold, ..TargetRecord::new(revision, Some(target)) };
                 self.apply_target(change.name, record, effects)
             }
             Some(DirectoryItem::Evacuation) => false,
             Some(DirectoryItem::Unusable) => {
-                self.apply_target(change.name, TargetRecord::new(change.revision, None), effects)
+                self.apply_target(change.name, TargetRecord::new(revision, None), effects)
             }
-            None => self.apply_removal(&change.name, change.revision, now, effects),
+            None => self.apply_removal(&change.name, revision, now, effects),
         }
     }
 
@@ -341,10 +317,14 @@
                 follower.peer_revision.map(|(peer_revision, _)| (peer_revision, now));
             return Vec::new();
         };
+        let position = batch.position();
         let effects = self.apply_batch(part, batch, listed, now);
-        // The response is current, so a peer's revision that it does not contain was no
-        // change of this part.
-        self.part(part).peer_revision = None;
+        // A peer's revision up to which the response is complete, and which it does not contain,
+        // was no change of this part. The response of a leader that does not know of a restore
+        // yet is not complete.
+        let follower = self.part(part);
+        let missing = follower.peer_revision.filter(|(peer_revision, _)| *peer_revision > position);
+        follower.peer_revision = missing.map(|(peer_revision, _)| (peer_revision, now));
         effects
     }
 
@@ -377,7 +357,16 @@
                 }]
             }
             DirectoryMessage::HistoryGone(part) => {
-                vec![DirectoryEffect::List(part, Duration::ZERO)]
+                let follower = self.part(part);
+                let missing = follower.missing_histories;
+                follower.missing_histories += 1;
+                // A list is repeated with a delay, since the store may not keep the changes after
+                // it either.
+                let delay = match missing {
+                    0 => Duration::ZERO,
+                    missing => RETRY_BOUNDS.delay(missing, &mut self.random),
+                };
+                vec![DirectoryEffect::List(part, delay)]
             }
             DirectoryMessage::PeerRevision(part, revision) => {
                 let follower = self.part(part);
@@ -390,6 +379,7 @@
             DirectoryMessage::CaughtUp(part, batch) => self.handle_caught_up(part, batch, now),
             DirectoryMessage::Tick => {
                 let mut effects = self.drop_due(now);
+                effects.extend(self.end_unlisted_evacuations(now));
                 effects.extend(self.catch_up(now));
                 effects
             }
--- a/core/src/controllers/directory/records.rs
+++ b/core/src/controllers/directory/records.rs
@@ -6,7 +6,7 @@
 use super::warm_up::ColdPeriod;
 use super::{DirectoryController, DirectoryEffect, TargetChange};
 use crate::clock::Timestamp;
-use crate::directory::{DirectoryBatch, RegisteredTarget};
+use crate::directory::{DirectoryBatch, RegisteredTarget, StoreRevision};
 
 /// Time for which a target that was removed without announcing it stays in use. The
 /// registration of a live target may have expired, in which case the target registers
@@ -19,7 +19,7 @@
 /// A registered target.
 #[derive(Debug)]
 pub(super) struct TargetRecord {
-    pub(super) revision: u64,
+    pub(super) revision: StoreRevision,
     /// `None` for an object that describes no usable target.
     pub(super) target: Option<RegisteredTarget>,
     /// When the target is dropped after an unannounced removal.
@@ -29,7 +29,7 @@
 }
 
 impl TargetRecord {
-    pub(super) fn new(revision: u64, target: Option<RegisteredTarget>) -> Self {
+    pub(super) fn new(revision: StoreRevision, target: Option<RegisteredTarget>) -> Self {
         Self { revision, target, drop_at: None, cold: None }
     }
 }
@@ -63,7 +63,7 @@
     pub(super) fn apply_removal(
         &mut self,
         name: &str,
-        revision: u64,
+        revision: StoreRevision,
         now: Timestamp,
         effects: &mut Vec<DirectoryEffect>,
     ) -> bool {
@@ -87,7 +87,7 @@
         true
     }
 
-    pub(super) fn remove(&mut self, name: &str, revision: u64) {
+    pub(super) fn remove(&mut self, name: &str, revision: StoreRevision) {
         self.targets.shift_remove(name);
         let known = self.removed.entry(name.to_owned()).or_default();
         *known = revision.max(*known);
@@ -106,12 +106,12 @@
         let listed: HashSet<&str> =
             batch.changes.iter().map(|change| change.name.as_str()).collect();
         let unlisted = self.targets.iter().filter(|(name, record)| {
-            !listed.contains(name.as_str()) && record.revision <= batch.revision
+            !listed.contains(name.as_str()) && record.revision <= batch.position()
         });
         let unlisted: Vec<String> = unlisted.map(|(name, _)| name.clone()).collect();
         let mut changed = false;
         for name in unlisted {
-            changed |= self.apply_removal(&name, batch.revision, now, effects);
+            changed |= self.apply_removal(&name, batch.position(), now, effects);
         }
         changed
     }
@@ -119,7 +119,7 @@
     pub(super) fn drop_due(&mut self, now: Timestamp) -> Vec<DirectoryEffect> {
         let due =
             self.targets.iter().filter(|(_, record)| record.drop_at.is_some_and(|at| at <= now));
-        let due: Vec<(String, u64)> =
+        let due: Vec<(String, StoreRevision)> =
             due.map(|(name, record)| (name.clone(), record.revision)).collect();
         if due.is_empty() {
             return Vec::new();
@@ -134,6 +134,6 @@
     }
 }
 
-fn target_changed(id: &str, revision: u64, state: &'static str) -> DirectoryEffect {
+fn target_changed(id: &str, revision: StoreRevision, state: &'static str) -> DirectoryEffect {
     DirectoryEffect::TargetChanged(TargetChange { id: id.to_owned(), revision, state })
 }
--- a/core/src/controllers/signals.rs
+++ b/core/src/controllers/signals.rs
@@ -8,7 +8,7 @@
 
 use super::StateController;
 use crate::clock::Timestamp;
-use crate::directory::DirectoryPart;
+use crate::directory::{DirectoryPart, StoreRevision};
 use crate::placement::CoordinatorCandidate;
 use crate::signals::SignalMessage;
 
@@ -55,6 +55,8 @@
 pub enum SignalsMessage {
     /// A message of another entry arrived.
     Received(SocketAddr, SignalMessage),
+    /// Another entry knows these revisions.
+    ReceivedRevisions([StoreRevision; DirectoryPart::COUNT]),
     /// This entry lost a target that ran a request.
     CrashRecorded,
     /// The settings name these entries to contact first, instead of those before.
@@ -68,7 +70,7 @@
 pub enum SignalsEffect {
     /// Another entry knows newer revisions of targets or configuration. Holds the newest
     /// known revision of each.
-    Revisions([u64; DirectoryPart::COUNT]),
+    Revisions([StoreRevision; DirectoryPart::COUNT]),
     /// Send a message to these entries.
     Send(Vec<SocketAddr>),
     /// Send the news of crashes to these entries at once.
@@ -105,7 +107,7 @@
     live_peers: Vec<CoordinatorCandidate>,
     /// When the current [`PEERS_REPORT_PERIOD`] began, and the number of reports in it.
     peers_reports: (Timestamp, u32),
-    revisions: [u64; DirectoryPart::COUNT],
+    revisions: [StoreRevision; DirectoryPart::COUNT],
     last_sent: Timestamp,
     /// Number of messages that are still to announce the last crash.
     announcements: u32,
@@ -121,7 +123,7 @@
             peers: seeds.map(|seed| (seed, PeerRecord::default())).collect(),
             live_peers: Vec::new(),
             peers_reports: (Timestamp::default(), 0),
-            revisions: [0; DirectoryPart::COUNT],
+            revisions: Default::default(),
             last_sent: Timestamp::default(),
             announcements: 0,
             last_announced: Timestamp::default(),
@@ -193,14 +195,7 @@
         let newly_live = !peer.is_live(max_silence, now);
         peer.last_message = Some(now);
         let changed = std::mem::replace(&mut peer.capacity, message.capacity) != message.capacity;
-        let mut revisions = self.revisions;
-        for (known, theirs) in revisions.iter_mut().zip(message.revisions) {
-            *known = theirs.max(*known);
-        }
-        if revisions != self.revisions {
-            self.revisions = revisions;
-            effects.push(SignalsEffect::Revisions(revisions));
-        }
+        effects.extend(self.observe_revisions(message.revisions.map(StoreRevision::from)));
         if newly_live || has_restarted {
             effects.push(SignalsEffect::SendFirst(from));
         }
@@ -210,6 +205,20 @@
         effects
     }
 
+    /// Records revisions that another entry knows. Returns an effect if one is newer.
+    fn observe_revisions(
+        &mut self,
+        theirs: [StoreRevision; DirectoryPart::COUNT],
+    ) -> Option<SignalsEffect> {
+        let mut revisions = self.revisions;
+        for (known, theirs) in revisions.iter_mut().zip(theirs) {
+            *known = theirs.max(*known);
+        }
+        let is_newer = revisions != self.revisions;
+        self.revisions = revisions;
+        is_newer.then_some(SignalsEffect::Revisions(revisions))
+    }
+
     /// Updates the live entries. After [`MAX_PEERS_REPORTS`] a change is left to a later tick.
     fn update_live_peers(&mut self, now: Timestamp) -> Option<SignalsEffect> {
         let (period_start, reports) = self.peers_reports;
@@ -278,6 +287,9 @@
     fn handle(&mut self, message: Self::Message, now: Timestamp) -> Vec<Self::Effect> {
         match message {
             SignalsMessage::Received(from, message) => self.receive(from, &message, now),
+            SignalsMessage::ReceivedRevisions(revisions) => {
+                self.observe_revisions(revisions).into_iter().collect()
+            }
             SignalsMessage::CrashRecorded => {
                 self.announcements = ANNOUNCEMENTS;
                 self.announce(now).into_iter().collect()
--- /dev/null
+++ b/core/src/directory/ledger.rs
@@ -0,0 +1,192 @@
+//! Newest known state of one part of a directory, also after the store came back from an older
+//! copy.
+//!
+//! The first list of an era shows the state of the copy, and what has been written since. State
+//! that is newer than the copy stays in force until its writer has written again.
+
+use std::collections::HashSet;
+
+use indexmap::IndexMap;
+
+use super::{DirectoryBatch, DirectoryChange, DirectoryItem, StoreRevision, WriterOrder};
+
+/// Removals kept; the oldest are dropped first.
+const MAX_REMOVED: usize = 1024;
+
+/// What is known of one object.
+#[derive(Clone, Debug)]
+struct ObjectRecord {
+    /// Revision of the last change, in the era of the ledger for each object that exists.
+    position: StoreRevision,
+    /// Newest content; `None` if the object was removed.
+    item: Option<DirectoryItem>,
+    /// Position of the newest content that was known, also of a removed object.
+    order: Option<WriterOrder>,
+    /// Revision at which that content was written.
+    written: StoreRevision,
+    /// Whether the content is from an earlier era and has not been written again.
+    is_carried: bool,
+}
+
+impl ObjectRecord {
+    /// Returns `true` if the object has announced that it will go or has gone.
+    fn has_left(&self) -> bool {
+        match &self.item {
+            None => true,
+            Some(DirectoryItem::Target(target)) => target.leaving,
+            Some(_) => false,
+        }
+    }
+}
+
+/// Newest known state of one part of a directory.
+#[derive(Debug, Default)]
+pub struct PartLedger {
+    records: IndexMap<String, ObjectRecord>,
+    /// Revision up to which the records are complete.
+    position: StoreRevision,
+    /// Revision after which no change is missing; `None` before the first list.
+    complete_since: Option<StoreRevision>,
+}
+
+impl PartLedger {
+    /// Returns the revision up to which the records are complete.
+    pub fn position(&self) -> StoreRevision {
+        self.position
+    }
+
+    /// Returns the revision after which no change is missing, or `None` before the first list.
+    pub fn complete_since(&self) -> Option<StoreRevision> {
+        self.complete_since
+    }
+
+    /// Returns `true` if the ledger can tell all changes after a revision.
+    pub fn covers(&self, after: StoreRevision) -> bool {
+        self.complete_since.is_some_and(|since| after >= since && after.era == self.position.era)
+    }
+
+    /// Returns `true` if there are changes after a revision.
+    pub fn has_changes(&self, after: StoreRevision) -> bool {
+        self.records.values().any(|record| record.position > after)
+    }
+
+    /// Returns the changes after a revision, or all objects, oldest first.
+    pub fn batch(&self, after: Option<StoreRevision>) -> DirectoryBatch {
+        let is_wanted = |(_, record): &(&String, &ObjectRecord)| match after {
+            Some(after) => record.position > after,
+            None => record.item.is_some(),
+        };
+        let wanted = self.records.iter().filter(is_wanted);
+        let change = |(name, record): (&String, &ObjectRecord)| DirectoryChange {
+            name: name.clone(),
+            revision: record.position.number,
+            item: record.item.clone(),
+        };
+        let mut changes: Vec<_> = wanted.map(change).collect();
+        changes.sort_by_key(|change| change.revision);
+        let StoreRevision { era, number: revision } = self.position;
+        DirectoryBatch { era, revision, changes }
+    }
+
+    /// Applies a batch and replaces outdated content in it by what is in force. Returns `false` if
+    /// the batch changes nothing because the store has come back from an older copy since, or
+    /// because it holds only the changes of an era of which nothing has been listed.
+    pub fn apply(&mut self, batch: &mut DirectoryBatch, is_list: bool) -> bool {
+        let starts_era = batch.era > self.position.era;
+        if batch.era < self.position.era || (starts_era && !is_list && self.is_complete()) {
+            return false;
+        }
+        if is_list {
+            self.remove_unlisted(batch, starts_era);
+            self.complete_since = match self.complete_since {
+                Some(since) if !starts_era => Some(since),
+                _ => Some(batch.position()),
+            };
+        }
+        for change in &mut batch.changes {
+            let position = StoreRevision { era: batch.era, number: change.revision };
+            let record = self.records.get(&change.name);
+            if record.is_some_and(|known| known.position >= position) {
+                continue;
+            }
+            let record = match record.filter(|known| is_outdated(change, known, starts_era)) {
+                Some(known) => ObjectRecord { position, is_carried: true, ..known.clone() },
+                None => {
+                    let (known_order, known_written) =
+                        record.map_or((None, position), |known| (known.order, known.written));
+                    let (order, written) = match &change.item {
+                        Some(item) => (item.writer_order(), position),
+                        None => (known_order, known_written),
+                    };
+                    let item = change.item.clone();
+                    ObjectRecord { position, item, order, written, is_carried: false }
+                }
+            };
+            change.item.clone_from(&record.item);
+            self.records.insert(change.name.clone(), record);
+        }
+        self.position = self.position.max(batch.position());
+        self.drop_old_removals();
+        true
+    }
+
+    /// Returns `true` once all objects are known.
+    pub fn is_complete(&self) -> bool {
+        self.complete_since.is_some()
+    }
+
+    /// Records the removal of objects that a list no longer contains. The first list of an era
+    /// proves nothing of an object that was written after the copy was made: a configuration
+    /// stays, and a target that has not announced that it leaves may come back with the content
+    /// that it had.
+    fn remove_unlisted(&mut self, batch: &mut DirectoryBatch, starts_era: bool) {
+        let position = batch.position();
+        let listed: HashSet<&str> =
+            batch.changes.iter().map(|change| change.name.as_str()).collect();
+        let unlisted = self.records.iter_mut().filter(|(name, record)| {
+            record.item.is_some() && record.position <= position && !listed.contains(name.as_str())
+        });
+        let mut carried = Vec::new();
+        for (name, record) in unlisted {
+            record.position = position;
+            if starts_era && let Some(DirectoryItem::Configuration(_)) = &record.item {
+                record.is_carried = true;
+                let (name, item) = (name.clone(), record.item.clone());
+                carried.push(DirectoryChange { name, revision: position.number, item });
+                continue;
+            }
+            if starts_era && !record.has_left() {
+                record.order = None;
+            }
+            (record.item, record.is_carried) = (None, starts_era);
+        }
+        batch.changes.extend(carried);
+    }
+
+    fn drop_old_removals(&mut self) {
+        let removed = self.records.values().filter(|record| record.item.is_none());
+        let mut positions: Vec<StoreRevision> = removed.map(|record| record.position).collect();
+        let Some(excess) = positions.len().checked_sub(MAX_REMOVED).filter(|excess| *excess > 0)
+        else {
+            return;
+        };
+        positions.sort_unstable();
+        let oldest = positions[excess - 1];
+        self.records.retain(|_, record| record.item.is_some() || record.position > oldest);
+        self.complete_since = self.complete_since.map(|since| since.max(oldest));
+    }
+}
+
+/// Returns `true` if the content of a change is older than what is known although its revision is
+/// higher. In the first list of an era it may be as old as the copy; later, only an object whose
+/// content has not been written again can be touched by another writer.
+fn is_outdated(change: &DirectoryChange, known: &ObjectRecord, starts_era: bool) -> bool {
+    let order = change.item.as_ref().and_then(DirectoryItem::writer_order);
+    let (Some(order), Some(known_order)) = (order, known.order) else { return false };
+    if starts_era {
+        // An object keeps its number in the copy, also while its writer only repeats itself.
+        change.revision == known.written.number || order <= known_order
+    } else {
+        known.is_carried && order < known_order
+    }
+}
--- a/core/src/directory.rs
+++ b/core/src/directory/mod.rs
@@ -1,10 +1,15 @@
 //! Content of a directory of services: targets that registered themselves and the
 //! configuration of the operator.
 
+mod ledger;
+mod revision;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+pub use ledger::PartLedger;
+pub use revision::{StoreRevision, WriterOrder};
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumCount, EnumIter, EnumString, IntoStaticStr};
 
@@ -48,6 +53,9 @@
     pub leaving: bool,
     /// Remaining time for which it is slow after its start.
     pub warm_up_left: Duration,
+    /// Number of this registration among those that its process wrote.
+    #[serde(default)]
+    pub sequence: u64,
 }
 
 /// A service as the operator defines it.
@@ -100,12 +108,30 @@
     Unusable,
 }
 
+impl DirectoryItem {
+    /// Returns the position of the object among all that its writer wrote under its name, if its
+    /// writer states one.
+    pub fn writer_order(&self) -> Option<WriterOrder> {
+        match self {
+            Self::Target(target) => Some(WriterOrder {
+                started_ms: target.instance.started_ms,
+                sequence: target.sequence,
+            }),
+            Self::Configuration(configuration) => {
+                Some(WriterOrder { started_ms: 0, sequence: configuration.version })
+            }
+            Self::Unusable => Some(WriterOrder::default()),
+            Self::Evacuation => None,
+        }
+    }
+}
+
 /// Change of one object.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DirectoryChange {
     /// Name of the object.
     pub name: String,
-    /// Revision of the change.
+    /// Revision of the change in the era of its batch.
     pub revision: u64,
     /// New content of the object; `None` if it was removed.
     pub item: Option<DirectoryItem>,
@@ -114,8 +140,23 @@
 /// Changes up to a revision, oldest first.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct DirectoryBatch {
+    /// Era of all revisions of the batch.
+    #[serde(default)]
+    pub era: u64,
     /// Revision up to which the batch is complete.
     pub revision: u64,
     /// Changes; in the result of a list call, all existing objects.
     pub changes: Vec<DirectoryChange>,
 }
+
+impl DirectoryBatch {
+    /// Returns the revision up to which the batch is complete, with its era.
+    pub fn position(&self) -> StoreRevision {
+        StoreRevision { era: self.era, number: self.revision }
+    }
+
+    /// Returns the revision of one of its changes, with its era.
+    pub fn change_position(&self, change: &DirectoryChange) -> StoreRevision {
+        StoreRevision { era: self.era, number: change.revision }
+    }
+}
--- a/core/src/evacuation.rs
+++ b/core/src/evacuation.rs
@@ -5,7 +5,7 @@
 
 use indexmap::IndexMap;
 
-use crate::directory::DirectoryBatch;
+use crate::directory::{DirectoryBatch, StoreRevision};
 
 /// Greatest number of data centres that are remembered; those whose evacuation ended longest ago
 /// are dropped first. A region has a few.
@@ -17,7 +17,7 @@
     /// Data centre.
     pub data_centre: String,
     /// Revision of the change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Whether the data centre is evacuated from now on.
     pub is_evacuated: bool,
 }
@@ -25,7 +25,7 @@
 /// What is known about a data centre.
 #[derive(Clone, Copy, Debug)]
 struct EvacuationRecord {
-    revision: u64,
+    revision: StoreRevision,
     is_evacuated: bool,
 }
 
@@ -53,20 +53,39 @@
         let mut changes = Vec::new();
         if is_list {
             let listed = |name: &str| batch.changes.iter().any(|change| change.name == name);
-            let ended = self.evacuated().filter(|name| !listed(name));
-            let ended: Vec<_> = ended.map(str::to_owned).collect();
-            changes.extend(ended.into_iter().filter_map(|name| {
-                self.set(&name, EvacuationRecord { revision: batch.revision, is_evacuated: false })
-            }));
-        }
-        for change in &batch.changes {
-            let is_evacuated = change.item.is_some();
-            let record = EvacuationRecord { revision: change.revision, is_evacuated };
-            changes.extend(self.set(&change.name, record));
+            let ended = self.evacuated().filter(|name| !listed(name)).map(str::to_owned).collect();
+            changes.extend(self.end(ended, batch.position()));
         }
+        changes.extend(self.apply_restored(batch));
         changes
     }
 
+    /// Applies a batch of a store that came back from an older copy. Evacuations that are not in
+    /// the batch stay in force, as their objects may be newer than the copy. Returns the changes.
+    pub fn apply_restored(&mut self, batch: &DirectoryBatch) -> Vec<EvacuationChange> {
+        let changes = batch.changes.iter().filter_map(|change| {
+            let is_evacuated = change.item.is_some();
+            let record = EvacuationRecord { revision: batch.change_position(change), is_evacuated };
+            self.set(&change.name, record)
+        });
+        changes.collect()
+    }
+
+    /// Ends the evacuations that were not listed or changed in the era of `position`. Returns the
+    /// changes.
+    pub fn end_unlisted(&mut self, position: StoreRevision) -> Vec<EvacuationChange> {
+        let is_older = |record: &EvacuationRecord| record.revision.era < position.era;
+        let records = self.records.iter();
+        let ended = records.filter(|(_, record)| record.is_evacuated && is_older(record));
+        let ended = ended.map(|(name, _)| name.clone()).collect();
+        self.end(ended, position)
+    }
+
+    fn end(&mut self, names: Vec<String>, revision: StoreRevision) -> Vec<EvacuationChange> {
+        let record = EvacuationRecord { revision, is_evacuated: false };
+        names.into_iter().filter_map(|name| self.set(&name, record)).collect()
+    }
+
     /// Records the state of a data centre unless a newer one is known. Returns the change.
     fn set(&mut self, data_centre: &str, record: EvacuationRecord) -> Option<EvacuationChange> {
         let known = self.records.get(data_centre).copied();
--- a/core/src/signals.rs
+++ b/core/src/signals.rs
@@ -10,7 +10,7 @@
 use crate::call::CallFingerprint;
 use crate::clock::Timestamp;
 use crate::digest::ShortDigest;
-use crate::directory::DirectoryPart;
+use crate::directory::{DirectoryPart, StoreRevision};
 use crate::fleet::TargetSnapshot;
 use crate::placement::{PartHeadroom, RoundTripReport};
 use crate::quarantine::CrashRecord;
@@ -91,7 +91,8 @@
     /// CPU share that the sender can use, in percent of a core; 0 while it starts or stops.
     pub capacity: u16,
     /// Latest revision of each part of the directory that the sender knows; 0 if an earlier
-    /// message contained them.
+    /// message contained them, or if the store states its era. Revisions with an era have a
+    /// datagram of their own, which entries of earlier versions ignore.
     pub revisions: [u64; DirectoryPart::COUNT],
     /// Crash records of an entry of an earlier version; otherwise empty.
     pub crashes: Vec<CrashSummary>,
@@ -99,6 +100,25 @@
     pub members: Vec<SocketAddr>,
 }
 
+/// Latest revision of each part of the directory that the sender knows.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct RevisionsMessage {
+    /// Era and number of each revision.
+    pub revisions: [(u64, u64); DirectoryPart::COUNT],
+}
+
+impl From<[StoreRevision; DirectoryPart::COUNT]> for RevisionsMessage {
+    fn from(revisions: [StoreRevision; DirectoryPart::COUNT]) -> Self {
+        Self { revisions: revisions.map(|revision| (revision.era, revision.number)) }
+    }
+}
+
+impl From<RevisionsMessage> for [StoreRevision; DirectoryPart::COUNT] {
+    fn from(message: RevisionsMessage) -> Self {
+        message.revisions.map(|(era, number)| StoreRevision { era, number })
+    }
+}
+
 /// Message in which an entry tells another one where it is. A request for the same is answered;
 /// the sender measures the round trip with it.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
--- a/core/tests/directory.rs
+++ b/core/tests/directory.rs
@@ -10,7 +10,7 @@
 };
 use zinniaport_core::directory::{
     DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, OperatorConfiguration,
-    RegisteredTarget, ServiceDefinition,
+    RegisteredTarget, ServiceDefinition, StoreRevision,
 };
 use zinniaport_core::fleet::{FleetSnapshot, TargetState};
 use zinniaport_core::intent::TargetInstance;
@@ -27,6 +27,7 @@
         slots: 3,
         leaving,
         warm_up_left: Duration::ZERO,
+        sequence: 0,
     };
     DirectoryChange { name: name.to_owned(), revision, item: Some(DirectoryItem::Target(target)) }
 }
@@ -55,7 +56,7 @@
 }
 
 fn batch(revision: u64, changes: Vec<DirectoryChange>) -> DirectoryBatch {
-    DirectoryBatch { revision, changes }
+    DirectoryBatch { era: 0, revision, changes }
 }
 
 /// A controller that has listed one configuration and some targets, with the fleet that it
@@ -200,10 +201,10 @@
 
     changes_known_to_peers_are_read: "a change that takes effect seconds after other entries know it, because a watch lags" => {
         let mut directory = FollowedDirectory::new(vec![target("i", 5, false)]);
-        directory.send(DirectoryMessage::PeerRevision(DirectoryPart::Targets, 30), SECOND);
+        directory.send(DirectoryMessage::PeerRevision(DirectoryPart::Targets, 30.into()), SECOND);
         assert!(directory.send(DirectoryMessage::Tick, SECOND + 300_000).is_empty(), "the watch still has time to deliver the change");
         let effects = directory.send(DirectoryMessage::Tick, SECOND + 500_000);
-        assert!(matches!(effects[..], [DirectoryEffect::CatchUp(DirectoryPart::Targets, Some(20))]), "{effects:?}");
+        assert!(matches!(effects[..], [DirectoryEffect::CatchUp(DirectoryPart::Targets, Some(StoreRevision { era: 0, number: 20 }))]), "{effects:?}");
         let change = batch(31, vec![target("i", 30, true)]);
         let effects = directory.send(DirectoryMessage::CaughtUp(DirectoryPart::Targets, Some(change)), SECOND + 510_000);
         assert_eq!(directory.available(), 0);
@@ -215,15 +216,15 @@
     listed_removals_are_not_read_again: "entries that all call the platform after their start because the newest change before it was a removal" => {
         let mut directory = FollowedDirectory::new(vec![target("i", 5, false)]);
         // The list was complete up to revision 20; a peer knows a removal at revision 15.
-        directory.send(DirectoryMessage::PeerRevision(DirectoryPart::Targets, 15), SECOND);
+        directory.send(DirectoryMessage::PeerRevision(DirectoryPart::Targets, 15.into()), SECOND);
         assert!(directory.send(DirectoryMessage::Tick, SECOND + 500_000).is_empty());
-        directory.send(DirectoryMessage::PeerRevision(DirectoryPart::Targets, 21), 2 * SECOND);
+        directory.send(DirectoryMessage::PeerRevision(DirectoryPart::Targets, 21.into()), 2 * SECOND);
         assert!(!directory.send(DirectoryMessage::Tick, 2 * SECOND + 500_000).is_empty());
     }
 
     failed_catch_up_lists: "a change that stays unknown because the platform no longer keeps the history before it" => {
         let mut directory = FollowedDirectory::new(vec![target("i", 5, false)]);
-        directory.send(DirectoryMessage::PeerRevision(DirectoryPart::Targets, 30), SECOND);
+        directory.send(DirectoryMessage::PeerRevision(DirectoryPart::Targets, 30.into()), SECOND);
         directory.send(DirectoryMessage::Tick, SECOND + 500_000);
         directory.send(DirectoryMessage::CaughtUp(DirectoryPart::Targets, None), SECOND + 510_000);
         let effects = directory.send(DirectoryMessage::Tick, SECOND + 1_000_000);
--- a/core/tests/evacuation.rs
+++ b/core/tests/evacuation.rs
@@ -29,6 +29,7 @@
         slots: 6,
         leaving: false,
         warm_up_left: Duration::ZERO,
+        sequence: 0,
     };
     let name = format!("i-{number}");
     DirectoryChange { name, revision: 5, item: Some(DirectoryItem::Target(target)) }
@@ -63,7 +64,7 @@
 }
 
 fn batch(revision: u64, changes: Vec<DirectoryChange>) -> DirectoryBatch {
-    DirectoryBatch { revision, changes }
+    DirectoryBatch { era: 0, revision, changes }
 }
 
 /// An entry's controllers of the directory and of targets, without I/O.
--- a/src/datagrams.rs
+++ b/src/datagrams.rs
@@ -9,7 +9,7 @@
 use zinniaport_core::placement::PlacementMessage;
 use zinniaport_core::quarantine::CrashRecord;
 use zinniaport_core::quota::QuotaMessage;
-use zinniaport_core::signals::{HeadroomMessage, LocationMessage, SignalMessage};
+use zinniaport_core::signals::{HeadroomMessage, LocationMessage, RevisionsMessage, SignalMessage};
 
 use crate::state::SharedState;
 use crate::telemetry::TrafficKind;
@@ -32,13 +32,17 @@
     Headroom(HeadroomMessage),
     /// Tokens of the limits of tenants.
     Quota(QuotaMessage),
+    /// Revisions of a directory whose store states its era.
+    Revisions(RevisionsMessage),
 }
 
 impl SignalDatagram {
     fn traffic_kind(&self) -> TrafficKind {
         match self {
             Self::Placement(_) | Self::Headroom(_) | Self::Quota(_) => TrafficKind::Placement,
-            Self::Signal(_) | Self::Crashes(_) | Self::Location(_) => TrafficKind::Signals,
+            Self::Signal(_) | Self::Crashes(_) | Self::Location(_) | Self::Revisions(_) => {
+                TrafficKind::Signals
+            }
         }
     }
 }
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -25,7 +25,7 @@
     DirectoryController, DirectoryEffect, DirectoryMessage, DirectorySettings, StateController,
     TargetsMessage,
 };
-use zinniaport_core::directory::{DirectoryBatch, DirectoryPart};
+use zinniaport_core::directory::{DirectoryBatch, DirectoryPart, StoreRevision};
 use zinniaport_core::evacuation::EvacuationChange;
 use zinniaport_core::fleet::FleetSnapshot;
 use zinniaport_core::routes::RoutingTable;
@@ -62,11 +62,12 @@
     ) -> BoxFuture<'_, Result<Option<DirectoryBatch>, StoreError>>;
 
     /// Waits for changes of a part after `revision`. Returns an empty batch if none
-    /// come before the source's time limit.
+    /// come before the source's time limit. Fails with [`StoreError::TooOld`] if the source has
+    /// come back from an older copy since then.
     fn watch(
         &self,
         part: DirectoryPart,
-        revision: u64,
+        revision: StoreRevision,
         consistency: ReadConsistency,
     ) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>>;
 }
@@ -122,7 +123,7 @@
 
     fn handle_peer_revisions(&mut self) {
         for part in DirectoryPart::iter() {
-            let revision = self.state.revisions.peer[part as usize].load(Ordering::Acquire);
+            let revision = self.state.revisions.announced(part);
             self.handle(DirectoryMessage::PeerRevision(part, revision));
         }
     }
@@ -148,14 +149,14 @@
                 DirectoryEffect::CatchUp(part, revision) => self.catch_up(part, revision),
                 DirectoryEffect::Revision(part, revision) => {
                     self.state.metrics.directory.set_revision(part, revision);
-                    self.state.revisions.local[part as usize].store(revision, Ordering::Release);
+                    self.state.revisions.set_local(part, revision);
                     self.state.signal_due.notify_one();
                 }
                 DirectoryEffect::Publish(fleet) => {
                     let version = fleet.routes.as_ref().map_or(0, |table| table.version);
                     let [targets_revision, configuration_revision, _] =
                         self.state.revisions.local();
-                    log::info!(config_version = version, targets = fleet.targets.len(), targets_revision, configuration_revision; "applied the directory");
+                    log::info!(config_version = version, targets = fleet.targets.len(), targets_revision:% = targets_revision, configuration_revision:% = configuration_revision; "applied the directory");
                     if version != std::mem::replace(&mut self.published_version, version) {
                         self.report_unused_items(&fleet);
                     }
@@ -170,13 +171,17 @@
                     let away_ms = outage.as_millis() as u64;
                     log::info!(part = <&str>::from(part), away_ms = away_ms; "the directory is reachable again");
                 }
+                DirectoryEffect::Restored(part, known, revision) => {
+                    self.state.metrics.directory.count_restore();
+                    log::warn!(part = <&str>::from(part), known:% = known, revision:% = revision; "the directory was restored from an older copy; what is newer stays in force until it is written again");
+                }
                 DirectoryEffect::Evacuation(change) => self.report_evacuation(&change),
                 DirectoryEffect::ColdTargets(source, count) => {
                     log::info!(targets = count, source = <&str>::from(source); "targets are cold");
                 }
                 DirectoryEffect::TargetChanged(change) => {
                     if logs_targets {
-                        log::info!(target_id = change.id.as_str(), revision = change.revision; "target {}", change.state);
+                        log::info!(target_id = change.id.as_str(), revision:% = change.revision; "target {}", change.state);
                     }
                 }
             }
@@ -198,14 +203,14 @@
         evacuated.increment(if *is_evacuated { 1.0 } else { -1.0 });
         let data_centre = data_centre.as_str();
         if *is_evacuated {
-            log::warn!(data_centre, revision; "a data centre is evacuated: its targets take no new requests");
+            log::warn!(data_centre, revision:% = revision; "a data centre is evacuated: its targets take no new requests");
         } else {
-            log::info!(data_centre, revision; "the evacuation of a data centre ended");
+            log::info!(data_centre, revision:% = revision; "the evacuation of a data centre ended");
         }
     }
 
     /// Reads changes that a peer already knows.
-    fn catch_up(&self, part: DirectoryPart, revision: Option<u64>) {
+    fn catch_up(&self, part: DirectoryPart, revision: Option<StoreRevision>) {
         let source = self.source.clone();
         self.calls.push(Box::pin(async move {
             let result = match revision {
@@ -213,13 +218,13 @@
                 None => source.list(part).await,
             };
             if let Err(error) = &result {
-                log::warn!(part = <&str>::from(part), revision = revision.unwrap_or(0); "cannot read changes that other entries announced: {error}");
+                log::warn!(part = <&str>::from(part), revision:% = revision.unwrap_or_default(); "cannot read changes that other entries announced: {error}");
             }
             DirectoryMessage::CaughtUp(part, result.ok())
         }));
     }
 
-    fn start_call(&self, part: DirectoryPart, revision: Option<u64>, delay: Duration) {
+    fn start_call(&self, part: DirectoryPart, revision: Option<StoreRevision>, delay: Duration) {
         let (source, state) = (self.source.clone(), self.state.clone());
         self.calls.push(Box::pin(async move {
             tokio::time::sleep(delay).await;
@@ -243,7 +248,7 @@
                     DirectoryMessage::HistoryGone(part)
                 }
                 (Err(error), _) => {
-                    log::warn!(part = <&str>::from(part), revision = revision.unwrap_or(0); "cannot read the directory, retrying: {error}");
+                    log::warn!(part = <&str>::from(part), revision:% = revision.unwrap_or_default(); "cannot read the directory, retrying: {error}");
                     DirectoryMessage::Failed(part)
                 }
             }
@@ -254,7 +259,7 @@
 /// Logs how many targets a batch changed to each state.
 fn log_target_counts(effects: &[DirectoryEffect]) {
     let mut counts: IndexMap<&str, u64> = IndexMap::new();
-    let mut newest = 0;
+    let mut newest = StoreRevision::default();
     for effect in effects {
         if let DirectoryEffect::TargetChanged(change) = effect {
             *counts.entry(change.state).or_default() += 1;
@@ -262,6 +267,6 @@
         }
     }
     for (state, count) in counts {
-        log::info!(targets = count, newest_revision = newest; "targets {state}");
+        log::info!(targets = count, newest_revision:% = newest; "targets {state}");
     }
 }
--- a/src/directory/relay.rs
+++ b/src/directory/relay.rs
@@ -8,10 +8,9 @@
 use flate2::Compression;
 use flate2::read::ZlibDecoder;
 use flate2::write::ZlibEncoder;
-use indexmap::IndexMap;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
-use zinniaport_core::directory::{DirectoryBatch, DirectoryChange, DirectoryPart};
+use zinniaport_core::directory::{DirectoryBatch, DirectoryPart, PartLedger, StoreRevision};
 
 /// Age of the platform's last response after which a relay stops serving. A leader's own
 /// watch returns every second, and a change must be known to all entries after two
@@ -22,9 +21,6 @@
 /// evacuation must be known to all entries after 5 s.
 const MAX_EVACUATIONS_AGE: Duration = Duration::from_millis(1_800);
 
-/// Removals kept for each part; the oldest are dropped first.
-const MAX_REMOVED: usize = 1024;
-
 /// Largest batch that is read from another entry, in bytes after decompression.
 const MAX_BATCH_BYTES: u64 = 64 << 20;
 
@@ -45,16 +41,19 @@
 /// The newest known state of one part of the directory.
 #[derive(Debug, Default)]
 pub(super) struct RelayedPart {
-    /// The last change of each object, removals included.
-    changes: IndexMap<String, DirectoryChange>,
-    /// Revision up to which the changes are complete.
-    revision: u64,
-    /// Revision after which no change is missing; `None` before the first list.
-    pub(super) complete_since: Option<u64>,
+    pub(super) ledger: PartLedger,
     /// Time of the last response of the platform.
     pub(super) confirmed_at: Option<Instant>,
     /// The last encoded response, with the revisions that it starts after and ends at.
-    encoded: Option<(u64, u64, Bytes)>,
+    encoded: Option<EncodedBatch>,
+}
+
+/// A response to a query.
+#[derive(Debug)]
+struct EncodedBatch {
+    after: Option<StoreRevision>,
+    position: StoreRevision,
+    bytes: Bytes,
 }
 
 impl RelayedPart {
@@ -64,50 +63,12 @@
         self.fresh_until(part).is_some_and(|until| until > Instant::now())
     }
 
-    fn apply(&mut self, batch: &DirectoryBatch, origin: BatchOrigin) {
-        let listed = matches!(origin, BatchOrigin::Listed | BatchOrigin::ListedByPeer);
-        if listed {
-            let removed: Vec<String> = self
-                .changes
-                .iter()
-                .filter(|(name, known)| {
-                    known.item.is_some()
-                        && known.revision <= batch.revision
-                        && batch.changes.iter().all(|change| change.name != **name)
-                })
-                .map(|(name, _)| name.clone())
-                .collect();
-            for name in removed {
-                let revision = batch.revision;
-                let change = DirectoryChange { name: name.clone(), revision, item: None };
-                self.changes.insert(name, change);
-            }
-            self.complete_since.get_or_insert(batch.revision);
-        }
-        for change in &batch.changes {
-            let known = self.changes.get(&change.name).map_or(0, |known| known.revision);
-            if change.revision > known {
-                self.changes.insert(change.name.clone(), change.clone());
-            }
-        }
-        self.revision = self.revision.max(batch.revision);
-        if matches!(origin, BatchOrigin::Listed | BatchOrigin::Watched) {
+    fn apply(&mut self, batch: &mut DirectoryBatch, origin: BatchOrigin) {
+        let is_list = matches!(origin, BatchOrigin::Listed | BatchOrigin::ListedByPeer);
+        let is_applied = self.ledger.apply(batch, is_list);
+        if is_applied && matches!(origin, BatchOrigin::Listed | BatchOrigin::Watched) {
             self.confirmed_at = Some(Instant::now());
         }
-        self.drop_old_removals();
-    }
-
-    fn drop_old_removals(&mut self) {
-        let removed = self.changes.values().filter(|change| change.item.is_none());
-        let mut revisions: Vec<u64> = removed.map(|change| change.revision).collect();
-        let Some(excess) = revisions.len().checked_sub(MAX_REMOVED).filter(|excess| *excess > 0)
-        else {
-            return;
-        };
-        revisions.sort_unstable();
-        let oldest = revisions[excess - 1];
-        self.changes.retain(|_, change| change.item.is_some() || change.revision > oldest);
-        self.complete_since = self.complete_since.map(|since| since.max(oldest));
     }
 
     /// Returns until when this part, which is `part`, may be served.
@@ -119,32 +80,17 @@
         self.confirmed_at.map(|confirmed_at| confirmed_at + max_age)
     }
 
-    pub(super) fn has_changes(&self, after: u64) -> bool {
-        self.changes.values().any(|change| change.revision > after)
-    }
-
-    /// Returns the changes after a revision, or all objects.
-    fn batch(&self, after: Option<u64>) -> DirectoryBatch {
-        let is_wanted = |change: &&DirectoryChange| match after {
-            Some(after) => change.revision > after,
-            None => change.item.is_some(),
-        };
-        let mut changes: Vec<_> = self.changes.values().filter(is_wanted).cloned().collect();
-        changes.sort_by_key(|change| change.revision);
-        DirectoryBatch { revision: self.revision, changes }
-    }
-
     /// Encodes the batch after a revision. The last one is cached, because followers mostly
     /// request changes after the same revision.
-    pub(super) fn encode(&mut self, after: Option<u64>) -> std::io::Result<Bytes> {
-        let from = after.unwrap_or(u64::MAX);
-        if let Some((start, end, bytes)) = &self.encoded
-            && (*start, *end) == (from, self.revision)
+    pub(super) fn encode(&mut self, after: Option<StoreRevision>) -> std::io::Result<Bytes> {
+        let position = self.ledger.position();
+        if let Some(encoded) = &self.encoded
+            && (encoded.after, encoded.position) == (after, position)
         {
-            return Ok(bytes.clone());
+            return Ok(encoded.bytes.clone());
         }
-        let bytes = encode_batch(&self.batch(after))?;
-        self.encoded = Some((from, self.revision, bytes.clone()));
+        let bytes = encode_batch(&self.ledger.batch(after))?;
+        self.encoded = Some(EncodedBatch { after, position, bytes: bytes.clone() });
         Ok(bytes)
     }
 }
@@ -157,19 +103,26 @@
 }
 
 impl DirectoryRelay {
-    /// Applies a batch and wakes the waiting followers.
-    pub fn apply(&self, part: DirectoryPart, batch: &DirectoryBatch, origin: BatchOrigin) {
+    /// Applies a batch and wakes the waiting followers. Content of the batch that is outdated
+    /// because the store came back from an older copy is replaced by what is in force.
+    pub fn apply(&self, part: DirectoryPart, batch: &mut DirectoryBatch, origin: BatchOrigin) {
         self.lock(part).apply(batch, origin);
         self.changed[part as usize].notify_waiters();
     }
 
     /// Applies the list of another entry and keeps its encoding, to pass it on as it is.
-    pub(super) fn apply_list(&self, part: DirectoryPart, batch: &DirectoryBatch, encoded: Bytes) {
+    pub(super) fn apply_list(
+        &self,
+        part: DirectoryPart,
+        batch: &mut DirectoryBatch,
+        encoded: Bytes,
+    ) {
         let mut relayed = self.lock(part);
-        let is_first = relayed.complete_since.is_none();
+        let is_first = !relayed.ledger.is_complete();
         relayed.apply(batch, BatchOrigin::ListedByPeer);
         if is_first {
-            relayed.encoded = Some((u64::MAX, relayed.revision, encoded));
+            let position = relayed.ledger.position();
+            relayed.encoded = Some(EncodedBatch { after: None, position, bytes: encoded });
         }
         drop(relayed);
         self.changed[part as usize].notify_waiters();
@@ -177,7 +130,7 @@
 
     /// Returns `true` once all objects of a part are known.
     pub(super) fn is_complete(&self, part: DirectoryPart) -> bool {
-        self.lock(part).complete_since.is_some()
+        self.lock(part).ledger.is_complete()
     }
 
     /// Waits until all objects of a part are known, at most for `wait`.
--- a/src/directory/relay_handler.rs
+++ b/src/directory/relay_handler.rs
@@ -7,7 +7,7 @@
 use futures::future::BoxFuture;
 use http::{HeaderValue, StatusCode};
 use tokio::time::{Instant, sleep_until};
-use zinniaport_core::directory::DirectoryPart;
+use zinniaport_core::directory::{DirectoryPart, StoreRevision};
 use zinniaport_core::startup::TransferTable;
 
 use super::relay::{DirectoryRelay, RelayedPart};
@@ -35,7 +35,7 @@
 pub(super) struct RelayQuery {
     pub(super) part: DirectoryPart,
     /// Revision after which changes are wanted; `None` for all objects.
-    pub(super) after: Option<u64>,
+    pub(super) after: Option<StoreRevision>,
     /// Longest time to wait for a change, or for the first list.
     pub(super) wait: Duration,
     /// Address of the sender if it is starting. It then takes all objects from any entry that
@@ -47,7 +47,9 @@
     pub(super) fn to_uri(self) -> String {
         let (part, hold_ms) = (<&str>::from(self.part), self.wait.as_millis());
         match self.after {
-            Some(after) => format!("{RELAY_PATH}?part={part}&after={after}&hold={hold_ms}"),
+            Some(StoreRevision { era, number }) => {
+                format!("{RELAY_PATH}?part={part}&after={number}&era={era}&hold={hold_ms}")
+            }
             None => match self.starting {
                 Some(entry) => {
                     format!("{RELAY_PATH}?part={part}&hold={hold_ms}&starting={entry}")
@@ -59,7 +61,10 @@
 
     fn read(request: &AdminRequest) -> Option<Self> {
         let part = query_value(request, "part")?.parse().ok()?;
-        let after = query_value(request, "after").and_then(|text| text.parse().ok());
+        let number = |name| query_value(request, name).and_then(|text| text.parse::<u64>().ok());
+        // Entries of earlier versions name no era.
+        let era = number("era").unwrap_or(0);
+        let after = number("after").map(|number| StoreRevision { era, number });
         let wait = query_value(request, "hold").and_then(|text| text.parse().ok()).unwrap_or(0);
         let starting = query_value(request, "starting").and_then(|text| text.parse().ok());
         Some(Self { part, after, wait: Duration::from_millis(wait).min(MAX_WAIT), starting })
@@ -112,25 +117,30 @@
             let leaders = self.state.revisions.leaders();
             return json_response(StatusCode::SERVICE_UNAVAILABLE, &leaders);
         }
-        let Some(complete_since) = self.relay.lock(part).complete_since else {
+        if !self.relay.is_complete(part) {
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "nothing is known yet");
-        };
-        if let Some(after) = query.after {
-            if after < complete_since {
-                return text_response(StatusCode::GONE, "list first");
-            }
+        }
+        let is_covered = |after: &StoreRevision| self.relay.lock(part).ledger.covers(*after);
+        if let Some(after) = query.after.filter(is_covered) {
             self.wait_for_changes(part, after, query.wait).await;
         }
         let mut relayed = self.relay.lock(part);
         if !relayed.is_fresh(part) {
             return text_response(StatusCode::SERVICE_UNAVAILABLE, "the platform does not answer");
         }
+        if let Some(after) = query.after.filter(|after| !relayed.ledger.covers(*after)) {
+            return if after.era > relayed.ledger.position().era {
+                text_response(StatusCode::SERVICE_UNAVAILABLE, "the restore is not known yet")
+            } else {
+                text_response(StatusCode::GONE, "list first")
+            };
+        }
         batch_response(&mut relayed, query.after)
     }
 
     /// Waits until there is a change after `after`, `wait` has passed, or the platform's
     /// last response is too old to rule out newer changes.
-    async fn wait_for_changes(&self, part: DirectoryPart, after: u64, wait: Duration) {
+    async fn wait_for_changes(&self, part: DirectoryPart, after: StoreRevision, wait: Duration) {
         let end = Instant::now() + wait;
         loop {
             let changed = self.relay.changed[part as usize].notified();
@@ -138,7 +148,7 @@
             changed.as_mut().enable();
             let (has_changes, fresh_until) = {
                 let relayed = self.relay.lock(part);
-                (relayed.has_changes(after), relayed.fresh_until(part))
+                (relayed.ledger.has_changes(after), relayed.fresh_until(part))
             };
             if has_changes {
                 return tokio::time::sleep(COALESCE_TIME).await;
@@ -157,7 +167,7 @@
 }
 
 /// Returns the changes after a revision, or all objects, with their age.
-fn batch_response(relayed: &mut RelayedPart, after: Option<u64>) -> AdminResponse {
+fn batch_response(relayed: &mut RelayedPart, after: Option<StoreRevision>) -> AdminResponse {
     let age = relayed.confirmed_at.map(|confirmed_at| confirmed_at.elapsed());
     match relayed.encode(after) {
         Ok(bytes) => {
--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -7,7 +7,7 @@
 
 use futures::future::BoxFuture;
 use tokio::time::{Instant, sleep};
-use zinniaport_core::directory::{DirectoryBatch, DirectoryPart};
+use zinniaport_core::directory::{DirectoryBatch, DirectoryPart, StoreRevision};
 use zinniaport_core::policy::hash_bytes;
 use zinniaport_core::startup::{StartupPlan, StartupResponse, StartupStep};
 
@@ -144,12 +144,12 @@
     fn apply_first_list(
         &self,
         part: DirectoryPart,
-        batch: DirectoryBatch,
+        mut batch: DirectoryBatch,
         started: Instant,
     ) -> DirectoryBatch {
         let took_ms = started.elapsed().as_millis() as u64;
         log::info!(part = <&str>::from(part), revision = batch.revision, objects = batch.changes.len(), took_ms = took_ms; "listed the directory from the platform");
-        self.relay.apply(part, &batch, BatchOrigin::Listed);
+        self.relay.apply(part, &mut batch, BatchOrigin::Listed);
         batch
     }
 
@@ -163,12 +163,12 @@
         let starting = self.own_address;
         let query = RelayQuery { part, after: None, wait: STARTUP_WAIT, starting };
         let response = match query_entry(&self.api(address), query).await {
-            Ok(RelayResponse::Batch { batch, encoded, age }) => {
+            Ok(RelayResponse::Batch { mut batch, encoded, age }) => {
                 self.count_bytes(address, encoded.len());
                 let took_ms = started.elapsed().as_millis() as u64;
                 let age_ms = age.map(|age| age.as_millis() as u64);
                 log::info!(part = <&str>::from(part), from:% = address, revision = batch.revision, objects = batch.changes.len(), age_ms = age_ms, took_ms = took_ms; "got the directory from another entry");
-                self.relay.apply_list(part, &batch, encoded);
+                self.relay.apply_list(part, &mut batch, encoded);
                 return Some(batch);
             }
             Ok(RelayResponse::Referred(others)) => StartupResponse::Referred(others),
@@ -196,20 +196,20 @@
         }
         if !self.state.revisions.is_leader() {
             let query = RelayQuery { part, after: None, wait: Duration::ZERO, starting: None };
-            if let Some(batch) = self.query_leaders(query).await? {
-                self.relay.apply(part, &batch, BatchOrigin::ListedByPeer);
+            if let Some(mut batch) = self.query_leaders(query).await? {
+                self.relay.apply(part, &mut batch, BatchOrigin::ListedByPeer);
                 return Ok(batch);
             }
         }
-        let batch = self.source.list(part).await?;
-        self.relay.apply(part, &batch, BatchOrigin::Listed);
+        let mut batch = self.source.list(part).await?;
+        self.relay.apply(part, &mut batch, BatchOrigin::Listed);
         Ok(batch)
     }
 
     async fn watch_part(
         &self,
         part: DirectoryPart,
-        revision: u64,
+        revision: StoreRevision,
         consistency: ReadConsistency,
     ) -> Result<DirectoryBatch, StoreError> {
         let is_leader = self.state.revisions.is_leader();
@@ -223,9 +223,9 @@
             let (after, starting) = (Some(revision), None);
             let query = RelayQuery { part, after, wait: relay_wait(part), starting };
             loop {
-                if let Some(batch) = self.query_leaders(query).await? {
+                if let Some(mut batch) = self.query_leaders(query).await? {
                     self.own_calls()[part as usize].responded = false;
-                    self.relay.apply(part, &batch, BatchOrigin::WatchedByPeer);
+                    self.relay.apply(part, &mut batch, BatchOrigin::WatchedByPeer);
                     return Ok(batch);
                 }
                 if self.state.revisions.is_settled() {
@@ -241,8 +241,8 @@
         // A missing history also shows that the platform responds; a list follows.
         let responded = matches!(watched, Ok(_) | Err(StoreError::TooOld));
         self.own_calls()[part as usize].record_result(responded);
-        let batch = watched?;
-        self.relay.apply(part, &batch, BatchOrigin::Watched);
+        let mut batch = watched?;
+        self.relay.apply(part, &mut batch, BatchOrigin::Watched);
         Ok(batch)
     }
 
@@ -250,13 +250,14 @@
     async fn read_announced(
         &self,
         part: DirectoryPart,
-        revision: u64,
+        revision: StoreRevision,
     ) -> Result<Option<DirectoryBatch>, StoreError> {
         let announced = self.state.revisions.announced(part);
         let (after, wait, starting) = (Some(revision), Duration::ZERO, None);
         let query = RelayQuery { part, after, wait, starting };
-        let batch = self.query_leaders(query).await?.filter(|batch| batch.revision >= announced);
-        if let Some(batch) = &batch {
+        let batch = self.query_leaders(query).await?;
+        let mut batch = batch.filter(|batch| batch.position() >= announced);
+        if let Some(batch) = &mut batch {
             self.relay.apply(part, batch, BatchOrigin::WatchedByPeer);
         }
         Ok(batch)
@@ -391,7 +392,7 @@
     fn watch(
         &self,
         part: DirectoryPart,
-        revision: u64,
+        revision: StoreRevision,
         consistency: ReadConsistency,
     ) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
         Box::pin(self.watch_part(part, revision, consistency))
--- a/src/directory/revisions.rs
+++ b/src/directory/revisions.rs
@@ -1,18 +1,18 @@
 //! Directory revisions that this entry and its peers have reached.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
 use tokio::sync::Notify;
-use zinniaport_core::directory::DirectoryPart;
+use zinniaport_core::directory::{DirectoryPart, StoreRevision};
 
 /// Newest directory revisions that this entry and its peers know, by part, and the
 /// leaders that watch the directory for the others.
 #[derive(Debug, Default)]
 pub struct RevisionTracker {
-    pub(super) local: [AtomicU64; DirectoryPart::COUNT],
-    pub(super) peer: [AtomicU64; DirectoryPart::COUNT],
+    local: ArcSwap<[StoreRevision; DirectoryPart::COUNT]>,
+    peer: ArcSwap<[StoreRevision; DirectoryPart::COUNT]>,
     pub(super) peer_changed: Notify,
     /// `true` while peers watch for this entry. An entry without peers is a leader.
     follows: AtomicBool,
@@ -27,20 +27,31 @@
 
 impl RevisionTracker {
     /// Returns the newest revision of each part that this entry knows.
-    pub fn local(&self) -> [u64; DirectoryPart::COUNT] {
-        std::array::from_fn(|part| self.local[part].load(Ordering::Acquire))
+    pub fn local(&self) -> [StoreRevision; DirectoryPart::COUNT] {
+        **self.local.load()
+    }
+
+    /// Sets the newest revision of a part that this entry knows.
+    pub(super) fn set_local(&self, part: DirectoryPart, revision: StoreRevision) {
+        self.local.rcu(|known| {
+            let mut revisions = **known;
+            revisions[part as usize] = revision;
+            revisions
+        });
     }
 
     /// Returns the newest revision of a part that a peer announced.
-    pub(super) fn announced(&self, part: DirectoryPart) -> u64 {
-        self.peer[part as usize].load(Ordering::Acquire)
+    pub(super) fn announced(&self, part: DirectoryPart) -> StoreRevision {
+        self.peer.load()[part as usize]
     }
 
     /// Records the newest revision of each part that a peer knows.
-    pub fn observe_peer(&self, revisions: [u64; DirectoryPart::COUNT]) {
-        for (known, revision) in self.peer.iter().zip(revisions) {
-            known.fetch_max(revision, Ordering::AcqRel);
-        }
+    pub fn observe_peer(&self, revisions: [StoreRevision; DirectoryPart::COUNT]) {
+        self.peer.rcu(|known| {
+            std::array::from_fn::<_, { DirectoryPart::COUNT }, _>(|part| {
+                known[part].max(revisions[part])
+            })
+        });
         self.peer_changed.notify_one();
     }
 
--- a/src/gate/archive.rs
+++ b/src/gate/archive.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 use zinniaport_core::call::CallFingerprint;
+use zinniaport_core::directory::StoreRevision;
 use zinniaport_core::quarantine::CrashRecord;
 
 use super::QuarantineGate;
@@ -34,7 +35,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ArchivedCrashes {
     /// Revision of the archive up to which the records are complete.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Records.
     pub records: Vec<CrashRecord>,
 }
@@ -45,8 +46,9 @@
     fn list(&self) -> BoxFuture<'_, Result<ArchivedCrashes, StoreError>>;
 
     /// Waits for records that were added after `revision`. Returns none if none come before
-    /// the time limit of the archive.
-    fn watch(&self, revision: u64) -> BoxFuture<'_, Result<ArchivedCrashes, StoreError>>;
+    /// the time limit of the archive. Fails with [`StoreError::TooOld`] if the archive has come
+    /// back from an older copy since then.
+    fn watch(&self, revision: StoreRevision) -> BoxFuture<'_, Result<ArchivedCrashes, StoreError>>;
 
     /// Adds a record. Does nothing if there is one with this fingerprint.
     fn add<'a>(&'a self, record: &'a CrashRecord) -> BoxFuture<'a, Result<(), StoreError>>;
@@ -111,7 +113,7 @@
     async fn apply(
         &mut self,
         result: Result<ArchivedCrashes, StoreError>,
-    ) -> (Option<u64>, Duration) {
+    ) -> (Option<StoreRevision>, Duration) {
         match result {
             Ok(ArchivedCrashes { revision, records }) => {
                 let now = self.state.clock.now();
@@ -202,7 +204,7 @@
 /// Lists the archive, or watches it from `revision`, after `delay`.
 fn read_archive(
     archive: Arc<dyn CrashArchive>,
-    revision: Option<u64>,
+    revision: Option<StoreRevision>,
     delay: Duration,
 ) -> BoxFuture<'static, Result<ArchivedCrashes, StoreError>> {
     Box::pin(async move {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -130,14 +130,12 @@
             checks.push(is_configured.clone());
             let (state, targets, directory_settings) =
                 (state.clone(), targets.clone(), settings.directory);
-            let source = match &settings.signals {
-                Some(signals) => {
-                    let relayed = RelayedDirectory::new(state.clone(), source, relay.clone());
-                    state.revisions.set_settled(false);
-                    Arc::new(relayed.with_seeds(signals.listen, &signals.seeds))
-                }
-                None => source,
-            };
+            let mut source = RelayedDirectory::new(state.clone(), source, relay.clone());
+            if let Some(signals) = &settings.signals {
+                state.revisions.set_settled(false);
+                source = source.with_seeds(signals.listen, &signals.seeds);
+            }
+            let source = Arc::new(source);
             let directory_driver =
                 DirectoryDriver::new(state, source, targets, is_configured, directory_settings);
             tokio::spawn(directory_driver.run(CancellationToken::new()));
--- a/src/signals/mod.rs
+++ b/src/signals/mod.rs
@@ -2,6 +2,7 @@
 //! each, recent crashes, and placement requests.
 
 mod crash_records;
+mod messages;
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
@@ -16,7 +17,7 @@
 use zinniaport_core::controllers::{
     SignalsController, SignalsEffect, SignalsMessage, StateController, TargetsMessage,
 };
-use zinniaport_core::directory::DirectoryPart;
+use zinniaport_core::directory::{DirectoryPart, StoreRevision};
 use zinniaport_core::placement::CoordinatorCandidate;
 use zinniaport_core::policy::EntryView;
 use zinniaport_core::quarantine::CrashRecord;
@@ -41,10 +42,6 @@
 /// other at once after a loss of power.
 const SMALL_DEPLOYMENT: usize = 32;
 
-/// Number of entries that a message lists if there are more than [`SMALL_DEPLOYMENT`]. With 139
-/// entries, the full list would be most of the traffic between data centres.
-const LISTED_MEMBERS: usize = 8;
-
 /// Number of leaders: the live entries with the largest capacity, which watch the directory
 /// without lag and announce changes to the others. With two, the loss of one has no effect.
 const LEADER_COUNT: usize = 2;
@@ -67,10 +64,6 @@
 /// within their data centre.
 const LISTING_PERIOD: u64 = 4;
 
-/// Number of entries with the largest capacity that each message lists first. They lead and
-/// coordinate, so an entry that starts has to find them soon.
-const LISTED_LARGEST: usize = 4;
-
 /// Owns the signals controller and receives all datagrams from other entries.
 pub struct SignalsDriver {
     state: Arc<SharedState>,
@@ -89,7 +82,7 @@
     /// Number of the last message.
     sequence: u64,
     /// Directory revisions as of the last check for changes.
-    sent_revisions: [u64; DirectoryPart::COUNT],
+    sent_revisions: [StoreRevision; DirectoryPart::COUNT],
     /// Capacity as of the last check for changes.
     sent_capacity: u16,
 }
@@ -126,7 +119,7 @@
             seeds: watch::Sender::new(seeds),
             incarnation,
             sequence: 0,
-            sent_revisions: [0; DirectoryPart::COUNT],
+            sent_revisions: Default::default(),
             sent_capacity: 0,
         })
     }
@@ -220,6 +213,9 @@
             (Ok(SignalDatagram::Location(message)), _) => {
                 self.locations.iter().for_each(|driver| driver.receive(from, message.clone()));
             }
+            (Ok(SignalDatagram::Revisions(message)), _) => {
+                self.step(SignalsMessage::ReceivedRevisions(message.into()));
+            }
             (Ok(SignalDatagram::Quota(message)), _) => {
                 self.quota.iter().for_each(|driver| driver.receive(from, message.clone()));
             }
@@ -255,6 +251,7 @@
                 // Complete, since the entry may know no others yet.
                 let message = self.next_message();
                 self.sender.send(&SignalDatagram::Signal(message), &[address]);
+                self.send_revisions(&[address]);
                 self.send_records(&self.crash_report().first_records(), &[address]);
             }
             SignalsEffect::PeersChanged(peers, entry_count) => {
@@ -294,6 +291,7 @@
         self.sender.send(&SignalDatagram::Signal(message.clone()), &near);
         let short = SignalMessage { members: Vec::new(), ..message };
         self.sender.send(&SignalDatagram::Signal(short), &far);
+        self.send_revisions(addresses);
         self.spread_records(records, addresses);
     }
 
@@ -371,30 +369,4 @@
             locations.set_live(peers.iter().map(|peer| peer.address).collect());
         }
     }
-
-    fn next_message(&mut self) -> SignalMessage {
-        self.sequence += 1;
-        SignalMessage {
-            incarnation: self.incarnation,
-            sequence: self.sequence,
-            capacity: self.capacity(),
-            revisions: self.state.revisions.local(),
-            crashes: Vec::new(),
-            members: self.next_members(),
-        }
-    }
-
-    /// Returns the live entries to list in the next message: all of them, or the largest and
-    /// the next few in turn if there are many.
-    fn next_members(&self) -> Vec<SocketAddr> {
-        let peers = self.controller.live_peers();
-        if peers.len() <= SMALL_DEPLOYMENT {
-            return peers.iter().map(|peer| peer.address).collect();
-        }
-        let largest = self.state.revisions.holders().into_iter().take(LISTED_LARGEST);
-        let start = self.sequence as usize * LISTED_MEMBERS;
-        let others = (0..LISTED_MEMBERS - LISTED_LARGEST)
-            .map(|step| peers[(start + step) % peers.len()].address);
-        largest.chain(others).collect()
-    }
 }
--- a/tests/crash_archive.rs
+++ b/tests/crash_archive.rs
@@ -1,7 +1,7 @@
 //! Crash records of entries that do not reach each other.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 use zinniaport::store::{StoreError, refused};
 use zinniaport_core::call::CallFingerprint;
 use zinniaport_core::clock::{ClockSource, ManualClock, Timestamp};
+use zinniaport_core::directory::StoreRevision;
 use zinniaport_core::quarantine::{
     CrashRecord, QUARANTINE_TIME, RunEnd, TargetCrash, TargetProcess,
 };
@@ -34,9 +35,15 @@
     lists: AtomicUsize,
     adds: AtomicUsize,
     replaces: AtomicUsize,
+    /// Number of times that it came back from an older copy.
+    era: AtomicU64,
 }
 
 impl MemoryArchive {
+    fn revision(&self, records: &[CrashRecord]) -> StoreRevision {
+        StoreRevision { era: self.era.load(Ordering::SeqCst), number: records.len() as u64 }
+    }
+
     fn records(&self) -> Vec<CrashRecord> {
         self.records.lock().unwrap().clone()
     }
@@ -56,11 +63,11 @@
             self.check()?;
             self.lists.fetch_add(1, Ordering::SeqCst);
             let records = self.records();
-            Ok(ArchivedCrashes { revision: records.len() as u64, records })
+            Ok(ArchivedCrashes { revision: self.revision(&records), records })
         })
     }
 
-    fn watch(&self, revision: u64) -> BoxFuture<'_, Result<ArchivedCrashes, StoreError>> {
+    fn watch(&self, revision: StoreRevision) -> BoxFuture<'_, Result<ArchivedCrashes, StoreError>> {
         Box::pin(async move {
             self.check()?;
             if self.forgets.load(Ordering::SeqCst) {
@@ -68,8 +75,11 @@
             }
             sleep(Duration::from_millis(100)).await;
             let records = self.records();
-            let added = records.get(revision as usize..).unwrap_or_default().to_vec();
-            Ok(ArchivedCrashes { revision: records.len() as u64, records: added })
+            if self.era.load(Ordering::SeqCst) != revision.era {
+                return Err(StoreError::TooOld);
+            }
+            let added = records.get(revision.number as usize..).unwrap_or_default().to_vec();
+            Ok(ArchivedCrashes { revision: self.revision(&records), records: added })
         })
     }
 
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -19,7 +19,7 @@
 use zinniaport::store::StoreError;
 use zinniaport_core::directory::{
     DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, OperatorConfiguration,
-    RegisteredTarget, ServiceDefinition,
+    RegisteredTarget, ServiceDefinition, StoreRevision,
 };
 use zinniaport_core::intent::{KindIntent, TargetInstance};
 use zinniaport_core::routes::{RouteIntent, WeightedService};
@@ -60,7 +60,7 @@
     fn watch(
         &self,
         part: DirectoryPart,
-        revision: u64,
+        revision: StoreRevision,
         _consistency: ReadConsistency,
     ) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
         Box::pin(async move {
@@ -68,7 +68,11 @@
             let mut later = self.later.lock().unwrap();
             match later.front() {
                 Some((next, _)) if *next == part => Ok(later.pop_front().unwrap().1),
-                _ => Ok(DirectoryBatch { revision, changes: Vec::new() }),
+                _ => Ok(DirectoryBatch {
+                    era: revision.era,
+                    revision: revision.number,
+                    changes: Vec::new(),
+                }),
             }
         })
     }
@@ -110,7 +114,7 @@
     };
     let item = Some(DirectoryItem::Configuration(definition));
     let change = DirectoryChange { name: "main".to_owned(), revision: 1, item };
-    DirectoryBatch { revision: 1, changes: vec![change] }
+    DirectoryBatch { era: 0, revision: 1, changes: vec![change] }
 }
 
 fn targets(target: &FakeTarget) -> DirectoryBatch {
@@ -122,10 +126,11 @@
         slots: 3,
         leaving: false,
         warm_up_left: Duration::ZERO,
+        sequence: 0,
     };
     let item = Some(DirectoryItem::Target(definition));
     let change = DirectoryChange { name: "i-1".to_owned(), revision: 2, item };
-    DirectoryBatch { revision: 2, changes: vec![change] }
+    DirectoryBatch { era: 0, revision: 2, changes: vec![change] }
 }
 
 async fn start(directory: Arc<FakeDirectory>, extra: &str) -> EntryRuntime {
@@ -202,7 +207,7 @@
         assert!(response.contains("x-instance: i-1"), "{response}");
         assert!(send_request(&entry, "/other").await.starts_with("HTTP/1.1 404"));
         let removal = DirectoryChange { name: "i-1".to_owned(), revision: 9, item: None };
-        let removal = DirectoryBatch { revision: 9, changes: vec![removal] };
+        let removal = DirectoryBatch { era: 0, revision: 9, changes: vec![removal] };
         directory.later.lock().unwrap().push_back((DirectoryPart::Targets, removal));
         let mut response = String::new();
         for _ in 0..1000 {
@@ -225,7 +230,7 @@
         let directory = Arc::new(FakeDirectory::default());
         let change = |revision, item| {
             let changes = vec![DirectoryChange { name: "valle-a".to_owned(), revision, item }];
-            DirectoryBatch { revision, changes }
+            DirectoryBatch { era: 0, revision, changes }
         };
         let evacuated = change(7, Some(DirectoryItem::Evacuation));
         *directory.listed.lock().unwrap() = [Some(targets(&target)), Some(configuration()), Some(evacuated)];
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -18,7 +18,7 @@
 use zinniaport::store::StoreError;
 use zinniaport_core::directory::{
     DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, OperatorConfiguration,
-    RegisteredTarget, ServiceDefinition,
+    RegisteredTarget, ServiceDefinition, StoreRevision,
 };
 use zinniaport_core::intent::{KindIntent, TargetInstance};
 use zinniaport_core::quota::EXTRA_BURST;
@@ -58,19 +58,19 @@
     fn watch(
         &self,
         _part: DirectoryPart,
-        revision: u64,
+        revision: StoreRevision,
         _consistency: ReadConsistency,
     ) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
         Box::pin(async move {
             tokio::time::sleep(Duration::from_millis(100)).await;
-            Ok(DirectoryBatch { revision, changes: Vec::new() })
+            Ok(DirectoryBatch { era: revision.era, revision: revision.number, changes: Vec::new() })
         })
     }
 }
 
 fn batch(name: &str, item: DirectoryItem) -> DirectoryBatch {
     let change = DirectoryChange { name: name.to_owned(), revision: 1, item: Some(item) };
-    DirectoryBatch { revision: 1, changes: vec![change] }
+    DirectoryBatch { era: 0, revision: 1, changes: vec![change] }
 }
 
 fn tenant(name: &str, limit: Option<TenantLimit>) -> TenantIntent {
@@ -119,13 +119,14 @@
         slots: 100,
         leaving: false,
         warm_up_left: Duration::ZERO,
+        sequence: 0,
     };
     let changes = targets.iter().zip(1..).map(|target| DirectoryChange {
         name: format!("i-{}", target.1),
         revision: 1,
         item: Some(DirectoryItem::Target(target_of(target))),
     });
-    let target = DirectoryBatch { revision: 1, changes: changes.collect() };
+    let target = DirectoryBatch { era: 0, revision: 1, changes: changes.collect() };
     FixedDirectory { parts: [target, batch("main", DirectoryItem::Configuration(configuration))] }
 }
 
--- a/tests/route_changes.rs
+++ b/tests/route_changes.rs
@@ -99,6 +99,7 @@
             slots: 2,
             leaving: false,
             warm_up_left: Duration::ZERO,
+            sequence: 0,
         };
         gate.list(DirectoryPart::Targets, "i-1", DirectoryItem::Target(target));
         gate.configure(routes);
@@ -109,7 +110,7 @@
         self.version += 1;
         let (revision, item) = (self.version, Some(item));
         let changes = vec![DirectoryChange { name: name.to_owned(), revision, item }];
-        let message = DirectoryMessage::Listed(part, DirectoryBatch { revision, changes });
+        let message = DirectoryMessage::Listed(part, DirectoryBatch { era: 0, revision, changes });
         for effect in self.directory.handle(message, self.clock.now()) {
             if let DirectoryEffect::Publish(fleet) = effect {
                 self.fleet = fleet.as_ref().clone();
