Add crash records again that a restored archive has lost

A request could crash further targets after all entries were replaced, if the store had come back from a copy without its crash record: the leader took the record for archived and never added it again.

The driver forgets what it has archived when a list is of a newer era, and skips outdated lists of an older one. records_lost_in_a_restore_are_added_again failed without the change.

--- a/src/gate/archive.rs
+++ b/src/gate/archive.rs
@@ -67,6 +67,8 @@
     archive: Arc<dyn CrashArchive>,
     /// Records in the archive, as far as known.
     archived: HashMap<CallFingerprint, CrashRecord>,
+    /// Era of the archive to which these records belong.
+    era: u64,
     /// Time of the next attempt to change the archive after one that failed.
     next_change: Option<Instant>,
 }
@@ -78,7 +80,7 @@
         quarantine: Arc<QuarantineGate>,
         archive: Arc<dyn CrashArchive>,
     ) -> Self {
-        Self { state, quarantine, archive, archived: HashMap::new(), next_change: None }
+        Self { state, quarantine, archive, archived: HashMap::new(), era: 0, next_change: None }
     }
 
     /// Runs until `stop` is cancelled.
@@ -115,6 +117,10 @@
         result: Result<ArchivedCrashes, StoreError>,
     ) -> (Option<StoreRevision>, Duration) {
         match result {
+            // An outdated list from before a restore.
+            Ok(ArchivedCrashes { revision, .. }) if revision.era < self.era => {
+                (None, FAILURE_DELAY)
+            }
             Ok(ArchivedCrashes { revision, records }) => {
                 let now = self.state.clock.now();
                 for record in records.iter().filter(|record| record.is_expired(now)) {
@@ -122,6 +128,11 @@
                         log::warn!(fingerprint:% = record.fingerprint; "cannot remove an expired crash record from the archive: {error}");
                     }
                 }
+                if revision.era > self.era {
+                    // The archive may have lost records, which are then added again.
+                    self.era = revision.era;
+                    self.archived.clear();
+                }
                 let known = records.iter().map(|record| (record.fingerprint, record.clone()));
                 self.archived.extend(known);
                 if self.quarantine.merge(&records) {
--- a/tests/crash_archive.rs
+++ b/tests/crash_archive.rs
@@ -44,6 +44,12 @@
         StoreRevision { era: self.era.load(Ordering::SeqCst), number: records.len() as u64 }
     }
 
+    /// Comes back from a copy without records.
+    fn restore_empty(&self) {
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.records.lock().unwrap().clear();
+    }
+
     fn records(&self) -> Vec<CrashRecord> {
         self.records.lock().unwrap().clone()
     }
@@ -221,6 +227,19 @@
         assert!(!crash(&second, 4).await, "a second trial 10 s after the first");
     }
 
+    paused records_lost_in_a_restore_are_added_again: "a request that crashes two more targets after the archive lost its record and all entries were replaced" => {
+        let (archive, clock) = (Arc::<MemoryArchive>::default(), clock());
+        let first = start_entry(&archive, &clock);
+        assert!(crash(&first, 1).await && crash(&first, 2).await);
+        sleep(Duration::from_secs(2)).await;
+        archive.restore_empty();
+        sleep(Duration::from_secs(4)).await;
+        drop(first);
+        let second = start_entry(&archive, &clock);
+        sleep(Duration::from_secs(2)).await;
+        assert!(!crash(&second, 3).await);
+    }
+
     paused expired_records_are_removed: "an archive that grows without bound" => {
         let (archive, clock) = (Arc::<MemoryArchive>::default(), clock());
         let crashes = [1, 2].map(|index| TargetCrash { at: Timestamp(1), process: target(index) });
