Serve entries that name no era, and pass over leaders that know none

Read, not seen: while entries are replaced by a new version and the store states its era, an entry of the version before asked a new leader for changes after a revision of era 0, was told to list, and did so without pause; a new entry took the empty responses of a leader of the version before, or of one that did not know of the restore yet, for news.

A query without an era is one of the current era.

--- a/src/directory/relay.rs
+++ b/src/directory/relay.rs
@@ -128,6 +128,11 @@
         self.changed[part as usize].notify_waiters();
     }
 
+    /// Returns the era of the newest known state of a part.
+    pub(super) fn era(&self, part: DirectoryPart) -> u64 {
+        self.lock(part).ledger.position().era
+    }
+
     /// Returns `true` once all objects of a part are known.
     pub(super) fn is_complete(&self, part: DirectoryPart) -> bool {
         self.lock(part).ledger.is_complete()
--- a/src/directory/relay_handler.rs
+++ b/src/directory/relay_handler.rs
@@ -59,11 +59,12 @@
         }
     }
 
-    fn read(request: &AdminRequest) -> Option<Self> {
+    /// Reads a query of an entry. Entries of earlier versions name no era and take each revision
+    /// for one of the current era.
+    fn read(request: &AdminRequest, relay: &DirectoryRelay) -> Option<Self> {
         let part = query_value(request, "part")?.parse().ok()?;
         let number = |name| query_value(request, name).and_then(|text| text.parse::<u64>().ok());
-        // Entries of earlier versions name no era.
-        let era = number("era").unwrap_or(0);
+        let era = number("era").unwrap_or_else(|| relay.era(part));
         let after = number("after").map(|number| StoreRevision { era, number });
         let wait = query_value(request, "hold").and_then(|text| text.parse().ok()).unwrap_or(0);
         let starting = query_value(request, "starting").and_then(|text| text.parse().ok());
@@ -191,7 +192,7 @@
     }
 
     fn handle<'a>(&'a self, request: &'a AdminRequest) -> BoxFuture<'a, AdminResponse> {
-        let query = RelayQuery::read(request);
+        let query = RelayQuery::read(request, &self.relay);
         Box::pin(async move {
             match query {
                 Some(query) => self.respond(query).await,
--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -294,6 +294,12 @@
             position += 1;
             let Some(api) = self.client(address) else { continue };
             let skip_time = match query_entry(&api, query).await {
+                // It does not know of a restore yet, or is of a version that knows no eras.
+                Ok(RelayResponse::Batch { batch, .. })
+                    if batch.era < self.relay.era(query.part) =>
+                {
+                    REFUSED_SKIP_TIME
+                }
                 Ok(RelayResponse::Batch { batch, encoded, .. }) => {
                     self.count_bytes(address, encoded.len());
                     if substitutes.contains(&address) {
