End evacuations that a second list of an era lacks

An evacuation that was withdrawn within ten seconds of a restore, between two lists, never ended: in that time a list ended none, and afterwards only those of earlier eras ended.

--- a/core/src/controllers/directory/evacuations.rs
+++ b/core/src/controllers/directory/evacuations.rs
@@ -37,10 +37,8 @@
         now: Timestamp,
         effects: &mut Vec<DirectoryEffect>,
     ) -> bool {
-        let changes = match self.unlisted_evacuations_until {
-            Some(until) if now < until => self.evacuations.apply_restored(batch),
-            _ => self.evacuations.apply(batch, listed),
-        };
+        let keeps_earlier = self.unlisted_evacuations_until.is_some_and(|until| now < until);
+        let changes = self.evacuations.apply(batch, listed, keeps_earlier);
         self.apply_evacuation_changes(changes, now, effects)
     }
 
--- a/core/src/evacuation.rs
+++ b/core/src/evacuation.rs
@@ -48,29 +48,33 @@
         evacuated.map(|(name, _)| name.as_str())
     }
 
-    /// Applies a batch, of all evacuations if it is a list. Returns the changes.
-    pub fn apply(&mut self, batch: &DirectoryBatch, is_list: bool) -> Vec<EvacuationChange> {
+    /// Applies a batch, of all evacuations if it is a list. Returns the changes. If
+    /// `keeps_earlier`, evacuations of earlier eras that a list lacks stay in force, as their
+    /// objects may be newer than the copy from which the store came back.
+    pub fn apply(
+        &mut self,
+        batch: &DirectoryBatch,
+        is_list: bool,
+        keeps_earlier: bool,
+    ) -> Vec<EvacuationChange> {
         let mut changes = Vec::new();
         if is_list {
             let listed = |name: &str| batch.changes.iter().any(|change| change.name == name);
-            let ended = self.evacuated().filter(|name| !listed(name)).map(str::to_owned).collect();
-            changes.extend(self.end(ended, batch.position()));
+            let ends = |record: &EvacuationRecord| {
+                record.is_evacuated && !(keeps_earlier && record.revision.era < batch.era)
+            };
+            let unlisted = self.records.iter().filter(|(name, _)| !listed(name));
+            let ended = unlisted.filter(|(_, record)| ends(record)).map(|(name, _)| name.clone());
+            changes.extend(self.end(ended.collect(), batch.position()));
+        }
+        for change in &batch.changes {
+            let (revision, is_evacuated) = (batch.change_position(change), change.item.is_some());
+            let record = EvacuationRecord { revision, is_evacuated };
+            changes.extend(self.set(&change.name, record));
         }
-        changes.extend(self.apply_restored(batch));
         changes
     }
 
-    /// Applies a batch of a store that came back from an older copy. Evacuations that are not in
-    /// the batch stay in force, as their objects may be newer than the copy. Returns the changes.
-    pub fn apply_restored(&mut self, batch: &DirectoryBatch) -> Vec<EvacuationChange> {
-        let changes = batch.changes.iter().filter_map(|change| {
-            let is_evacuated = change.item.is_some();
-            let record = EvacuationRecord { revision: batch.change_position(change), is_evacuated };
-            self.set(&change.name, record)
-        });
-        changes.collect()
-    }
-
     /// Ends the evacuations that were not listed or changed in the era of `position`. Returns the
     /// changes.
     pub fn end_unlisted(&mut self, position: StoreRevision) -> Vec<EvacuationChange> {
