Decide by the writer's order, not by its number, what a restored store has lost

- A configuration or a report that got the same number as the content known before was taken for that content, and stayed ignored.
The number now counts only for a target that was removed, whose registration keeps it in the copy.
- A live target whose registration had lapsed before the restore was never used again if the copy had it, since it only raises its sequence.
Such targets are listed once more after 6 s, and a higher sequence ends the exclusion.
- Content that names no target was ignored for a target that the copy had.
- An entry that listed the restored store itself kept the older configuration and a target that had left until both were written again.
It now lists from its leaders once it follows some; a list of a peer also counts at a revision that is known.

The first list moves to a file of its own, as does the progress of a part.

--- a/core/src/controllers/directory/mod.rs
+++ b/core/src/controllers/directory/mod.rs
@@ -7,6 +7,7 @@
 
 mod evacuations;
 mod fleet;
+mod follower;
 mod messages;
 mod records;
 mod settings;
@@ -19,6 +20,7 @@
 use rand::rngs::SmallRng;
 use strum::IntoEnumIterator;
 
+use follower::PartFollower;
 pub use messages::{DirectoryEffect, DirectoryMessage, TargetChange};
 use records::TargetRecord;
 pub use settings::DirectorySettings;
@@ -51,41 +53,14 @@
 /// change is read by a separate call.
 const CATCH_UP_DELAY: Duration = Duration::from_millis(400);
 
+/// Time after the first list of an era until targets in it that had been removed are listed again.
+/// Those that are alive have reported by then: reports are about 1.5 s apart.
+const LIST_AGAIN_DELAY: Duration = Duration::from_secs(6);
+
 /// Time between a response with changes and the next watch. Changes come in bursts, such as
 /// the registrations of all targets, and the platform counts each call.
 const WATCH_PAUSE: Duration = Duration::from_millis(100);
 
-/// Progress of following one part.
-#[derive(Debug, Default)]
-struct PartFollower {
-    /// Revision up to which the changes are known; `None` before the first list.
-    revision: Option<StoreRevision>,
-    /// Revision of the newest known change.
-    newest_change: StoreRevision,
-    /// Revision of the last list. The list reflects all changes up to it; of those that removed
-    /// an object it does not show the revisions.
-    listed: StoreRevision,
-    /// Revision of the newest change that another entry knows and this one does not, and
-    /// since when.
-    peer_revision: Option<(StoreRevision, Timestamp)>,
-    /// Whether a catch-up call is in progress.
-    catching_up: bool,
-    /// Whether the next catch-up call has to list, because the platform may no longer keep
-    /// the changes.
-    must_list: bool,
-    failures: u32,
-    /// Number of times in a row that the changes after the last read were gone.
-    missing_histories: u32,
-    outage_since: Option<Timestamp>,
-}
-
-impl PartFollower {
-    /// Returns the revision up to which no change can be missing.
-    fn covered(&self) -> StoreRevision {
-        self.newest_change.max(self.listed)
-    }
-}
-
 /// What the changes of a batch have in common.
 #[derive(Clone, Copy, Debug)]
 struct BatchContext {
@@ -211,6 +186,9 @@
             }
             if batch.era > known.era {
                 self.start_era(part, now);
+                let is_withheld = |change: &DirectoryChange| change.item.is_none();
+                let has_withheld = batch.changes.iter().any(is_withheld);
+                self.part(part).list_again_at = has_withheld.then(|| now + LIST_AGAIN_DELAY);
                 effects.push(DirectoryEffect::Restored(part, known, batch.position()));
             }
         }
@@ -284,11 +262,18 @@
         }
     }
 
-    /// Requests changes that other entries have known for [`CATCH_UP_DELAY`].
+    /// Requests changes that other entries have known for [`CATCH_UP_DELAY`], and lists that are
+    /// due.
     fn catch_up(&mut self, now: Timestamp) -> Vec<DirectoryEffect> {
         let mut effects = Vec::new();
         for part in DirectoryPart::iter() {
             let follower = self.part(part);
+            let is_due = follower.list_again_at.is_some_and(|at| at <= now);
+            if is_due && !follower.catching_up {
+                follower.list_again_at = None;
+                (follower.catching_up, follower.must_list) = (true, true);
+                effects.push(DirectoryEffect::CatchUp(part, None));
+            }
             let Some((_, since)) = follower.peer_revision else { continue };
             let due = now.since(since) >= CATCH_UP_DELAY && follower.revision.is_some();
             if due && !follower.catching_up {
--- a/core/src/directory/ledger.rs
+++ b/core/src/directory/ledger.rs
@@ -8,7 +8,9 @@
 
 use indexmap::IndexMap;
 
-use super::{DirectoryBatch, DirectoryChange, DirectoryItem, StoreRevision, WriterOrder};
+use super::{
+    BatchOrigin, DirectoryBatch, DirectoryChange, DirectoryItem, StoreRevision, WriterOrder,
+};
 
 /// Removals kept; the oldest are dropped first.
 const MAX_REMOVED: usize = 1024;
@@ -37,6 +39,40 @@
             Some(_) => false,
         }
     }
+
+    /// Returns `true` if the content of a change is older than what is known although its revision
+    /// is higher. In the first list of an era it may be as old as the copy; later, only an object
+    /// that its writer has not written again can be touched by another writer.
+    fn outdates(&self, change: &DirectoryChange, starts_era: bool) -> bool {
+        let order = change.item.as_ref().and_then(DirectoryItem::writer_order);
+        let (Some(order), Some(known_order)) = (order, self.order) else { return false };
+        if !starts_era {
+            let is_usable = change.item != Some(DirectoryItem::Unusable);
+            return self.is_carried && is_usable && order < known_order;
+        }
+        // A registration keeps its revision while its target only raises its sequence, so one of a
+        // target that was removed may have a higher sequence in the copy than was known.
+        let is_copy = change.revision == self.written.number || order == known_order;
+        order < known_order || (self.item.is_none() && is_copy)
+    }
+
+    /// Returns `true` if a list has newer content at the revision that is known: the target of a
+    /// registration that was taken for removed goes on to report, or a peer has kept what the
+    /// store lost before this entry listed it.
+    fn is_newer_at(
+        &self,
+        position: StoreRevision,
+        order: Option<WriterOrder>,
+        origin: BatchOrigin,
+    ) -> bool {
+        let is_withheld = self.is_carried && self.item.is_none();
+        let counts = match origin {
+            BatchOrigin::Listed => is_withheld,
+            BatchOrigin::ListedByPeer => true,
+            BatchOrigin::Watched | BatchOrigin::WatchedByPeer => false,
+        };
+        counts && self.position == position && order > self.order
+    }
 }
 
 /// Newest known state of one part of a directory.
@@ -91,7 +127,8 @@
     /// Applies a batch and replaces outdated content in it by what is in force. Returns `false` if
     /// the batch changes nothing because the store has come back from an older copy since, or
     /// because it holds only the changes of an era of which nothing has been listed.
-    pub fn apply(&mut self, batch: &mut DirectoryBatch, is_list: bool) -> bool {
+    pub fn apply(&mut self, batch: &mut DirectoryBatch, origin: BatchOrigin) -> bool {
+        let is_list = origin.is_list();
         let starts_era = batch.era > self.position.era;
         if batch.era < self.position.era || (starts_era && !is_list && self.is_complete()) {
             return false;
@@ -103,19 +140,30 @@
                 _ => Some(batch.position()),
             };
         }
+        let batch_position = batch.position();
         for change in &mut batch.changes {
             let position = StoreRevision { era: batch.era, number: change.revision };
-            let record = self.records.get(&change.name);
-            if record.is_some_and(|known| known.position >= position) {
+            let order = change.item.as_ref().and_then(DirectoryItem::writer_order);
+            let known = self.records.get(&change.name);
+            let is_newer = known.is_some_and(|known| known.is_newer_at(position, order, origin));
+            if is_newer {
+                change.revision = batch_position.number;
+            } else if known.is_some_and(|known| known.position >= position) {
                 continue;
             }
-            let record = match record.filter(|known| is_outdated(change, known, starts_era)) {
-                Some(known) => ObjectRecord { position, is_carried: true, ..known.clone() },
+            let position = StoreRevision { era: batch.era, number: change.revision };
+            let outdated = known.filter(|known| !is_newer && known.outdates(change, starts_era));
+            let record = match outdated {
+                Some(known) => {
+                    let order =
+                        if known.item.is_none() { known.order.max(order) } else { known.order };
+                    ObjectRecord { position, order, is_carried: true, ..known.clone() }
+                }
                 None => {
                     let (known_order, known_written) =
-                        record.map_or((None, position), |known| (known.order, known.written));
+                        known.map_or((None, position), |known| (known.order, known.written));
                     let (order, written) = match &change.item {
-                        Some(item) => (item.writer_order(), position),
+                        Some(_) => (order, position),
                         None => (known_order, known_written),
                     };
                     let item = change.item.clone();
@@ -176,17 +224,3 @@
         self.complete_since = self.complete_since.map(|since| since.max(oldest));
     }
 }
-
-/// Returns `true` if the content of a change is older than what is known although its revision is
-/// higher. In the first list of an era it may be as old as the copy; later, only an object whose
-/// content has not been written again can be touched by another writer.
-fn is_outdated(change: &DirectoryChange, known: &ObjectRecord, starts_era: bool) -> bool {
-    let order = change.item.as_ref().and_then(DirectoryItem::writer_order);
-    let (Some(order), Some(known_order)) = (order, known.order) else { return false };
-    if starts_era {
-        // An object keeps its number in the copy, also while its writer only repeats itself.
-        change.revision == known.written.number || order <= known_order
-    } else {
-        known.is_carried && order < known_order
-    }
-}
--- a/core/src/directory/mod.rs
+++ b/core/src/directory/mod.rs
@@ -160,3 +160,24 @@
         StoreRevision { era: self.era, number: change.revision }
     }
 }
+
+/// Where a batch comes from. Only a response of the platform proves that there is
+/// nothing newer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BatchOrigin {
+    /// All objects, from the platform.
+    Listed,
+    /// Changes, from the platform.
+    Watched,
+    /// All objects, from a peer.
+    ListedByPeer,
+    /// Changes, from a peer.
+    WatchedByPeer,
+}
+
+impl BatchOrigin {
+    /// Returns `true` if the batch holds all objects.
+    pub fn is_list(self) -> bool {
+        matches!(self, Self::Listed | Self::ListedByPeer)
+    }
+}
--- a/core/tests/reused_revisions.rs
+++ b/core/tests/reused_revisions.rs
@@ -8,8 +8,8 @@
     DirectoryController, DirectoryEffect, DirectoryMessage, DirectorySettings, StateController,
 };
 use zinniaport_core::directory::{
-    DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, OperatorConfiguration,
-    PartLedger, RegisteredTarget,
+    BatchOrigin, DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart,
+    OperatorConfiguration, PartLedger, RegisteredTarget,
 };
 use zinniaport_core::intent::TargetInstance;
 use zinniaport_testing::test_cases;
@@ -66,40 +66,40 @@
 test_cases! {
     newer_versions_at_a_reused_revision_apply: "a new configuration that is ignored because it got the same revision as the one before the restore" => {
         let mut ledger = PartLedger::default();
-        ledger.apply(&mut batch(1, 100, vec![configuration(3, 50)]), true);
-        ledger.apply(&mut batch(1, 101, vec![configuration(4, 101)]), false);
+        ledger.apply(&mut batch(1, 100, vec![configuration(3, 50)]), BatchOrigin::Listed);
+        ledger.apply(&mut batch(1, 101, vec![configuration(4, 101)]), BatchOrigin::Watched);
         // The copy is of revision 100, and the operator writes first after the restore.
-        ledger.apply(&mut batch(2, 101, vec![configuration(5, 101)]), true);
+        ledger.apply(&mut batch(2, 101, vec![configuration(5, 101)]), BatchOrigin::Listed);
         assert_eq!(version(&ledger), Some(5));
     }
 
     announcements_at_a_reused_revision_apply: "a target that is used although it has left, because its report got the same revision as one before the restore" => {
         let mut ledger = PartLedger::default();
-        ledger.apply(&mut batch(1, 100, Vec::new()), true);
-        ledger.apply(&mut batch(1, 101, vec![target(101, 1, false)]), false);
-        ledger.apply(&mut batch(2, 101, vec![target(101, 2, true)]), true);
+        ledger.apply(&mut batch(1, 100, Vec::new()), BatchOrigin::Listed);
+        ledger.apply(&mut batch(1, 101, vec![target(101, 1, false)]), BatchOrigin::Watched);
+        ledger.apply(&mut batch(2, 101, vec![target(101, 2, true)]), BatchOrigin::Listed);
         assert!(matches!(content(&ledger), Some(DirectoryItem::Target(target)) if target.leaving));
     }
 
     live_targets_of_the_copy_are_used_in_the_end: "a live target that is never used again because its registration had expired before the restore" => {
         let mut ledger = PartLedger::default();
-        ledger.apply(&mut batch(1, 100, vec![target(50, 1, false)]), true);
-        ledger.apply(&mut batch(1, 101, vec![removal(101)]), false);
+        ledger.apply(&mut batch(1, 100, vec![target(50, 1, false)]), BatchOrigin::Listed);
+        ledger.apply(&mut batch(1, 101, vec![removal(101)]), BatchOrigin::Watched);
         // The copy still has the registration. The reports of the target raise only its sequence,
         // which is no change of the object, and the store would remove it if they stopped.
         for sequence in 2..60 {
             let revision = 100 + sequence;
-            ledger.apply(&mut batch(2, revision, vec![target(50, sequence, false)]), true);
+            ledger.apply(&mut batch(2, revision, vec![target(50, sequence, false)]), BatchOrigin::Listed);
         }
         assert!(content(&ledger).is_some());
     }
 
     unusable_content_in_a_new_era_ends_the_use: "a target that stays in use after another writer replaced its registration by content that names no target" => {
         let mut ledger = PartLedger::default();
-        ledger.apply(&mut batch(1, 100, vec![target(50, 1, false)]), true);
-        ledger.apply(&mut batch(2, 100, vec![target(50, 1, false)]), true);
+        ledger.apply(&mut batch(1, 100, vec![target(50, 1, false)]), BatchOrigin::Listed);
+        ledger.apply(&mut batch(2, 100, vec![target(50, 1, false)]), BatchOrigin::Listed);
         let unusable = DirectoryChange { item: Some(DirectoryItem::Unusable), ..removal(120) };
-        ledger.apply(&mut batch(2, 120, vec![unusable]), false);
+        ledger.apply(&mut batch(2, 120, vec![unusable]), BatchOrigin::Watched);
         assert_eq!(content(&ledger), Some(DirectoryItem::Unusable));
     }
 
@@ -127,4 +127,21 @@
         }
         assert_eq!(changes, [true, false]);
     }
+
+    withheld_targets_are_listed_again: "a live target that stays unused because nothing shows that it goes on to report" => {
+        let part = DirectoryPart::Targets;
+        let mut controller = DirectoryController::new(DirectorySettings::default(), 1);
+        controller.handle(DirectoryMessage::Listed(part, batch(1, 100, Vec::new())), Timestamp(0));
+        controller.handle(DirectoryMessage::Listed(part, batch(2, 100, vec![removal(50)])), Timestamp(SECOND));
+        let mut lists = Vec::new();
+        for second in 2..30 {
+            let effects = controller.handle(DirectoryMessage::Tick, Timestamp(second * SECOND));
+            if effects.iter().any(|effect| matches!(effect, DirectoryEffect::CatchUp(DirectoryPart::Targets, None))) {
+                lists.push(second);
+                let list = batch(2, 120, vec![target(120, 9, false)]);
+                controller.handle(DirectoryMessage::CaughtUp(part, Some(list)), Timestamp(second * SECOND));
+            }
+        }
+        assert_eq!(lists, [7]);
+    }
 }
--- a/src/directory/mod.rs
+++ b/src/directory/mod.rs
@@ -1,5 +1,6 @@
 //! Keeps an entry in step with the platform's directory of targets and configuration.
 
+mod first_list;
 mod own_calls;
 mod relay;
 mod relay_client;
@@ -14,7 +15,7 @@
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
 use indexmap::IndexMap;
-pub use relay::{BatchOrigin, DirectoryRelay};
+pub use relay::DirectoryRelay;
 pub use relay_handler::RelayHandler;
 pub use relayed::RelayedDirectory;
 pub use revisions::RevisionTracker;
@@ -25,6 +26,7 @@
     DirectoryController, DirectoryEffect, DirectoryMessage, DirectorySettings, StateController,
     TargetsMessage,
 };
+pub use zinniaport_core::directory::BatchOrigin;
 use zinniaport_core::directory::{DirectoryBatch, DirectoryPart, StoreRevision};
 use zinniaport_core::evacuation::EvacuationChange;
 use zinniaport_core::fleet::FleetSnapshot;
--- a/src/directory/relay.rs
+++ b/src/directory/relay.rs
@@ -10,7 +10,9 @@
 use flate2::write::ZlibEncoder;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
-use zinniaport_core::directory::{DirectoryBatch, DirectoryPart, PartLedger, StoreRevision};
+use zinniaport_core::directory::{
+    BatchOrigin, DirectoryBatch, DirectoryPart, PartLedger, StoreRevision,
+};
 
 /// Age of the platform's last response after which a relay stops serving. A leader's own
 /// watch returns every second, and a change must be known to all entries after two
@@ -24,20 +26,6 @@
 /// Largest batch that is read from another entry, in bytes after decompression.
 const MAX_BATCH_BYTES: u64 = 64 << 20;
 
-/// Where a batch comes from. Only a response of the platform proves that there is
-/// nothing newer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum BatchOrigin {
-    /// All objects, from the platform.
-    Listed,
-    /// Changes, from the platform.
-    Watched,
-    /// All objects, from a peer.
-    ListedByPeer,
-    /// Changes, from a peer.
-    WatchedByPeer,
-}
-
 /// The newest known state of one part of the directory.
 #[derive(Debug, Default)]
 pub(super) struct RelayedPart {
@@ -64,8 +52,7 @@
     }
 
     fn apply(&mut self, batch: &mut DirectoryBatch, origin: BatchOrigin) {
-        let is_list = matches!(origin, BatchOrigin::Listed | BatchOrigin::ListedByPeer);
-        let is_applied = self.ledger.apply(batch, is_list);
+        let is_applied = self.ledger.apply(batch, origin);
         if is_applied && matches!(origin, BatchOrigin::Listed | BatchOrigin::Watched) {
             self.confirmed_at = Some(Instant::now());
         }
--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -9,13 +10,14 @@
 use tokio::time::{Instant, sleep};
 use zinniaport_core::directory::{DirectoryBatch, DirectoryPart, StoreRevision};
 use zinniaport_core::policy::hash_bytes;
-use zinniaport_core::startup::{StartupPlan, StartupResponse, StartupStep};
+use zinniaport_core::startup::StartupPlan;
 
+use super::first_list::startup_plans;
 use super::own_calls::OwnCalls;
-use super::relay::{BatchOrigin, DirectoryRelay};
+use super::relay::DirectoryRelay;
 use super::relay_client::{RelayResponse, query_entry};
 use super::relay_handler::RelayQuery;
-use super::{DirectorySource, ReadConsistency};
+use super::{BatchOrigin, DirectorySource, ReadConsistency};
 use crate::state::SharedState;
 use crate::store::{ApiClient, StoreError, refused};
 use crate::telemetry::TrafficKind;
@@ -27,10 +29,6 @@
 /// byte between data centres.
 const EVACUATIONS_RELAY_WAIT: Duration = Duration::from_millis(900);
 
-/// Longest time that an entry which starts waits for the list of another one that is starting
-/// too.
-const STARTUP_WAIT: Duration = Duration::from_millis(300);
-
 /// Greatest number of entries that are asked for changes in turn: the leaders that this entry
 /// knows, and those that they refer it to.
 const MAX_ASKED: usize = 6;
@@ -56,18 +54,21 @@
 /// Reads the directory from the platform while this entry is a leader, otherwise from a
 /// leader, and from the platform if no leader responds.
 pub struct RelayedDirectory {
-    state: Arc<SharedState>,
-    source: Arc<dyn DirectorySource>,
-    relay: Arc<DirectoryRelay>,
+    pub(super) state: Arc<SharedState>,
+    pub(super) source: Arc<dyn DirectorySource>,
+    pub(super) relay: Arc<DirectoryRelay>,
     clients: Mutex<HashMap<SocketAddr, RelayClient>>,
     /// Whether the last leader is queried first, so that the first one does not serve all
     /// followers.
     reverses_leaders: bool,
     /// This entry's own calls to the platform while it is a follower, by part.
     own_calls: Mutex<[OwnCalls; DirectoryPart::COUNT]>,
+    /// Whether a part was listed from the platform, which may have been restored before. The
+    /// leaders may have kept what it lost, so this entry lists from them once it follows them.
+    listed_restored: [AtomicBool; DirectoryPart::COUNT],
     /// From whom the first list of each part is taken.
-    startup: Mutex<[StartupPlan; DirectoryPart::COUNT]>,
-    own_address: Option<SocketAddr>,
+    pub(super) startup: Mutex<[StartupPlan; DirectoryPart::COUNT]>,
+    pub(super) own_address: Option<SocketAddr>,
 }
 
 /// Client of another entry.
@@ -95,7 +96,17 @@
         let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
         let startup = Mutex::new(startup_plans(&state, unspecified, &[]));
         let own_address = None;
-        Self { state, source, relay, clients, reverses_leaders, own_calls, startup, own_address }
+        Self {
+            state,
+            source,
+            relay,
+            clients,
+            reverses_leaders,
+            own_calls,
+            listed_restored: Default::default(),
+            startup,
+            own_address,
+        }
     }
 
     /// Takes the first list from other entries if there are any. `seeds` are entries that may
@@ -107,85 +118,10 @@
         self
     }
 
-    /// Lists a part for the first time.
-    async fn list_first(&self, part: DirectoryPart) -> Result<DirectoryBatch, StoreError> {
-        let started = Instant::now();
-        loop {
-            let holders = self.state.revisions.holders();
-            let now = self.state.clock.now();
-            let step = self.startup()[part as usize].next_step(&holders, now);
-            match step {
-                StartupStep::Wait(time) => sleep(time).await,
-                StartupStep::ReadSmall => match self.source.list_small(part).await {
-                    Ok(Some(batch)) => return Ok(self.apply_first_list(part, batch, started)),
-                    Ok(None) => {}
-                    Err(error) => {
-                        log::debug!("cannot read a small directory from the platform: {error}");
-                    }
-                },
-                StartupStep::ReadPlatform => {
-                    let listed = self.source.list(part).await;
-                    if listed.is_err() {
-                        let now = self.state.clock.now();
-                        self.startup()[part as usize].record_failed_read(now);
-                    }
-                    return listed.map(|batch| self.apply_first_list(part, batch, started));
-                }
-                StartupStep::AskEntry(address) => {
-                    if let Some(batch) = self.list_from(part, address, started).await {
-                        return Ok(batch);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Applies the first list, which comes from the platform.
-    fn apply_first_list(
-        &self,
-        part: DirectoryPart,
-        mut batch: DirectoryBatch,
-        started: Instant,
-    ) -> DirectoryBatch {
-        let took_ms = started.elapsed().as_millis() as u64;
-        log::info!(part = <&str>::from(part), revision = batch.revision, objects = batch.changes.len(), took_ms = took_ms; "listed the directory from the platform");
-        self.relay.apply(part, &mut batch, BatchOrigin::Listed);
-        batch
-    }
-
-    /// Asks another entry for all objects of a part.
-    async fn list_from(
-        &self,
-        part: DirectoryPart,
-        address: SocketAddr,
-        started: Instant,
-    ) -> Option<DirectoryBatch> {
-        let starting = self.own_address;
-        let query = RelayQuery { part, after: None, wait: STARTUP_WAIT, starting };
-        let response = match query_entry(&self.api(address), query).await {
-            Ok(RelayResponse::Batch { mut batch, encoded, age }) => {
-                self.count_bytes(address, encoded.len());
-                let took_ms = started.elapsed().as_millis() as u64;
-                let age_ms = age.map(|age| age.as_millis() as u64);
-                log::info!(part = <&str>::from(part), from:% = address, revision = batch.revision, objects = batch.changes.len(), age_ms = age_ms, took_ms = took_ms; "got the directory from another entry");
-                self.relay.apply_list(part, &mut batch, encoded);
-                return Some(batch);
-            }
-            Ok(RelayResponse::Referred(others)) => StartupResponse::Referred(others),
-            // Refused connections and responses: it is starting.
-            Err(StoreError::Refused { .. }) => StartupResponse::Referred(Vec::new()),
-            Err(error) => {
-                log::debug!("cannot get the directory from {address}: {error}");
-                StartupResponse::Unresponsive
-            }
-        };
-        let now = self.state.clock.now();
-        self.startup()[part as usize].record_response(address, response, now);
-        None
-    }
-
-    fn startup(&self) -> MutexGuard<'_, [StartupPlan; DirectoryPart::COUNT]> {
-        self.startup.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Applies a list that comes from the platform without any other entry having been asked.
+    pub(super) fn apply_list(&self, part: DirectoryPart, batch: &mut DirectoryBatch) {
+        self.listed_restored[part as usize].store(batch.era > 0, Ordering::Relaxed);
+        self.relay.apply(part, batch, BatchOrigin::Listed);
     }
 
     /// Lists a part: from any entry that has it while this entry starts, later from a leader,
@@ -194,7 +130,9 @@
         if self.own_address.is_some() && !self.relay.is_complete(part) {
             return self.list_first(part).await;
         }
-        if !self.state.revisions.is_leader() {
+        let is_leader = self.state.revisions.is_leader();
+        if !is_leader {
+            self.listed_restored[part as usize].store(false, Ordering::Relaxed);
             let query = RelayQuery { part, after: None, wait: Duration::ZERO, starting: None };
             if let Some(mut batch) = self.query_leaders(query).await? {
                 self.relay.apply(part, &mut batch, BatchOrigin::ListedByPeer);
@@ -202,7 +140,11 @@
             }
         }
         let mut batch = self.source.list(part).await?;
-        self.relay.apply(part, &mut batch, BatchOrigin::Listed);
+        if is_leader {
+            self.apply_list(part, &mut batch);
+        } else {
+            self.relay.apply(part, &mut batch, BatchOrigin::Listed);
+        }
         Ok(batch)
     }
 
@@ -220,6 +162,10 @@
             return Ok(batch);
         }
         if !is_leader && consistency == ReadConsistency::Stale {
+            let has_leaders = !self.state.revisions.leaders().is_empty();
+            if has_leaders && self.listed_restored[part as usize].load(Ordering::Relaxed) {
+                return Err(StoreError::TooOld);
+            }
             let (after, starting) = (Some(revision), None);
             let query = RelayQuery { part, after, wait: relay_wait(part), starting };
             loop {
@@ -338,14 +284,14 @@
     }
 
     /// Counts directory content that came from another entry.
-    fn count_bytes(&self, from: SocketAddr, bytes: usize) {
+    pub(super) fn count_bytes(&self, from: SocketAddr, bytes: usize) {
         if self.state.is_elsewhere(from) {
             self.state.metrics.traffic.count(TrafficKind::Relay, bytes);
         }
     }
 
     /// Returns the client of another entry.
-    fn api(&self, address: SocketAddr) -> Arc<ApiClient> {
+    pub(super) fn api(&self, address: SocketAddr) -> Arc<ApiClient> {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
         clients.entry(address).or_insert_with(|| RelayClient::new(address)).api.clone()
     }
@@ -373,16 +319,6 @@
     }
 }
 
-/// Returns the plans of an entry that starts, one for each part.
-fn startup_plans(
-    state: &SharedState,
-    own_address: SocketAddr,
-    seeds: &[SocketAddr],
-) -> [StartupPlan; DirectoryPart::COUNT] {
-    let (random, now) = (rand::random(), state.clock.now());
-    std::array::from_fn(|_| StartupPlan::new(own_address, seeds.iter().copied(), random, now))
-}
-
 impl DirectorySource for RelayedDirectory {
     fn list(&self, part: DirectoryPart) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
         Box::pin(self.list_part(part))
