--- a/tests/relay_versions.rs
+++ b/tests/relay_versions.rs
@@ -49,13 +49,19 @@
     }
 }
 
-/// A store in its first era, with one configuration.
+/// A store with one configuration.
 #[derive(Default)]
 struct ConfigurationSource {
     version: AtomicU64,
+    /// Number of times that it was restored.
+    restores: AtomicU64,
 }
 
 impl ConfigurationSource {
+    fn era(&self) -> u64 {
+        1 + self.restores.load(Ordering::SeqCst)
+    }
+
     /// Returns the content of a part. The revision of the configuration is ten times its version.
     fn batch(&self, part: DirectoryPart, era: u64) -> DirectoryBatch {
         let version = self.version.load(Ordering::SeqCst);
@@ -77,14 +83,14 @@
 
 impl DirectorySource for ConfigurationSource {
     fn list(&self, part: DirectoryPart) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
-        Box::pin(async move { Ok(self.batch(part, 1)) })
+        Box::pin(async move { Ok(self.batch(part, self.era())) })
     }
 
     fn list_small(
         &self,
         part: DirectoryPart,
     ) -> BoxFuture<'_, Result<Option<DirectoryBatch>, StoreError>> {
-        Box::pin(async move { Ok(Some(self.batch(part, 1))) })
+        Box::pin(async move { Ok(Some(self.batch(part, self.era()))) })
     }
 
     fn watch(
@@ -95,7 +101,10 @@
     ) -> BoxFuture<'_, Result<DirectoryBatch, StoreError>> {
         Box::pin(async move {
             sleep(Duration::from_millis(300)).await;
-            let mut batch = self.batch(part, 1);
+            let mut batch = self.batch(part, self.era());
+            if batch.era != revision.era {
+                return Err(StoreError::TooOld);
+            }
             batch.changes.retain(|change| change.revision > revision.number);
             Ok(batch)
         })
@@ -178,4 +187,42 @@
         let path = "/directory?part=configuration&after=30&hold=0";
         assert_eq!(get(leader, path).await.unwrap().status(), StatusCode::OK);
     }
+
+    async announced_eras_are_listed_from_the_platform: "a follower that stays in an era for as long as its leader does, although other entries announce the next one" => {
+        let source = Arc::new(ConfigurationSource::default());
+        source.version.store(3, Ordering::SeqCst);
+        let (relay, earlier) = (Arc::new(DirectoryRelay::default()), Arc::new(ConfigurationSource::default()));
+        earlier.version.store(3, Ordering::SeqCst);
+        let leader = serve_leader(relay.clone(), false).await;
+        let parts = [DirectoryPart::Targets, DirectoryPart::Configuration];
+        for part in parts {
+            relay.apply(part, &mut earlier.batch(part, 1), BatchOrigin::Listed);
+        }
+        // The leader still reaches the store as it was before the restore.
+        tokio::spawn(async move {
+            loop {
+                sleep(Duration::from_millis(50)).await;
+                for part in parts {
+                    relay.apply(part, &mut earlier.batch(part, 1), BatchOrigin::Watched);
+                }
+            }
+        });
+        let state = Arc::new(SharedState::new(Arc::new(SystemClock::new()), "follower", "a"));
+        state.revisions.set_leaders(vec![leader], false);
+        let (driver, targets) = TargetsDriver::new(state.clone());
+        tokio::spawn(driver.run(CancellationToken::new()));
+        let directory = Arc::new(RelayedDirectory::new(state.clone(), source.clone(), Arc::default()));
+        let settings = DirectorySettings::default();
+        let driver = DirectoryDriver::new(state.clone(), directory, targets, Arc::default(), settings);
+        tokio::spawn(driver.run(CancellationToken::new()));
+        let version = || state.fleet.load().routes.as_ref().map_or(0, |table| table.version);
+        sleep(Duration::from_millis(500)).await;
+        assert_eq!(version(), 3);
+        source.restores.store(1, Ordering::SeqCst);
+        source.version.store(4, Ordering::SeqCst);
+        let announced = StoreRevision { era: 2, number: 40 };
+        state.revisions.observe_peer([StoreRevision::default(), announced, StoreRevision::default()]);
+        sleep(2 * APPLY_LIMIT).await;
+        assert_eq!(version(), 4);
+    }
 }
