List from leaders that know the newest era, and wait for them before the store

A leader of an earlier era than the one announced is passed over. A list is asked of the leaders for up to 600 ms before the store is listed.

--- a/src/directory/relayed.rs
+++ b/src/directory/relayed.rs
@@ -33,6 +33,10 @@
 /// knows, and those that they refer it to.
 const MAX_ASKED: usize = 6;
 
+/// Time for which an entry asks its leaders for a list before it lists the platform. After an outage
+/// or a restore the leaders list at the same time, and a large fleet would list with them.
+const LEADER_LIST_WAIT: Duration = Duration::from_millis(600);
+
 /// Time between two queries for changes while this entry has just started and knows no leader
 /// that serves it.
 const UNSETTLED_PAUSE: Duration = Duration::from_millis(100);
@@ -134,9 +138,16 @@
         if !is_leader {
             self.listed_restored[part as usize].store(false, Ordering::Relaxed);
             let query = RelayQuery { part, after: None, wait: Duration::ZERO, starting: None };
-            if let Some(mut batch) = self.query_leaders(query).await? {
-                self.relay.apply(part, &mut batch, BatchOrigin::ListedByPeer);
-                return Ok(batch);
+            let end = Instant::now() + LEADER_LIST_WAIT;
+            loop {
+                if let Some(mut batch) = self.query_leaders(query).await? {
+                    self.relay.apply(part, &mut batch, BatchOrigin::ListedByPeer);
+                    return Ok(batch);
+                }
+                if self.state.revisions.leaders().is_empty() || Instant::now() >= end {
+                    break;
+                }
+                sleep(UNSETTLED_PAUSE).await;
             }
         }
         let mut batch = self.source.list(part).await?;
@@ -234,6 +245,8 @@
         leaders.sort_by_key(|leader| self.state.is_elsewhere(*leader));
         let substitutes = self.state.revisions.substitutes();
         leaders.extend(&substitutes);
+        let announced = self.state.revisions.announced(query.part);
+        let newest_era = announced.era.max(self.relay.era(query.part));
         let mut refused = Vec::new();
         let mut position = 0;
         while let Some(address) = leaders.get(position).copied().filter(|_| position < MAX_ASKED) {
@@ -241,9 +254,7 @@
             let Some(api) = self.client(address) else { continue };
             let skip_time = match query_entry(&api, query).await {
                 // It does not know of a restore yet, or is of a version that knows no eras.
-                Ok(RelayResponse::Batch { batch, .. })
-                    if batch.era < self.relay.era(query.part) =>
-                {
+                Ok(RelayResponse::Batch { batch, .. }) if batch.era < newest_era => {
                     REFUSED_SKIP_TIME
                 }
                 Ok(RelayResponse::Batch { batch, encoded, .. }) => {
