Show which evacuations are in force after a restore

Cause: no test showed what becomes of an evacuation that the copy lacks, and of one that was withdrawn after the copy was made.

Change: cases with a ledger and a controller: the first one lasts until the operator withdraws it after writing it again, or for 10 s; the second one is in force until it is removed; a list ends evacuations once the 10 s are over.

--- a/core/tests/restored_directory.rs
+++ b/core/tests/restored_directory.rs
@@ -3,14 +3,79 @@
 
 mod restored_world;
 
+use indexmap::IndexSet;
 use proptest::prelude::*;
 use restored_world::{
     ENTRIES, Numbering, PARTS, RestoredWorld, StoreCounts, WorldStep, world_steps,
 };
+use zinniaport_core::clock::Timestamp;
+use zinniaport_core::controllers::{
+    DirectoryController, DirectoryEffect, DirectoryMessage, DirectorySettings, StateController,
+};
+use zinniaport_core::directory::{
+    DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, PartLedger,
+};
 use zinniaport_testing::{check_property, test_cases};
 
 const CASES: u32 = 1_024;
 
+const EVACUATIONS: DirectoryPart = DirectoryPart::Evacuations;
+const SECOND: u64 = 1_000_000;
+
+fn change(name: &str, revision: u64, item: Option<DirectoryItem>) -> DirectoryChange {
+    DirectoryChange { name: name.to_owned(), revision, item }
+}
+
+fn evacuation(data_centre: &str, revision: u64) -> DirectoryChange {
+    change(data_centre, revision, Some(DirectoryItem::Evacuation))
+}
+
+fn batch(era: u64, revision: u64, changes: Vec<DirectoryChange>) -> DirectoryBatch {
+    DirectoryBatch { era, revision, changes }
+}
+
+/// Entry that follows the evacuations through its ledger.
+struct EvacuationFollower {
+    ledger: PartLedger,
+    controller: DirectoryController,
+    evacuated: IndexSet<String>,
+}
+
+impl EvacuationFollower {
+    /// Creates an entry that has listed these evacuations at revision 1.20.
+    fn new(evacuations: Vec<DirectoryChange>) -> Self {
+        let settings = DirectorySettings { evacuations: true, ..DirectorySettings::default() };
+        let controller = DirectoryController::new(settings, 1);
+        let (ledger, evacuated) = Default::default();
+        let mut follower = Self { ledger, controller, evacuated };
+        follower.list(batch(1, 20, evacuations), 0);
+        follower
+    }
+
+    fn list(&mut self, mut batch: DirectoryBatch, at: u64) -> Vec<&str> {
+        self.ledger.apply(&mut batch, true);
+        self.send(DirectoryMessage::Listed(EVACUATIONS, batch), at)
+    }
+
+    fn watch(&mut self, mut batch: DirectoryBatch, at: u64) -> Vec<&str> {
+        self.ledger.apply(&mut batch, false);
+        self.send(DirectoryMessage::Watched(EVACUATIONS, batch), at)
+    }
+
+    /// Returns the evacuated data centres after a message.
+    fn send(&mut self, message: DirectoryMessage, at: u64) -> Vec<&str> {
+        for effect in self.controller.handle(message, Timestamp(at)) {
+            let DirectoryEffect::Evacuation(change) = effect else { continue };
+            if change.is_evacuated {
+                self.evacuated.insert(change.data_centre);
+            } else {
+                self.evacuated.shift_remove(&change.data_centre);
+            }
+        }
+        self.evacuated.iter().map(String::as_str).collect()
+    }
+}
+
 /// Returns a fault of a world, if there is one.
 type WorldCheck = fn(&RestoredWorld) -> Option<String>;
 
@@ -73,4 +138,45 @@
             Ok(())
         });
     }
+
+    evacuations_outlast_a_copy_without_them: "an evacuation that ends because the store came back from a copy without it, or one that never ends" => {
+        let mut follower = EvacuationFollower::new(vec![evacuation("a", 12), evacuation("b", 13)]);
+        assert_eq!(follower.list(batch(2, 11, Vec::new()), SECOND), ["a", "b"]);
+        // A list within this time proves no more than the first one.
+        assert_eq!(follower.list(batch(2, 12, Vec::new()), 3 * SECOND), ["a", "b"]);
+        // The operator writes one of them again.
+        assert_eq!(follower.watch(batch(2, 13, vec![evacuation("a", 13)]), 5 * SECOND), ["a", "b"]);
+        assert_eq!(follower.send(DirectoryMessage::Tick, 11 * SECOND - 1), ["a", "b"]);
+        assert_eq!(follower.send(DirectoryMessage::Tick, 11 * SECOND), ["a"]);
+        let withdrawal = change("a", 14, None);
+        assert!(follower.watch(batch(2, 14, vec![withdrawal]), 12 * SECOND).is_empty());
+    }
+
+    withdrawals_after_a_restore_take_effect_at_once: "an evacuation that stays in force for 10 s after the operator withdrew it" => {
+        let mut follower = EvacuationFollower::new(vec![evacuation("a", 12)]);
+        assert_eq!(follower.list(batch(2, 11, Vec::new()), SECOND), ["a"]);
+        assert_eq!(follower.watch(batch(2, 12, vec![evacuation("a", 12)]), 2 * SECOND), ["a"]);
+        assert!(follower.watch(batch(2, 13, vec![change("a", 13, None)]), 3 * SECOND).is_empty());
+        assert!(follower.send(DirectoryMessage::Tick, 20 * SECOND).is_empty());
+    }
+
+    evacuations_in_the_copy_are_in_force: "requests to a data centre whose evacuation the store states, or an evacuation that outlasts its removal" => {
+        let mut follower = EvacuationFollower::new(vec![evacuation("a", 12)]);
+        let withdrawal = change("a", 21, None);
+        assert!(follower.watch(batch(1, 21, vec![withdrawal]), SECOND).is_empty());
+        assert_eq!(follower.list(batch(2, 15, vec![evacuation("a", 12)]), 2 * SECOND), ["a"]);
+        // A late response of the earlier era ends nothing.
+        assert_eq!(follower.watch(batch(1, 30, vec![change("a", 21, None)]), 3 * SECOND), ["a"]);
+        assert_eq!(follower.send(DirectoryMessage::Tick, 20 * SECOND), ["a"]);
+        assert!(follower.watch(batch(2, 16, vec![change("a", 16, None)]), 21 * SECOND).is_empty());
+    }
+
+    lists_of_the_same_era_end_evacuations: "an evacuation that never ends because its withdrawal was missed after a restore" => {
+        let mut follower = EvacuationFollower::new(vec![evacuation("a", 5), evacuation("b", 6)]);
+        let kept = vec![evacuation("a", 5), evacuation("b", 6)];
+        assert_eq!(follower.list(batch(2, 15, kept), SECOND), ["a", "b"]);
+        assert_eq!(follower.send(DirectoryMessage::Tick, 11 * SECOND), ["a", "b"]);
+        assert_eq!(follower.list(batch(2, 18, vec![evacuation("b", 6)]), 12 * SECOND), ["b"]);
+        assert!(follower.list(batch(2, 19, Vec::new()), 13 * SECOND).is_empty());
+    }
 }
