Show that responses of an earlier era change nothing

Cause: no test delivered a list or changes of an earlier era, with higher revisions, to a ledger and a controller that know a later one.

Change: such batches for both parts, in answer to both kinds of reads, leave the ledgers and the used targets as they are.

--- a/core/tests/restored_directory.rs
+++ b/core/tests/restored_directory.rs
@@ -3,6 +3,7 @@
 
 mod restored_world;
 
+use WorldStep::{Change, Configure, Pause, ReadAll, Restore, Start, WriteOthers};
 use indexmap::IndexSet;
 use proptest::prelude::*;
 use restored_world::{
@@ -103,6 +104,14 @@
     });
 }
 
+/// Applies steps and lets the entries read what is due.
+fn play(steps: &[WorldStep]) -> RestoredWorld {
+    let mut world = RestoredWorld::new(1, Numbering::Repeated);
+    let reads = [WorldStep::ReadAll, WorldStep::ReadAll, WorldStep::ReadAll];
+    steps.iter().chain(&reads).for_each(|step| world.apply(step));
+    world
+}
+
 test_cases! {
     versions_never_go_back: "an older version of the configuration that is in force after a restore" => {
         check_world(Numbering::Distinct, RestoredWorld::reverted_version, |_| None);
@@ -179,4 +188,26 @@
         assert_eq!(follower.list(batch(2, 18, vec![evacuation("b", 6)]), 12 * SECOND), ["b"]);
         assert!(follower.list(batch(2, 19, Vec::new()), 13 * SECOND).is_empty());
     }
+
+    earlier_eras_change_nothing: "a late response from before a restore that removes or changes what has been written since" => {
+        let mut world = play(&[Configure, Start(0), Start(1), ReadAll, WriteOthers(9), Restore(1), Change(0)]);
+        let (fleet, ledgers) = (world.used_targets(), world.ledger_batches());
+        for part in PARTS {
+            let name = if part == DirectoryPart::Targets { "t-1" } else { "main" };
+            let late = [
+                batch(1, 90, Vec::new()),
+                batch(1, 91, vec![change(name, 91, None)]),
+                batch(1, 92, vec![change(name, 92, Some(DirectoryItem::Unusable))]),
+            ];
+            for batch in late {
+                for is_list in [true, false] {
+                    assert!(!world.entry(0).ledgers[part as usize].apply(&mut batch.clone(), is_list));
+                    world.deliver_late(part, &batch, is_list);
+                }
+            }
+        }
+        world.apply(&Pause(10));
+        assert_eq!((world.used_targets(), world.ledger_batches()), (fleet, ledgers));
+        assert_eq!(world.outdated_entry(), None);
+    }
 }
--- a/core/tests/restored_world/mod.rs
+++ b/core/tests/restored_world/mod.rs
@@ -8,16 +8,16 @@
 use std::time::Duration;
 
 pub use entry::ReadKind;
-use entry::{FollowingEntry, ReadResponse};
-use indexmap::IndexSet;
+use entry::{FollowingEntry, ReadResponse, TargetContent};
+use indexmap::{IndexMap, IndexSet};
 pub use steps::{ENTRIES, PARTS, TARGETS, WorldStep, world_steps};
 use store::RestoredStore;
 pub use store::{Numbering, StoreCounts};
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::DirectoryMessage;
 use zinniaport_core::directory::{
-    DirectoryItem, DirectoryPart, OperatorConfiguration, RegisteredTarget, ServiceDefinition,
-    StoreRevision,
+    DirectoryBatch, DirectoryItem, DirectoryPart, OperatorConfiguration, RegisteredTarget,
+    ServiceDefinition, StoreRevision,
 };
 use zinniaport_core::intent::TargetInstance;
 
@@ -196,6 +196,36 @@
         })
     }
 
+    /// Returns the targets that each entry uses, with their content.
+    pub fn used_targets(&self) -> Vec<IndexMap<String, TargetContent>> {
+        self.entries.iter().map(|entry| entry.used.clone()).collect()
+    }
+
+    /// Returns all objects in the ledgers of each entry.
+    pub fn ledger_batches(&self) -> Vec<Vec<DirectoryBatch>> {
+        let batches = |entry: &FollowingEntry| {
+            entry.ledgers.iter().map(|ledger| ledger.batch(None)).collect()
+        };
+        self.entries.iter().map(batches).collect()
+    }
+
+    /// Returns an entry.
+    pub fn entry(&mut self, position: usize) -> &mut FollowingEntry {
+        &mut self.entries[position]
+    }
+
+    /// Delivers a response to each kind of read of an entry.
+    pub fn deliver_late(&mut self, part: DirectoryPart, batch: &DirectoryBatch, is_list: bool) {
+        for entry in &mut self.entries {
+            for kind in [ReadKind::Follow, ReadKind::CatchUp] {
+                let batch = batch.clone();
+                let response = ReadResponse::Batch { batch, is_list, is_from_store: true };
+                entry.reads[part as usize].keep(kind, response);
+                entry.deliver(part, kind, self.now);
+            }
+        }
+    }
+
     fn pass(&mut self, time: Duration) {
         self.now = self.now + time;
         for entry in &mut self.entries {
