Show that a sequence raised without a change brings no target back

Cause: a copy may show a higher sequence than entries know at the revision that they know, since a target raises it without a new revision.

Change: a case in which such a target leaves and a copy from before that has it.

--- a/core/tests/restored_directory.rs
+++ b/core/tests/restored_directory.rs
@@ -3,7 +3,9 @@
 
 mod restored_world;
 
-use WorldStep::{Change, Configure, Pause, ReadAll, Restore, Start, WriteOthers};
+use WorldStep::{
+    Change, Configure, End, Pause, ReadAll, Remove, Repeat, Restore, Start, WriteOthers,
+};
 use indexmap::IndexSet;
 use proptest::prelude::*;
 use restored_world::{
@@ -210,4 +212,12 @@
         assert_eq!((world.used_targets(), world.ledger_batches()), (fleet, ledgers));
         assert_eq!(world.outdated_entry(), None);
     }
+
+    repeated_states_are_no_news: "requests to a target that had left, because it had raised its sequence before, which the copy shows" => {
+        let steps = [
+            Configure, Start(0), ReadAll, Repeat(0), WriteOthers(1), End(0), Remove(0), ReadAll,
+            Pause(10), Restore(1),
+        ];
+        assert_eq!(play(&steps).used_after_leaving(), None);
+    }
 }
