Show that writes at a revision from before a restore are ignored

Cause: in the first list of an era, the ledger takes an object for outdated if its revision has the number at which its known content was written, although its writer wrote it since the restore. The known content then stays in force until the object changes once more, or the next restore.

Change: three cases (a higher version, an announcement, a live target after its removal) and the property over all orders with numbers that repeat.

Result: all four fail on: version 1 in force instead of 2, a target that announced that it leaves used, a live target not used. The three cases pass if the restored store gives out numbers that the objects never had.

--- a/core/tests/restored_directory.rs
+++ b/core/tests/restored_directory.rs
@@ -4,7 +4,7 @@
 mod restored_world;
 
 use WorldStep::{
-    Change, Configure, End, Pause, ReadAll, Remove, Repeat, Restore, Start, WriteOthers,
+    Announce, Change, Configure, End, Pause, ReadAll, Remove, Repeat, Restore, Start, WriteOthers,
 };
 use indexmap::IndexSet;
 use proptest::prelude::*;
@@ -220,4 +220,24 @@
         ];
         assert_eq!(play(&steps).used_after_leaving(), None);
     }
+
+    repeated_revisions_are_changes: "entries that ignore what is written after a restore because its object had the same revision before" => {
+        let outdated = RestoredWorld::outdated_entry;
+        check_world(Numbering::Repeated, RestoredWorld::used_after_leaving, outdated);
+    }
+
+    configurations_with_a_repeated_revision_are_used: "a version that stays unknown because an older one had its revision before the restore" => {
+        let world = play(&[Configure, ReadAll, Restore(1), Configure]);
+        assert_eq!(world.outdated_entry(), None);
+    }
+
+    announcements_with_a_repeated_revision_count: "requests to a target whose announcement has the revision that its registration had before the restore" => {
+        let world = play(&[Configure, Start(0), ReadAll, Restore(1), Announce(0)]);
+        assert_eq!(world.outdated_entry(), None);
+    }
+
+    targets_with_a_repeated_revision_are_used: "a live target that is not used because its removed registration had the same revision before the restore" => {
+        let steps = [Configure, Start(0), ReadAll, Remove(0), ReadAll, Pause(10), Restore(2), Change(0)];
+        assert_eq!(play(&steps).outdated_entry(), None);
+    }
 }
