Show that a target that was dropped is used again after two restores

Cause: the ledger forgets the order of an object that the first list of an era lacks, unless the object had announced that it leaves. A second restore from a copy that has it brings the target back although it had been dropped.

Change: the property over all orders, with numbers that do not repeat, and a case.

--- a/core/tests/restored_directory.rs
+++ b/core/tests/restored_directory.rs
@@ -240,4 +240,16 @@
         let steps = [Configure, Start(0), ReadAll, Remove(0), ReadAll, Pause(10), Restore(2), Change(0)];
         assert_eq!(play(&steps).outdated_entry(), None);
     }
+
+    left_targets_stay_gone: "requests to a target that had left, because the copy has it" => {
+        check_world(Numbering::Distinct, RestoredWorld::used_after_leaving, |_| None);
+    }
+
+    removals_outlast_two_restores: "requests to a target that was dropped after the first restore, because the copy of the second one is older" => {
+        let steps = [
+            Configure, Start(0), End(0), ReadAll, Remove(0), WriteOthers(1),
+            Restore(1), ReadAll, ReadAll, ReadAll, Pause(10), Restore(1),
+        ];
+        assert_eq!(play(&steps).used_after_leaving(), None);
+    }
 }
