Show that a removal between two lists never reaches some followers

Cause: a list after a lost history does not raise the revision after which the ledger states that no change is missing. An object that was registered and removed between two lists of one entry is unknown to it, yet it serves the changes since then to an entry that knows the object.

Change: a case for the ledger, and one in which an entry reads from another one.

No restore is needed for it.

--- a/core/tests/restored_directory.rs
+++ b/core/tests/restored_directory.rs
@@ -4,19 +4,20 @@
 mod restored_world;
 
 use WorldStep::{
-    Announce, Change, Configure, End, Pause, ReadAll, Remove, Repeat, Restore, Start, WriteOthers,
+    Announce, Change, Configure, Deliver, End, LoseHistory, Pause, ReadAll, Remove, Repeat,
+    Restore, Send, Start, WriteOthers,
 };
 use indexmap::IndexSet;
 use proptest::prelude::*;
 use restored_world::{
-    ENTRIES, Numbering, PARTS, RestoredWorld, StoreCounts, WorldStep, world_steps,
+    ENTRIES, Numbering, PARTS, ReadKind, RestoredWorld, StoreCounts, WorldStep, world_steps,
 };
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::{
     DirectoryController, DirectoryEffect, DirectoryMessage, DirectorySettings, StateController,
 };
 use zinniaport_core::directory::{
-    DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, PartLedger,
+    DirectoryBatch, DirectoryChange, DirectoryItem, DirectoryPart, PartLedger, StoreRevision,
 };
 use zinniaport_testing::{check_property, test_cases};
 
@@ -252,4 +253,22 @@
         ];
         assert_eq!(play(&steps).used_after_leaving(), None);
     }
+
+    missed_removals_are_not_covered: "changes that are complete for a reader who knows an object that was registered and removed between two lists" => {
+        let mut ledger = PartLedger::default();
+        ledger.apply(&mut batch(1, 10, Vec::new()), true);
+        ledger.apply(&mut batch(1, 15, Vec::new()), true);
+        assert!(!ledger.covers(StoreRevision { era: 1, number: 12 }));
+        assert!(ledger.covers(StoreRevision { era: 1, number: 15 }));
+    }
+
+    missed_removals_reach_followers: "an entry that uses a target for good because it reads from another one that never knew it" => {
+        let (entry, part, kind) = (1, DirectoryPart::Targets, ReadKind::Follow);
+        let world = play(&[
+            Configure, ReadAll, Start(1), LoseHistory, Pause(5), ReadAll, Pause(5),
+            Send { entry, part, kind, follows: false }, Deliver { entry, part, kind }, Announce(1), Remove(1),
+            ReadAll, ReadAll, ReadAll, ReadAll, ReadAll,
+        ]);
+        assert_eq!(world.outdated_entry(), None);
+    }
 }
