Show that a missed withdrawal soon after a restore never takes effect

Cause: within 10 s of a restore a list ends no evacuations, and after that time only those of earlier eras end. One that the first list of the era had, and that a list within the 10 s lacks, stays in force.

Change: a case with two lists of one era, 4 s apart.

--- a/core/tests/restored_directory.rs
+++ b/core/tests/restored_directory.rs
@@ -271,4 +271,12 @@
         ]);
         assert_eq!(world.outdated_entry(), None);
     }
+
+    lists_soon_after_a_restore_end_evacuations: "an evacuation that never ends because its withdrawal was missed within 10 s of a restore" => {
+        let mut follower = EvacuationFollower::new(vec![evacuation("a", 5)]);
+        assert_eq!(follower.list(batch(2, 15, vec![evacuation("a", 5)]), SECOND), ["a"]);
+        follower.list(batch(2, 18, Vec::new()), 5 * SECOND);
+        assert!(follower.send(DirectoryMessage::Tick, 11 * SECOND).is_empty());
+        assert!(follower.watch(batch(2, 30, Vec::new()), 60 * SECOND).is_empty());
+    }
 }
