Compare content where the revision alone cannot tell what a copy has

- A live target that registered again at the number of its removed registration was not used.
The number counts only if the content is equal as well.
- A target that was dropped after a restore was used again after a second one from an older copy.
What is known of its content is kept.
- A target that was registered and removed between two lists of a leader stayed in use at entries that had read the store in between, also without a restore.
A leader no longer answers for revisions between a lost history and the list that replaced it.
- A list of an object that is known at the same revision passed its content on as it was listed, not as it is in force.

All targets are listed once more 6 s after a restore.

--- a/core/src/controllers/directory/evacuations.rs
+++ b/core/src/controllers/directory/evacuations.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::warm_up::ColdPeriod;
-use super::{DirectoryController, DirectoryEffect, OUTAGE_REMOVAL_DELAY};
+use super::{DirectoryController, DirectoryEffect, LIST_AGAIN_DELAY, OUTAGE_REMOVAL_DELAY};
 use crate::clock::Timestamp;
 use crate::directory::{DirectoryBatch, DirectoryPart};
 use crate::evacuation::EvacuationChange;
@@ -19,8 +19,11 @@
     /// made from which the store came back.
     pub(super) fn start_era(&mut self, part: DirectoryPart, now: Timestamp) {
         match part {
-            // A removal that was seen before stays due when it was.
-            DirectoryPart::Targets => self.removals_delayed_until = now + OUTAGE_REMOVAL_DELAY,
+            DirectoryPart::Targets => {
+                // A removal that was seen before stays due when it was.
+                self.removals_delayed_until = now + OUTAGE_REMOVAL_DELAY;
+                self.part(part).list_again_at = Some(now + LIST_AGAIN_DELAY);
+            }
             DirectoryPart::Evacuations => {
                 self.unlisted_evacuations_until = Some(now + UNLISTED_EVACUATION_TIME);
             }
--- a/core/src/controllers/directory/follower.rs
+++ b/core/src/controllers/directory/follower.rs
@@ -22,7 +22,7 @@
     /// the changes.
     pub(super) must_list: bool,
     pub(super) failures: u32,
-    /// When to list again, after a restored store listed objects that are taken for removed.
+    /// When to list again after a restore of the store.
     pub(super) list_again_at: Option<Timestamp>,
     /// Number of times in a row that the changes after the last read were gone.
     pub(super) missing_histories: u32,
--- a/core/src/controllers/directory/mod.rs
+++ b/core/src/controllers/directory/mod.rs
@@ -53,8 +53,8 @@
 /// change is read by a separate call.
 const CATCH_UP_DELAY: Duration = Duration::from_millis(400);
 
-/// Time after the first list of an era until targets in it that had been removed are listed again.
-/// Those that are alive have reported by then: reports are about 1.5 s apart.
+/// Time after the first list of an era until all targets are listed again. Those in the copy that
+/// had been removed before and are alive have reported by then: reports are about 1.5 s apart.
 const LIST_AGAIN_DELAY: Duration = Duration::from_secs(6);
 
 /// Time between a response with changes and the next watch. Changes come in bursts, such as
@@ -186,9 +186,6 @@
             }
             if batch.era > known.era {
                 self.start_era(part, now);
-                let is_withheld = |change: &DirectoryChange| change.item.is_none();
-                let has_withheld = batch.changes.iter().any(is_withheld);
-                self.part(part).list_again_at = has_withheld.then(|| now + LIST_AGAIN_DELAY);
                 effects.push(DirectoryEffect::Restored(part, known, batch.position()));
             }
         }
@@ -258,6 +255,8 @@
             Some(DirectoryItem::Unusable) => {
                 self.apply_target(change.name, TargetRecord::new(revision, None), effects)
             }
+            // The copy of a restored store has the target, which had been removed before.
+            None if listed => false,
             None => self.apply_removal(&change.name, revision, now, effects),
         }
     }
--- a/core/src/controllers/directory/records.rs
+++ b/core/src/controllers/directory/records.rs
@@ -103,8 +103,8 @@
         now: Timestamp,
         effects: &mut Vec<DirectoryEffect>,
     ) -> bool {
-        let listed: HashSet<&str> =
-            batch.changes.iter().map(|change| change.name.as_str()).collect();
+        let existing = batch.changes.iter().filter(|change| change.item.is_some());
+        let listed: HashSet<&str> = existing.map(|change| change.name.as_str()).collect();
         let unlisted = self.targets.iter().filter(|(name, record)| {
             !listed.contains(name.as_str()) && record.revision <= batch.position()
         });
--- a/core/src/directory/ledger.rs
+++ b/core/src/directory/ledger.rs
@@ -4,17 +4,21 @@
 //! The first list of an era shows the state of the copy, and what has been written since. State
 //! that is newer than the copy stays in force until its writer has written again.
 
-use std::collections::HashSet;
+use std::collections::{HashSet, VecDeque};
 
 use indexmap::IndexMap;
 
 use super::{
-    BatchOrigin, DirectoryBatch, DirectoryChange, DirectoryItem, StoreRevision, WriterOrder,
+    BatchOrigin, DirectoryBatch, DirectoryChange, DirectoryItem, RegisteredTarget, StoreRevision,
+    WriterOrder,
 };
 
 /// Removals kept; the oldest are dropped first.
 const MAX_REMOVED: usize = 1024;
 
+/// Lists after a lost history that are remembered. Entries lag by a few seconds at most.
+const MAX_GAPS: usize = 16;
+
 /// What is known of one object.
 #[derive(Clone, Debug)]
 struct ObjectRecord {
@@ -22,6 +26,8 @@
     position: StoreRevision,
     /// Newest content; `None` if the object was removed.
     item: Option<DirectoryItem>,
+    /// Content of a removed object before its removal.
+    removed_item: Option<DirectoryItem>,
     /// Position of the newest content that was known, also of a removed object.
     order: Option<WriterOrder>,
     /// Revision at which that content was written.
@@ -31,31 +37,34 @@
 }
 
 impl ObjectRecord {
-    /// Returns `true` if the object has announced that it will go or has gone.
-    fn has_left(&self) -> bool {
-        match &self.item {
-            None => true,
-            Some(DirectoryItem::Target(target)) => target.leaving,
-            Some(_) => false,
-        }
-    }
-
     /// Returns `true` if the content of a change is older than what is known although its revision
-    /// is higher. In the first list of an era it may be as old as the copy; later, only an object
-    /// that its writer has not written again can be touched by another writer.
-    fn outdates(&self, change: &DirectoryChange, starts_era: bool) -> bool {
+    /// is higher. If it is listed for the first time in an era, it may be as old as the copy; later,
+    /// only an object that its writer has not written again can be touched by another writer.
+    fn outdates(&self, change: &DirectoryChange, may_be_copied: bool) -> bool {
         let order = change.item.as_ref().and_then(DirectoryItem::writer_order);
         let (Some(order), Some(known_order)) = (order, self.order) else { return false };
-        if !starts_era {
+        if !may_be_copied {
             let is_usable = change.item != Some(DirectoryItem::Unusable);
             return self.is_carried && is_usable && order < known_order;
         }
-        // A registration keeps its revision while its target only raises its sequence, so one of a
+        // A registration keeps its revision while its target only raises its sequence, so that of a
         // target that was removed may have a higher sequence in the copy than was known.
-        let is_copy = change.revision == self.written.number || order == known_order;
+        let has_number = change.revision == self.written.number;
+        let is_copy = order == known_order || (has_number && self.repeats_removed(change));
         order < known_order || (self.item.is_none() && is_copy)
     }
 
+    /// Returns `true` if a change has the content that a removed object had, apart from the
+    /// sequence of a target.
+    fn repeats_removed(&self, change: &DirectoryChange) -> bool {
+        match (&change.item, &self.removed_item) {
+            (Some(DirectoryItem::Target(target)), Some(DirectoryItem::Target(removed))) => {
+                *target == RegisteredTarget { sequence: target.sequence, ..removed.clone() }
+            }
+            (item, removed_item) => item == removed_item,
+        }
+    }
+
     /// Returns `true` if a list has newer content at the revision that is known: the target of a
     /// registration that was taken for removed goes on to report, or a peer has kept what the
     /// store lost before this entry listed it.
@@ -83,6 +92,9 @@
     position: StoreRevision,
     /// Revision after which no change is missing; `None` before the first list.
     complete_since: Option<StoreRevision>,
+    /// Revisions between which changes may be missing, each before a list that replaced a lost
+    /// history. An entry that read the store in between may know an object that was removed again.
+    gaps: VecDeque<(StoreRevision, StoreRevision)>,
 }
 
 impl PartLedger {
@@ -98,7 +110,11 @@
 
     /// Returns `true` if the ledger can tell all changes after a revision.
     pub fn covers(&self, after: StoreRevision) -> bool {
-        self.complete_since.is_some_and(|since| after >= since && after.era == self.position.era)
+        let is_missing =
+            |(from, until): &(StoreRevision, StoreRevision)| after > *from && after < *until;
+        self.complete_since.is_some_and(|since| after >= since)
+            && after.era == self.position.era
+            && !self.gaps.iter().any(is_missing)
     }
 
     /// Returns `true` if there are changes after a revision.
@@ -135,12 +151,11 @@
         }
         if is_list {
             self.remove_unlisted(batch, starts_era);
-            self.complete_since = match self.complete_since {
-                Some(since) if !starts_era => Some(since),
-                _ => Some(batch.position()),
-            };
+            self.record_list(batch.position(), starts_era);
         }
         let batch_position = batch.position();
+        let may_be_copied =
+            |known: &ObjectRecord| is_list && known.position.era < batch_position.era;
         for change in &mut batch.changes {
             let position = StoreRevision { era: batch.era, number: change.revision };
             let order = change.item.as_ref().and_then(DirectoryItem::writer_order);
@@ -148,11 +163,14 @@
             let is_newer = known.is_some_and(|known| known.is_newer_at(position, order, origin));
             if is_newer {
                 change.revision = batch_position.number;
-            } else if known.is_some_and(|known| known.position >= position) {
+            } else if let Some(known) = known.filter(|known| known.position >= position) {
+                change.revision = known.position.number;
+                change.item.clone_from(&known.item);
                 continue;
             }
             let position = StoreRevision { era: batch.era, number: change.revision };
-            let outdated = known.filter(|known| !is_newer && known.outdates(change, starts_era));
+            let outdated =
+                known.filter(|known| !is_newer && known.outdates(change, may_be_copied(known)));
             let record = match outdated {
                 Some(known) => {
                     let order =
@@ -167,7 +185,12 @@
                         None => (known_order, known_written),
                     };
                     let item = change.item.clone();
-                    ObjectRecord { position, item, order, written, is_carried: false }
+                    let removed_item = match (&item, known) {
+                        (None, Some(known)) => known.item.clone().or(known.removed_item.clone()),
+                        _ => None,
+                    };
+                    let is_carried = false;
+                    ObjectRecord { position, item, removed_item, order, written, is_carried }
                 }
             };
             change.item.clone_from(&record.item);
@@ -183,10 +206,22 @@
         self.complete_since.is_some()
     }
 
+    /// Records that all objects are known as of a revision.
+    fn record_list(&mut self, position: StoreRevision, starts_era: bool) {
+        if starts_era || !self.is_complete() {
+            self.gaps.clear();
+            self.complete_since = Some(position);
+        } else if position > self.position {
+            self.gaps.push_back((self.position, position));
+        }
+        if self.gaps.len() > MAX_GAPS {
+            let oldest = self.gaps.pop_front().map(|(_, until)| until);
+            self.complete_since = self.complete_since.max(oldest);
+        }
+    }
+
     /// Records the removal of objects that a list no longer contains. The first list of an era
-    /// proves nothing of an object that was written after the copy was made: a configuration
-    /// stays, and a target that has not announced that it leaves may come back with the content
-    /// that it had.
+    /// proves nothing of a configuration that was written after the copy was made, which stays.
     fn remove_unlisted(&mut self, batch: &mut DirectoryBatch, starts_era: bool) {
         let position = batch.position();
         let listed: HashSet<&str> =
@@ -203,10 +238,8 @@
                 carried.push(DirectoryChange { name, revision: position.number, item });
                 continue;
             }
-            if starts_era && !record.has_left() {
-                record.order = None;
-            }
-            (record.item, record.is_carried) = (None, starts_era);
+            record.removed_item = record.item.take();
+            record.is_carried = starts_era;
         }
         batch.changes.extend(carried);
     }
