Keep claims that a restored store has lost

Cause: after the store came back from an older copy, the claims controller took the segment for a stale read until its version had passed the one known before. Until then a repeated key was answered not-run (claim-unavailable), although the entry knew that its request had run, and no key of the segment could be claimed. Once other writes had passed the known version, the entry took the segment without the lost claims and granted a key a second time.

Change: claims leave a segment only when they expire, so a claim that was stored and is missing was lost. The controller merges what it knows to have been stored into each read and writes it again with the next write. A read below the known version is accepted, because a write on top of a stale read conflicts. The content of a write whose result is not known no longer counts as stored.

--- a/core/src/claims/segment.rs
+++ b/core/src/claims/segment.rs
@@ -66,6 +66,14 @@
     pub created_ms: Option<u64>,
 }
 
+impl ClaimRecord {
+    /// Returns `true` if the claims of keys created up to `until` milliseconds are dropped and
+    /// this is one of them.
+    fn is_dropped(&self, until: u64) -> bool {
+        self.created_ms.is_some_and(|created| created <= until)
+    }
+}
+
 /// Outcome of inserting a claim in a segment.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum InsertOutcome {
@@ -141,7 +149,36 @@
         let until = (now - window - EXPIRY_MARGIN).0 / 1000;
         self.dropped_until_ms = self.dropped_until_ms.max(until);
         let until = self.dropped_until_ms;
-        self.claims.retain(|_, record| record.created_ms.is_none_or(|created| created > until));
+        self.claims.retain(|_, record| !record.is_dropped(until));
+    }
+
+    /// Adds what an earlier state of the segment holds and this one lacks: a store that came
+    /// back from an older copy has lost it. Claims leave a segment only when they expire, and
+    /// a settled request never runs again. If `is_behind`, this state is known to be the older
+    /// one, and a claim goes before the release of another claim. Returns `true` if the segment
+    /// changed.
+    pub fn add_lost(&mut self, known: &Self, is_behind: bool) -> bool {
+        self.dropped_until_ms = self.dropped_until_ms.max(known.dropped_until_ms);
+        let until = self.dropped_until_ms;
+        let kept = known.claims.iter().filter(|(_, record)| !record.is_dropped(until));
+        let mut changed = false;
+        for (key, record) in kept {
+            let is_lost = match self.claims.get(key) {
+                None => record.state != ClaimState::NotRun,
+                Some(present) if present.owner == record.owner => {
+                    present.state == ClaimState::Running && record.state != ClaimState::Running
+                }
+                Some(present) => {
+                    let is_released = present.state == ClaimState::NotRun;
+                    is_behind && is_released && record.state != ClaimState::NotRun
+                }
+            };
+            if is_lost {
+                self.claims.insert(*key, record.clone());
+                changed = true;
+            }
+        }
+        changed
     }
 
     fn permanent(&self) -> usize {
--- a/core/src/controllers/claims/batch.rs
+++ b/core/src/controllers/claims/batch.rs
@@ -51,12 +51,18 @@
     pub(super) urgent: bool,
     pub(super) calls: u32,
     pub(super) response_lost: bool,
+    /// Content that the store is known to have held, with the claims that it has lost since.
     pub(super) content: ClaimSegment,
+    /// Content of the write in progress. It is not known to be stored.
+    pub(super) written: ClaimSegment,
+    /// Whether `content` holds claims that the store has lost.
+    pub(super) has_lost: bool,
     /// Version of `content`; `None` if it is not known.
     pub(super) version: Option<u64>,
     /// Whether `content` was read or written during this batch.
     pub(super) fresh: bool,
-    /// Lowest version that a read may return; lower ones are stale.
+    /// Lowest version of a current read. A lower one is stale, or the store came back from an
+    /// older copy.
     pub(super) lowest_version: u64,
     pub(super) claims: Vec<PendingClaim>,
     pub(super) updates: Vec<PendingUpdate>,
@@ -165,6 +171,26 @@
         changed
     }
 
+    /// Takes the content that a read returned. What the store held before and lacks now is kept.
+    /// A write on top of a stale read conflicts, so it needs no other precaution.
+    pub(super) fn accept_read(&mut self, version: u64, mut content: ClaimSegment) {
+        let is_behind = version < self.lowest_version;
+        self.has_lost = content.add_lost(&self.content, is_behind);
+        self.content = content;
+        self.version = Some(version);
+        self.lowest_version = self.lowest_version.max(version);
+        self.fresh = true;
+    }
+
+    /// Takes the result of a write that took effect at `version`.
+    pub(super) fn accept_write(&mut self, version: u64) {
+        self.content = std::mem::take(&mut self.written);
+        self.has_lost = false;
+        self.version = Some(version);
+        self.lowest_version = version;
+        self.fresh = true;
+    }
+
     /// Ends the batch. Claims and updates added in the meantime belong to the next one.
     pub(super) fn reset(&mut self) {
         self.phase = BatchPhase::Idle;
--- a/core/src/controllers/claims/mod.rs
+++ b/core/src/controllers/claims/mod.rs
@@ -89,19 +89,12 @@
         now: Timestamp,
     ) -> Vec<ClaimsEffect> {
         let Some(batch) = self.segments.get_mut(name) else { return Vec::new() };
-        match (reply.version(), reply) {
-            (Some(version), reply) if version >= batch.lowest_version => {
-                batch.content = match reply {
-                    ReadReply::Found { content, .. } => content,
-                    _ => ClaimSegment::default(),
-                };
-                batch.version = Some(version);
-                batch.lowest_version = version;
-                batch.fresh = true;
-                self.write(name, now)
-            }
-            _ => self.read_again(name),
+        match reply {
+            ReadReply::Found { content, version } => batch.accept_read(version, content),
+            ReadReply::Absent => batch.accept_read(0, ClaimSegment::default()),
+            ReadReply::Unavailable => return self.read_again(name),
         }
+        self.write(name, now)
     }
 
     /// Applies claims and state updates to the known content and writes it. Reads the
@@ -120,7 +113,7 @@
             return effects;
         }
         let updated = batch.apply_updates(&mut content, &owner);
-        if !(applied.changed || updated) {
+        if !(applied.changed || updated || batch.has_lost) {
             batch.updates.clear();
             effects.extend(self.finish_batch(name, UPDATE_BATCH_DELAY));
             return effects;
@@ -129,7 +122,7 @@
         batch.calls += 1;
         batch.written_claims = batch.claims.len();
         batch.written_updates = batch.updates.len();
-        batch.content = content.clone();
+        batch.written = content.clone();
         effects.push(ClaimsEffect::Write(name.clone(), content, version));
         effects
     }
@@ -138,9 +131,7 @@
         let Some(batch) = self.segments.get_mut(name) else { return Vec::new() };
         match reply {
             WriteReply::Written(version) => {
-                batch.version = Some(version);
-                batch.lowest_version = version;
-                batch.fresh = true;
+                batch.accept_write(version);
                 batch.updates.drain(..batch.written_updates);
                 let granted = batch.claims.drain(..batch.written_claims);
                 let mut effects: Vec<_> = granted
--- a/core/tests/claim_world/mod.rs
+++ b/core/tests/claim_world/mod.rs
@@ -255,6 +255,20 @@
         }
     }
 
+    /// Restores the store to the state after its first `kept` writes, from which its versions
+    /// continue.
+    pub fn restore(&mut self, kept: usize) {
+        self.store.truncate(kept);
+    }
+
+    /// Makes a request, completes all calls without faults and returns its result.
+    pub fn request(&mut self, entry: usize, key: u8) -> Option<ClaimResult> {
+        let request = self.requests.len();
+        self.run(&Step::Request(entry, key));
+        self.complete_calls();
+        self.requests[request].result
+    }
+
     /// Completes all calls without further faults and applies all delayed writes.
     pub fn complete_calls(&mut self) {
         let mut delivered = 0;
--- a/core/tests/claims.rs
+++ b/core/tests/claims.rs
@@ -1,5 +1,6 @@
 //! Guards against a key that runs twice: entries crash, pause and race, store calls are
-//! lost, delayed or refused, reads are stale and clocks are wrong.
+//! lost, delayed or refused, reads are stale, clocks are wrong, and the store comes back from an
+//! older copy.
 
 mod claim_world;
 
@@ -13,6 +14,13 @@
 use zinniaport_core::digest::ShortDigest;
 use zinniaport_testing::{check_property, test_cases};
 
+const GRANTED: Option<ClaimResult> = Some(ClaimResult::Granted);
+
+/// Returns the result of a claim of a key that was used before, by a request in `state`.
+fn repeated(state: ClaimState) -> Option<ClaimResult> {
+    Some(ClaimResult::Repeated(state))
+}
+
 test_cases! {
     keys_run_at_most_once: "a request that runs twice under one key" => {
         check_property(4000, &proptest::collection::vec(step(), 1..100), |steps| {
@@ -90,4 +98,48 @@
         let name = SegmentName { service: SERVICE.to_owned(), segment: other.segment() };
         assert!(name.segment < 256);
     }
+
+    lost_claims_are_known_below_their_version: "a key that was granted and is reported as not run while the store is behind" => {
+        let mut world = World::new();
+        assert_eq!(world.request(0, 0), GRANTED);
+        world.record_state(0, ClaimState::Done(200));
+        world.complete_calls();
+        world.restore(0);
+        assert_eq!(world.request(0, 0), repeated(ClaimState::Done(200)));
+    }
+
+    lost_claims_are_known_above_their_version: "a key that is granted twice by one entry after its version was given out again" => {
+        let mut world = World::new();
+        assert_eq!(world.request(0, 0), GRANTED);
+        world.restore(0);
+        assert_eq!(world.request(1, 1), GRANTED);
+        assert_eq!(world.request(1, 2), GRANTED);
+        assert_eq!(world.request(0, 0), repeated(ClaimState::Running));
+        assert_eq!(world.request(2, 1), repeated(ClaimState::Running));
+    }
+
+    lost_states_are_written_again: "a key that stays claimed because the state of its request was lost" => {
+        let mut world = World::new();
+        assert_eq!(world.request(0, 0), GRANTED);
+        world.record_state(0, ClaimState::NotRun);
+        world.complete_calls();
+        world.restore(1);
+        assert_eq!(world.request(0, 1), GRANTED);
+        assert_eq!(world.request(1, 0), GRANTED);
+    }
+
+    lost_claims_are_written_again: "a lost claim that only the entry which made it knows after the segment was used there" => {
+        let mut world = World::new();
+        assert_eq!(world.request(0, 0), GRANTED);
+        world.restore(0);
+        assert_eq!(world.request(0, 1), GRANTED);
+        assert_eq!(world.request(1, 0), repeated(ClaimState::Running));
+    }
+
+    claims_go_on_after_a_restore: "an entry that can claim nothing until the store has given out the versions it knows" => {
+        let mut world = World::new();
+        (0..3).for_each(|key| assert_eq!(world.request(0, key), GRANTED));
+        world.restore(1);
+        assert_eq!(world.request(0, 3), GRANTED);
+    }
 }
