Apply a plan only to the intent that it was drafted on

Cause: a confirmation compared the version of the stored intent with the one that the plan was drafted on. A store that came back from an older copy gives that version out again, so a plan drafted before the restore silently replaced another plan that had been accepted after it.

Change: a plan names the plan that led to its base, and applies only if the stored intent is that of the same plan. Contents are not compared, because a number of 17 digits may change by one bit when it is written and read again. A plan that an entry of an earlier version drafted names none and counts as outdated; its operator states the intent again.

--- a/core/src/controllers/plans.rs
+++ b/core/src/controllers/plans.rs
@@ -144,7 +144,10 @@
         if applied == Some(true) {
             return self.finish(plan, ConfirmOutcome::Applied { version: in_force });
         }
-        if version == confirmation.plan.base_version {
+        let base_plan = present.and_then(StoredIntent::last_plan);
+        let is_base =
+            version == confirmation.plan.base_version && base_plan == confirmation.plan.base_plan;
+        if is_base {
             let present = present.map(|stored| (stored, version));
             let content = StoredIntent::successor(present, &confirmation.plan, confirmation.floor);
             confirmation.written_offset = content.version_offset;
--- a/core/src/plan/mod.rs
+++ b/core/src/plan/mod.rs
@@ -38,6 +38,8 @@
     pub base: Option<&'a ServiceIntent>,
     /// Its version, 0 for a new service.
     pub base_version: u64,
+    /// The plan that led to it; `None` if none did.
+    pub base_plan: Option<PlanIdentity>,
     /// Services and targets with their current load.
     pub fleet: &'a FleetSnapshot,
 }
@@ -131,6 +133,10 @@
     pub created: Timestamp,
     /// Version of the intent that the plan was computed from, 0 if there was none.
     pub base_version: u64,
+    /// The plan that led to that intent; `None` if none did. A store that came back from an
+    /// older copy gives versions out again, but no identity.
+    #[serde(default)]
+    pub base_plan: Option<PlanIdentity>,
     /// The changes, in an order in which capacity is added before it is removed.
     pub changes: Vec<PlannedChange>,
     /// Effect on the slots of each data centre.
@@ -183,6 +189,7 @@
             author: stamp.author,
             created: stamp.created,
             base_version: basis.base_version,
+            base_plan: basis.base_plan,
             changes,
             capacity,
             risks,
--- a/core/src/plan/stored.rs
+++ b/core/src/plan/stored.rs
@@ -93,6 +93,11 @@
         Self { intent, author, applied, version_offset }
     }
 
+    /// Returns the plan that led to this intent, or `None` if none did.
+    pub fn last_plan(&self) -> Option<PlanIdentity> {
+        self.applied.back().map(|applied| applied.0)
+    }
+
     /// Returns whether a plan was applied, or `None` if the list no longer reaches back to
     /// the plan's base version.
     pub fn has_applied(&self, plan: &ChangePlan) -> Option<bool> {
--- a/core/tests/plans.rs
+++ b/core/tests/plans.rs
@@ -56,6 +56,7 @@
     let basis = PlanBasis {
         base: base.map(|(stored, _)| &stored.intent),
         base_version: base.map_or(0, |(_, version)| *version),
+        base_plan: base.and_then(|(stored, _)| stored.last_plan()),
         fleet: &fleet,
     };
     ChangePlan::draft(statement, &basis, stamp(u64::from(marker))).unwrap()
@@ -285,7 +286,7 @@
 
     below_load_is_refused: "a plan that leaves fewer slots than the load without being allowed to" => {
         let (fleet, base) = fleet_with_load(2);
-        let basis = PlanBasis { base: Some(&base), base_version: 7, fleet: &fleet };
+        let basis = PlanBasis { base: Some(&base), base_version: 7, base_plan: None, fleet: &fleet };
         let smaller = intent(64, vec![target(1, "valle-a")]);
         let mut statement = IntentStatement { intent: smaller, allow_below_load: false };
         let refused = ChangePlan::draft(statement.clone(), &basis, stamp(1));
@@ -299,7 +300,7 @@
 
     capacity_is_added_before_it_is_removed: "a plan whose order passes through too little capacity" => {
         let (fleet, base) = fleet_with_load(0);
-        let basis = PlanBasis { base: Some(&base), base_version: 7, fleet: &fleet };
+        let basis = PlanBasis { base: Some(&base), base_version: 7, base_plan: None, fleet: &fleet };
         let mut leaving = target(1, "valle-a");
         leaving.state = DesiredState::Leaving;
         let next = intent(65, vec![leaving, target(3, "valle-c")]);
@@ -332,4 +333,21 @@
         world.complete_calls();
         assert_eq!(world.outcomes.last().unwrap().1, ConfirmOutcome::Unknown);
     }
+
+    versions_given_out_again_are_not_the_base: "a plan that replaces another plan because a restored store gave its base version out again" => {
+        let mut world = World::default();
+        let confirm = |world: &mut World, plan: &ChangePlan| {
+            world.plans.push(plan.clone());
+            world.send(0, PlansMessage::Confirm(Box::new(plan.clone()), VersionFloor::default()));
+            world.complete_calls();
+            world.outcomes.last().unwrap().1.clone()
+        };
+        confirm(&mut world, &draft_on(None, 1000));
+        let lost = draft_on(world.history.last(), 1001);
+        world.history.clear();
+        confirm(&mut world, &draft_on(None, 1002));
+        let outcome = confirm(&mut world, &lost);
+        assert!(matches!(outcome, ConfirmOutcome::Outdated { version: 2, .. }), "{outcome:?}");
+        assert_eq!(world.history.last().unwrap().0.intent.max_queue_length, 1002);
+    }
 }
--- a/src/admin/plan_service.rs
+++ b/src/admin/plan_service.rs
@@ -87,13 +87,15 @@
     ) -> Result<ChangePlan, PlanServiceError> {
         check_intent(&statement.intent)?;
         let service = statement.intent.service.clone();
-        let (base, base_version) = self.read_base(&service).await?;
+        let (stored, base_version) = self.read_base(&service).await?;
+        let base_plan = stored.as_ref().and_then(StoredIntent::last_plan);
+        let base = stored.map(|stored| stored.intent);
         let owners = base.iter().chain([&statement.intent]).map(|intent| &intent.team);
         if owners.into_iter().any(|team| *team != member.team) {
             return Err(PlanServiceError::WrongTeam { service, team: member.team.clone() });
         }
         let fleet = self.state.fleet.load_full();
-        let basis = PlanBasis { base: base.as_ref(), base_version, fleet: &fleet };
+        let basis = PlanBasis { base: base.as_ref(), base_version, base_plan, fleet: &fleet };
         let stamp = PlanStamp {
             author: member.author.clone(),
             nonce: rand::random(),
@@ -120,7 +122,7 @@
         service: &str,
     ) -> Result<ServiceIntent, PlanServiceError> {
         let (base, _) = self.read_base(service).await?;
-        let intent = base.ok_or(PlanServiceError::IntentNotFound)?;
+        let intent = base.ok_or(PlanServiceError::IntentNotFound)?.intent;
         if intent.team != member.team {
             let (service, team) = (service.to_owned(), member.team.clone());
             return Err(PlanServiceError::WrongTeam { service, team });
@@ -128,13 +130,13 @@
         Ok(intent)
     }
 
-    /// Reads the intent in force and its version, which is 0 if there is none.
+    /// Reads the stored intent and its version, which is 0 if there is none.
     async fn read_base(
         &self,
         service: &str,
-    ) -> Result<(Option<ServiceIntent>, u64), PlanServiceError> {
-        match self.store.read::<StoredIntent>(&intent_name(service)).await {
-            ReadReply::Found { content, version } => Ok((Some(content.intent), version)),
+    ) -> Result<(Option<StoredIntent>, u64), PlanServiceError> {
+        match self.store.read(&intent_name(service)).await {
+            ReadReply::Found { content, version } => Ok((Some(content), version)),
             ReadReply::Absent => Ok((None, 0)),
             ReadReply::Unavailable => Err(PlanServiceError::StoreUnavailable),
         }
