Report the era of the store, and refuse writes of an earlier one

Cause: a store that comes back from an older copy gives versions out again, and nothing in its responses shows that. A conditional update on top of what was read before the restore succeeds by accident once the version has been given out again.

Change: the stand-in counts its restores and names the count in the header X-Store-Era of each response; a write that names another era is refused with 412. The client remembers the highest era and logs when it rises, takes a response of an earlier era for none, and writes in a given era on demand. A store that does not send the header is used as before.

--- a/core/src/controllers/mod.rs
+++ b/core/src/controllers/mod.rs
@@ -37,7 +37,7 @@
     MembershipController, MembershipEffect, MembershipMessage, SUSPECT_AFTER, VmHint,
 };
 pub use plans::{ConfirmOutcome, PlansController, PlansEffect, PlansMessage};
-pub use replies::{ReadReply, WriteReply};
+pub use replies::{ReadReply, StoreEra, WriteReply};
 pub use requester::{PlacementDecision, RequesterController, RequesterEffect, RequesterMessage};
 pub use signals::{SignalsController, SignalsEffect, SignalsMessage};
 pub use targets::{TargetsController, TargetsEffect, TargetsMessage};
--- a/core/src/controllers/replies.rs
+++ b/core/src/controllers/replies.rs
@@ -1,5 +1,15 @@
 //! Results of store calls as controllers see them.
 
+use serde::{Deserialize, Serialize};
+
+/// Number of times that the store came back from an older copy, from which on it gives versions
+/// out again; 0 if the store does not report it.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StoreEra(pub u64);
+
 /// Result of a read.
 #[derive(Clone, Debug)]
 pub enum ReadReply<T> {
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -6,8 +6,9 @@
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::error::Elapsed;
 use tokio::time::timeout;
-use zinniaport_core::controllers::{ReadReply, WriteReply};
+use zinniaport_core::controllers::{ReadReply, StoreEra, WriteReply};
 
 use super::{ObjectStore, StoreError, WatchBatch, WriteCondition};
 
@@ -53,20 +54,42 @@
         content: &T,
         base_version: u64,
     ) -> WriteReply {
-        let condition = match base_version {
-            0 => WriteCondition::Absent,
-            version => WriteCondition::AtVersion(version),
-        };
+        let condition = condition_of(base_version);
         let Ok(content) = serde_json::to_vec(content) else { return WriteReply::Refused };
         let call = self.store.write(name, Bytes::from(content), condition);
-        match timeout(self.limit, call).await {
-            Ok(Ok(version)) => WriteReply::Written(version),
-            Ok(Err(StoreError::Conflict { version })) => WriteReply::Conflict(version),
-            Ok(Err(StoreError::Refused { .. })) => WriteReply::Refused,
-            Ok(Err(StoreError::NoResponse { .. } | StoreError::TooOld)) | Err(_) => {
-                WriteReply::NoResponse
-            }
-        }
+        write_reply(&timeout(self.limit, call).await)
+    }
+
+    /// Returns the highest era that a response named.
+    pub fn era(&self) -> StoreEra {
+        self.store.era()
+    }
+
+    /// Reads an object with JSON content and returns the era of the response.
+    pub async fn read_in_era<T: DeserializeOwned>(&self, name: &str) -> (StoreEra, ReadReply<T>) {
+        let before = self.era();
+        let reply = self.read(name).await;
+        let era = self.era();
+        // Another response named a higher era meanwhile, so that of this one is not known.
+        (era, if era == before { reply } else { ReadReply::Unavailable })
+    }
+
+    /// Writes an object as [`Self::write`] does if the store is in `era`, and returns the era of
+    /// the response. A store that reports no era writes in any.
+    pub async fn write_in_era<T: Serialize>(
+        &self,
+        name: &str,
+        content: &T,
+        era: StoreEra,
+        base_version: u64,
+    ) -> (StoreEra, WriteReply) {
+        let condition = condition_of(base_version);
+        let Ok(content) = serde_json::to_vec(content) else { return (era, WriteReply::Refused) };
+        let before = self.era();
+        let call = self.store.write_in_era(name, Bytes::from(content), condition, era);
+        let reply = write_reply(&timeout(self.limit, call).await);
+        let seen = self.era();
+        (seen, if seen == before { reply } else { WriteReply::NoResponse })
     }
 
     /// Lists the objects under `prefix`.
@@ -100,6 +123,24 @@
     }
 }
 
+fn condition_of(base_version: u64) -> WriteCondition {
+    match base_version {
+        0 => WriteCondition::Absent,
+        version => WriteCondition::AtVersion(version),
+    }
+}
+
+fn write_reply(result: &Result<Result<u64, StoreError>, Elapsed>) -> WriteReply {
+    match result {
+        Ok(Ok(version)) => WriteReply::Written(*version),
+        Ok(Err(StoreError::Conflict { version })) => WriteReply::Conflict(*version),
+        Ok(Err(StoreError::Refused { .. })) => WriteReply::Refused,
+        Ok(Err(StoreError::NoResponse { .. } | StoreError::TooOld)) | Err(_) => {
+            WriteReply::NoResponse
+        }
+    }
+}
+
 fn timed_out() -> StoreError {
     StoreError::NoResponse { cause: "the time limit of the call passed".to_owned() }
 }
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -1,6 +1,7 @@
 //! Client of the platform's object API over HTTP/1.1.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bon::Builder;
@@ -9,6 +10,8 @@
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 
+use zinniaport_core::controllers::StoreEra;
+
 use super::connection::{ApiClient, no_response, refused};
 use super::{
     ListedVm, ObjectStore, StoreError, StoredObject, VmDirectory, WatchBatch, WriteCondition,
@@ -17,6 +20,10 @@
 /// Response header with the version of an object.
 const VERSION_HEADER: &str = "x-version";
 
+/// Header with the era of the store. Responses of a store that reports it have it, and a write
+/// with it takes effect only in that era.
+const ERA_HEADER: &str = "x-store-era";
+
 /// Largest content that the platform accepts, in bytes.
 const MAX_CONTENT_BYTES: usize = 1 << 20;
 
@@ -29,9 +36,34 @@
     /// Time limit of each call, except for watches, which have their own.
     #[builder(default = Duration::from_secs(2))]
     call_limit: Duration,
+    /// One more than the highest era that a response named; 0 before the first.
+    #[builder(skip)]
+    seen_eras: AtomicU64,
 }
 
 impl HttpStore {
+    /// Makes a call and records the era that the response names.
+    async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, StoreError> {
+        let response = self.api.call(request, limit).await?;
+        let Some(era) = parse_number(&response, ERA_HEADER) else { return Ok(response) };
+        let seen = self.seen_eras.fetch_max(era.saturating_add(1), Ordering::AcqRel);
+        if era.saturating_add(1) < seen {
+            return Err(no_response("the response is from before the store was restored"));
+        }
+        if seen > 0 && seen <= era {
+            log::warn!(
+                era = era;
+                "the store came back from an older copy and gives versions out again; \
+                 what was written to it last may be lost"
+            );
+        }
+        Ok(response)
+    }
+
     async fn send_change(
         &self,
         name: &str,
@@ -39,7 +71,7 @@
         content: Bytes,
     ) -> Result<u64, StoreError> {
         let request = build_object_request(request, name, content)?;
-        let response = self.api.call(request, self.call_limit).await?;
+        let response = self.call(request, self.call_limit).await?;
         match response.status() {
             StatusCode::OK => parse_version(&response)
                 .ok_or_else(|| no_response("the response has no X-Version header")),
@@ -53,9 +85,34 @@
         }
     }
 
+    async fn send_write(
+        &self,
+        name: &str,
+        content: Bytes,
+        condition: WriteCondition,
+        era: Option<StoreEra>,
+    ) -> Result<u64, StoreError> {
+        // Checked here, because the platform may close the connection before it has read a
+        // larger body, which looks like a lost response.
+        if content.len() > MAX_CONTENT_BYTES {
+            return Err(refused("the content is larger than 1 MiB"));
+        }
+        let mut request = Request::builder().method(Method::PUT);
+        if let Some(era) = era {
+            request = request.header(ERA_HEADER, era.0);
+        }
+        let request = match condition {
+            WriteCondition::Absent => request.header(header::IF_NONE_MATCH, "*"),
+            WriteCondition::AtVersion(version) => {
+                request.header(header::IF_MATCH, format!("\"{version}\""))
+            }
+        };
+        self.send_change(name, request, content).await
+    }
+
     async fn fetch_batch(&self, uri: String, limit: Duration) -> Result<WatchBatch, StoreError> {
         let request = build_request(Request::get(uri), Bytes::new())?;
-        let response = self.api.call(request, limit).await?;
+        let response = self.call(request, limit).await?;
         match response.status() {
             StatusCode::OK => serde_json::from_slice(response.body()).map_err(|error| {
                 no_response(format!("the response is not a valid batch: {error}"))
@@ -73,7 +130,7 @@
     ) -> BoxFuture<'a, Result<Option<StoredObject>, StoreError>> {
         Box::pin(async move {
             let request = build_object_request(Request::get("/"), name, Bytes::new())?;
-            let response = self.api.call(request, self.call_limit).await?;
+            let response = self.call(request, self.call_limit).await?;
             match response.status() {
                 StatusCode::OK => decode_object(name, &response).map(Some),
                 StatusCode::NOT_FOUND => Ok(None),
@@ -95,21 +152,22 @@
         content: Bytes,
         condition: WriteCondition,
     ) -> BoxFuture<'a, Result<u64, StoreError>> {
-        Box::pin(async move {
-            // Checked here, because the platform may close the connection before it has
-            // read a larger body, which looks like a lost response.
-            if content.len() > MAX_CONTENT_BYTES {
-                return Err(refused("the content is larger than 1 MiB"));
-            }
-            let request = Request::builder().method(Method::PUT);
-            let request = match condition {
-                WriteCondition::Absent => request.header(header::IF_NONE_MATCH, "*"),
-                WriteCondition::AtVersion(version) => {
-                    request.header(header::IF_MATCH, format!("\"{version}\""))
-                }
-            };
-            self.send_change(name, request, content).await
-        })
+        Box::pin(self.send_write(name, content, condition, None))
+    }
+
+    fn era(&self) -> StoreEra {
+        StoreEra(self.seen_eras.load(Ordering::Acquire).saturating_sub(1))
+    }
+
+    fn write_in_era<'a>(
+        &'a self,
+        name: &'a str,
+        content: Bytes,
+        condition: WriteCondition,
+        era: StoreEra,
+    ) -> BoxFuture<'a, Result<u64, StoreError>> {
+        let is_reported = self.seen_eras.load(Ordering::Acquire) > 0;
+        Box::pin(self.send_write(name, content, condition, is_reported.then_some(era)))
     }
 
     fn delete<'a>(&'a self, name: &'a str, version: u64) -> BoxFuture<'a, Result<(), StoreError>> {
@@ -140,7 +198,7 @@
     fn list_vms(&self) -> BoxFuture<'_, Result<Vec<ListedVm>, StoreError>> {
         Box::pin(async {
             let request = build_request(Request::get("/vms"), Bytes::new())?;
-            let response = self.api.call(request, self.call_limit).await?;
+            let response = self.call(request, self.call_limit).await?;
             match response.status() {
                 StatusCode::OK => serde_json::from_slice(response.body()).map_err(|error| {
                     no_response(format!("the response is not a valid list of VMs: {error}"))
@@ -185,7 +243,11 @@
 }
 
 fn parse_version(response: &Response<Bytes>) -> Option<u64> {
-    response.headers().get(VERSION_HEADER)?.to_str().ok()?.parse().ok()
+    parse_number(response, VERSION_HEADER)
+}
+
+fn parse_number(response: &Response<Bytes>, header: &str) -> Option<u64> {
+    response.headers().get(header)?.to_str().ok()?.parse().ok()
 }
 
 /// Maps an unexpected status to an error. Only a 4xx means that nothing changed; a 5xx
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -14,6 +14,7 @@
 use futures::future::BoxFuture;
 pub use http::HttpStore;
 use serde::{Deserialize, Serialize};
+use zinniaport_core::controllers::StoreEra;
 
 /// An object with the version of its last change. Versions come from one counter for
 /// the whole store, so they also order changes of different objects.
@@ -114,6 +115,25 @@
         condition: WriteCondition,
     ) -> BoxFuture<'a, Result<u64, StoreError>>;
 
+    /// Returns the highest era that a response named. It rises each time the store comes back
+    /// from an older copy and gives versions out again. A response of an earlier era counts as
+    /// none.
+    fn era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
+    /// Writes an object if `condition` holds and the store is in `era`, and returns its new
+    /// version. A store without eras ignores `era`.
+    fn write_in_era<'a>(
+        &'a self,
+        name: &'a str,
+        content: Bytes,
+        condition: WriteCondition,
+        _era: StoreEra,
+    ) -> BoxFuture<'a, Result<u64, StoreError>> {
+        self.write(name, content, condition)
+    }
+
     /// Deletes an object if it is at `version`.
     fn delete<'a>(&'a self, name: &'a str, version: u64) -> BoxFuture<'a, Result<(), StoreError>>;
 
--- a/standin/src/platform/messages.rs
+++ b/standin/src/platform/messages.rs
@@ -219,6 +219,8 @@
         /// Current version of the object, or 0 if there is none.
         version: u64,
     },
+    /// The call was made for another era of the store.
+    OtherEra,
     /// The content is larger than 1 MiB.
     TooLarge,
     /// The objects of a list, or the changes of a watch.
--- a/standin/src/platform/mod.rs
+++ b/standin/src/platform/mod.rs
@@ -19,7 +19,7 @@
 };
 use server::PlatformServer;
 pub use state::{MAX_CONTENT_BYTES, PlatformSnapshot, PlatformState};
-pub use wire::VERSION_HEADER;
+pub use wire::{ERA_HEADER, VERSION_HEADER};
 
 use crate::http1::{HttpServer, ReservedPort};
 
--- a/standin/src/platform/server.rs
+++ b/standin/src/platform/server.rs
@@ -62,8 +62,18 @@
             }
             Err(_) => return Err(connection_closed()),
         };
-        match wire::decode(&Request::from_parts(head, body)) {
-            Ok(ApiCall::Platform(request, limit)) => self.call(request, limit).await,
+        let request = Request::from_parts(head, body);
+        let wanted_era = match wire::wanted_era(&request) {
+            Ok(era) => era,
+            Err(response) => return Ok(*response),
+        };
+        match wire::decode(&request) {
+            Ok(ApiCall::Platform(request, limit)) => {
+                // The era before the call: a response is never named after a later one.
+                let era = self.lock().state.era();
+                let response = self.call(request, limit, wanted_era).await?;
+                Ok(wire::with_era(response, era))
+            }
             Ok(ApiCall::Counts) => Ok(json_response(&self.lock().state.counts())),
             Ok(ApiCall::Faults) => Ok(json_response(self.lock().fault_injector.faults())),
             Ok(ApiCall::SetFaults(faults)) => {
@@ -74,7 +84,12 @@
         }
     }
 
-    async fn call(&self, request: PlatformRequest, limit: Duration) -> ResponseResult {
+    async fn call(
+        &self,
+        request: PlatformRequest,
+        limit: Duration,
+        wanted_era: Option<u64>,
+    ) -> ResponseResult {
         let decision = match request.kind() {
             Some(kind) => self.lock().fault_injector.decide(kind, self.clock.now()),
             None => FaultDecision::Handle { delay: Duration::ZERO, drop_response: false },
@@ -89,11 +104,11 @@
                     Ok(limited())
                 }
                 FaultDecision::NoResponse => {
-                    let _unsent_response = self.submit(request, limit).await;
+                    let _unsent_response = self.submit(request, limit, wanted_era).await;
                     std::future::pending().await
                 }
                 FaultDecision::Handle { delay, drop_response } => {
-                    let response = self.submit(request, limit).await?;
+                    let response = self.submit(request, limit, wanted_era).await?;
                     tokio::time::sleep(delay).await;
                     if drop_response {
                         Err(connection_closed())
@@ -116,11 +131,12 @@
         &self,
         request: PlatformRequest,
         limit: Duration,
+        wanted_era: Option<u64>,
     ) -> std::io::Result<PlatformResponse> {
         let (sender, mut response) = oneshot::channel();
         let call = self.lock().calls.insert(sender);
         let _guard = CallGuard { server: self, call };
-        self.process(call, request);
+        self.process_in_era(call, request, wanted_era);
         if let Ok(response) = tokio::time::timeout(limit, &mut response).await {
             return response.map_err(|_| connection_closed());
         }
@@ -138,8 +154,20 @@
 
     /// Passes a request to the state and sends the resulting responses to their calls.
     fn process(&self, call: CallKey, request: PlatformRequest) {
+        self.process_in_era(call, request, None);
+    }
+
+    /// Passes a request to the state as [`Self::process`] does, unless it was made for another
+    /// era.
+    fn process_in_era(&self, call: CallKey, request: PlatformRequest, wanted_era: Option<u64>) {
         let now = self.clock.now();
         let mut server = self.lock();
+        if wanted_era.is_some_and(|era| era != server.state.era()) {
+            if let Some(sender) = server.calls.remove(call) {
+                let _ = sender.send(PlatformResponse::OtherEra);
+            }
+            return;
+        }
         for effect in server.state.handle(PlatformMessage { call, request }, now) {
             if let Some(sender) = server.calls.remove(effect.call) {
                 // Fails if the client has disconnected and no longer waits.
--- a/standin/src/platform/state.rs
+++ b/standin/src/platform/state.rs
@@ -37,6 +37,8 @@
 #[derive(Debug)]
 pub struct PlatformState {
     stored: PlatformSnapshot,
+    /// Number of restores so far.
+    era: u64,
     history: VecDeque<ObjectChange>,
     history_bytes: usize,
     history_limit: usize,
@@ -55,6 +57,7 @@
         Self {
             dropped_version: stored.version,
             stored,
+            era: 0,
             history: VecDeque::new(),
             history_bytes: 0,
             history_limit,
@@ -71,8 +74,9 @@
     }
 
     /// Replaces the objects and the version of the store by those of a backup. Drops the
-    /// history and waiting watches, and keeps the VMs and counts.
+    /// history and waiting watches, and keeps the VMs and counts. Begins an era.
     pub fn restore(&mut self, stored: PlatformSnapshot) {
+        self.era += 1;
         self.dropped_version = stored.version;
         self.stored = stored;
         self.history.clear();
@@ -80,6 +84,11 @@
         self.watches.clear();
     }
 
+    /// Returns the number of restores so far.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
     /// Returns the numbers of calls so far.
     pub fn counts(&self) -> CallCounts {
         CallCounts { waiting_watches: self.watches.len() as u64, ..self.counts.clone() }
--- a/standin/src/platform/wire.rs
+++ b/standin/src/platform/wire.rs
@@ -13,6 +13,10 @@
 /// Header with the version of an object.
 pub const VERSION_HEADER: &str = "x-version";
 
+/// Header with the number of times that the store was restored. A call with it takes effect only
+/// in that era.
+pub const ERA_HEADER: &str = "x-store-era";
+
 /// Time for which a watch waits if the request sets no `timeout_ms`.
 const DEFAULT_WATCH_TIME: Duration = Duration::from_secs(30);
 
@@ -91,6 +95,20 @@
         .map_err(|_| error_response(StatusCode::BAD_REQUEST, "send If-Match: \"VERSION\""))
 }
 
+/// Returns the era that a request was made for, if it names one.
+pub(super) fn wanted_era(
+    request: &Request<Bytes>,
+) -> Result<Option<u64>, Box<Response<ResponseBody>>> {
+    let era = header_text(request, ERA_HEADER).map(str::parse).transpose();
+    era.map_err(|_| error_response(StatusCode::BAD_REQUEST, "send X-Store-Era: NUMBER"))
+}
+
+/// Adds the era that a response is of.
+pub(super) fn with_era(mut response: Response<ResponseBody>, era: u64) -> Response<ResponseBody> {
+    response.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
+    response
+}
+
 /// Encodes a response.
 pub(super) fn encode(response: PlatformResponse) -> Response<ResponseBody> {
     match response {
@@ -108,6 +126,9 @@
             let text = "the object is at another version";
             versioned(text_response(StatusCode::PRECONDITION_FAILED, text), version)
         }
+        PlatformResponse::OtherEra => {
+            text_response(StatusCode::PRECONDITION_FAILED, "the store is in another era")
+        }
         PlatformResponse::TooLarge => {
             text_response(StatusCode::PAYLOAD_TOO_LARGE, "send at most 1 MiB")
         }
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -130,6 +130,25 @@
         assert_eq!(store.watch("", 2, LIMIT).await.unwrap_err(), StoreError::TooOld);
     }
 
+    async earlier_eras_are_refused: "a write that takes effect because a restored store gave its version out again" => {
+        let (mut platform, store) = start(100);
+        platform.seed("a", "1");
+        let backup = platform.snapshot();
+        platform.seed("a", "2");
+        assert_eq!(store.read("a").await.unwrap().unwrap().version, 2);
+        let before = store.era();
+        let at = WriteCondition::AtVersion;
+        platform.restart(backup).await.unwrap();
+        platform.seed("a", "3");
+        // The client may not have noticed yet that its old connection is closed.
+        while store.read("a").await.is_err() {}
+        let refused = store.write_in_era("a", "4".into(), at(2), before).await;
+        assert!(is_refused(&refused), "{refused:?}");
+        assert_eq!(store.era().0, before.0 + 1);
+        assert_eq!(store.write_in_era("a", "4".into(), at(2), store.era()).await, Ok(3));
+        assert_eq!(store.write("a", "5".into(), at(3)).await, Ok(4));
+    }
+
     async watch_and_list_miss_nothing: "a change that is lost between a list and the watch after it" => {
         // With such a short history the reader falls behind and has to list again.
         let (platform, store) = start(4);
