Refuse keys whose claims a restored store may have lost

Cause: an entry that had not seen a claim granted its key again after the store had lost the claim, so that a request ran twice. An entry that kept a segment in memory wrote it under a version that the store had given out again, and removed the claims that other entries had made since. Claims that an idle entry knew were not written again.

Change: the claims controller orders what it knows by era and version. A write names the era of the read that it is based on. When the era rises, the versions known say nothing any more, and segments with claims of this entry are read again, one each 100 ms, to write what the store has lost. A segment that was not written in this era rejects keys created up to the time at which the entry first saw the era, plus 1 s for clocks of callers that are ahead, as expired (outcome unknown); keys without a time for 10 minutes. A response of an earlier era is taken for none.

--- a/core/src/claims/mod.rs
+++ b/core/src/claims/mod.rs
@@ -7,5 +7,5 @@
 pub use key::{IdempotencyKey, KeyDigest, KeyError, MAX_KEY_LENGTH};
 pub use segment::{
     CLAIM_SEGMENTS, ClaimOwner, ClaimRecord, ClaimSegment, ClaimState, EXPIRY_MARGIN,
-    InsertOutcome, MAX_PERMANENT_CLAIMS, MAX_SEGMENT_CLAIMS,
+    InsertOutcome, LOST_CLAIM_HOLD, MAX_PERMANENT_CLAIMS, MAX_SEGMENT_CLAIMS,
 };
--- a/core/src/claims/segment.rs
+++ b/core/src/claims/segment.rs
@@ -7,6 +7,7 @@
 
 use super::{IdempotencyKey, KeyDigest};
 use crate::clock::Timestamp;
+use crate::controllers::StoreEra;
 
 /// Number of segments of each service. A key must always map to the same segment, so this
 /// number can only change together with a migration of all claims.
@@ -24,6 +25,14 @@
 /// clocks differ by less than this decide alike. Safety does not depend on it.
 pub const EXPIRY_MARGIN: Duration = Duration::from_secs(3600);
 
+/// Time by which the clock of a caller may be ahead of those of the entries. Keys created up to
+/// this time after a restore of the store may have been claimed before it.
+const CALLER_CLOCK_MARGIN: Duration = Duration::from_secs(1);
+
+/// Time after a restore of the store for which keys without a time are rejected unless their
+/// claims are known. Entries that still run write the claims that they know within this time.
+pub const LOST_CLAIM_HOLD: Duration = Duration::from_secs(600);
+
 /// State of the request behind a claim.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -99,13 +108,33 @@
     /// claim was dropped.
     #[serde(default)]
     pub dropped_until_ms: u64,
+    /// Era of the store that the segment was written in.
+    #[serde(default, skip_serializing_if = "is_first_era")]
+    pub era: StoreEra,
+    /// Keys created up to this time are rejected unless their claims are known, since the store
+    /// may have lost them when the era began; 0 if it has lost none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub lost_until_ms: u64,
     /// Claims by key.
     pub claims: IndexMap<KeyDigest, ClaimRecord>,
 }
 
+fn is_first_era(era: &StoreEra) -> bool {
+    *era == StoreEra::default()
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 impl ClaimSegment {
     /// Inserts a claim if the key is free.
-    pub fn insert_claim(&mut self, key: IdempotencyKey, owner: &ClaimOwner) -> InsertOutcome {
+    pub fn insert_claim(
+        &mut self,
+        key: IdempotencyKey,
+        owner: &ClaimOwner,
+        now: Timestamp,
+    ) -> InsertOutcome {
         if let Some(record) = self.claims.get(&key.digest)
             && record.state != ClaimState::NotRun
         {
@@ -116,7 +145,8 @@
                 InsertOutcome::Repeated(record.state)
             };
         }
-        if key.created_ms.is_some_and(|created| created <= self.dropped_until_ms) {
+        let is_dropped = key.created_ms.is_some_and(|created| created <= self.dropped_until_ms);
+        if is_dropped || self.may_have_lost(key, now) {
             return InsertOutcome::Expired;
         }
         let reused = self.claims.contains_key(&key.digest);
@@ -152,6 +182,23 @@
         self.claims.retain(|_, record| !record.is_dropped(until));
     }
 
+    /// Returns `true` if the store may have lost the claim of a key.
+    fn may_have_lost(&self, key: IdempotencyKey, now: Timestamp) -> bool {
+        let held_until = Timestamp(self.lost_until_ms * 1000) + LOST_CLAIM_HOLD;
+        let is_held = self.lost_until_ms > 0 && now < held_until;
+        key.created_ms.map_or(is_held, |created| created <= self.lost_until_ms)
+    }
+
+    /// Marks the segment as one of `era`, which began before `since`. Unless it was written in
+    /// this era, the store may have lost any claim made before.
+    pub fn enter_era(&mut self, era: StoreEra, since: Timestamp) {
+        if self.era < era {
+            self.era = era;
+            let until = (since + CALLER_CLOCK_MARGIN).0 / 1000;
+            self.lost_until_ms = self.lost_until_ms.max(until);
+        }
+    }
+
     /// Adds what an earlier state of the segment holds and this one lacks: a store that came
     /// back from an older copy has lost it. Claims leave a segment only when they expire, and
     /// a settled request never runs again. If `is_behind`, this state is known to be the older
@@ -159,6 +206,7 @@
     /// changed.
     pub fn add_lost(&mut self, known: &Self, is_behind: bool) -> bool {
         self.dropped_until_ms = self.dropped_until_ms.max(known.dropped_until_ms);
+        self.lost_until_ms = self.lost_until_ms.max(known.lost_until_ms);
         let until = self.dropped_until_ms;
         let kept = known.claims.iter().filter(|(_, record)| !record.is_dropped(until));
         let mut changed = false;
--- a/core/src/controllers/claims/batch.rs
+++ b/core/src/controllers/claims/batch.rs
@@ -7,6 +7,8 @@
 use crate::claims::{
     ClaimOwner, ClaimSegment, ClaimState, IdempotencyKey, InsertOutcome, KeyDigest,
 };
+use crate::clock::Timestamp;
+use crate::controllers::StoreEra;
 
 /// Time for which claims are collected before a write. The runtime's timer adds up to 1 ms,
 /// so that a claim waits up to 2 ms.
@@ -57,11 +59,13 @@
     pub(super) written: ClaimSegment,
     /// Whether `content` holds claims that the store has lost.
     pub(super) has_lost: bool,
+    /// Era of the store in which `content` was read or written.
+    pub(super) era: StoreEra,
     /// Version of `content`; `None` if it is not known.
     pub(super) version: Option<u64>,
     /// Whether `content` was read or written during this batch.
     pub(super) fresh: bool,
-    /// Lowest version of a current read. A lower one is stale, or the store came back from an
+    /// Lowest version of a current read of the same era. A lower one is stale, or the store came back from an
     /// older copy.
     pub(super) lowest_version: u64,
     pub(super) claims: Vec<PendingClaim>,
@@ -93,6 +97,15 @@
         self.collect_for(name, urgent, if urgent { CLAIM_BATCH_DELAY } else { update_delay })
     }
 
+    /// Starts a batch after `delay`, even if nothing waits.
+    pub(super) fn collect_after(
+        &mut self,
+        name: SegmentName,
+        delay: Duration,
+    ) -> Vec<ClaimsEffect> {
+        self.collect_for(name, false, delay)
+    }
+
     fn collect_for(
         &mut self,
         name: SegmentName,
@@ -131,11 +144,12 @@
         &mut self,
         content: &mut ClaimSegment,
         owner: &ClaimOwner,
+        now: Timestamp,
     ) -> AppliedClaims {
         let mut applied = AppliedClaims::default();
         for claim in std::mem::take(&mut self.claims) {
             let owner = ClaimOwner { nonce: claim.nonce, ..owner.clone() };
-            let result = match content.insert_claim(claim.key, &owner) {
+            let result = match content.insert_claim(claim.key, &owner, now) {
                 InsertOutcome::Added => {
                     applied.changed = true;
                     self.claims.push(claim);
@@ -171,10 +185,21 @@
         changed
     }
 
-    /// Takes the content that a read returned. What the store held before and lacks now is kept.
-    /// A write on top of a stale read conflicts, so it needs no other precaution.
-    pub(super) fn accept_read(&mut self, version: u64, mut content: ClaimSegment) {
-        let is_behind = version < self.lowest_version;
+    /// Takes the content that a read returned in an era that began before `since`. What the
+    /// store held before and lacks now is kept. A write on top of a stale read conflicts, so it
+    /// needs no other precaution.
+    pub(super) fn accept_read(
+        &mut self,
+        version: u64,
+        mut content: ClaimSegment,
+        (era, since): (StoreEra, Timestamp),
+    ) {
+        if self.era < era {
+            self.lowest_version = 0;
+        }
+        let is_behind = self.era < era || version < self.lowest_version;
+        self.era = era;
+        content.enter_era(era, since);
         self.has_lost = content.add_lost(&self.content, is_behind);
         self.content = content;
         self.version = Some(version);
@@ -182,6 +207,11 @@
         self.fresh = true;
     }
 
+    /// Returns `true` if the segment holds a claim of this entry.
+    pub(super) fn has_claim_of(&self, entry: &str) -> bool {
+        self.content.claims.values().any(|record| record.owner.entry == entry)
+    }
+
     /// Takes the result of a write that took effect at `version`.
     pub(super) fn accept_write(&mut self, version: u64) {
         self.content = std::mem::take(&mut self.written);
--- a/core/src/controllers/claims/messages.rs
+++ b/core/src/controllers/claims/messages.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::claims::{ClaimSegment, ClaimState, IdempotencyKey};
-use crate::controllers::{ReadReply, WriteReply};
+use crate::controllers::{ReadReply, StoreEra, WriteReply};
 
 /// Name of a claim segment.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -38,10 +38,12 @@
         /// State of the request.
         state: ClaimState,
     },
-    /// A read of a segment ended.
-    Read(SegmentName, ReadReply<ClaimSegment>),
-    /// A write of a segment ended.
-    Wrote(SegmentName, WriteReply),
+    /// A read of a segment ended, with a response of this era.
+    Read(SegmentName, StoreEra, ReadReply<ClaimSegment>),
+    /// A write of a segment ended, with a response of this era.
+    Wrote(SegmentName, StoreEra, WriteReply),
+    /// A call of another part of the entry got a response of this era.
+    EraSeen(StoreEra),
     /// The delay of a [`ClaimsEffect::Wake`] passed.
     Wake(SegmentName),
 }
@@ -53,8 +55,9 @@
     Wake(SegmentName, Duration),
     /// Read a segment after a delay.
     Read(SegmentName, Duration),
-    /// Write a segment if its version is the given one, where 0 means that it is absent.
-    Write(SegmentName, ClaimSegment, u64),
+    /// Write a segment if the store is in the given era and the version of the segment is the
+    /// given one, where 0 means that it is absent.
+    Write(SegmentName, ClaimSegment, StoreEra, u64),
     /// Deliver the result of the claim with this nonce.
     Resolve(u64, ClaimResult),
 }
--- a/core/src/controllers/claims/mod.rs
+++ b/core/src/controllers/claims/mod.rs
@@ -11,7 +11,7 @@
 use batch::{BatchPhase, PendingClaim, SegmentBatch, UPDATE_BATCH_DELAY};
 pub use messages::{ClaimResult, ClaimsEffect, ClaimsMessage, SegmentName};
 
-use super::{ReadReply, StateController, WriteReply};
+use super::{ReadReply, StateController, StoreEra, WriteReply};
 use crate::claims::{ClaimOwner, ClaimSegment, ClaimState, IdempotencyKey};
 use crate::clock::Timestamp;
 
@@ -26,6 +26,10 @@
 /// the batch.
 const CALL_DELAY_STEP: Duration = Duration::from_millis(5);
 
+/// Time between the segments that an entry reads after a restore of the store, to write the
+/// claims that the store has lost. An entry of 256 segments with its own claims takes 26 s.
+const CHECK_PERIOD: Duration = Duration::from_millis(100);
+
 /// Greatest number of claims kept in memory over all segments, about 12 MB. A segment that
 /// is not kept costs one more read.
 const MAX_KEPT_CLAIMS: usize = 100_000;
@@ -38,12 +42,23 @@
     incarnation: u64,
     window: Duration,
     segments: HashMap<SegmentName, SegmentBatch>,
+    /// Highest era of the store that a response named.
+    era: StoreEra,
+    /// When the first response of `era` arrived.
+    era_since: Timestamp,
 }
 
 impl ClaimsController {
     /// Creates the controller of an entry. `window` is the time for which keys are kept.
     pub fn new(entry: String, incarnation: u64, window: Duration) -> Self {
-        Self { entry, incarnation, window, segments: HashMap::new() }
+        Self {
+            entry,
+            incarnation,
+            window,
+            segments: HashMap::new(),
+            era: StoreEra::default(),
+            era_since: Timestamp::default(),
+        }
     }
 
     fn owner(&self, nonce: u64) -> ClaimOwner {
@@ -82,19 +97,49 @@
         batch.collect(name, false)
     }
 
+    /// Records the era of a response. The versions known of an earlier era say nothing, and the
+    /// segments with claims of this entry are read again to write those that the store has lost.
+    fn observe_era(&mut self, era: StoreEra, now: Timestamp) -> Vec<ClaimsEffect> {
+        if era <= self.era {
+            return Vec::new();
+        }
+        self.era = era;
+        self.era_since = now;
+        let mut effects = Vec::new();
+        let mut delay = Duration::ZERO;
+        for (name, batch) in &mut self.segments {
+            batch.version = None;
+            if batch.phase == BatchPhase::Idle && batch.has_claim_of(&self.entry) {
+                delay += CHECK_PERIOD;
+                effects.extend(batch.collect_after(name.clone(), delay));
+            }
+        }
+        effects
+    }
+
     fn handle_read(
         &mut self,
         name: &SegmentName,
+        era: StoreEra,
         reply: ReadReply<ClaimSegment>,
         now: Timestamp,
     ) -> Vec<ClaimsEffect> {
-        let Some(batch) = self.segments.get_mut(name) else { return Vec::new() };
-        match reply {
-            ReadReply::Found { content, version } => batch.accept_read(version, content),
-            ReadReply::Absent => batch.accept_read(0, ClaimSegment::default()),
-            ReadReply::Unavailable => return self.read_again(name),
-        }
-        self.write(name, now)
+        let mut effects = self.observe_era(era, now);
+        let current = (self.era, self.era_since);
+        let Some(batch) = self.segments.get_mut(name) else { return effects };
+        let next = match reply {
+            ReadReply::Found { content, version } if era == current.0 => {
+                batch.accept_read(version, content, current);
+                self.write(name, now)
+            }
+            ReadReply::Absent if era == current.0 => {
+                batch.accept_read(0, ClaimSegment::default(), current);
+                self.write(name, now)
+            }
+            _ => self.read_again(name),
+        };
+        effects.extend(next);
+        effects
     }
 
     /// Applies claims and state updates to the known content and writes it. Reads the
@@ -106,7 +151,7 @@
         let Some(version) = batch.version else { return self.read_again(name) };
         let mut content = batch.content.clone();
         content.drop_expired(window, now);
-        let applied = batch.apply_claims(&mut content, &owner);
+        let applied = batch.apply_claims(&mut content, &owner, now);
         let mut effects = applied.results;
         if applied.needs_fresh {
             effects.extend(self.read_again(name));
@@ -123,31 +168,42 @@
         batch.written_claims = batch.claims.len();
         batch.written_updates = batch.updates.len();
         batch.written = content.clone();
-        effects.push(ClaimsEffect::Write(name.clone(), content, version));
+        effects.push(ClaimsEffect::Write(name.clone(), content, batch.era, version));
         effects
     }
 
-    fn handle_write(&mut self, name: &SegmentName, reply: WriteReply) -> Vec<ClaimsEffect> {
-        let Some(batch) = self.segments.get_mut(name) else { return Vec::new() };
+    fn handle_write(
+        &mut self,
+        name: &SegmentName,
+        era: StoreEra,
+        reply: WriteReply,
+        now: Timestamp,
+    ) -> Vec<ClaimsEffect> {
+        let mut effects = self.observe_era(era, now);
+        let current = self.era;
+        let Some(batch) = self.segments.get_mut(name) else { return effects };
+        let is_current = era == current && era == batch.era;
         match reply {
-            WriteReply::Written(version) => {
+            WriteReply::Written(version) if is_current => {
                 batch.accept_write(version);
                 batch.updates.drain(..batch.written_updates);
                 let granted = batch.claims.drain(..batch.written_claims);
-                let mut effects: Vec<_> = granted
-                    .map(|claim| ClaimsEffect::Resolve(claim.nonce, ClaimResult::Granted))
-                    .collect();
+                effects.extend(
+                    granted.map(|claim| ClaimsEffect::Resolve(claim.nonce, ClaimResult::Granted)),
+                );
                 effects.extend(self.finish_batch(name, UPDATE_BATCH_DELAY));
                 return effects;
             }
-            WriteReply::Conflict(version) => {
+            WriteReply::Conflict(version) if is_current => {
                 batch.lowest_version = batch.lowest_version.max(version);
             }
-            WriteReply::NoResponse => batch.response_lost = true,
-            WriteReply::Refused => {}
+            // The store may have lost a write of an earlier era.
+            WriteReply::Written(_) | WriteReply::NoResponse => batch.response_lost = true,
+            WriteReply::Conflict(_) | WriteReply::Refused => {}
         }
         batch.version = None;
-        self.read_again(name)
+        effects.extend(self.read_again(name));
+        effects
     }
 
     fn read_again(&mut self, name: &SegmentName) -> Vec<ClaimsEffect> {
@@ -210,8 +266,9 @@
             ClaimsMessage::RecordState { service, key, nonce, state } => {
                 self.record_state(service, key, nonce, state)
             }
-            ClaimsMessage::Read(name, reply) => self.handle_read(&name, reply, now),
-            ClaimsMessage::Wrote(name, reply) => self.handle_write(&name, reply),
+            ClaimsMessage::Read(name, era, reply) => self.handle_read(&name, era, reply, now),
+            ClaimsMessage::Wrote(name, era, reply) => self.handle_write(&name, era, reply, now),
+            ClaimsMessage::EraSeen(era) => self.observe_era(era, now),
             ClaimsMessage::Wake(name) => {
                 let collecting = self
                     .segments
--- a/src/bench/capacity/stored.rs
+++ b/src/bench/capacity/stored.rs
@@ -8,7 +8,7 @@
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::{
     ClaimResult, ClaimsController, ClaimsEffect, ClaimsMessage, ReadReply, SegmentName,
-    StateController, WriteReply,
+    StateController, StoreEra, WriteReply,
 };
 use zinniaport_core::digest::ShortDigest;
 use zinniaport_core::plan::{AppliedPlan, StoredIntent};
@@ -57,7 +57,7 @@
             nonce: ShortDigest::of(&[b"nonce", &number.to_be_bytes()]).high_bits(),
         };
         if let Some(key) = key(number) {
-            segment.insert_claim(key, &owner);
+            segment.insert_claim(key, &owner, NOW);
         }
     }
     segment
@@ -94,14 +94,17 @@
                     }
                     None => ReadReply::Absent,
                 };
-                self.schedule(now + delay + STORE_CALL_TIME, ClaimsMessage::Read(name, reply));
+                self.schedule(
+                    now + delay + STORE_CALL_TIME,
+                    ClaimsMessage::Read(name, StoreEra::default(), reply),
+                );
             }
-            ClaimsEffect::Write(name, content, _) => {
+            ClaimsEffect::Write(name, content, era, _) => {
                 self.writes += 1;
                 let version = self.writes;
                 self.stored.insert(name.clone(), (content, version));
                 let reply = WriteReply::Written(version);
-                self.schedule(now + STORE_CALL_TIME, ClaimsMessage::Wrote(name, reply));
+                self.schedule(now + STORE_CALL_TIME, ClaimsMessage::Wrote(name, era, reply));
             }
             ClaimsEffect::Resolve(_, result) => {
                 self.granted += u64::from(result == ClaimResult::Granted);
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -22,6 +22,10 @@
 /// 50 ms and take one or two store calls.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time between two looks at the era that the responses to all calls of the entry name. Claims
+/// that the store lost in a restore are written again after it, even if no key is claimed.
+const ERA_PERIOD: Duration = Duration::from_secs(1);
+
 /// Claim of an idempotency key by one request.
 #[derive(Clone, Debug)]
 pub struct KeyClaim {
@@ -144,6 +148,8 @@
 
 impl ClaimsDriver {
     async fn run(mut self, mut requests: mpsc::UnboundedReceiver<ClaimsRequest>) {
+        let mut tick = tokio::time::interval(ERA_PERIOD);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             if self.calls.is_empty() {
                 for flushed in self.flush_waiters.drain(..) {
@@ -156,6 +162,7 @@
                     None => return,
                 },
                 Some(message) = self.calls.next() => self.step(message),
+                _ = tick.tick() => self.step(ClaimsMessage::EraSeen(self.store.era())),
             }
         }
     }
@@ -199,13 +206,15 @@
                 if !delay.is_zero() {
                     tokio::time::sleep(delay).await;
                 }
-                let reply = store.read(&object_name(&name)).await;
-                ClaimsMessage::Read(name, reply)
+                let (era, reply) = store.read_in_era(&object_name(&name)).await;
+                ClaimsMessage::Read(name, era, reply)
             })),
-            ClaimsEffect::Write(name, content, base_version) => {
+            ClaimsEffect::Write(name, content, era, base_version) => {
                 self.calls.push(Box::pin(async move {
-                    let reply = store.write(&object_name(&name), &content, base_version).await;
-                    ClaimsMessage::Wrote(name, reply)
+                    let object = object_name(&name);
+                    let (era, reply) =
+                        store.write_in_era(&object, &content, era, base_version).await;
+                    ClaimsMessage::Wrote(name, era, reply)
                 }));
             }
         }
