Put plans confirmed after a restore in force everywhere

Cause: a plan that was confirmed after a restore got a version above those that the confirming entry knew. An entry that had held a higher one from before the restore ignored the plan; one that had held the same version showed the same digest and never exchanged the intent. A watch could go on from a position that was given out again.

Change: versions of an era exceed those of all eras before it by 2^40. A plan is written only in the era from which its version was computed. A list or watch names its era; a batch of a watch in another era than the last list leads to a new list, and a store in a new era no longer counts as behind what the entries hold, so they go on watching. The client reports no era until a response names one, so a start costs no call more.

That a watch is listed again was read in the code; no test shows it.

--- a/core/src/controllers/intents/follower.rs
+++ b/core/src/controllers/intents/follower.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::{ConfigSummary, EntryLocation, IntentsEffect, StoreBatch};
+use super::{ConfigSummary, EntryLocation, IntentsEffect, StoreBatch, StoreEra};
 use crate::backoff::BackoffBounds;
 use crate::clock::Timestamp;
 use crate::digest::ShortDigest;
@@ -74,7 +74,10 @@
     failures: u32,
     /// Store version to watch from; `None` until a list succeeded.
     watch_version: Option<u64>,
-    /// Largest version offset in the last list and the watches after it.
+    /// Era of the store in the last list.
+    era: StoreEra,
+    /// Largest version offset in the last list and the watches after it, and at least that of
+    /// intents written in this era.
     pub(super) offset: u64,
     /// Whether the last list was behind what this entry holds: a stale read, or a store
     /// that was restored to an older state.
@@ -100,6 +103,7 @@
             call: StoreCall::None,
             failures: 0,
             watch_version: None,
+            era: StoreEra::default(),
             offset: 0,
             is_behind: false,
             unseen: None,
@@ -139,7 +143,8 @@
     ) -> Vec<IntentsEffect> {
         self.call = StoreCall::None;
         self.last_response = now;
-        self.offset = batch.offset;
+        self.era = batch.era;
+        self.offset = batch.offset.max(batch.era.first_version());
         self.is_behind = self.shown_by(batch) < highest;
         if self.is_behind {
             // The versions held stay in force.
@@ -161,7 +166,9 @@
     ) -> Vec<IntentsEffect> {
         self.call = StoreCall::None;
         self.last_response = now;
-        if self.watch_version.is_none_or(|watch_version| batch.version < watch_version) {
+        // In another era, the version that the watch began from means another state.
+        let is_other_era = batch.era != self.era;
+        if is_other_era || self.watch_version.is_none_or(|version| batch.version < version) {
             return self.handle_failure(now);
         }
         self.offset = self.offset.max(batch.offset);
--- a/core/src/controllers/intents/mod.rs
+++ b/core/src/controllers/intents/mod.rs
@@ -10,7 +10,7 @@
 use follower::StoreFollower;
 pub use follower::{WATCHERS_PER_REGION, choose_watchers};
 
-use super::StateController;
+use super::{StateController, StoreEra};
 use crate::clock::Timestamp;
 use crate::digest::ShortDigest;
 use crate::fleet::FleetSnapshot;
@@ -24,6 +24,8 @@
     pub sent: Timestamp,
     /// Store version up to which the batch is complete.
     pub version: u64,
+    /// Era of the store.
+    pub era: StoreEra,
     /// Largest version offset among the intents.
     pub offset: u64,
     /// The intents.
@@ -146,6 +148,7 @@
             service: if behind { u64::MAX } else { self.version_of(service) },
             highest: self.highest,
             offset: follower.map_or(0, |follower| follower.offset),
+            era: StoreEra::default(),
         }
     }
 
--- a/core/src/controllers/replies.rs
+++ b/core/src/controllers/replies.rs
@@ -2,6 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Number by which versions in force rise with each era of the store. At 1,000 writes a second
+/// a store takes 34 years to give out as many versions.
+const ERA_VERSIONS: u64 = 1 << 40;
+
 /// Number of times that the store came back from an older copy, from which on it gives versions
 /// out again; 0 if the store does not report it.
 #[derive(
@@ -10,6 +14,14 @@
 #[serde(transparent)]
 pub struct StoreEra(pub u64);
 
+impl StoreEra {
+    /// Returns the number that is added to the versions of this era, so that they exceed those of
+    /// all eras before.
+    pub fn first_version(self) -> u64 {
+        self.0.saturating_mul(ERA_VERSIONS)
+    }
+}
+
 /// Result of a read.
 #[derive(Clone, Debug)]
 pub enum ReadReply<T> {
--- a/core/src/plan/stored.rs
+++ b/core/src/plan/stored.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{ChangePlan, PlanIdentity};
+use crate::controllers::StoreEra;
 use crate::intent::ServiceIntent;
 
 /// Greatest number of applied plans that an intent records. A plan can be confirmed for an
@@ -42,14 +43,23 @@
     pub highest: u64,
     /// Largest offset of an intent in the store.
     pub offset: u64,
+    /// Era of the store in which the plan is written.
+    pub era: StoreEra,
 }
 
 impl VersionFloor {
+    /// Sets the era in which the plan is written.
+    #[must_use]
+    pub fn in_era(self, era: StoreEra) -> Self {
+        Self { era, ..self }
+    }
+
     /// Returns the offset for the intent that follows one with `offset` at `version` of the
-    /// store. The offset rises if the store is behind the versions held. A stale read may
-    /// raise it unnecessarily, which keeps the order of versions.
+    /// store. In an era after the first it exceeds the versions of all eras before, which this
+    /// entry may not know. It also rises if the store is behind the versions held. A stale read
+    /// may raise it unnecessarily, which keeps the order of versions.
     pub fn offset_after(&self, offset: u64, version: u64) -> u64 {
-        let known = self.offset.max(offset);
+        let known = self.offset.max(offset).max(self.era.first_version());
         let behind = offset.saturating_add(version) < self.service;
         if behind { known.max(self.highest) } else { known }
     }
--- a/core/tests/intent_world/mod.rs
+++ b/core/tests/intent_world/mod.rs
@@ -9,7 +9,7 @@
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::{
     ConfigMessage, EntryLocation, IntentsController, IntentsEffect, IntentsMessage,
-    StateController, StoreBatch, VersionedIntent,
+    StateController, StoreBatch, StoreEra, VersionedIntent,
 };
 use zinniaport_core::intent::{MeasuringIntent, ServiceIntent};
 
@@ -135,6 +135,9 @@
     /// Whether the store may be restored to an older state.
     pub restores: bool,
     pub incarnations: usize,
+    /// Era of the store; `None` if it does not report it. With it, plans are confirmed at the
+    /// entry that knows the least.
+    pub era: Option<StoreEra>,
 }
 
 impl World {
@@ -148,6 +151,7 @@
             stale: false,
             restores: false,
             incarnations: 0,
+            era: None,
         };
         for entry in 0..ENTRIES {
             let started = world.start(entry, entry as u64 * 977);
@@ -237,6 +241,7 @@
         let batch = StoreBatch {
             sent: Timestamp(sent.0 + self.entries[entry].clock_offset),
             version: self.store[..visible].last().map_or(0, |change| change.version),
+            era: self.era.unwrap_or_default(),
             offset: shown.iter().map(|change| change.offset).max().unwrap_or_default(),
             intents: shown
                 .iter()
@@ -254,13 +259,18 @@
         );
     }
 
-    /// Accepts a plan at the entry that holds the newest intent of the service.
+    /// Accepts a plan at the entry that holds the newest intent of the service, or the oldest
+    /// one if the store reports its era.
     pub fn change(&mut self, service: &'static str) {
         let version = self.store.last().map_or(0, |change| change.version) + 1;
         let present = self.store.iter().rfind(|change| change.service == service);
         let (shown, offset) = present.map_or((0, 0), |change| (change.version, change.offset));
-        let newest = self.entries.iter().max_by_key(|entry| entry.held.get(service).copied());
-        let floor = newest.unwrap().controller.version_floor(service);
+        let held = |entry: &&Entry| entry.held.get(service).copied();
+        let entries = self.entries.iter();
+        let confirming =
+            if self.era.is_some() { entries.min_by_key(held) } else { entries.max_by_key(held) };
+        let era = self.era.unwrap_or_default();
+        let floor = confirming.unwrap().controller.version_floor(service).in_era(era);
         self.now = self.now + Duration::from_micros(1);
         let offset = floor.offset_after(offset, shown);
         self.store.push(Change { at: self.now, service, version, offset });
@@ -312,6 +322,7 @@
             Step::Restore(kept) if self.restores => {
                 self.store.truncate(1 + kept.index(self.store.len()));
                 self.restored = self.store.len();
+                self.era = self.era.map(|era| StoreEra(era.0 + 1));
                 let kept = self.store_at(self.now);
                 self.entries.iter_mut().for_each(|entry| entry.sources.push(kept.clone()));
                 // The store closes its connections, so that the calls in progress fail.
--- a/core/tests/propagation.rs
+++ b/core/tests/propagation.rs
@@ -5,6 +5,7 @@
 
 use intent_world::{ENTRIES, Step, World, step};
 use proptest::prelude::*;
+use zinniaport_core::controllers::StoreEra;
 use zinniaport_testing::{check_property, test_cases};
 
 test_cases! {
@@ -40,6 +41,25 @@
         });
     }
 
+    plans_apply_at_entries_that_know_less: "a plan confirmed after a restore that is not in force at entries which knew more versions than the one that confirmed it" => {
+        check_property(600, &proptest::collection::vec(step(), 1..120), |steps| {
+            let mut world = World::new();
+            world.restores = true;
+            world.era = Some(StoreEra::default());
+            world.run_all(&steps)?;
+            let newest = world.store_at(world.now);
+            for entry in &world.entries {
+                prop_assert_eq!(&entry.held, &world.entries[0].held, "all entries hold the same intents");
+                prop_assert!(entry.ready, "all entries are ready");
+                for change in &world.store[world.restored..] {
+                    let (service, _) = change.in_force();
+                    prop_assert_eq!(entry.held.get(service), newest.get(service));
+                }
+            }
+            Ok(())
+        });
+    }
+
     peers_keep_an_entry_ready: "entries that all become not ready during an outage of the store alone" => {
         let mut world = World::new();
         world.run_without_faults();
--- a/src/admin/plan_service.rs
+++ b/src/admin/plan_service.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error, From};
 use zinniaport_core::controllers::{
     ConfirmOutcome, IntentsMessage, PlansController, PlansEffect, PlansMessage, ReadReply,
-    StateController, WriteReply,
+    StateController, StoreEra, WriteReply,
 };
 use zinniaport_core::intent::ServiceIntent;
 use zinniaport_core::plan::{
@@ -188,8 +188,9 @@
         }
         plan.author.clone_from(&member.author);
         let (service, author) = (plan.intent.service.clone(), member.author.clone());
-        let floor = self.propagation.version_floor(&service).await.unwrap_or_default();
-        let outcome = self.run_confirmation(PlansMessage::Confirm(plan, floor)).await;
+        let era = self.store.era();
+        let floor = self.propagation.version_floor(&service).await.unwrap_or_default().in_era(era);
+        let outcome = self.run_confirmation(PlansMessage::Confirm(plan, floor), era).await;
         log::info!(
             plan = identity.to_string().as_str(), service = service.as_str(),
             author = author.as_str();
@@ -198,8 +199,9 @@
         Ok(outcome)
     }
 
-    /// Runs a confirmation until its outcome is known.
-    async fn run_confirmation(&self, first_message: PlansMessage) -> ConfirmOutcome {
+    /// Runs a confirmation until its outcome is known. The plan is written only while the store
+    /// is in `era`, from which its version is computed.
+    async fn run_confirmation(&self, first_message: PlansMessage, era: StoreEra) -> ConfirmOutcome {
         let mut controller = PlansController::default();
         let mut message = first_message;
         loop {
@@ -211,7 +213,8 @@
                 }
                 Some(PlansEffect::Write { plan, content, base_version }) => {
                     let name = intent_name(&content.intent.service);
-                    let reply = self.store.write(&name, &content, base_version).await;
+                    let (_, reply) =
+                        self.store.write_in_era(&name, &content, era, base_version).await;
                     if let WriteReply::Written(version) = reply {
                         // Distributes the change to all entries even if no watch delivers it.
                         let version = content.version_in_force(version);
--- a/src/propagation.rs
+++ b/src/propagation.rs
@@ -11,7 +11,7 @@
 use zinniaport_core::clock::Timestamp;
 use zinniaport_core::controllers::{
     ConfigMessage, EntryLocation, IntentsController, IntentsEffect, IntentsMessage,
-    StateController, StoreBatch, TargetsMessage, VersionedIntent,
+    StateController, StoreBatch, StoreEra, TargetsMessage, VersionedIntent,
 };
 use zinniaport_core::plan::{INTENT_PREFIX, StoredIntent, VersionFloor};
 
@@ -229,8 +229,8 @@
             IntentsEffect::List { delay } => self.calls.push(Box::pin(async move {
                 tokio::time::sleep(delay).await;
                 let sent = state.clock.now();
-                match store.list(INTENT_PREFIX).await {
-                    Ok(batch) => IntentsMessage::Listed(decode_batch(&batch, sent)),
+                match store.list_in_era(INTENT_PREFIX).await {
+                    Ok((era, batch)) => IntentsMessage::Listed(decode_batch(&batch, era, sent)),
                     Err(error) => {
                         log::warn!("cannot list intents: {error}");
                         IntentsMessage::StoreFailed
@@ -242,8 +242,10 @@
                 self.calls.push(Box::pin(async move {
                     tokio::time::sleep(delay).await;
                     let sent = state.clock.now();
-                    match store.watch(INTENT_PREFIX, version, watch_timeout).await {
-                        Ok(batch) => IntentsMessage::Watched(decode_batch(&batch, sent)),
+                    match store.watch_in_era(INTENT_PREFIX, version, watch_timeout).await {
+                        Ok((era, batch)) => {
+                            IntentsMessage::Watched(decode_batch(&batch, era, sent))
+                        }
                         Err(error) => {
                             log::warn!("cannot watch intents after version {version}: {error}");
                             IntentsMessage::StoreFailed
@@ -257,10 +259,11 @@
 
 /// Decodes intents. One that cannot be decoded is skipped and marks the batch as not
 /// fully decoded.
-fn decode_batch(batch: &WatchBatch, sent: Timestamp) -> StoreBatch {
+fn decode_batch(batch: &WatchBatch, era: StoreEra, sent: Timestamp) -> StoreBatch {
     let mut decoded = StoreBatch {
         sent,
         version: batch.version,
+        era,
         offset: 0,
         intents: Vec::new(),
         fully_decoded: true,
--- a/src/store/client.rs
+++ b/src/store/client.rs
@@ -60,18 +60,26 @@
         write_reply(&timeout(self.limit, call).await)
     }
 
-    /// Returns the highest era that a response named.
+    /// Returns the highest era that a response named, the first one if none did.
     pub fn era(&self) -> StoreEra {
-        self.store.era()
+        self.store.era().unwrap_or_default()
+    }
+
+    /// Makes a call and returns its result with the era of the response, or without one if
+    /// another response named a higher era meanwhile, so that the era of this one is not known.
+    async fn observe_era<T>(&self, call: impl Future<Output = T>) -> (Option<StoreEra>, T) {
+        let before = self.store.era();
+        let result = call.await;
+        let is_known = before.is_none() || self.store.era() == before;
+        (is_known.then(|| self.era()), result)
     }
 
     /// Reads an object with JSON content and returns the era of the response.
     pub async fn read_in_era<T: DeserializeOwned>(&self, name: &str) -> (StoreEra, ReadReply<T>) {
-        let before = self.era();
-        let reply = self.read(name).await;
-        let era = self.era();
-        // Another response named a higher era meanwhile, so that of this one is not known.
-        (era, if era == before { reply } else { ReadReply::Unavailable })
+        match self.observe_era(self.read(name)).await {
+            (Some(era), reply) => (era, reply),
+            (None, _) => (self.era(), ReadReply::Unavailable),
+        }
     }
 
     /// Writes an object as [`Self::write`] does if the store is in `era`, and returns the era of
@@ -85,11 +93,11 @@
     ) -> (StoreEra, WriteReply) {
         let condition = condition_of(base_version);
         let Ok(content) = serde_json::to_vec(content) else { return (era, WriteReply::Refused) };
-        let before = self.era();
         let call = self.store.write_in_era(name, Bytes::from(content), condition, era);
-        let reply = write_reply(&timeout(self.limit, call).await);
-        let seen = self.era();
-        (seen, if seen == before { reply } else { WriteReply::NoResponse })
+        match self.observe_era(timeout(self.limit, call)).await {
+            (Some(era), result) => (era, write_reply(&result)),
+            (None, _) => (self.era(), WriteReply::NoResponse),
+        }
     }
 
     /// Lists the objects under `prefix`.
@@ -101,6 +109,32 @@
         timeout(self.limit, self.store.list(prefix)).await.unwrap_or_else(|_| Err(timed_out()))
     }
 
+    /// Lists the objects under `prefix` as [`Self::list`] does, and returns the era of the list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error in the cases of [`Self::list`], and when the era rises meanwhile.
+    pub async fn list_in_era(&self, prefix: &str) -> Result<(StoreEra, WatchBatch), StoreError> {
+        let (era, result) = self.observe_era(self.list(prefix)).await;
+        Ok((era.ok_or_else(era_rose)?, result?))
+    }
+
+    /// Waits for changes as [`Self::watch`] does, and returns the era of the changes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error in the cases of [`Self::watch`], and when the era rises meanwhile.
+    pub async fn watch_in_era(
+        &self,
+        prefix: &str,
+        version: u64,
+        watch_timeout: Duration,
+    ) -> Result<(StoreEra, WatchBatch), StoreError> {
+        let call = self.watch(prefix, version, watch_timeout);
+        let (era, result) = self.observe_era(call).await;
+        Ok((era.ok_or_else(era_rose)?, result?))
+    }
+
     /// Waits up to `watch_timeout` for changes under `prefix` after `version`.
     ///
     /// # Errors
@@ -141,6 +175,10 @@
     }
 }
 
+fn era_rose() -> StoreError {
+    StoreError::NoResponse { cause: "the store was restored during the call".to_owned() }
+}
+
 fn timed_out() -> StoreError {
     StoreError::NoResponse { cause: "the time limit of the call passed".to_owned() }
 }
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -155,8 +155,8 @@
         Box::pin(self.send_write(name, content, condition, None))
     }
 
-    fn era(&self) -> StoreEra {
-        StoreEra(self.seen_eras.load(Ordering::Acquire).saturating_sub(1))
+    fn era(&self) -> Option<StoreEra> {
+        self.seen_eras.load(Ordering::Acquire).checked_sub(1).map(StoreEra)
     }
 
     fn write_in_era<'a>(
@@ -166,8 +166,8 @@
         condition: WriteCondition,
         era: StoreEra,
     ) -> BoxFuture<'a, Result<u64, StoreError>> {
-        let is_reported = self.seen_eras.load(Ordering::Acquire) > 0;
-        Box::pin(self.send_write(name, content, condition, is_reported.then_some(era)))
+        let era = self.era().map(|_| era);
+        Box::pin(self.send_write(name, content, condition, era))
     }
 
     fn delete<'a>(&'a self, name: &'a str, version: u64) -> BoxFuture<'a, Result<(), StoreError>> {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -115,11 +115,11 @@
         condition: WriteCondition,
     ) -> BoxFuture<'a, Result<u64, StoreError>>;
 
-    /// Returns the highest era that a response named. It rises each time the store comes back
-    /// from an older copy and gives versions out again. A response of an earlier era counts as
-    /// none.
-    fn era(&self) -> StoreEra {
-        StoreEra::default()
+    /// Returns the highest era that a response named, or `None` if none did. It rises each time
+    /// the store comes back from an older copy and gives versions out again. A response of an
+    /// earlier era counts as none.
+    fn era(&self) -> Option<StoreEra> {
+        None
     }
 
     /// Writes an object if `condition` holds and the store is in `era`, and returns its new
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -136,7 +136,7 @@
         let backup = platform.snapshot();
         platform.seed("a", "2");
         assert_eq!(store.read("a").await.unwrap().unwrap().version, 2);
-        let before = store.era();
+        let before = store.era().unwrap();
         let at = WriteCondition::AtVersion;
         platform.restart(backup).await.unwrap();
         platform.seed("a", "3");
@@ -144,8 +144,9 @@
         while store.read("a").await.is_err() {}
         let refused = store.write_in_era("a", "4".into(), at(2), before).await;
         assert!(is_refused(&refused), "{refused:?}");
-        assert_eq!(store.era().0, before.0 + 1);
-        assert_eq!(store.write_in_era("a", "4".into(), at(2), store.era()).await, Ok(3));
+        let era = store.era().unwrap();
+        assert_eq!(era.0, before.0 + 1);
+        assert_eq!(store.write_in_era("a", "4".into(), at(2), era).await, Ok(3));
         assert_eq!(store.write("a", "5".into(), at(3)).await, Ok(4));
     }
 
