Report used keys as used while the store is away

Cause: when the store did not take a claim, the key was answered not-run (claim-unavailable) even if the entry knew that its request had run. A caller that trusts this sends the same work again under another key.

Change: a claim that cannot be stored is answered as repeated, with the known state, if the entry knows that its key was used.

Measured: known_keys_are_reported_in_an_outage failed before this change (Unavailable) and passes with it, with the 16 other claim tests.

--- a/core/src/claims/segment.rs
+++ b/core/src/claims/segment.rs
@@ -162,6 +162,12 @@
         InsertOutcome::Added
     }
 
+    /// Returns the state of the request that claimed a key, or `None` if the key is free.
+    pub fn used_state(&self, key: KeyDigest) -> Option<ClaimState> {
+        let state = self.claims.get(&key)?.state;
+        (state != ClaimState::NotRun).then_some(state)
+    }
+
     /// Sets the state of a claim. Returns `true` if the segment changed, which it does not
     /// if the key is no longer claimed by `owner`.
     pub fn set_state(&mut self, key: KeyDigest, owner: &ClaimOwner, state: ClaimState) -> bool {
--- a/core/src/controllers/claims/mod.rs
+++ b/core/src/controllers/claims/mod.rs
@@ -218,7 +218,9 @@
         vec![ClaimsEffect::Read(name.clone(), delay)]
     }
 
-    /// Rejects all claims of the batch. Claims that a write without a response may have
+    /// Rejects all claims of the batch, those of keys that are known to be used as repeated ones:
+    /// if they were reported as not run, their callers would send the same work again under
+    /// other keys. Claims that a write without a response may have
     /// stored are withdrawn later, so that their keys become free again.
     fn reject_claims(&mut self, name: &SegmentName) -> Vec<ClaimsEffect> {
         let Some(batch) = self.segments.get_mut(name) else { return Vec::new() };
@@ -230,7 +232,11 @@
         }
         let mut effects: Vec<_> = claims
             .iter()
-            .map(|claim| ClaimsEffect::Resolve(claim.nonce, ClaimResult::Unavailable))
+            .map(|claim| {
+                let known = batch.content.used_state(claim.key.digest);
+                let result = known.map_or(ClaimResult::Unavailable, ClaimResult::Repeated);
+                ClaimsEffect::Resolve(claim.nonce, result)
+            })
             .collect();
         effects.extend(self.finish_batch(name, RETRY_DELAY));
         effects
--- a/core/tests/claims.rs
+++ b/core/tests/claims.rs
@@ -175,6 +175,19 @@
         assert_eq!(world.request(2, 4), repeated(ClaimState::Running));
     }
 
+    known_keys_are_reported_in_an_outage: "a key that ran and is reported as not run because the store is away" => {
+        let mut world = World::new();
+        assert_eq!(world.request(0, 0), GRANTED);
+        world.record_state(0, ClaimState::Done(200));
+        world.complete_calls();
+        (0..2).for_each(|key| world.run(&Step::Request(0, key)));
+        while !world.calls.is_empty() {
+            world.deliver(0, Fault::RequestLost);
+        }
+        assert_eq!(world.requests[1].result, repeated(ClaimState::Done(200)));
+        assert_eq!(world.requests[2].result, Some(ClaimResult::Unavailable));
+    }
+
     late_reads_are_no_condition: "a claim that is overwritten on top of a read from before the restore" => {
         let mut world = World::new();
         world.restores = true;
