Hold acknowledged intents in entries that start after a restore

Cause: an entry that started after the store had come back from an older copy listed the copy and was ready with it at once. Until its first exchange with a peer it served with an intent that a later, acknowledged one had replaced.

--- a/core/src/controllers/intents/follower.rs
+++ b/core/src/controllers/intents/follower.rs
@@ -86,6 +86,8 @@
     unseen: Option<(u64, Timestamp)>,
     synced_peers: HashSet<String>,
     first_complete_peer: Option<Timestamp>,
+    /// When the first list succeeded.
+    first_list: Option<Timestamp>,
     reported_ready: Option<bool>,
 }
 
@@ -109,6 +111,7 @@
             unseen: None,
             synced_peers: HashSet::new(),
             first_complete_peer: None,
+            first_list: None,
             reported_ready: None,
         }
     }
@@ -153,7 +156,8 @@
         self.failures = 0;
         self.watch_version = Some(batch.version);
         self.unseen = None;
-        self.complete = true;
+        self.first_list.get_or_insert(now);
+        self.complete_from_list(now);
         self.confirm(batch, highest);
         Vec::new()
     }
@@ -185,6 +189,16 @@
         Vec::new()
     }
 
+    /// Makes the entry complete once a list suffices. A store that came back from an older copy
+    /// may lack acknowledged intents, so an entry that starts then also waits until it holds what
+    /// a complete peer holds, for a limited time in case that no peer is complete.
+    pub(super) fn complete_from_list(&mut self, now: Timestamp) {
+        let Some(listed) = self.first_list else { return };
+        let is_first_era = self.era == StoreEra::default();
+        let has_waited = now.since(listed) >= START_PEERS_WAIT;
+        self.complete |= is_first_era || has_waited || !self.synced_peers.is_empty();
+    }
+
     /// Returns the version in force up to which a batch is complete.
     fn shown_by(&self, batch: &StoreBatch) -> u64 {
         self.offset.saturating_add(batch.version)
--- a/core/src/controllers/intents/mod.rs
+++ b/core/src/controllers/intents/mod.rs
@@ -191,6 +191,7 @@
         let Some(follower) = &mut self.follower else { return Vec::new() };
         let confirmed = follower.confirmed;
         let mut effects = step(follower, self.digest, self.highest);
+        follower.complete_from_list(now);
         effects.extend(follower.next_call(now));
         if follower.confirmed > confirmed {
             effects.extend(follower.confirmed.map(IntentsEffect::Confirmed));
--- a/core/tests/propagation.rs
+++ b/core/tests/propagation.rs
@@ -3,7 +3,7 @@
 
 mod intent_world;
 
-use intent_world::{ENTRIES, Step, World, step};
+use intent_world::{ENTRIES, SERVICES, Step, View, World, step};
 use proptest::prelude::*;
 use zinniaport_core::controllers::StoreEra;
 use zinniaport_testing::{check_property, test_cases};
@@ -60,6 +60,28 @@
         });
     }
 
+    starting_entries_hold_what_others_hold: "an entry that starts after a restore and serves with an older intent than the acknowledged one that others hold" => {
+        let mut world = World::new();
+        (world.restores, world.era) = (true, Some(StoreEra::default()));
+        world.run_without_faults();
+        world.change(SERVICES[0]);
+        world.run_without_faults();
+        let acknowledged = world.entries[1].held.clone();
+        world.store.truncate(1);
+        world.era = Some(StoreEra(1));
+        world.run(&Step::Restart(0, 0));
+        for _ in 0..10 {
+            world.run(&Step::Advance(300));
+            world.run(&Step::RespondToCall(0, View::Present));
+            let entry = &world.entries[0];
+            assert!(!entry.ready || entry.held == acknowledged, "ready with {:?}", entry.held);
+            world.gossip(0, 1);
+            while !world.messages.is_empty() {
+                world.deliver(0);
+            }
+        }
+    }
+
     peers_keep_an_entry_ready: "entries that all become not ready during an outage of the store alone" => {
         let mut world = World::new();
         world.run_without_faults();
--- a/tests/restored_claims.rs
+++ b/tests/restored_claims.rs
@@ -38,6 +38,18 @@
     .await
 }
 
+/// Starts a platform with the intent of a service.
+fn start_platform(target: SocketAddr) -> StandinPlatform {
+    let platform = StandinPlatform::start(&PlatformSettings::builder().build()).unwrap();
+    let kind = json!({ "name": "sign", "path_prefix": "/sign", "rank": 0,
+        "idempotent": false, "deadline_ms": 20_000 });
+    let service = json!({ "service": "roster-sign-up", "team": "poteca", "kinds": [kind],
+        "targets": [{ "address": target, "data_centre": "a", "slots": 9 }] });
+    let stored = json!({ "intent": service, "author": "luz", "applied": [] });
+    platform.seed("intents/roster-sign-up", &stored.to_string());
+    platform
+}
+
 async fn start_entry(name: &str, platform: SocketAddr) -> EntryRuntime {
     let settings = json!({ "name": name, "data_centre": "a", "listen": "127.0.0.1:0",
         "admin_listen": "127.0.0.1:0", "platform": { "address": platform } });
@@ -57,17 +69,19 @@
     response.headers()["x-zinniaport-outcome"].to_str().unwrap().to_owned()
 }
 
+/// Sends requests with new keys until one runs. Keys of the first second after a restore may be
+/// older than it.
+async fn call_until_run(entry: &EntryRuntime) {
+    while call(entry, &Uuid::now_v7().to_string()).await != "ran" {
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
 test_cases! {
     async lost_claims_run_nothing_twice: "a key that runs again at another entry after the store lost its claim, or is reported as not run" => {
         let runs = Arc::<AtomicUsize>::default();
         let target = start_target(runs.clone()).await;
-        let mut platform = StandinPlatform::start(&PlatformSettings::builder().build()).unwrap();
-        let kind = json!({ "name": "sign", "path_prefix": "/sign", "rank": 0,
-            "idempotent": false, "deadline_ms": 20_000 });
-        let service = json!({ "service": "roster-sign-up", "team": "poteca", "kinds": [kind],
-            "targets": [{ "address": target.address, "data_centre": "a", "slots": 9 }] });
-        let stored = json!({ "intent": service, "author": "luz", "applied": [] });
-        platform.seed("intents/roster-sign-up", &stored.to_string());
+        let mut platform = start_platform(target.address);
         let entries =
             [start_entry("entry-1", platform.address()).await, start_entry("entry-2", platform.address()).await];
         let backup = platform.snapshot();
@@ -82,12 +96,16 @@
             }
         }
         assert_eq!(runs.load(Ordering::SeqCst), 2, "each key ran once");
-        let mut outcome = String::new();
-        // Keys of the first second after the restore may be older than it.
-        while outcome != "ran" {
-            sleep(Duration::from_millis(100)).await;
-            outcome = call(&entries[1], &Uuid::now_v7().to_string()).await;
-        }
+        call_until_run(&entries[1]).await;
         assert_eq!(runs.load(Ordering::SeqCst), 3);
     }
+
+    async entries_start_after_a_restore: "an entry that does not start, or never claims a key, on a store that was restored" => {
+        let target = start_target(Arc::default()).await;
+        let mut platform = start_platform(target.address);
+        let backup = platform.snapshot();
+        platform.restart(backup).await.unwrap();
+        let entry = start_entry("entry-1", platform.address()).await;
+        call_until_run(&entry).await;
+    }
 }
