--- a/core/src/claims/segment.rs
+++ b/core/src/claims/segment.rs
@@ -7,6 +7,7 @@
 
 use super::{IdempotencyKey, KeyDigest};
 use crate::clock::Timestamp;
+use crate::controllers::StoreEra;
 
 /// Number of segments of each service. A key must always map to the same segment, so this
 /// number can only change together with a migration of all claims.
@@ -24,6 +25,14 @@
 /// clocks differ by less than this decide alike. Safety does not depend on it.
 pub const EXPIRY_MARGIN: Duration = Duration::from_secs(3600);
 
+/// Time by which the clock of a caller may be ahead of those of the entries. Keys created up to
+/// this time after a restore of the store may have been claimed before it.
+const CALLER_CLOCK_MARGIN: Duration = Duration::from_secs(1);
+
+/// Time after a restore of the store for which keys without a time are rejected unless their
+/// claims are known. Entries that still run write the claims that they know within this time.
+pub const LOST_CLAIM_HOLD: Duration = Duration::from_secs(600);
+
 /// State of the request behind a claim.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -66,6 +75,14 @@
     pub created_ms: Option<u64>,
 }
 
+impl ClaimRecord {
+    /// Returns `true` if the claims of keys created up to `until` milliseconds are dropped and
+    /// this is one of them.
+    fn is_dropped(&self, until: u64) -> bool {
+        self.created_ms.is_some_and(|created| created <= until)
+    }
+}
+
 /// Outcome of inserting a claim in a segment.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum InsertOutcome {
@@ -91,13 +108,33 @@
     /// claim was dropped.
     #[serde(default)]
     pub dropped_until_ms: u64,
+    /// Era of the store that the segment was written in.
+    #[serde(default, skip_serializing_if = "is_first_era")]
+    pub era: StoreEra,
+    /// Keys created up to this time are rejected unless their claims are known, since the store
+    /// may have lost them when the era began; 0 if it has lost none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub lost_until_ms: u64,
     /// Claims by key.
     pub claims: IndexMap<KeyDigest, ClaimRecord>,
 }
 
+fn is_first_era(era: &StoreEra) -> bool {
+    *era == StoreEra::default()
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 impl ClaimSegment {
     /// Inserts a claim if the key is free.
-    pub fn insert_claim(&mut self, key: IdempotencyKey, owner: &ClaimOwner) -> InsertOutcome {
+    pub fn insert_claim(
+        &mut self,
+        key: IdempotencyKey,
+        owner: &ClaimOwner,
+        now: Timestamp,
+    ) -> InsertOutcome {
         if let Some(record) = self.claims.get(&key.digest)
             && record.state != ClaimState::NotRun
         {
@@ -108,7 +145,8 @@
                 InsertOutcome::Repeated(record.state)
             };
         }
-        if key.created_ms.is_some_and(|created| created <= self.dropped_until_ms) {
+        let is_dropped = key.created_ms.is_some_and(|created| created <= self.dropped_until_ms);
+        if is_dropped || self.may_have_lost(key, now) {
             return InsertOutcome::Expired;
         }
         let reused = self.claims.contains_key(&key.digest);
@@ -124,6 +162,12 @@
         InsertOutcome::Added
     }
 
+    /// Returns the state of the request that claimed a key, or `None` if the key is free.
+    pub fn used_state(&self, key: KeyDigest) -> Option<ClaimState> {
+        let state = self.claims.get(&key)?.state;
+        (state != ClaimState::NotRun).then_some(state)
+    }
+
     /// Sets the state of a claim. Returns `true` if the segment changed, which it does not
     /// if the key is no longer claimed by `owner`.
     pub fn set_state(&mut self, key: KeyDigest, owner: &ClaimOwner, state: ClaimState) -> bool {
@@ -141,7 +185,54 @@
         let until = (now - window - EXPIRY_MARGIN).0 / 1000;
         self.dropped_until_ms = self.dropped_until_ms.max(until);
         let until = self.dropped_until_ms;
-        self.claims.retain(|_, record| record.created_ms.is_none_or(|created| created > until));
+        self.claims.retain(|_, record| !record.is_dropped(until));
+    }
+
+    /// Returns `true` if the store may have lost the claim of a key.
+    fn may_have_lost(&self, key: IdempotencyKey, now: Timestamp) -> bool {
+        let held_until = Timestamp(self.lost_until_ms * 1000) + LOST_CLAIM_HOLD;
+        let is_held = self.lost_until_ms > 0 && now < held_until;
+        key.created_ms.map_or(is_held, |created| created <= self.lost_until_ms)
+    }
+
+    /// Marks the segment as one of `era`, which began before `since`. Unless it was written in
+    /// this era, the store may have lost any claim made before.
+    pub fn enter_era(&mut self, era: StoreEra, since: Timestamp) {
+        if self.era < era {
+            self.era = era;
+            let until = (since + CALLER_CLOCK_MARGIN).0 / 1000;
+            self.lost_until_ms = self.lost_until_ms.max(until);
+        }
+    }
+
+    /// Adds what an earlier state of the segment holds and this one lacks: a store that came
+    /// back from an older copy has lost it. Claims leave a segment only when they expire, and
+    /// a settled request never runs again. If `is_behind`, this state is known to be the older
+    /// one, and a claim goes before the release of another claim. Returns `true` if the segment
+    /// changed.
+    pub fn add_lost(&mut self, known: &Self, is_behind: bool) -> bool {
+        self.dropped_until_ms = self.dropped_until_ms.max(known.dropped_until_ms);
+        self.lost_until_ms = self.lost_until_ms.max(known.lost_until_ms);
+        let until = self.dropped_until_ms;
+        let kept = known.claims.iter().filter(|(_, record)| !record.is_dropped(until));
+        let mut changed = false;
+        for (key, record) in kept {
+            let is_lost = match self.claims.get(key) {
+                None => record.state != ClaimState::NotRun,
+                Some(present) if present.owner == record.owner => {
+                    present.state == ClaimState::Running && record.state != ClaimState::Running
+                }
+                Some(present) => {
+                    let is_released = present.state == ClaimState::NotRun;
+                    is_behind && is_released && record.state != ClaimState::NotRun
+                }
+            };
+            if is_lost {
+                self.claims.insert(*key, record.clone());
+                changed = true;
+            }
+        }
+        changed
     }
 
     fn permanent(&self) -> usize {
--- a/core/src/controllers/intents/follower.rs
+++ b/core/src/controllers/intents/follower.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::{ConfigSummary, EntryLocation, IntentsEffect, StoreBatch};
+use super::{ConfigSummary, EntryLocation, IntentsEffect, StoreBatch, StoreEra};
 use crate::backoff::BackoffBounds;
 use crate::clock::Timestamp;
 use crate::digest::ShortDigest;
@@ -74,7 +74,10 @@
     failures: u32,
     /// Store version to watch from; `None` until a list succeeded.
     watch_version: Option<u64>,
-    /// Largest version offset in the last list and the watches after it.
+    /// Era of the store in the last list.
+    era: StoreEra,
+    /// Largest version offset in the last list and the watches after it, and at least that of
+    /// intents written in this era.
     pub(super) offset: u64,
     /// Whether the last list was behind what this entry holds: a stale read, or a store
     /// that was restored to an older state.
@@ -83,6 +86,8 @@
     unseen: Option<(u64, Timestamp)>,
     synced_peers: HashSet<String>,
     first_complete_peer: Option<Timestamp>,
+    /// When the first list succeeded.
+    first_list: Option<Timestamp>,
     reported_ready: Option<bool>,
 }
 
@@ -100,11 +105,13 @@
             call: StoreCall::None,
             failures: 0,
             watch_version: None,
+            era: StoreEra::default(),
             offset: 0,
             is_behind: false,
             unseen: None,
             synced_peers: HashSet::new(),
             first_complete_peer: None,
+            first_list: None,
             reported_ready: None,
         }
     }
@@ -139,7 +146,8 @@
     ) -> Vec<IntentsEffect> {
         self.call = StoreCall::None;
         self.last_response = now;
-        self.offset = batch.offset;
+        self.era = batch.era;
+        self.offset = batch.offset.max(batch.era.first_version());
         self.is_behind = self.shown_by(batch) < highest;
         if self.is_behind {
             // The versions held stay in force.
@@ -148,7 +156,8 @@
         self.failures = 0;
         self.watch_version = Some(batch.version);
         self.unseen = None;
-        self.complete = true;
+        self.first_list.get_or_insert(now);
+        self.complete_from_list(now);
         self.confirm(batch, highest);
         Vec::new()
     }
@@ -161,7 +170,9 @@
     ) -> Vec<IntentsEffect> {
         self.call = StoreCall::None;
         self.last_response = now;
-        if self.watch_version.is_none_or(|watch_version| batch.version < watch_version) {
+        // In another era, the version that the watch began from means another state.
+        let is_other_era = batch.era != self.era;
+        if is_other_era || self.watch_version.is_none_or(|version| batch.version < version) {
             return self.handle_failure(now);
         }
         self.offset = self.offset.max(batch.offset);
@@ -178,6 +189,16 @@
         Vec::new()
     }
 
+    /// Makes the entry complete once a list suffices. A store that came back from an older copy
+    /// may lack acknowledged intents, so an entry that starts then also waits until it holds what
+    /// a complete peer holds, for a limited time in case that no peer is complete.
+    pub(super) fn complete_from_list(&mut self, now: Timestamp) {
+        let Some(listed) = self.first_list else { return };
+        let is_first_era = self.era == StoreEra::default();
+        let has_waited = now.since(listed) >= START_PEERS_WAIT;
+        self.complete |= is_first_era || has_waited || !self.synced_peers.is_empty();
+    }
+
     /// Returns the version in force up to which a batch is complete.
     fn shown_by(&self, batch: &StoreBatch) -> u64 {
         self.offset.saturating_add(batch.version)
--- a/core/tests/claims.rs
+++ b/core/tests/claims.rs
@@ -1,312 +1,26 @@
 //! Guards against a key that runs twice: entries crash, pause and race, store calls are
-//! lost, delayed or refused, reads are stale and clocks are wrong.
+//! lost, delayed or refused, reads are stale, clocks are wrong, and the store comes back from an
+//! older copy.
+
+mod claim_world;
 
-use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
+use claim_world::{Fault, SERVICE, START, Step, World, key, step};
 use proptest::prelude::*;
-use proptest::sample::Index;
 use zinniaport_core::claims::{
-    ClaimOwner, ClaimSegment, ClaimState, IdempotencyKey, InsertOutcome, KeyError,
+    ClaimOwner, ClaimSegment, ClaimState, IdempotencyKey, InsertOutcome, KeyError, LOST_CLAIM_HOLD,
     MAX_PERMANENT_CLAIMS,
 };
-use zinniaport_core::clock::Timestamp;
-use zinniaport_core::controllers::{
-    ClaimResult, ClaimsController, ClaimsEffect, ClaimsMessage, ReadReply, SegmentName,
-    StateController, WriteReply,
-};
+use zinniaport_core::controllers::{ClaimResult, SegmentName};
 use zinniaport_core::digest::ShortDigest;
 use zinniaport_testing::{check_property, test_cases};
 
-const ENTRIES: usize = 3;
-const SERVICE: &str = "visit-ledger";
-const WINDOW: Duration = Duration::from_secs(3600);
-const START: Timestamp = Timestamp(1 << 50);
-
-#[derive(Clone, Copy, Debug)]
-enum Fault {
-    None,
-    RequestLost,
-    ResponseLost,
-    Delayed,
-    Refused,
-    Stale,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Completion {
-    Done,
-    Unknown,
-    NotRun,
-}
-
-#[derive(Clone, Debug)]
-enum Step {
-    /// A request with one of four keys arrives. The last two keys contain their creation
-    /// time.
-    Request(usize, u8),
-    Deliver(Index, Fault),
-    /// A granted request runs or ends without running. An entry that pauses may do so late.
-    Complete(Index, Completion),
-    /// A request that waits for its claim is cancelled.
-    Cancel(Index),
-    DelayedArrives(Index),
-    /// An entry is replaced by one whose clock is off by this many seconds.
-    Crash(usize, i64),
-    /// Time passes, in seconds.
-    Advance(u64),
-}
+const GRANTED: Option<ClaimResult> = Some(ClaimResult::Granted);
 
-fn step() -> impl Strategy<Value = Step> {
-    let fault = prop_oneof![
-        6 => Just(Fault::None),
-        1 => Just(Fault::RequestLost),
-        2 => Just(Fault::ResponseLost),
-        2 => Just(Fault::Delayed),
-        1 => Just(Fault::Refused),
-        1 => Just(Fault::Stale),
-    ];
-    let completion =
-        prop_oneof![Just(Completion::Done), Just(Completion::Unknown), Just(Completion::NotRun)];
-    prop_oneof![
-        6 => (0..ENTRIES, 0_u8..4).prop_map(|(entry, key)| Step::Request(entry, key)),
-        20 => (any::<Index>(), fault).prop_map(|(call, fault)| Step::Deliver(call, fault)),
-        4 => (any::<Index>(), completion).prop_map(|(request, completion)| Step::Complete(request, completion)),
-        1 => any::<Index>().prop_map(Step::Cancel),
-        2 => any::<Index>().prop_map(Step::DelayedArrives),
-        1 => (0..ENTRIES, -9_000_i64..9_000).prop_map(|(entry, skew)| Step::Crash(entry, skew)),
-        1 => (1_u64..9_000).prop_map(Step::Advance),
-    ]
-}
-
-fn key(number: u8) -> IdempotencyKey {
-    let created_ms = (number >= 2).then_some(START.0 / 1000 + u64::from(number));
-    IdempotencyKey { digest: ShortDigest(u128::from(number)), created_ms }
-}
-
-struct ClaimRequest {
-    entry: usize,
-    key: u8,
-    result: Option<ClaimResult>,
-    ended: bool,
-}
-
-struct World {
-    now: Timestamp,
-    /// Error of each entry's clock, in seconds.
-    skews: [i64; ENTRIES],
-    entries: Vec<ClaimsController>,
-    incarnation: u64,
-    calls: Vec<(usize, ClaimsEffect)>,
-    delayed: Vec<ClaimsEffect>,
-    store: Vec<(ClaimSegment, u64)>,
-    requests: Vec<ClaimRequest>,
-    /// Number of runs of each key.
-    runs: HashMap<u8, usize>,
-    /// Keys of requests at crashed entries, whose claims nobody withdraws.
-    abandoned: HashSet<u8>,
-}
-
-fn controller(entry: usize, incarnation: u64) -> ClaimsController {
-    ClaimsController::new(format!("entry-{entry}"), incarnation, WINDOW)
-}
-
-impl World {
-    fn new() -> Self {
-        Self {
-            now: START + Duration::from_secs(60),
-            skews: [0; ENTRIES],
-            entries: (0..ENTRIES).map(|entry| controller(entry, 0)).collect(),
-            incarnation: 0,
-            calls: Vec::new(),
-            delayed: Vec::new(),
-            store: Vec::new(),
-            requests: Vec::new(),
-            runs: HashMap::new(),
-            abandoned: HashSet::new(),
-        }
-    }
-
-    fn send(&mut self, entry: usize, message: ClaimsMessage) {
-        let clock = Timestamp(self.now.0.saturating_add_signed(self.skews[entry] * 1_000_000));
-        for effect in self.entries[entry].handle(message, clock) {
-            match effect {
-                ClaimsEffect::Resolve(nonce, result) => {
-                    self.requests[nonce as usize].result = Some(result);
-                }
-                call => self.calls.push((entry, call)),
-            }
-        }
-    }
-
-    fn write(&mut self, content: &ClaimSegment, base_version: u64) -> WriteReply {
-        let present = self.store.last().map_or(0, |(_, version)| *version);
-        if present != base_version {
-            return WriteReply::Conflict(present);
-        }
-        self.store.push((content.clone(), present + 1));
-        WriteReply::Written(present + 1)
-    }
-
-    fn read(&self, fault: Fault) -> ReadReply<ClaimSegment> {
-        let stale = usize::from(matches!(fault, Fault::Stale));
-        match (fault, self.store.len().checked_sub(1 + stale)) {
-            (Fault::None | Fault::Stale, None) => ReadReply::Absent,
-            (Fault::None | Fault::Stale, Some(position)) => {
-                let (content, version) = self.store[position].clone();
-                ReadReply::Found { content, version }
-            }
-            _ => ReadReply::Unavailable,
-        }
-    }
-
-    fn deliver(&mut self, position: usize, fault: Fault) {
-        let (entry, call) = self.calls.remove(position);
-        let message = match call {
-            ClaimsEffect::Wake(name, _) => ClaimsMessage::Wake(name),
-            ClaimsEffect::Read(name, _) => ClaimsMessage::Read(name, self.read(fault)),
-            ClaimsEffect::Write(ref name, ref content, base_version) => {
-                let reply = match fault {
-                    Fault::None | Fault::Stale => self.write(content, base_version),
-                    Fault::Refused => WriteReply::Refused,
-                    Fault::RequestLost => WriteReply::NoResponse,
-                    Fault::ResponseLost => {
-                        self.write(content, base_version);
-                        WriteReply::NoResponse
-                    }
-                    Fault::Delayed => {
-                        self.delayed.push(call.clone());
-                        WriteReply::NoResponse
-                    }
-                };
-                ClaimsMessage::Wrote(name.clone(), reply)
-            }
-            ClaimsEffect::Resolve(..) => unreachable!("results are not calls"),
-        };
-        self.send(entry, message);
-    }
-
-    fn record_state(&mut self, request: usize, state: ClaimState) {
-        let ClaimRequest { entry, key: number, ref mut ended, .. } = self.requests[request];
-        *ended = true;
-        let (service, key) = (SERVICE.to_owned(), key(number));
-        self.send(entry, ClaimsMessage::RecordState { service, key, nonce: request as u64, state });
-    }
-
-    /// Returns the requests that have not ended and whose claim is granted or, unless
-    /// `granted`, has no result.
-    fn open_requests(&self, granted: bool) -> Vec<usize> {
-        let requests = self.requests.iter().enumerate().filter(|(_, request)| !request.ended);
-        let wanted = granted.then_some(ClaimResult::Granted);
-        requests.filter(|(_, request)| request.result == wanted).map(|(number, _)| number).collect()
-    }
-
-    fn run(&mut self, step: &Step) {
-        match step {
-            Step::Request(entry, number) => {
-                let nonce = self.requests.len() as u64;
-                let request =
-                    ClaimRequest { entry: *entry, key: *number, result: None, ended: false };
-                self.requests.push(request);
-                let (service, key) = (SERVICE.to_owned(), key(*number));
-                self.send(*entry, ClaimsMessage::Claim { service, key, nonce });
-            }
-            Step::Deliver(call, fault) if !self.calls.is_empty() => {
-                self.deliver(call.index(self.calls.len()), *fault);
-            }
-            Step::Complete(choice, completion) => {
-                let granted = self.open_requests(true);
-                if granted.is_empty() {
-                    return;
-                }
-                let request = granted[choice.index(granted.len())];
-                if !matches!(completion, Completion::NotRun) {
-                    *self.runs.entry(self.requests[request].key).or_default() += 1;
-                }
-                self.record_state(
-                    request,
-                    match completion {
-                        Completion::Done => ClaimState::Done(200),
-                        Completion::Unknown => ClaimState::Unknown,
-                        Completion::NotRun => ClaimState::NotRun,
-                    },
-                );
-            }
-            Step::Cancel(choice) => {
-                let waiting = self.open_requests(false);
-                if !waiting.is_empty() {
-                    self.record_state(waiting[choice.index(waiting.len())], ClaimState::NotRun);
-                }
-            }
-            Step::DelayedArrives(call) if !self.delayed.is_empty() => {
-                let call = self.delayed.remove(call.index(self.delayed.len()));
-                if let ClaimsEffect::Write(_, content, base_version) = call {
-                    self.write(&content, base_version);
-                }
-            }
-            Step::Crash(entry, skew) => {
-                self.incarnation += 1;
-                self.entries[*entry] = controller(*entry, self.incarnation);
-                self.skews[*entry] = *skew;
-                self.calls.retain(|(owner, _)| owner != entry);
-                let requests = self.requests.iter_mut().filter(|request| request.entry == *entry);
-                for request in requests {
-                    request.ended = true;
-                    self.abandoned.insert(request.key);
-                }
-            }
-            Step::Advance(seconds) => self.now = self.now + Duration::from_secs(*seconds),
-            _ => {}
-        }
-    }
-
-    /// Completes all calls without further faults and applies all delayed writes.
-    fn complete_calls(&mut self) {
-        let mut delivered = 0;
-        while !self.calls.is_empty() {
-            self.deliver(0, Fault::None);
-            delivered += 1;
-            assert!(delivered < 10_000, "store calls do not end");
-        }
-        for call in std::mem::take(&mut self.delayed) {
-            if let ClaimsEffect::Write(_, content, base_version) = call {
-                self.write(&content, base_version);
-            }
-        }
-    }
-
-    /// Checks that a key is free if all its requests were reported as not run. Keys that
-    /// contain their creation time are skipped, since they may have expired.
-    fn check_released(&self) -> Result<(), TestCaseError> {
-        let Some((segment, _)) = self.store.last() else { return Ok(()) };
-        for number in 0..2 {
-            let record = segment.claims.get(&key(number).digest);
-            let held = record.is_some_and(|record| record.state != ClaimState::NotRun);
-            let may_be_held = self.runs.contains_key(&number) || self.abandoned.contains(&number);
-            prop_assert!(
-                !held || may_be_held,
-                "key {number} stays claimed although none of its requests ran"
-            );
-        }
-        Ok(())
-    }
-
-    fn check(&self) -> Result<(), TestCaseError> {
-        for (key, runs) in &self.runs {
-            prop_assert!(*runs <= 1, "key {key} ran {runs} times");
-        }
-        for request in &self.requests {
-            let ran = self.runs.contains_key(&request.key);
-            if let Some(ClaimResult::Repeated(ClaimState::Done(_))) = request.result {
-                prop_assert!(
-                    ran,
-                    "key {} is reported as done although no request ran",
-                    request.key
-                );
-            }
-        }
-        Ok(())
-    }
+/// Returns the result of a claim of a key that was used before, by a request in `state`.
+fn repeated(state: ClaimState) -> Option<ClaimResult> {
+    Some(ClaimResult::Repeated(state))
 }
 
 test_cases! {
@@ -365,10 +79,10 @@
         let owner = ClaimOwner { entry: "e".to_owned(), incarnation: 1, nonce: 1 };
         let permanent = |number| IdempotencyKey { digest: ShortDigest(number), created_ms: None };
         for number in 0..MAX_PERMANENT_CLAIMS as u128 {
-            assert_eq!(segment.insert_claim(permanent(number + 10), &owner), InsertOutcome::Added);
+            assert_eq!(segment.insert_claim(permanent(number + 10), &owner, START), InsertOutcome::Added);
         }
-        assert_eq!(segment.insert_claim(permanent(0), &owner), InsertOutcome::PermanentLimitReached);
-        assert_eq!(segment.insert_claim(key(2), &owner), InsertOutcome::Added);
+        assert_eq!(segment.insert_claim(permanent(0), &owner, START), InsertOutcome::PermanentLimitReached);
+        assert_eq!(segment.insert_claim(key(2), &owner, START), InsertOutcome::Added);
         let bytes = serde_json::to_vec(&segment).unwrap().len();
         assert!(bytes < 500_000, "half a full segment takes {bytes} bytes");
     }
@@ -386,4 +100,133 @@
         let name = SegmentName { service: SERVICE.to_owned(), segment: other.segment() };
         assert!(name.segment < 256);
     }
+
+    lost_claims_are_known_below_their_version: "a key that was granted and is reported as not run while the store is behind" => {
+        let mut world = World::new();
+        assert_eq!(world.request(0, 0), GRANTED);
+        world.record_state(0, ClaimState::Done(200));
+        world.complete_calls();
+        world.restore(0);
+        assert_eq!(world.request(0, 0), repeated(ClaimState::Done(200)));
+    }
+
+    lost_claims_are_known_above_their_version: "a key that is granted twice by one entry after its version was given out again" => {
+        let mut world = World::new();
+        assert_eq!(world.request(0, 0), GRANTED);
+        world.restore(0);
+        assert_eq!(world.request(1, 1), GRANTED);
+        assert_eq!(world.request(1, 2), GRANTED);
+        assert_eq!(world.request(0, 0), repeated(ClaimState::Running));
+        assert_eq!(world.request(2, 1), repeated(ClaimState::Running));
+    }
+
+    lost_states_are_written_again: "a key that stays claimed because the state of its request was lost" => {
+        let mut world = World::new();
+        assert_eq!(world.request(0, 0), GRANTED);
+        world.record_state(0, ClaimState::NotRun);
+        world.complete_calls();
+        world.restore(1);
+        assert_eq!(world.request(0, 1), GRANTED);
+        assert_eq!(world.request(1, 0), GRANTED);
+    }
+
+    lost_claims_are_written_again: "a lost claim that only the entry which made it knows after the segment was used there" => {
+        let mut world = World::new();
+        assert_eq!(world.request(0, 0), GRANTED);
+        world.restore(0);
+        assert_eq!(world.request(0, 1), GRANTED);
+        assert_eq!(world.request(1, 0), repeated(ClaimState::Running));
+    }
+
+    claims_go_on_after_a_restore: "an entry that can claim nothing until the store has given out the versions it knows" => {
+        let mut world = World::new();
+        (0..3).for_each(|key| assert_eq!(world.request(0, key), GRANTED));
+        world.restore(1);
+        assert_eq!(world.request(0, 3), GRANTED);
+    }
+
+    keys_run_at_most_once_across_restores: "a request that runs twice because the store lost its claim or gave the version of a segment out again" => {
+        check_property(4000, &(any::<bool>(), proptest::collection::vec(step(), 1..100)), |(has_permanent_keys, steps)| {
+            let mut world = World::new();
+            world.restores = true;
+            world.has_permanent_keys = has_permanent_keys;
+            for step in &steps {
+                world.run(step);
+                world.check()?;
+            }
+            world.complete_calls();
+            for request in world.open_requests(true) {
+                *world.runs.entry(world.requests[request].key).or_default() += 1;
+            }
+            world.check()?;
+            let open = world.open_requests(false);
+            prop_assert!(open.is_empty(), "claims of requests {:?} have no result", open);
+            Ok(())
+        });
+    }
+
+    reused_versions_are_no_condition: "a claim that is overwritten because a restored store gave its version out again" => {
+        let mut world = World::new();
+        world.restores = true;
+        assert_eq!(world.request(0, 2), GRANTED);
+        world.restore(0);
+        assert_eq!(world.request(1, 4), GRANTED);
+        assert_eq!(world.request(0, 5), GRANTED);
+        assert_eq!(world.request(2, 4), repeated(ClaimState::Running));
+    }
+
+    known_keys_are_reported_in_an_outage: "a key that ran and is reported as not run because the store is away" => {
+        let mut world = World::new();
+        assert_eq!(world.request(0, 0), GRANTED);
+        world.record_state(0, ClaimState::Done(200));
+        world.complete_calls();
+        (0..2).for_each(|key| world.run(&Step::Request(0, key)));
+        while !world.calls.is_empty() {
+            world.deliver(0, Fault::RequestLost);
+        }
+        assert_eq!(world.requests[1].result, repeated(ClaimState::Done(200)));
+        assert_eq!(world.requests[2].result, Some(ClaimResult::Unavailable));
+    }
+
+    late_reads_are_no_condition: "a claim that is overwritten on top of a read from before the restore" => {
+        let mut world = World::new();
+        world.restores = true;
+        assert_eq!(world.request(0, 4), GRANTED);
+        world.run(&Step::Request(1, 5));
+        world.deliver(0, Fault::None);
+        world.deliver(0, Fault::Late);
+        let late = std::mem::take(&mut world.late);
+        world.restore(0);
+        assert_eq!(world.request(2, 6), GRANTED);
+        world.see_era(1);
+        world.late = late;
+        world.complete_calls();
+        assert_eq!(world.requests[1].result, GRANTED);
+        assert_eq!(world.request(0, 6), repeated(ClaimState::Running));
+    }
+
+    lost_claims_of_other_entries_are_not_granted: "a key that is granted by an entry which never saw the claim that the store lost" => {
+        let mut world = World::new();
+        world.restores = true;
+        assert_eq!(world.request(0, 0), GRANTED);
+        assert_eq!(world.request(0, 2), GRANTED);
+        world.restore(0);
+        for key in [0, 2] {
+            assert_eq!(world.request(1, key), Some(ClaimResult::Expired));
+        }
+        assert_eq!(world.request(1, 4), GRANTED);
+        world.now = world.now + LOST_CLAIM_HOLD + Duration::from_secs(2);
+        assert_eq!(world.request(1, 1), GRANTED);
+        assert_eq!(world.request(1, 2), Some(ClaimResult::Expired));
+    }
+
+    idle_entries_write_lost_claims_again: "a lost claim of an entry that gets no more requests with keys" => {
+        let mut world = World::new();
+        world.restores = true;
+        assert_eq!(world.request(0, 2), GRANTED);
+        world.restore(0);
+        world.see_era(0);
+        world.complete_calls();
+        assert_eq!(world.request(1, 2), repeated(ClaimState::Running));
+    }
 }
--- a/src/admin/plan_service.rs
+++ b/src/admin/plan_service.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error, From};
 use zinniaport_core::controllers::{
     ConfirmOutcome, IntentsMessage, PlansController, PlansEffect, PlansMessage, ReadReply,
-    StateController, WriteReply,
+    StateController, StoreEra, WriteReply,
 };
 use zinniaport_core::intent::ServiceIntent;
 use zinniaport_core::plan::{
@@ -87,13 +87,15 @@
     ) -> Result<ChangePlan, PlanServiceError> {
         check_intent(&statement.intent)?;
         let service = statement.intent.service.clone();
-        let (base, base_version) = self.read_base(&service).await?;
+        let (stored, base_version) = self.read_base(&service).await?;
+        let base_plan = stored.as_ref().and_then(StoredIntent::last_plan);
+        let base = stored.map(|stored| stored.intent);
         let owners = base.iter().chain([&statement.intent]).map(|intent| &intent.team);
         if owners.into_iter().any(|team| *team != member.team) {
             return Err(PlanServiceError::WrongTeam { service, team: member.team.clone() });
         }
         let fleet = self.state.fleet.load_full();
-        let basis = PlanBasis { base: base.as_ref(), base_version, fleet: &fleet };
+        let basis = PlanBasis { base: base.as_ref(), base_version, base_plan, fleet: &fleet };
         let stamp = PlanStamp {
             author: member.author.clone(),
             nonce: rand::random(),
@@ -120,7 +122,7 @@
         service: &str,
     ) -> Result<ServiceIntent, PlanServiceError> {
         let (base, _) = self.read_base(service).await?;
-        let intent = base.ok_or(PlanServiceError::IntentNotFound)?;
+        let intent = base.ok_or(PlanServiceError::IntentNotFound)?.intent;
         if intent.team != member.team {
             let (service, team) = (service.to_owned(), member.team.clone());
             return Err(PlanServiceError::WrongTeam { service, team });
@@ -128,13 +130,13 @@
         Ok(intent)
     }
 
-    /// Reads the intent in force and its version, which is 0 if there is none.
+    /// Reads the stored intent and its version, which is 0 if there is none.
     async fn read_base(
         &self,
         service: &str,
-    ) -> Result<(Option<ServiceIntent>, u64), PlanServiceError> {
-        match self.store.read::<StoredIntent>(&intent_name(service)).await {
-            ReadReply::Found { content, version } => Ok((Some(content.intent), version)),
+    ) -> Result<(Option<StoredIntent>, u64), PlanServiceError> {
+        match self.store.read(&intent_name(service)).await {
+            ReadReply::Found { content, version } => Ok((Some(content), version)),
             ReadReply::Absent => Ok((None, 0)),
             ReadReply::Unavailable => Err(PlanServiceError::StoreUnavailable),
         }
@@ -186,8 +188,9 @@
         }
         plan.author.clone_from(&member.author);
         let (service, author) = (plan.intent.service.clone(), member.author.clone());
-        let floor = self.propagation.version_floor(&service).await.unwrap_or_default();
-        let outcome = self.run_confirmation(PlansMessage::Confirm(plan, floor)).await;
+        let era = self.store.era();
+        let floor = self.propagation.version_floor(&service).await.unwrap_or_default().in_era(era);
+        let outcome = self.run_confirmation(PlansMessage::Confirm(plan, floor), era).await;
         log::info!(
             plan = identity.to_string().as_str(), service = service.as_str(),
             author = author.as_str();
@@ -196,8 +199,9 @@
         Ok(outcome)
     }
 
-    /// Runs a confirmation until its outcome is known.
-    async fn run_confirmation(&self, first_message: PlansMessage) -> ConfirmOutcome {
+    /// Runs a confirmation until its outcome is known. The plan is written only while the store
+    /// is in `era`, from which its version is computed.
+    async fn run_confirmation(&self, first_message: PlansMessage, era: StoreEra) -> ConfirmOutcome {
         let mut controller = PlansController::default();
         let mut message = first_message;
         loop {
@@ -209,7 +213,8 @@
                 }
                 Some(PlansEffect::Write { plan, content, base_version }) => {
                     let name = intent_name(&content.intent.service);
-                    let reply = self.store.write(&name, &content, base_version).await;
+                    let (_, reply) =
+                        self.store.write_in_era(&name, &content, era, base_version).await;
                     if let WriteReply::Written(version) = reply {
                         // Distributes the change to all entries even if no watch delivers it.
                         let version = content.version_in_force(version);
