--- a/core/src/directory/ledger.rs
+++ b/core/src/directory/ledger.rs
@@ -37,6 +37,38 @@
 }
 
 impl ObjectRecord {
+    /// Returns the record of an object that was written or removed at a revision.
+    fn written_at(
+        position: StoreRevision,
+        item: Option<DirectoryItem>,
+        known: Option<&Self>,
+    ) -> Self {
+        let is_carried = false;
+        match (item, known) {
+            (Some(item), _) => {
+                let (order, written) = (item.writer_order(), position);
+                let (item, removed_item) = (Some(item), None);
+                Self { position, item, removed_item, order, written, is_carried }
+            }
+            (None, Some(known)) => {
+                let removed_item = known.item.clone().or_else(|| known.removed_item.clone());
+                Self { position, item: None, removed_item, is_carried, ..known.clone() }
+            }
+            (None, None) => {
+                let (item, removed_item, order, written) = (None, None, None, position);
+                Self { position, item, removed_item, order, written, is_carried }
+            }
+        }
+    }
+
+    /// Returns the record of an object that keeps its content although a copy has it at a revision
+    /// of the current era, with content of the given order.
+    fn carried_to(&self, position: StoreRevision, order: Option<WriterOrder>) -> Self {
+        // What the copy has of a removed object is no news if it is listed again.
+        let order = if self.item.is_none() { self.order.max(order) } else { self.order };
+        Self { position, order, is_carried: true, ..self.clone() }
+    }
+
     /// Returns `true` if the content of a change is older than what is known although its revision
     /// is higher. If it is listed for the first time in an era, it may be as old as the copy; later,
     /// only an object that its writer has not written again can be touched by another writer.
@@ -103,11 +135,6 @@
         self.position
     }
 
-    /// Returns the revision after which no change is missing, or `None` before the first list.
-    pub fn complete_since(&self) -> Option<StoreRevision> {
-        self.complete_since
-    }
-
     /// Returns `true` if the ledger can tell all changes after a revision.
     pub fn covers(&self, after: StoreRevision) -> bool {
         let is_missing =
@@ -153,54 +180,49 @@
             self.remove_unlisted(batch, starts_era);
             self.record_list(batch.position(), starts_era);
         }
-        let batch_position = batch.position();
-        let may_be_copied =
-            |known: &ObjectRecord| is_list && known.position.era < batch_position.era;
+        let position = batch.position();
         for change in &mut batch.changes {
-            let position = StoreRevision { era: batch.era, number: change.revision };
-            let order = change.item.as_ref().and_then(DirectoryItem::writer_order);
-            let known = self.records.get(&change.name);
-            let is_newer = known.is_some_and(|known| known.is_newer_at(position, order, origin));
-            if is_newer {
-                change.revision = batch_position.number;
-            } else if let Some(known) = known.filter(|known| known.position >= position) {
-                change.revision = known.position.number;
-                change.item.clone_from(&known.item);
-                continue;
-            }
-            let position = StoreRevision { era: batch.era, number: change.revision };
-            let outdated =
-                known.filter(|known| !is_newer && known.outdates(change, may_be_copied(known)));
-            let record = match outdated {
-                Some(known) => {
-                    let order =
-                        if known.item.is_none() { known.order.max(order) } else { known.order };
-                    ObjectRecord { position, order, is_carried: true, ..known.clone() }
-                }
-                None => {
-                    let (known_order, known_written) =
-                        known.map_or((None, position), |known| (known.order, known.written));
-                    let (order, written) = match &change.item {
-                        Some(_) => (order, position),
-                        None => (known_order, known_written),
-                    };
-                    let item = change.item.clone();
-                    let removed_item = match (&item, known) {
-                        (None, Some(known)) => known.item.clone().or(known.removed_item.clone()),
-                        _ => None,
-                    };
-                    let is_carried = false;
-                    ObjectRecord { position, item, removed_item, order, written, is_carried }
-                }
-            };
-            change.item.clone_from(&record.item);
-            self.records.insert(change.name.clone(), record);
+            self.apply_change(change, position, origin);
         }
         self.position = self.position.max(batch.position());
         self.drop_old_removals();
         true
     }
 
+    /// Applies a change of a batch that is complete up to `batch_position`, and replaces it by what
+    /// is in force.
+    fn apply_change(
+        &mut self,
+        change: &mut DirectoryChange,
+        batch_position: StoreRevision,
+        origin: BatchOrigin,
+    ) {
+        let at_number = |number| StoreRevision { number, ..batch_position };
+        let order = change.item.as_ref().and_then(DirectoryItem::writer_order);
+        let mut position = at_number(change.revision);
+        let known = self.records.get(&change.name);
+        let is_newer = known.is_some_and(|known| known.is_newer_at(position, order, origin));
+        if is_newer {
+            // A higher revision, so that the entries which read from this one get it.
+            position = batch_position;
+        } else if let Some(known) = known.filter(|known| known.position >= position) {
+            change.revision = known.position.number;
+            change.item.clone_from(&known.item);
+            return;
+        }
+        let is_outdated = |known: &&ObjectRecord| {
+            let may_be_copied = origin.is_list() && known.position.era < position.era;
+            !is_newer && known.outdates(change, may_be_copied)
+        };
+        let record = match known.filter(is_outdated) {
+            Some(known) => known.carried_to(position, order),
+            None => ObjectRecord::written_at(position, change.item.clone(), known),
+        };
+        change.revision = position.number;
+        change.item.clone_from(&record.item);
+        self.records.insert(change.name.clone(), record);
+    }
+
     /// Returns `true` once all objects are known.
     pub fn is_complete(&self) -> bool {
         self.complete_since.is_some()
